--- /dev/null
+++ b/http-async.c
@@ -0,0 +1,361 @@
+/* http-async.c -- HTTP calls on libcurl's multi interface
+
+   CivetWeb's client blocks, and gives up a connect only after ten seconds. The
+   platform's store and the workers are silent for seconds on bad days, and the
+   engine thread must go on meanwhile, so these calls use libcurl, whose sockets are
+   served by the epoll set of the links.
+
+   A handle of libcurl is costly to set up; ended ones are kept for the next call. */
+
+#include "http-async.h"
+
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <sys/epoll.h>
+
+#define MAX_WATCHES 4096               /* descriptors of the process */
+#define MAX_IDLE_CALLS 16              /* handles kept for reuse */
+#define ANSWER_MAX (64u * 1024 * 1024) /* bytes of one answer */
+#define CONNECT_MAX (1 * MD_SECOND)    /* a silent peer is dialled again after this */
+
+typedef struct Call Call;
+
+struct Call
+{
+  Call *next;                 /* idle calls */
+  MdHttp *http;               /* owner */
+  CURL *easy;                 /* libcurl's handle */
+  struct curl_slist *headers; /* of the request */
+  MdBuf request;              /* body */
+  MdBuf answer;               /* body received so far */
+  MdHttpDone done;            /* callback */
+  void *user;                 /* its argument */
+  MdTime started;             /* when the call was made */
+  char address[MD_ADDRESS_BYTES];
+  char reason[CURL_ERROR_SIZE]; /* libcurl's */
+};
+
+struct MdHttp
+{
+  MdLinks *links;                /* whose poll serves the sockets */
+  CURLM *multi;                  /* libcurl's set of calls */
+  Call *idle;                    /* for reuse */
+  unsigned n_idle;               /* of them */
+  MdTime due;                    /* when libcurl wants to be called, INT64_MAX never */
+  MdWatch *watches[MAX_WATCHES]; /* by descriptor */
+};
+
+static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
+
+static void
+init_curl (void)
+{
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+}
+
+/* ------------------------------------------------------------------ */
+/* Sockets and timer of libcurl                                       */
+
+static void
+on_socket_event (void *user, int fd, uint32_t events)
+{
+  MdHttp *http = user;
+  int flags = 0;
+  int running;
+
+  if (events & EPOLLIN)
+    flags |= CURL_CSELECT_IN;
+  if (events & EPOLLOUT)
+    flags |= CURL_CSELECT_OUT;
+  if (events & (EPOLLERR | EPOLLHUP))
+    flags |= CURL_CSELECT_ERR;
+  curl_multi_socket_action (http->multi, fd, flags, &running);
+}
+
+static MdWatch *
+watch_of (MdHttp *http, curl_socket_t fd)
+{
+  MdWatch *watch;
+
+  if (fd < 0 || fd >= MAX_WATCHES)
+    return NULL;
+  if (http->watches[fd] != NULL)
+    return http->watches[fd];
+  watch = calloc (1, sizeof *watch);
+  if (watch == NULL)
+    return NULL;
+  watch->fd = -1;
+  watch->on_event = on_socket_event;
+  watch->user = http;
+  http->watches[fd] = watch;
+  return watch;
+}
+
+static int
+on_socket (CURL *easy MD_UNUSED, curl_socket_t fd, int what, void *user, void *data MD_UNUSED)
+{
+  MdHttp *http = user;
+  MdWatch *watch = watch_of (http, fd);
+  uint32_t events = 0;
+
+  if (watch == NULL)
+    {
+      md_log (MD_LOG_ERROR, "http-watch", "fd=%d reason=\"descriptor out of range or no memory\"",
+              (int)fd);
+      return -1;
+    }
+  if (what == CURL_POLL_REMOVE)
+    {
+      md_links_unwatch (http->links, watch);
+      return 0;
+    }
+  if (what & CURL_POLL_IN)
+    events |= EPOLLIN;
+  if (what & CURL_POLL_OUT)
+    events |= EPOLLOUT;
+  return md_links_watch (http->links, watch, fd, events) == MD_OK ? 0 : -1;
+}
+
+static int
+on_timer (CURLM *multi MD_UNUSED, long timeout_ms, void *user)
+{
+  MdHttp *http = user;
+
+  http->due = timeout_ms < 0 ? INT64_MAX : md_now () + timeout_ms * MD_MS;
+  return 0;
+}
+
+/* ------------------------------------------------------------------ */
+/* Life cycle                                                         */
+
+MdHttp *
+md_http_new (MdLinks *links, long max_connections)
+{
+  MdHttp *http = calloc (1, sizeof *http);
+
+  if (http == NULL)
+    return NULL;
+  pthread_once (&curl_once, init_curl);
+  http->links = links;
+  http->due = INT64_MAX;
+  http->multi = curl_multi_init ();
+  if (http->multi == NULL)
+    {
+      free (http);
+      return NULL;
+    }
+  curl_multi_setopt (http->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+  curl_multi_setopt (http->multi, CURLMOPT_SOCKETDATA, http);
+  curl_multi_setopt (http->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+  curl_multi_setopt (http->multi, CURLMOPT_TIMERDATA, http);
+  curl_multi_setopt (http->multi, CURLMOPT_MAX_HOST_CONNECTIONS, max_connections);
+  /* By default idle connections are closed as soon as few calls are under way. */
+  curl_multi_setopt (http->multi, CURLMOPT_MAXCONNECTS, max_connections);
+  return http;
+}
+
+static void
+free_call (Call *call)
+{
+  curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  md_buf_clear (&call->request);
+  md_buf_clear (&call->answer);
+  free (call);
+}
+
+void
+md_http_free (MdHttp *http)
+{
+  if (http == NULL)
+    return;
+  for (Call *call = http->idle, *next; call != NULL; call = next)
+    {
+      next = call->next;
+      free_call (call);
+    }
+  curl_multi_cleanup (http->multi);
+  for (int fd = 0; fd < MAX_WATCHES; fd++)
+    {
+      if (http->watches[fd] != NULL)
+        md_links_unwatch (http->links, http->watches[fd]);
+      free (http->watches[fd]);
+    }
+  free (http);
+}
+
+/* ------------------------------------------------------------------ */
+/* Calls                                                              */
+
+static size_t
+on_body (char *data, size_t size, size_t n, void *user)
+{
+  Call *call = user;
+
+  md_buf_append (&call->answer, md_str_n (data, size * n));
+  if (call->answer.failed || call->answer.len > ANSWER_MAX)
+    return 0;
+  return size * n;
+}
+
+static Call *
+new_call (MdHttp *http)
+{
+  Call *call = http->idle;
+
+  if (call != NULL)
+    {
+      http->idle = call->next;
+      http->n_idle--;
+      return call;
+    }
+  call = calloc (1, sizeof *call);
+  if (call == NULL)
+    return NULL;
+  call->http = http;
+  call->easy = curl_easy_init ();
+  if (call->easy != NULL)
+    return call;
+  free (call);
+  return NULL;
+}
+
+static void
+keep_call (Call *call)
+{
+  MdHttp *http = call->http;
+
+  if (http->n_idle >= MAX_IDLE_CALLS)
+    {
+      free_call (call);
+      return;
+    }
+  curl_easy_reset (call->easy);
+  curl_slist_free_all (call->headers);
+  call->headers = NULL;
+  call->request.len = 0;
+  call->answer.len = 0;
+  call->next = http->idle;
+  http->idle = call;
+  http->n_idle++;
+}
+
+static void
+add_header (Call *call, const char *line)
+{
+  struct curl_slist *list = curl_slist_append (call->headers, line);
+
+  if (list != NULL)
+    call->headers = list;
+}
+
+static void
+add_headers (Call *call, const char *lines)
+{
+  /* No 100-continue: it costs a round trip for a body of a few kilobytes. */
+  add_header (call, "Expect:");
+  while (lines != NULL && *lines != '\0')
+    {
+      const char *end = strstr (lines, "\r\n");
+      MD_AUTO_BUF line = { 0 };
+
+      if (end == NULL)
+        return;
+      md_buf_append (&line, md_str_n (lines, (size_t)(end - lines)));
+      if (line.data != NULL)
+        add_header (call, line.data);
+      lines = end + 2;
+    }
+}
+
+static void
+set_options (Call *call, const MdHttpCall *request)
+{
+  MD_AUTO_BUF url = { 0 };
+  MdTime connect = request->timeout < CONNECT_MAX ? request->timeout : CONNECT_MAX;
+
+  md_buf_printf (&url, "http://%s%s", request->address, request->target);
+  add_headers (call, request->headers);
+  curl_easy_setopt (call->easy, CURLOPT_URL, url.data);
+  curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, request->method);
+  curl_easy_setopt (call->easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (call->easy, CURLOPT_ERRORBUFFER, call->reason);
+  curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)(request->timeout / MD_MS));
+  curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)(connect / MD_MS));
+  if (strcmp (request->method, "GET") == 0)
+    return;
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE, (long)call->request.len);
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, call->request.data ? call->request.data : "");
+}
+
+int
+md_http_start (MdHttp *http, const MdHttpCall *request, MdHttpDone done, void *user)
+{
+  Call *call = new_call (http);
+
+  if (call == NULL)
+    return MD_E_MEMORY;
+  call->done = done;
+  call->user = user;
+  call->started = md_now ();
+  call->reason[0] = '\0';
+  md_str_copy (call->address, sizeof call->address, md_str (request->address));
+  md_buf_append (&call->request, request->body);
+  set_options (call, request);
+  if (curl_multi_add_handle (http->multi, call->easy) == CURLM_OK)
+    return MD_OK;
+  free_call (call);
+  return MD_E_MEMORY;
+}
+
+static void
+finish_call (Call *call, CURLcode code)
+{
+  MdHttpAnswer answer = { .elapsed = md_now () - call->started };
+  long status = 0;
+
+  if (code == CURLE_OK)
+    {
+      curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+      answer.status = (int)status;
+      answer.body = md_buf_str (&call->answer);
+    }
+  else
+    md_error_set (&answer.error, code == CURLE_OPERATION_TIMEDOUT ? MD_E_TIMEOUT : MD_E_IO, "call",
+                  call->address, "%s",
+                  call->reason[0] != '\0' ? call->reason : curl_easy_strerror (code));
+  curl_multi_remove_handle (call->http->multi, call->easy);
+  call->done (call->user, &answer);
+  keep_call (call);
+}
+
+MdTime
+md_http_poll (MdHttp *http)
+{
+  CURLMsg *message;
+  int left;
+  int running;
+
+  if (md_now () >= http->due)
+    {
+      http->due = INT64_MAX;
+      curl_multi_socket_action (http->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
+  while ((message = curl_multi_info_read (http->multi, &left)) != NULL)
+    if (message->msg == CURLMSG_DONE)
+      {
+        CURLcode code = message->data.result;
+        char *call = NULL;
+
+        curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
+        finish_call ((Call *)call, code);
+      }
+  return http->due;
+}
--- a/link.c
+++ b/link.c
@@ -449,6 +449,32 @@
     }
 }
 
+int
+md_links_watch (MdLinks *links, MdWatch *watch, int fd, uint32_t events)
+{
+  int operation = watch->fd == fd ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+
+  watch->is_watch = true;
+  watch->fd = fd;
+  return md_link_watch (links, operation, fd, events, watch) ? MD_OK : MD_E_IO;
+}
+
+void
+md_links_unwatch (MdLinks *links, MdWatch *watch)
+{
+  if (watch->fd >= 0)
+    md_link_watch (links, EPOLL_CTL_DEL, watch->fd, 0, watch);
+  watch->fd = -1;
+}
+
+/* The descriptor may have been given up by an earlier event of the same wait. */
+static void
+handle_watch (const MdWatch *watch, uint32_t events)
+{
+  if (watch->fd >= 0)
+    watch->on_event (watch->user, watch->fd, events);
+}
+
 static void
 handle_event (MdLinks *links, const struct epoll_event *event)
 {
@@ -469,6 +495,11 @@
       accept_links (links);
       return;
     }
+  if (link->is_watch)
+    {
+      handle_watch (event->data.ptr, event->events);
+      return;
+    }
   if (link->state == MD_LINK_CONNECTING)
     finish_connect (link);
   if (link->state == MD_LINK_UP && (event->events & EPOLLOUT) && link->blocked)
--- a/md-link.h
+++ b/md-link.h
@@ -19,6 +19,7 @@
 
 struct MdLink
 {
+  bool is_watch;               /* false; tells a link from an MdWatch in an event */
   MdLinks *links;              /* owner */
   MdLink *next;                /* all links */
   MdLink *previous;            /* all links */
--- a/md-private.h
+++ b/md-private.h
@@ -179,6 +179,7 @@
 #define MD_NAME_BYTES 64    /* names of nodes, pools, customers, with terminator */
 #define MD_ADDRESS_BYTES 64 /* "ip:port" with terminator */
 #define MD_TOKEN_BYTES 128  /* bearer tokens with terminator */
+#define MD_LIST_BYTES 512   /* lists of addresses, with terminator */
 
 typedef struct
 {
@@ -213,6 +214,17 @@
   MdTime drain_timeout;                      /* longest graceful shutdown */
   MdLogLevel log_level;                      /* lowest level written */
   bool is_entry;                             /* entry, otherwise guard */
+  char store_address[MD_ADDRESS_BYTES];      /* runs: the platform's store */
+  char ready_address[MD_ADDRESS_BYTES];      /* run-entry: the balancer's probes */
+  char metrics_address[MD_ADDRESS_BYTES];    /* runs: counters, empty none */
+  char seeds[MD_LIST_BYTES];                 /* runs: ip:port of entries, by commas; of
+                                                each only the ip is used */
+  char worker_address[MD_ADDRESS_BYTES];     /* run-guard: the worker takes orders here */
+  char register_address[MD_ADDRESS_BYTES];   /* run-guard: the worker reports here */
+  uint32_t entry_port;                       /* runs: internal port of all entries */
+  MdTime worker_lease_max;                   /* run-guard: longest lease of a worker */
+  MdTime resend_after;                       /* runs: callers repeat a lost job after this */
+  double remote_factor;                      /* run-entry: run time away from the data */
   MdToken *tokens;                           /* n_tokens entries, owned */
   size_t n_tokens;                           /* tokens */
   MdTuning tuning;                           /* defaults, overridden by "tuning:" */
@@ -278,6 +290,21 @@
 void md_links_poll (MdLinks *links, MdTime until);
 void md_links_wake (MdLinks *links); /* from any thread */
 
+/* A descriptor of another library that is served by the same poll. The owner fills
+   in on_event and user, and keeps the structure until md_links_free. */
+typedef struct
+{
+  bool is_watch;                                          /* set by md_links_watch */
+  int fd;                                                 /* -1: not watched */
+  void (*on_event) (void *user, int fd, uint32_t events); /* EPOLL flags */
+  void *user;                                             /* first argument of on_event */
+} MdWatch;
+
+/* md_links_watch: call on_event from md_links_poll on these EPOLL events of fd; a
+   later call replaces them. */
+int md_links_watch (MdLinks *links, MdWatch *watch, int fd, uint32_t events);
+void md_links_unwatch (MdLinks *links, MdWatch *watch);
+
 /* md_link_send: queue a frame. MD_E_LIMIT when the peer reads too slowly and the
    buffer bound is reached; the connection is then abandoned. */
 int md_link_send (MdLink *link, const Md__Frame *frame);
@@ -466,6 +493,8 @@
 
 int md_entry_main (int argc, const char **argv);
 int md_guard_main (int argc, const char **argv);
+int md_run_entry_main (int argc, const char **argv); /* on the users' platform */
+int md_run_guard_main (int argc, const char **argv); /* on the users' platform */
 int md_check_config_main (int argc, const char **argv);
 int md_submit_main (int argc, const char **argv);   /* callers' client */
 int md_resource_main (int argc, const char **argv); /* get, apply, delete, watch, status */
--- a/wire.pb-c.c
+++ b/wire.pb-c.c
@@ -1132,6 +1132,321 @@
   assert(message->base.descriptor == &md__snapshot_reply__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   md__run_hello__init
+                     (Md__RunHello         *message)
+{
+  static const Md__RunHello init_value = MD__RUN_HELLO__INIT;
+  *message = init_value;
+}
+size_t md__run_hello__get_packed_size
+                     (const Md__RunHello *message)
+{
+  assert(message->base.descriptor == &md__run_hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__run_hello__pack
+                     (const Md__RunHello *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__run_hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__run_hello__pack_to_buffer
+                     (const Md__RunHello *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__run_hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__RunHello *
+       md__run_hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__RunHello *)
+     protobuf_c_message_unpack (&md__run_hello__descriptor,
+                                allocator, len, data);
+}
+void   md__run_hello__free_unpacked
+                     (Md__RunHello *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__run_hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   md__run_welcome__init
+                     (Md__RunWelcome         *message)
+{
+  static const Md__RunWelcome init_value = MD__RUN_WELCOME__INIT;
+  *message = init_value;
+}
+size_t md__run_welcome__get_packed_size
+                     (const Md__RunWelcome *message)
+{
+  assert(message->base.descriptor == &md__run_welcome__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__run_welcome__pack
+                     (const Md__RunWelcome *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__run_welcome__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__run_welcome__pack_to_buffer
+                     (const Md__RunWelcome *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__run_welcome__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__RunWelcome *
+       md__run_welcome__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__RunWelcome *)
+     protobuf_c_message_unpack (&md__run_welcome__descriptor,
+                                allocator, len, data);
+}
+void   md__run_welcome__free_unpacked
+                     (Md__RunWelcome *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__run_welcome__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   md__worker_info__init
+                     (Md__WorkerInfo         *message)
+{
+  static const Md__WorkerInfo init_value = MD__WORKER_INFO__INIT;
+  *message = init_value;
+}
+size_t md__worker_info__get_packed_size
+                     (const Md__WorkerInfo *message)
+{
+  assert(message->base.descriptor == &md__worker_info__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__worker_info__pack
+                     (const Md__WorkerInfo *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__worker_info__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__worker_info__pack_to_buffer
+                     (const Md__WorkerInfo *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__worker_info__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__WorkerInfo *
+       md__worker_info__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__WorkerInfo *)
+     protobuf_c_message_unpack (&md__worker_info__descriptor,
+                                allocator, len, data);
+}
+void   md__worker_info__free_unpacked
+                     (Md__WorkerInfo *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__worker_info__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   md__run_order__init
+                     (Md__RunOrder         *message)
+{
+  static const Md__RunOrder init_value = MD__RUN_ORDER__INIT;
+  *message = init_value;
+}
+size_t md__run_order__get_packed_size
+                     (const Md__RunOrder *message)
+{
+  assert(message->base.descriptor == &md__run_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__run_order__pack
+                     (const Md__RunOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__run_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__run_order__pack_to_buffer
+                     (const Md__RunOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__run_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__RunOrder *
+       md__run_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__RunOrder *)
+     protobuf_c_message_unpack (&md__run_order__descriptor,
+                                allocator, len, data);
+}
+void   md__run_order__free_unpacked
+                     (Md__RunOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__run_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   md__run_orders__init
+                     (Md__RunOrders         *message)
+{
+  static const Md__RunOrders init_value = MD__RUN_ORDERS__INIT;
+  *message = init_value;
+}
+size_t md__run_orders__get_packed_size
+                     (const Md__RunOrders *message)
+{
+  assert(message->base.descriptor == &md__run_orders__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__run_orders__pack
+                     (const Md__RunOrders *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__run_orders__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__run_orders__pack_to_buffer
+                     (const Md__RunOrders *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__run_orders__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__RunOrders *
+       md__run_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__RunOrders *)
+     protobuf_c_message_unpack (&md__run_orders__descriptor,
+                                allocator, len, data);
+}
+void   md__run_orders__free_unpacked
+                     (Md__RunOrders *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__run_orders__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   md__run_end__init
+                     (Md__RunEnd         *message)
+{
+  static const Md__RunEnd init_value = MD__RUN_END__INIT;
+  *message = init_value;
+}
+size_t md__run_end__get_packed_size
+                     (const Md__RunEnd *message)
+{
+  assert(message->base.descriptor == &md__run_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__run_end__pack
+                     (const Md__RunEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__run_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__run_end__pack_to_buffer
+                     (const Md__RunEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__run_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__RunEnd *
+       md__run_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__RunEnd *)
+     protobuf_c_message_unpack (&md__run_end__descriptor,
+                                allocator, len, data);
+}
+void   md__run_end__free_unpacked
+                     (Md__RunEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__run_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   md__run_report__init
+                     (Md__RunReport         *message)
+{
+  static const Md__RunReport init_value = MD__RUN_REPORT__INIT;
+  *message = init_value;
+}
+size_t md__run_report__get_packed_size
+                     (const Md__RunReport *message)
+{
+  assert(message->base.descriptor == &md__run_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__run_report__pack
+                     (const Md__RunReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__run_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__run_report__pack_to_buffer
+                     (const Md__RunReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__run_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__RunReport *
+       md__run_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__RunReport *)
+     protobuf_c_message_unpack (&md__run_report__descriptor,
+                                allocator, len, data);
+}
+void   md__run_report__free_unpacked
+                     (Md__RunReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__run_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   md__frame__init
                      (Md__Frame         *message)
 {
@@ -3336,73 +3651,898 @@
   (ProtobufCMessageInit) md__snapshot_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__frame__field_descriptors[18] =
+static const ProtobufCFieldDescriptor md__run_hello__field_descriptors[5] =
 {
   {
-    "hello",
+    "name",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Md__Frame, msg_case),
-    offsetof(Md__Frame, hello),
-    &md__hello__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunHello, name),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "welcome",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Md__Frame, msg_case),
-    offsetof(Md__Frame, welcome),
-    &md__welcome__descriptor,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunHello, incarnation),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heartbeat",
+    "failure_domain",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Md__Frame, msg_case),
-    offsetof(Md__Frame, heartbeat),
-    &md__heartbeat__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunHello, failure_domain),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attach",
+    "alive",
     4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Md__Frame, msg_case),
-    offsetof(Md__Frame, attach),
-    &md__attach__descriptor,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Md__RunHello, n_alive),
+    offsetof(Md__RunHello, alive),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attach_reply",
+    "entries",
     5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Md__Frame, msg_case),
-    offsetof(Md__Frame, attach_reply),
-    &md__attach_reply__descriptor,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Md__RunHello, n_entries),
+    offsetof(Md__RunHello, entries),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    &protobuf_c_empty_string,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned md__run_hello__field_indices_by_name[] = {
+  3,   /* field[3] = alive */
+  4,   /* field[4] = entries */
+  2,   /* field[2] = failure_domain */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange md__run_hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor md__run_hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.RunHello",
+  "RunHello",
+  "Md__RunHello",
+  "md",
+  sizeof(Md__RunHello),
+  5,
+  md__run_hello__field_descriptors,
+  md__run_hello__field_indices_by_name,
+  1,  md__run_hello__number_ranges,
+  (ProtobufCMessageInit) md__run_hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__run_welcome__field_descriptors[3] =
+{
   {
-    "records",
-    6,
+    "name",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunWelcome, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunWelcome, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Md__RunWelcome, n_entries),
+    offsetof(Md__RunWelcome, entries),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned md__run_welcome__field_indices_by_name[] = {
+  2,   /* field[2] = entries */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange md__run_welcome__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor md__run_welcome__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.RunWelcome",
+  "RunWelcome",
+  "Md__RunWelcome",
+  "md",
+  sizeof(Md__RunWelcome),
+  3,
+  md__run_welcome__field_descriptors,
+  md__run_welcome__field_indices_by_name,
+  1,  md__run_welcome__number_ranges,
+  (ProtobufCMessageInit) md__run_welcome__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__worker_info__field_descriptors[7] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__WorkerInfo, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__WorkerInfo, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__WorkerInfo, cpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__WorkerInfo, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__WorkerInfo, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "labels",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Md__WorkerInfo, n_labels),
+    offsetof(Md__WorkerInfo, labels),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__WorkerInfo, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned md__worker_info__field_indices_by_name[] = {
+  4,   /* field[4] = accelerators */
+  1,   /* field[1] = born_ms */
+  2,   /* field[2] = cpu */
+  0,   /* field[0] = id */
+  5,   /* field[5] = labels */
+  3,   /* field[3] = memory_mb */
+  6,   /* field[6] = service */
+};
+static const ProtobufCIntRange md__worker_info__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor md__worker_info__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.WorkerInfo",
+  "WorkerInfo",
+  "Md__WorkerInfo",
+  "md",
+  sizeof(Md__WorkerInfo),
+  7,
+  md__worker_info__field_descriptors,
+  md__worker_info__field_indices_by_name,
+  1,  md__worker_info__number_ranges,
+  (ProtobufCMessageInit) md__worker_info__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__run_order__field_descriptors[11] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, spec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, cpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accelerators",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "expected_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, expected_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "start_within_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, start_within_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, ticket),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned md__run_order__field_indices_by_name[] = {
+  6,   /* field[6] = accelerators */
+  9,   /* field[9] = checkpoint */
+  4,   /* field[4] = cpu */
+  7,   /* field[7] = expected_us */
+  0,   /* field[0] = id */
+  5,   /* field[5] = memory_mb */
+  2,   /* field[2] = run */
+  3,   /* field[3] = spec */
+  8,   /* field[8] = start_within_us */
+  1,   /* field[1] = task */
+  10,   /* field[10] = ticket */
+};
+static const ProtobufCIntRange md__run_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor md__run_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.RunOrder",
+  "RunOrder",
+  "Md__RunOrder",
+  "md",
+  sizeof(Md__RunOrder),
+  11,
+  md__run_order__field_descriptors,
+  md__run_order__field_indices_by_name,
+  1,  md__run_order__number_ranges,
+  (ProtobufCMessageInit) md__run_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__run_orders__field_descriptors[7] =
+{
+  {
+    "guard",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrders, guard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrders, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends_seen",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrders, ends_seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "specs",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Md__RunOrders, n_specs),
+    offsetof(Md__RunOrders, specs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "orders",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__RunOrders, n_orders),
+    offsetof(Md__RunOrders, orders),
+    &md__run_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancels",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Md__RunOrders, n_cancels),
+    offsetof(Md__RunOrders, cancels),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "withdraws",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Md__RunOrders, n_withdraws),
+    offsetof(Md__RunOrders, withdraws),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned md__run_orders__field_indices_by_name[] = {
+  5,   /* field[5] = cancels */
+  1,   /* field[1] = echo_us */
+  2,   /* field[2] = ends_seen */
+  0,   /* field[0] = guard */
+  4,   /* field[4] = orders */
+  3,   /* field[3] = specs */
+  6,   /* field[6] = withdraws */
+};
+static const ProtobufCIntRange md__run_orders__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor md__run_orders__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.RunOrders",
+  "RunOrders",
+  "Md__RunOrders",
+  "md",
+  sizeof(Md__RunOrders),
+  7,
+  md__run_orders__field_descriptors,
+  md__run_orders__field_indices_by_name,
+  1,  md__run_orders__number_ranges,
+  (ProtobufCMessageInit) md__run_orders__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__run_end__field_descriptors[5] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunEnd, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunEnd, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "how",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunEnd, how),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunEnd, run_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunEnd, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned md__run_end__field_indices_by_name[] = {
+  4,   /* field[4] = checkpoint */
+  2,   /* field[2] = how */
+  1,   /* field[1] = id */
+  0,   /* field[0] = number */
+  3,   /* field[3] = run_us */
+};
+static const ProtobufCIntRange md__run_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor md__run_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.RunEnd",
+  "RunEnd",
+  "Md__RunEnd",
+  "md",
+  sizeof(Md__RunEnd),
+  5,
+  md__run_end__field_descriptors,
+  md__run_end__field_indices_by_name,
+  1,  md__run_end__number_ranges,
+  (ProtobufCMessageInit) md__run_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__run_report__field_descriptors[12] =
+{
+  {
+    "stamp_us",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_order",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, last_order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_cpu",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, free_cpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_memory_mb",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, free_memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "free_accelerators",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, free_accelerators),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Md__RunReport, n_wait_us),
+    offsetof(Md__RunReport, wait_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Md__RunReport, n_started),
+    offsetof(Md__RunReport, started),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__RunReport, n_ends),
+    offsetof(Md__RunReport, ends),
+    &md__run_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, worker),
+    &md__worker_info__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stalled",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, stalled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next_end_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, next_end_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned md__run_report__field_indices_by_name[] = {
+  7,   /* field[7] = ends */
+  4,   /* field[4] = free_accelerators */
+  2,   /* field[2] = free_cpu */
+  3,   /* field[3] = free_memory_mb */
+  1,   /* field[1] = last_order */
+  11,   /* field[11] = next_end_us */
+  9,   /* field[9] = stalled */
+  0,   /* field[0] = stamp_us */
+  6,   /* field[6] = started */
+  10,   /* field[10] = state */
+  5,   /* field[5] = wait_us */
+  8,   /* field[8] = worker */
+};
+static const ProtobufCIntRange md__run_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor md__run_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.RunReport",
+  "RunReport",
+  "Md__RunReport",
+  "md",
+  sizeof(Md__RunReport),
+  12,
+  md__run_report__field_descriptors,
+  md__run_report__field_indices_by_name,
+  1,  md__run_report__number_ranges,
+  (ProtobufCMessageInit) md__run_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__frame__field_descriptors[22] =
+{
+  {
+    "hello",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, hello),
+    &md__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "welcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, welcome),
+    &md__welcome__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, heartbeat),
+    &md__heartbeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attach",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, attach),
+    &md__attach__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attach_reply",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, attach_reply),
+    &md__attach_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Md__Frame, msg_case),
     offsetof(Md__Frame, records),
     &md__records__descriptor,
@@ -3554,6 +4694,54 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_hello",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, run_hello),
+    &md__run_hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_welcome",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, run_welcome),
+    &md__run_welcome__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_orders",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, run_orders),
+    &md__run_orders__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_report",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, run_report),
+    &md__run_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__frame__field_indices_by_name[] = {
   7,   /* field[7] = answers */
@@ -3570,6 +4758,10 @@
   11,   /* field[11] = query */
   5,   /* field[5] = records */
   10,   /* field[10] = release */
+  18,   /* field[18] = run_hello */
+  20,   /* field[20] = run_orders */
+  21,   /* field[21] = run_report */
+  19,   /* field[19] = run_welcome */
   17,   /* field[17] = snapshot_reply */
   16,   /* field[16] = snapshot_request */
   6,   /* field[6] = starts */
@@ -3578,7 +4770,7 @@
 static const ProtobufCIntRange md__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor md__frame__descriptor =
 {
@@ -3588,7 +4780,7 @@
   "Md__Frame",
   "md",
   sizeof(Md__Frame),
-  18,
+  22,
   md__frame__field_descriptors,
   md__frame__field_indices_by_name,
   1,  md__frame__number_ranges,
--- a/wire.pb-c.h
+++ b/wire.pb-c.h
@@ -40,6 +40,13 @@
 typedef struct Md__Leaving Md__Leaving;
 typedef struct Md__SnapshotRequest Md__SnapshotRequest;
 typedef struct Md__SnapshotReply Md__SnapshotReply;
+typedef struct Md__RunHello Md__RunHello;
+typedef struct Md__RunWelcome Md__RunWelcome;
+typedef struct Md__WorkerInfo Md__WorkerInfo;
+typedef struct Md__RunOrder Md__RunOrder;
+typedef struct Md__RunOrders Md__RunOrders;
+typedef struct Md__RunEnd Md__RunEnd;
+typedef struct Md__RunReport Md__RunReport;
 typedef struct Md__Frame Md__Frame;
 
 
@@ -499,6 +506,219 @@
     , 0, {0,NULL}, 0, 0 }
 
 
+/*
+ * First message of a guard on a connection to an entry, followed by a full
+ * RunReport. Orders that are neither in alive nor among the ends of that report
+ * are not known to the guard and will not run.
+ */
+struct  Md__RunHello
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t incarnation;
+  char *failure_domain;
+  /*
+   * orders of this entry that wait or run here
+   */
+  size_t n_alive;
+  uint64_t *alive;
+  /*
+   * addresses of entries known to the guard
+   */
+  size_t n_entries;
+  char **entries;
+};
+#define MD__RUN_HELLO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__run_hello__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+
+
+struct  Md__RunWelcome
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t incarnation;
+  /*
+   * addresses of entries known to the entry
+   */
+  size_t n_entries;
+  char **entries;
+};
+#define MD__RUN_WELCOME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__run_welcome__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+struct  Md__WorkerInfo
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * lifetime of the worker
+   */
+  int64_t born_ms;
+  /*
+   * thousandths of a core
+   */
+  uint32_t cpu;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  size_t n_labels;
+  char **labels;
+  char *service;
+};
+#define MD__WORKER_INFO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__worker_info__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+
+
+struct  Md__RunOrder
+{
+  ProtobufCMessage base;
+  /*
+   * unique in the lifetime of the entry, increasing
+   */
+  uint64_t id;
+  /*
+   * name on the platform
+   */
+  char *task;
+  /*
+   * number of the task's start
+   */
+  uint32_t run;
+  /*
+   * index in RunOrders.specs
+   */
+  uint32_t spec;
+  uint32_t cpu;
+  uint32_t memory_mb;
+  uint32_t accelerators;
+  /*
+   * run time expected at this worker
+   */
+  uint64_t expected_us;
+  /*
+   * it must start so soon to meet the goal of its job
+   */
+  int64_t start_within_us;
+  char *checkpoint;
+  char *ticket;
+};
+#define MD__RUN_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__run_order__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Md__RunOrders
+{
+  ProtobufCMessage base;
+  /*
+   * incarnation it is meant for
+   */
+  uint64_t guard;
+  /*
+   * stamp of the latest report received
+   */
+  int64_t echo_us;
+  /*
+   * ends up to this number need not be sent again
+   */
+  uint64_t ends_seen;
+  size_t n_specs;
+  ProtobufCBinaryData *specs;
+  size_t n_orders;
+  Md__RunOrder **orders;
+  /*
+   * orders that are to end, started or not
+   */
+  size_t n_cancels;
+  uint64_t *cancels;
+  /*
+   * orders that are to end unless they have started
+   */
+  size_t n_withdraws;
+  uint64_t *withdraws;
+};
+#define MD__RUN_ORDERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__run_orders__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+
+
+struct  Md__RunEnd
+{
+  ProtobufCMessage base;
+  /*
+   * counts the ends for this entry
+   */
+  uint64_t number;
+  /*
+   * of the order
+   */
+  uint64_t id;
+  /*
+   * MdRunHow
+   */
+  uint32_t how;
+  /*
+   * time at the worker
+   */
+  uint64_t run_us;
+  char *checkpoint;
+};
+#define MD__RUN_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__run_end__descriptor) \
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Md__RunReport
+{
+  ProtobufCMessage base;
+  /*
+   * guard's clock, echoed in RunOrders
+   */
+  int64_t stamp_us;
+  /*
+   * highest order received from this entry
+   */
+  uint64_t last_order;
+  uint32_t free_cpu;
+  uint32_t free_memory_mb;
+  uint32_t free_accelerators;
+  /*
+   * expected wait by urgency, see MD_URGENCIES
+   */
+  size_t n_wait_us;
+  uint64_t *wait_us;
+  /*
+   * orders of this entry that have started
+   */
+  size_t n_started;
+  uint64_t *started;
+  size_t n_ends;
+  Md__RunEnd **ends;
+  /*
+   * when it changed on this connection
+   */
+  Md__WorkerInfo *worker;
+  /*
+   * runs are overdue and none ends
+   */
+  protobuf_c_boolean stalled;
+  /*
+   * MdWorkerState, of the worker and the guard together
+   */
+  uint32_t state;
+  /*
+   * until the next expected end of a run
+   */
+  uint64_t next_end_us;
+};
+#define MD__RUN_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__run_report__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0 }
+
+
 typedef enum {
   MD__FRAME__MSG__NOT_SET = 0,
   MD__FRAME__MSG_HELLO = 1,
@@ -518,7 +738,11 @@
   MD__FRAME__MSG_FORWARD_CANCEL = 15,
   MD__FRAME__MSG_LEAVING = 16,
   MD__FRAME__MSG_SNAPSHOT_REQUEST = 17,
-  MD__FRAME__MSG_SNAPSHOT_REPLY = 18
+  MD__FRAME__MSG_SNAPSHOT_REPLY = 18,
+  MD__FRAME__MSG_RUN_HELLO = 19,
+  MD__FRAME__MSG_RUN_WELCOME = 20,
+  MD__FRAME__MSG_RUN_ORDERS = 21,
+  MD__FRAME__MSG_RUN_REPORT = 22
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MD__FRAME__MSG__CASE)
 } Md__Frame__MsgCase;
 
@@ -545,6 +769,10 @@
     Md__Leaving *leaving;
     Md__SnapshotRequest *snapshot_request;
     Md__SnapshotReply *snapshot_reply;
+    Md__RunHello *run_hello;
+    Md__RunWelcome *run_welcome;
+    Md__RunOrders *run_orders;
+    Md__RunReport *run_report;
   };
 };
 #define MD__FRAME__INIT \
@@ -1027,6 +1255,139 @@
 void   md__snapshot_reply__free_unpacked
                      (Md__SnapshotReply *message,
                       ProtobufCAllocator *allocator);
+/* Md__RunHello methods */
+void   md__run_hello__init
+                     (Md__RunHello         *message);
+size_t md__run_hello__get_packed_size
+                     (const Md__RunHello   *message);
+size_t md__run_hello__pack
+                     (const Md__RunHello   *message,
+                      uint8_t             *out);
+size_t md__run_hello__pack_to_buffer
+                     (const Md__RunHello   *message,
+                      ProtobufCBuffer     *buffer);
+Md__RunHello *
+       md__run_hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__run_hello__free_unpacked
+                     (Md__RunHello *message,
+                      ProtobufCAllocator *allocator);
+/* Md__RunWelcome methods */
+void   md__run_welcome__init
+                     (Md__RunWelcome         *message);
+size_t md__run_welcome__get_packed_size
+                     (const Md__RunWelcome   *message);
+size_t md__run_welcome__pack
+                     (const Md__RunWelcome   *message,
+                      uint8_t             *out);
+size_t md__run_welcome__pack_to_buffer
+                     (const Md__RunWelcome   *message,
+                      ProtobufCBuffer     *buffer);
+Md__RunWelcome *
+       md__run_welcome__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__run_welcome__free_unpacked
+                     (Md__RunWelcome *message,
+                      ProtobufCAllocator *allocator);
+/* Md__WorkerInfo methods */
+void   md__worker_info__init
+                     (Md__WorkerInfo         *message);
+size_t md__worker_info__get_packed_size
+                     (const Md__WorkerInfo   *message);
+size_t md__worker_info__pack
+                     (const Md__WorkerInfo   *message,
+                      uint8_t             *out);
+size_t md__worker_info__pack_to_buffer
+                     (const Md__WorkerInfo   *message,
+                      ProtobufCBuffer     *buffer);
+Md__WorkerInfo *
+       md__worker_info__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__worker_info__free_unpacked
+                     (Md__WorkerInfo *message,
+                      ProtobufCAllocator *allocator);
+/* Md__RunOrder methods */
+void   md__run_order__init
+                     (Md__RunOrder         *message);
+size_t md__run_order__get_packed_size
+                     (const Md__RunOrder   *message);
+size_t md__run_order__pack
+                     (const Md__RunOrder   *message,
+                      uint8_t             *out);
+size_t md__run_order__pack_to_buffer
+                     (const Md__RunOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Md__RunOrder *
+       md__run_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__run_order__free_unpacked
+                     (Md__RunOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Md__RunOrders methods */
+void   md__run_orders__init
+                     (Md__RunOrders         *message);
+size_t md__run_orders__get_packed_size
+                     (const Md__RunOrders   *message);
+size_t md__run_orders__pack
+                     (const Md__RunOrders   *message,
+                      uint8_t             *out);
+size_t md__run_orders__pack_to_buffer
+                     (const Md__RunOrders   *message,
+                      ProtobufCBuffer     *buffer);
+Md__RunOrders *
+       md__run_orders__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__run_orders__free_unpacked
+                     (Md__RunOrders *message,
+                      ProtobufCAllocator *allocator);
+/* Md__RunEnd methods */
+void   md__run_end__init
+                     (Md__RunEnd         *message);
+size_t md__run_end__get_packed_size
+                     (const Md__RunEnd   *message);
+size_t md__run_end__pack
+                     (const Md__RunEnd   *message,
+                      uint8_t             *out);
+size_t md__run_end__pack_to_buffer
+                     (const Md__RunEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Md__RunEnd *
+       md__run_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__run_end__free_unpacked
+                     (Md__RunEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Md__RunReport methods */
+void   md__run_report__init
+                     (Md__RunReport         *message);
+size_t md__run_report__get_packed_size
+                     (const Md__RunReport   *message);
+size_t md__run_report__pack
+                     (const Md__RunReport   *message,
+                      uint8_t             *out);
+size_t md__run_report__pack_to_buffer
+                     (const Md__RunReport   *message,
+                      ProtobufCBuffer     *buffer);
+Md__RunReport *
+       md__run_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__run_report__free_unpacked
+                     (Md__RunReport *message,
+                      ProtobufCAllocator *allocator);
 /* Md__Frame methods */
 void   md__frame__init
                      (Md__Frame         *message);
@@ -1123,6 +1484,27 @@
 typedef void (*Md__SnapshotReply_Closure)
                  (const Md__SnapshotReply *message,
                   void *closure_data);
+typedef void (*Md__RunHello_Closure)
+                 (const Md__RunHello *message,
+                  void *closure_data);
+typedef void (*Md__RunWelcome_Closure)
+                 (const Md__RunWelcome *message,
+                  void *closure_data);
+typedef void (*Md__WorkerInfo_Closure)
+                 (const Md__WorkerInfo *message,
+                  void *closure_data);
+typedef void (*Md__RunOrder_Closure)
+                 (const Md__RunOrder *message,
+                  void *closure_data);
+typedef void (*Md__RunOrders_Closure)
+                 (const Md__RunOrders *message,
+                  void *closure_data);
+typedef void (*Md__RunEnd_Closure)
+                 (const Md__RunEnd *message,
+                  void *closure_data);
+typedef void (*Md__RunReport_Closure)
+                 (const Md__RunReport *message,
+                  void *closure_data);
 typedef void (*Md__Frame_Closure)
                  (const Md__Frame *message,
                   void *closure_data);
@@ -1157,6 +1539,13 @@
 extern const ProtobufCMessageDescriptor md__leaving__descriptor;
 extern const ProtobufCMessageDescriptor md__snapshot_request__descriptor;
 extern const ProtobufCMessageDescriptor md__snapshot_reply__descriptor;
+extern const ProtobufCMessageDescriptor md__run_hello__descriptor;
+extern const ProtobufCMessageDescriptor md__run_welcome__descriptor;
+extern const ProtobufCMessageDescriptor md__worker_info__descriptor;
+extern const ProtobufCMessageDescriptor md__run_order__descriptor;
+extern const ProtobufCMessageDescriptor md__run_orders__descriptor;
+extern const ProtobufCMessageDescriptor md__run_end__descriptor;
+extern const ProtobufCMessageDescriptor md__run_report__descriptor;
 extern const ProtobufCMessageDescriptor md__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
