Add decisions about runs: queue at the guard, placement, admission, steps

Cause: jobs on the users' platform are steps of tasks that need room on unlike workers; the dispatch core knows slots and one owner per shard. Change: sched/ holds the decisions without I/O: which waiting run starts next, on which worker a task ends first, whether a job is taken in, which step is ready.

--- /dev/null
+++ b/sched/run-sched.h
@@ -0,0 +1,347 @@
+/* run-sched.h -- decisions about runs: where they wait, where they are placed, when
+   a job is rejected
+
+   A run is one start of a task at a worker. The entry places the tasks of a job on
+   guards (placement.c, runjob.c); the guard beside a worker orders the runs that
+   wait for room and starts them (runqueue.c). Nothing here does I/O, reads a clock
+   or keeps global state; times are MdTime in microseconds. */
+
+#ifndef MD_RUN_SCHED_H
+#define MD_RUN_SCHED_H
+
+#include "estimate.h"
+#include "md-private.h"
+
+/* ------------------------------------------------------------------ */
+/* Room of a worker                                                   */
+
+typedef struct
+{
+  uint32_t cpu;          /* thousandths of a core */
+  uint32_t memory_mb;    /* MiB */
+  uint32_t accelerators; /* whole devices */
+} MdRoom;
+
+static inline bool
+md_room_fits (MdRoom has, MdRoom need)
+{
+  return has.cpu >= need.cpu && has.memory_mb >= need.memory_mb
+         && has.accelerators >= need.accelerators;
+}
+
+static inline void
+md_room_add (MdRoom *room, MdRoom more)
+{
+  room->cpu += more.cpu;
+  room->memory_mb += more.memory_mb;
+  room->accelerators += more.accelerators;
+}
+
+static inline uint32_t
+md_room_less (uint32_t has, uint32_t taken)
+{
+  return has > taken ? has - taken : 0;
+}
+
+/* md_room_take: what does not fit is taken to the last bit, never below zero. */
+static inline void
+md_room_take (MdRoom *room, MdRoom taken)
+{
+  room->cpu = md_room_less (room->cpu, taken.cpu);
+  room->memory_mb = md_room_less (room->memory_mb, taken.memory_mb);
+  room->accelerators = md_room_less (room->accelerators, taken.accelerators);
+}
+
+/* ------------------------------------------------------------------ */
+/* Worker states and ends of runs, as guards tell them to entries      */
+
+typedef enum
+{
+  MD_WORKER_ABSENT,   /* not heard of, or down */
+  MD_WORKER_READY,    /* takes runs */
+  MD_WORKER_DRAINING, /* finishes what it has */
+} MdWorkerState;
+
+typedef enum
+{
+  MD_RUN_DONE,     /* complete */
+  MD_RUN_FAILED,   /* through its own fault or the worker's */
+  MD_RUN_STOPPED,  /* after an order */
+  MD_RUN_LAPSED,   /* the worker's lease ran out, or the worker is gone */
+  MD_RUN_BROKEN,   /* another member of its gang ended */
+  MD_RUN_ALONE,    /* the other members of its gang did not come */
+  MD_RUN_REJECTED, /* did not start here and never will */
+  MD_RUN_STALE,    /* rejected: the worker has seen a higher run of the task */
+  MD_RUN_HOWS
+} MdRunHow;
+
+const char *md_run_how_name (MdRunHow how);
+
+/* Runs are grouped by how soon they must start; a guard reports the wait that a
+   new run of each group has to expect. */
+#define MD_URGENCIES 3
+/* md_urgency: the group of a run that must start within this time. */
+unsigned md_urgency (MdTime start_within);
+
+/* ------------------------------------------------------------------ */
+/* Runs at a guard (runqueue.c)                                       */
+
+typedef enum
+{
+  MD_RUN_WAITING,  /* for room */
+  MD_RUN_STARTING, /* handed out, the worker has not confirmed */
+  MD_RUN_RUNNING,  /* at the worker */
+} MdRunState;
+
+typedef struct MdRun MdRun;
+
+struct MdRun
+{
+  MdRun *next;       /* in the list of its state */
+  MdRun *previous;   /* in the list of its state */
+  MdRunState state;  /* which list */
+  uint64_t entry;    /* incarnation of the entry that ordered it */
+  uint64_t id;       /* of the order */
+  MdRoom need;       /* room taken from STARTING on */
+  MdTime expected;   /* run time expected here */
+  MdTime start_by;   /* a later start misses the goal of its job */
+  MdTime started_at; /* STARTING, RUNNING: since when */
+  void *data;        /* the caller's */
+};
+
+typedef struct
+{
+  MdRun *first; /* oldest or most urgent */
+  MdRun *last;  /* newest or least urgent */
+  uint32_t n;   /* runs */
+} MdRunList;
+
+typedef struct
+{
+  MdRunList waiting;    /* by start_by, soonest first */
+  MdRunList running;    /* STARTING and RUNNING, in order of start */
+  MdRoom capacity;      /* of the worker */
+  MdRoom free;          /* not taken */
+  bool open;            /* the worker takes runs */
+  MdTime last_end;      /* when a run ended last */
+  uint32_t typical_cpu; /* average need, thousandths of a core; 0 unknown */
+} MdRunQueue;
+
+/* md_runqueue_set_room: the worker's capacity, first heard of or changed. */
+void md_runqueue_set_room (MdRunQueue *queue, MdRoom capacity);
+
+/* md_runqueue_add: a WAITING run; the queue links it and the caller owns it. */
+void md_runqueue_add (MdRunQueue *queue, MdRun *run);
+
+/* md_runqueue_next: the run to start now, taken over into STARTING with its room;
+   NULL when none fits or the worker takes none. */
+MdRun *md_runqueue_next (MdRunQueue *queue, MdTime now);
+
+/* md_runqueue_return: a STARTING run waits again, as the start did not happen. */
+void md_runqueue_return (MdRunQueue *queue, MdRun *run);
+
+/* md_runqueue_remove: unlink a run in any state and free its room. */
+void md_runqueue_remove (MdRunQueue *queue, MdRun *run, MdTime now);
+
+/* md_runqueue_wait: how long a new run of typical need and this urgency would
+   wait, from the expected ends of what runs and what waits ahead of it. */
+MdTime md_runqueue_wait (const MdRunQueue *queue, unsigned urgency, MdTime now);
+
+/* md_runqueue_next_end: until the next run is expected to end, 0 when none runs. */
+MdTime md_runqueue_next_end (const MdRunQueue *queue, MdTime now);
+
+/* md_runqueue_stalled: several runs are overdue and nothing has ended meanwhile. */
+bool md_runqueue_stalled (const MdRunQueue *queue, MdTime now);
+
+/* ------------------------------------------------------------------ */
+/* Workers as an entry sees them, and placement (placement.c)          */
+
+#define MD_MAX_LABELS 8
+#define MD_LABEL_BYTES 32
+
+typedef struct
+{
+  char label[MD_MAX_LABELS][MD_LABEL_BYTES]; /* terminated */
+  unsigned n;                                /* labels */
+} MdLabels;
+
+bool md_labels_have (const MdLabels *labels, const char *label);
+
+typedef struct
+{
+  uint64_t guard;              /* incarnation of its guard */
+  MdWorkerState state;         /* as reported */
+  MdRoom capacity;             /* as reported */
+  MdRoom free;                 /* as reported, less what was ordered since */
+  MdTime wait[MD_URGENCIES];   /* as reported, plus what was ordered since */
+  MdTime next_end;             /* until the next run is expected to end, as reported */
+  MdTime delay;                /* one way */
+  MdTime reported_at;          /* age of the above */
+  bool connected;              /* its guard is heard */
+  bool stalled;                /* as reported */
+  MdTime avoid_until;          /* no runs before, but for a trial */
+  uint32_t failures;           /* consecutive ends FAILED of different jobs */
+  uint64_t last_failed_job;    /* the job that failed last, by its number */
+  uint32_t outstanding;        /* orders without an end */
+  char service[MD_NAME_BYTES]; /* pool it belongs to */
+  MdLabels labels;             /* kind and rack */
+  MdSpeed speed;               /* learned */
+} MdWorker;
+
+typedef struct
+{
+  MdWorker **workers;   /* n entries, owned by the caller */
+  uint32_t n;           /* workers */
+  double remote_factor; /* run time away from the data, as a factor */
+  MdTuning tuning;      /* of the learned speeds */
+} MdWorkers;
+
+/* What a task asks of a worker. */
+typedef struct
+{
+  const char *service;     /* pool */
+  const char *requirement; /* label it must have, empty none */
+  const char *affinity;    /* label of the rack of its data, empty none */
+  MdRoom need;             /* room */
+  double work;             /* run time at speed 1, microseconds */
+  MdTime start_within;     /* on a worker of speed 1, to meet the goal */
+  uint32_t per_worker;     /* most tasks of the step on one worker, 0 any */
+} MdTaskNeed;
+
+typedef struct
+{
+  MdWorker *worker; /* NULL: none can run it */
+  MdTime wait;      /* until it starts there */
+  MdTime run;       /* expected run time there */
+} MdPlacement;
+
+/* md_place: the worker on which the task ends first. taken[i] counts tasks of the
+   step on worker i, for per_worker; NULL when that does not matter. avoid, if not
+   NULL, is used only when there is no other. */
+MdPlacement md_place (const MdWorkers *workers, const MdTaskNeed *need, const uint32_t *taken,
+                      const MdWorker *avoid, MdTime now);
+
+/* md_worker_reserve: reckon with an order that the last report does not know of. */
+void md_worker_reserve (MdWorker *worker, MdRoom need, MdTime run, unsigned urgency);
+
+/* md_place_possible: some worker, busy or not, has the room and the labels. */
+bool md_place_possible (const MdWorkers *workers, const MdTaskNeed *need);
+
+/* md_worker_ended: learn from the end of a run of a job with this number. */
+void md_worker_ended (MdWorker *worker, MdRunHow how, uint64_t job, MdTime now);
+
+/* ------------------------------------------------------------------ */
+/* Admission (admission.c)                                            */
+
+typedef struct
+{
+  MdTime finish; /* predicted, from now */
+  MdTime goal;   /* from now */
+  MdTime limit;  /* the answer is worth nothing after this, from now */
+  bool backlog;  /* tasks would wait for others */
+} MdForecast;
+
+typedef enum
+{
+  MD_ADMIT_NOW,   /* place it */
+  MD_ADMIT_LATE,  /* place it behind what can still meet its goal */
+  MD_ADMIT_NEVER, /* reject */
+} MdAdmitRun;
+
+MdAdmitRun md_admit_run (const MdForecast *forecast);
+
+/* md_admit_retry_after: when a rejected job should come back; random spreads the
+   callers over the time that the backlog takes to clear. */
+MdTime md_admit_retry_after (const MdForecast *forecast, uint64_t random);
+
+/* ------------------------------------------------------------------ */
+/* Jobs of tasks at an entry (runjob.c)                               */
+
+#define MD_MAX_STEPS 64         /* steps of a job */
+#define MD_MAX_STEP_TASKS 4096  /* tasks of a step */
+#define MD_RUN_NAME_BYTES 64    /* name of a task on the platform, with terminator */
+#define MD_CHECKPOINT_BYTES 128 /* a saved state, with terminator */
+
+typedef struct
+{
+  uint32_t count;                   /* tasks */
+  MdRoom need;                      /* each */
+  MdTime estimate;                  /* declared run time of a task */
+  uint64_t after;                   /* bit i: step i must be done first */
+  bool checkpointing;               /* saves its progress */
+  bool gang;                        /* tasks work only together */
+  bool same_rack;                   /* slower when spread over racks */
+  bool speculative;                 /* copies may run side by side */
+  bool long_running;                /* runs until cancelled */
+  uint32_t per_worker;              /* most tasks on one worker, 0 any */
+  char requirement[MD_LABEL_BYTES]; /* label a worker must have, empty none */
+  char affinity[MD_LABEL_BYTES];    /* rack of the data, empty none */
+} MdRunStep;
+
+/* A job as submitted; decoded from the wire by platform/. */
+typedef struct
+{
+  char *spec;       /* what the tasks run, owned, terminated */
+  size_t spec_len;  /* bytes of spec */
+  MdRunStep *steps; /* n_steps entries, owned */
+  uint32_t n_steps; /* steps */
+  uint32_t repeat;  /* occurrences beyond a single run, 0 none */
+  bool best_effort; /* need not be stored; answered when it has ended */
+} MdRunSpec;
+
+void md_run_spec_clear (MdRunSpec *spec);
+
+typedef enum
+{
+  MD_TASK_BLOCKED, /* earlier steps are not done */
+  MD_TASK_READY,   /* to be placed */
+  MD_TASK_ORDERED, /* at a guard, perhaps waiting */
+  MD_TASK_ENDED,   /* done */
+} MdRunTaskState;
+
+typedef struct
+{
+  MdRunTaskState state;                 /* see above */
+  uint32_t run;                         /* number of the last start ordered */
+  uint32_t failures;                    /* ends FAILED */
+  uint32_t rejections;                  /* ends REJECTED since it was last placed with success */
+  MdWorker *last;                       /* where it failed or was rejected last, NULL nowhere */
+  void *order;                          /* ORDERED: the caller's */
+  char checkpoint[MD_CHECKPOINT_BYTES]; /* to resume from, empty none */
+} MdRunTask;
+
+typedef enum
+{
+  MD_RUNJOB_ACTIVE,    /* not ended */
+  MD_RUNJOB_COMPLETED, /* every task is done */
+  MD_RUNJOB_FAILED,    /* a task used up its attempts */
+} MdRunJobState;
+
+typedef struct
+{
+  MdRunSpec spec;        /* owned */
+  MdRunTask **tasks;     /* per step, owned */
+  uint32_t *left;        /* per step: tasks not ENDED */
+  uint64_t done;         /* bit i: step i is done */
+  uint32_t ready;        /* tasks READY */
+  uint32_t ordered;      /* tasks ORDERED */
+  uint32_t max_attempts; /* ends FAILED that fail the job */
+  MdRunJobState state;   /* see above */
+  bool started;          /* some task has started at a worker */
+} MdRunJob;
+
+/* md_runjob_init: takes the spec over, also on failure. MD_E_INVALID for a job
+   that this release cannot carry out, MD_E_MEMORY. */
+int md_runjob_init (MdRunJob *job, MdRunSpec *spec, uint32_t max_attempts, MdError *error);
+void md_runjob_clear (MdRunJob *job);
+
+/* md_runjob_chain: the longest chain of work over the steps, microseconds; work[i]
+   is the run time of a task of step i. */
+double md_runjob_chain (const MdRunJob *job, const double *work);
+
+/* md_runjob_end: a run of the task has ended. REJECTED, STOPPED, LAPSED and BROKEN
+   make it READY again; FAILED does so up to max_attempts. Further steps become
+   READY when their predecessors are done. */
+void md_runjob_end (MdRunJob *job, uint32_t step, uint32_t task, MdRunHow how);
+
+#endif
--- /dev/null
+++ b/sched/runjob.c
@@ -0,0 +1,162 @@
+/* runjob.c -- the tasks of a job and the order of its steps
+
+   A step becomes ready when the steps that it depends on are done. A run that ends
+   without having done its task is ordered again: at once where nothing ran or the
+   worker is to blame, and up to a bound where the task itself failed. */
+
+#include "run-sched.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+md_run_spec_clear (MdRunSpec *spec)
+{
+  free (spec->spec);
+  free (spec->steps);
+  memset (spec, 0, sizeof *spec);
+}
+
+/* Makes the tasks ready whose predecessors are done. */
+static void
+release_steps (MdRunJob *job)
+{
+  for (uint32_t i = 0; i < job->spec.n_steps; i++)
+    {
+      const MdRunStep *step = &job->spec.steps[i];
+
+      if (job->tasks[i][0].state != MD_TASK_BLOCKED || (step->after & ~job->done) != 0)
+        continue;
+      for (uint32_t k = 0; k < step->count; k++)
+        job->tasks[i][k].state = MD_TASK_READY;
+      job->ready += step->count;
+    }
+}
+
+static int
+check_spec (const MdRunSpec *spec, MdError *error)
+{
+  if (spec->n_steps == 0 || spec->n_steps > MD_MAX_STEPS)
+    return md_error_set (error, MD_E_INVALID, "job", "", "1 to %d steps are possible",
+                         MD_MAX_STEPS);
+  for (uint32_t i = 0; i < spec->n_steps; i++)
+    {
+      const MdRunStep *step = &spec->steps[i];
+
+      if (step->count == 0 || step->count > MD_MAX_STEP_TASKS)
+        return md_error_set (error, MD_E_INVALID, "job", "", "step %u: 1 to %d tasks are possible",
+                             i, MD_MAX_STEP_TASKS);
+      if (i < 63 && (step->after >> i) != 0)
+        return md_error_set (error, MD_E_INVALID, "job", "",
+                             "step %u depends on a step that is not before it", i);
+      if (step->gang || step->long_running || spec->repeat > 0)
+        return md_error_set (error, MD_E_INVALID, "job", "",
+                             "step %u: gangs, long-running and repeated steps are not supported",
+                             i);
+    }
+  return MD_OK;
+}
+
+int
+md_runjob_init (MdRunJob *job, MdRunSpec *spec, uint32_t max_attempts, MdError *error)
+{
+  int rc;
+
+  memset (job, 0, sizeof *job);
+  job->spec = *spec;
+  memset (spec, 0, sizeof *spec);
+  job->max_attempts = max_attempts > 0 ? max_attempts : 1;
+  rc = check_spec (&job->spec, error);
+  if (rc != MD_OK)
+    return rc;
+  job->tasks = calloc (job->spec.n_steps, sizeof *job->tasks);
+  job->left = calloc (job->spec.n_steps, sizeof *job->left);
+  if (job->tasks == NULL || job->left == NULL)
+    return md_error_set (error, MD_E_MEMORY, "job", "", "out of memory");
+  for (uint32_t i = 0; i < job->spec.n_steps; i++)
+    {
+      job->left[i] = job->spec.steps[i].count;
+      job->tasks[i] = calloc (job->left[i], sizeof **job->tasks);
+      if (job->tasks[i] == NULL)
+        return md_error_set (error, MD_E_MEMORY, "job", "", "out of memory");
+    }
+  release_steps (job);
+  return MD_OK;
+}
+
+void
+md_runjob_clear (MdRunJob *job)
+{
+  for (uint32_t i = 0; job->tasks != NULL && i < job->spec.n_steps; i++)
+    free (job->tasks[i]);
+  free (job->tasks);
+  free (job->left);
+  md_run_spec_clear (&job->spec);
+}
+
+double
+md_runjob_chain (const MdRunJob *job, const double *work)
+{
+  double end[MD_MAX_STEPS] = { 0 };
+  double longest = 0;
+
+  for (uint32_t i = 0; i < job->spec.n_steps; i++)
+    {
+      for (uint32_t k = 0; k < i; k++)
+        if ((job->spec.steps[i].after >> k & 1) && end[k] > end[i])
+          end[i] = end[k];
+      end[i] += work[i];
+      if (end[i] > longest)
+        longest = end[i];
+    }
+  return longest;
+}
+
+static void
+finish_task (MdRunJob *job, uint32_t step, MdRunTask *task)
+{
+  task->state = MD_TASK_ENDED;
+  if (--job->left[step] > 0)
+    return;
+  job->done |= UINT64_C (1) << step;
+  for (uint32_t i = 0; i < job->spec.n_steps; i++)
+    if (!(job->done >> i & 1))
+      {
+        release_steps (job);
+        return;
+      }
+  job->state = MD_RUNJOB_COMPLETED;
+}
+
+void
+md_runjob_end (MdRunJob *job, uint32_t step, uint32_t index, MdRunHow how)
+{
+  MdRunTask *task = &job->tasks[step][index];
+
+  if (task->state != MD_TASK_ORDERED)
+    return;
+  job->ordered--;
+  task->order = NULL;
+  switch (how)
+    {
+    case MD_RUN_DONE:
+      finish_task (job, step, task);
+      return;
+    case MD_RUN_FAILED:
+      if (++task->failures >= job->max_attempts)
+        {
+          task->state = MD_TASK_ENDED;
+          job->state = MD_RUNJOB_FAILED;
+          return;
+        }
+      break;
+    case MD_RUN_REJECTED:
+    case MD_RUN_STALE:
+      task->rejections++;
+      break;
+    default:
+      break;
+    }
+  task->state = MD_TASK_READY;
+  job->ready++;
+}
