--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, tests and demonstration of mulberrydrift. See README.md.
 
 PACKAGES = gcc make pkg-config libcivetweb-dev libprotobuf-c-dev libpopt-dev libyaml-dev \
-  liburcu-dev libjansson-dev libxxhash-dev check clang-format clang-tidy cppcheck spin curl
+  liburcu-dev libjansson-dev libxxhash-dev libcurl4-openssl-dev libssl-dev check clang-format clang-tidy cppcheck spin curl
 
 CC ?= gcc
 VARIANT ?= release
@@ -12,10 +12,11 @@
 CFLAGS_tsan = -O1 -fsanitize=thread -fno-omit-frame-pointer
 
 CFLAGS = -std=gnu11 -g -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
-  $(CFLAGS_$(VARIANT)) -I. -I$(B) -MMD -MP -pthread
+  $(CFLAGS_$(VARIANT)) $(INCLUDES) -I$(B) -MMD -MP -pthread
+INCLUDES = -I. -Isched -Iplatform -Ifleet
 # Generated code is not ours to clean up.
 CFLAGS_GENERATED = -std=gnu11 -g -w $(CFLAGS_$(VARIANT)) -I. -pthread
-LDLIBS = -lcivetweb -lprotobuf-c -lpopt -lyaml -lurcu-memb -lurcu-cds -lurcu-common -ljansson \
+LDLIBS = -lcivetweb -lcurl -lcrypto -lprotobuf-c -lpopt -lyaml -lurcu-memb -lurcu-cds -lurcu-common -ljansson \
   -lxxhash -lpthread -lm
 
 # The coordination parts: no I/O, no threads, no clock.
@@ -25,9 +26,10 @@
 LIB_NAMES += shard shard-quorum
 LIB_NAMES += members
 LIB_NAMES += config config-check
-LIB_SRC = $(filter $(addsuffix .c,$(LIB_NAMES)),$(wildcard *.c))
+LIB_SRC = $(filter $(addsuffix .c,$(LIB_NAMES)),$(wildcard *.c)) $(wildcard sched/*.c)
 GEN_SRC = wire.pb-c.c
-DAEMON_SRC = $(filter-out $(LIB_SRC) $(GEN_SRC) main.c,$(wildcard *.c))
+DAEMON_SRC = $(filter-out $(LIB_SRC) $(GEN_SRC) main.c,$(wildcard *.c)) \
+  $(wildcard platform/*.c fleet/*.c)
 TEST_SRC = $(wildcard tests/test-*.c)
 UTIL_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard tests/*-util.c))
 TOOL_SRC = $(filter-out $(TEST_SRC) $(wildcard tests/*-util.c),$(wildcard tests/*.c))
@@ -37,7 +39,8 @@
 DAEMON_OBJ = $(DAEMON_SRC:%.c=$(B)/%.o) $(GEN_SRC:%.c=$(B)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(B)/tests/%)
 TOOLS = $(TOOL_SRC:tests/%.c=$(B)/tests/%)
-OUR_FILES = $(filter-out wire.pb-c.c wire.pb-c.h,$(wildcard *.c *.h tests/*.c tests/*.h))
+OUR_FILES = $(filter-out wire.pb-c.c wire.pb-c.h,$(wildcard *.c *.h tests/*.c tests/*.h) \
+  $(wildcard sched/*.[ch] platform/*.[ch] fleet/*.[ch]))
 
 all: $(BIN) $(TOOLS)
 
@@ -89,9 +92,9 @@
 lint:
 	cppcheck --quiet --std=c11 --enable=warning,performance,portability --inline-suppr \
 	  --suppress=missingIncludeSystem --suppress=unknownMacro --error-exitcode=1 -j 8 \
-	  -I. $(filter %.c,$(OUR_FILES)) 2>&1 || exit 1
+	  $(INCLUDES) $(filter %.c,$(OUR_FILES)) 2>&1 || exit 1
 	printf '%s\n' $(filter %.c,$(OUR_FILES)) | xargs -P 8 -n 2 sh -c \
-	  'clang-tidy --quiet --warnings-as-errors="*" "$$@" -- -std=gnu11 -I. 2>&1' sh
+	  'clang-tidy --quiet --warnings-as-errors="*" "$$@" -- -std=gnu11 $(INCLUDES) 2>&1' sh
 
 check: packages
 	bash tests/run-all.sh
@@ -120,4 +123,4 @@
 
 .SECONDARY: $(UTIL_OBJ)
 .PHONY: bench faults all tests generate packages format check-format lint check demo clean
--include $(wildcard $(B)/*.d $(B)/tests/*.d)
+-include $(wildcard $(B)/*.d $(B)/*/*.d)
--- /dev/null
+++ b/fleet/daemon.h
@@ -0,0 +1,86 @@
+/* daemon.h -- what the daemons on the users' platform share */
+
+#ifndef MD_DAEMON_H
+#define MD_DAEMON_H
+
+#include "http-async.h"
+#include "platform.h"
+
+/* ------------------------------------------------------------------ */
+/* Times that entries and guards must agree on                        */
+
+/* A guard ends the runs of an entry when the latest of its reports that the entry
+   has echoed is older than this. Together with MD_WORKER_LEASE, the 2% by which a
+   worker's clock may be slow and the time of a stop, it stays below the time after
+   which a caller repeats a job that got no answer (resend_after, 1,300 ms), so that
+   the repeated job never runs beside the lost one. */
+#define MD_ENTRY_LEASE (500 * MD_MS)
+
+/* A guard extends the lease of all runs at its worker to this long ahead. */
+#define MD_WORKER_LEASE (650 * MD_MS)
+
+/* Longest time between two messages of an entry to a guard, and between two reports
+   of a guard to an entry: five fit into MD_ENTRY_LEASE. */
+#define MD_RUN_HEARTBEAT (100 * MD_MS)
+
+/* A run at a guard that is not heard any more has ended when this has passed since
+   the entry received the last report that it echoed: both leases, 2% for the worker's
+   clock, and the time of a stop. */
+#define MD_RUN_GONE_AFTER ((MD_ENTRY_LEASE + MD_WORKER_LEASE) * 102 / 100 + 50 * MD_MS)
+
+/* Connections to the store: one for a read that waits, one for the rest. */
+#define MD_STORE_CONNECTIONS 2L
+
+/* ------------------------------------------------------------------ */
+/* Start-up and signals (daemon.c)                                    */
+
+typedef struct
+{
+  MdSettings settings; /* from the file */
+  MdLinks *links;      /* the engine's poll */
+  MdHttp *store;       /* calls to the platform's store */
+} MdDaemon;
+
+/* md_daemon_open: parse "--config FILE", read the settings and open the log. Returns
+   an exit code; MD_EXIT_OK to go on. */
+int md_daemon_open (MdDaemon *daemon, int argc, const char **argv);
+void md_daemon_close (MdDaemon *daemon);
+
+/* md_daemon_stopping: SIGTERM or SIGINT has arrived; the poll of links wakes then. */
+void md_daemon_catch_signals (MdLinks *links);
+bool md_daemon_stopping (void);
+
+/* ------------------------------------------------------------------ */
+/* Keyed records of the store (keyed.c)                               */
+
+/* Follows the newest record of each key of a topic. */
+typedef struct MdKeyed MdKeyed;
+
+/* md_keyed_new: on_record is called from md_http_poll, in the order of offsets, and
+   again for every key after records have been lost. */
+MdKeyed *md_keyed_new (MdHttp *http, const char *address, const char *topic, MdTime wait,
+                       MdOnKeyed on_record, void *user);
+void md_keyed_free (MdKeyed *keyed);
+/* md_keyed_poll: make calls that are due; returns when to call again. */
+MdTime md_keyed_poll (MdKeyed *keyed, MdTime now);
+/* md_keyed_read_at: when the store's answer last showed the end of the topic, 0 never. */
+MdTime md_keyed_read_at (const MdKeyed *keyed);
+
+/* ------------------------------------------------------------------ */
+/* Addresses of entries (directory.c)                                 */
+
+#define MD_MAX_ENTRIES 64 /* entries known at a time */
+
+typedef struct
+{
+  char address[MD_MAX_ENTRIES][MD_ADDRESS_BYTES];
+  unsigned n;
+} MdDirectory;
+
+/* md_directory_add: true when the address was not known. */
+bool md_directory_add (MdDirectory *directory, MdStr address);
+void md_directory_remove (MdDirectory *directory, MdStr address);
+/* md_directory_add_seeds: the machines named in the settings, at the internal port. */
+void md_directory_add_seeds (MdDirectory *directory, const MdSettings *settings);
+
+#endif
--- /dev/null
+++ b/fleet/directory.c
@@ -0,0 +1,62 @@
+/* directory.c -- addresses of the entries that a process knows
+
+   They come from the seeds in the settings, from the store and from peers. An address
+   that answers nobody costs a dial now and then and is dropped after a while by the
+   guards that dial it. */
+
+#include "daemon.h"
+
+#include <stdio.h>
+
+static int
+find (const MdDirectory *directory, MdStr address)
+{
+  for (unsigned i = 0; i < directory->n; i++)
+    if (md_str_equal (md_str (directory->address[i]), address))
+      return (int)i;
+  return -1;
+}
+
+bool
+md_directory_add (MdDirectory *directory, MdStr address)
+{
+  char host[MD_ADDRESS_BYTES];
+  int port;
+
+  if (md_address_split (address, host, &port) != MD_OK || find (directory, address) >= 0
+      || directory->n == MD_MAX_ENTRIES)
+    return false;
+  md_str_copy (directory->address[directory->n++], MD_ADDRESS_BYTES, address);
+  return true;
+}
+
+void
+md_directory_remove (MdDirectory *directory, MdStr address)
+{
+  int i = find (directory, address);
+
+  if (i >= 0)
+    memcpy (directory->address[i], directory->address[--directory->n], MD_ADDRESS_BYTES);
+}
+
+void
+md_directory_add_seeds (MdDirectory *directory, const MdSettings *settings)
+{
+  const char *at = settings->seeds;
+
+  while (*at != '\0')
+    {
+      size_t len = strcspn (at, ",");
+      char address[MD_ADDRESS_BYTES + 8];
+      char host[MD_ADDRESS_BYTES];
+      int port;
+
+      if (md_address_split (md_str_n (at, len), host, &port) == MD_OK)
+        {
+          snprintf (address, sizeof address, "%s:%u", host, settings->entry_port);
+          md_directory_add (directory, md_str (address));
+        }
+      at += len;
+      at += strspn (at, ",");
+    }
+}
--- /dev/null
+++ b/fleet/entry-guards.c
@@ -0,0 +1,542 @@
+/* entry-guards.c -- links from guards: orders out, reports in
+
+   Guards dial. A guard is known by its name; a new incarnation means that nothing of
+   the former process runs any more. While a guard is not heard, its runs may go on
+   until both leases have run out (MD_RUN_GONE_AFTER); they are ordered elsewhere only
+   after that, or when the guard is back and says how they ended. */
+
+#include "run-entry.h"
+
+#include <stdio.h>
+
+#define SILENCE_MAX (350 * MD_MS) /* a guard reports every MD_RUN_HEARTBEAT */
+
+/* ------------------------------------------------------------------ */
+/* Guards                                                             */
+
+static MdEntryGuard *
+guard_at (const MdRunEntry *entry, uint32_t i)
+{
+  return (MdEntryGuard *)entry->workers.workers[i];
+}
+
+static MdEntryGuard *
+find_guard (const MdRunEntry *entry, const char *name)
+{
+  for (uint32_t i = 0; i < entry->workers.n; i++)
+    if (strcmp (guard_at (entry, i)->name, name) == 0)
+      return guard_at (entry, i);
+  return NULL;
+}
+
+static MdEntryGuard *
+new_guard (MdRunEntry *entry, const char *name)
+{
+  MdEntryGuard *guard;
+
+  if (entry->workers.n == entry->cap_workers)
+    {
+      uint32_t cap = entry->cap_workers > 0 ? entry->cap_workers * 2 : 16;
+      MdWorker **grown = realloc (entry->workers.workers, cap * sizeof (MdWorker *));
+
+      if (grown == NULL)
+        return NULL;
+      entry->workers.workers = grown;
+      entry->cap_workers = cap;
+    }
+  guard = calloc (1, sizeof *guard);
+  if (guard == NULL)
+    return NULL;
+  md_str_copy (guard->name, sizeof guard->name, md_str (name));
+  entry->workers.workers[entry->workers.n++] = &guard->worker;
+  return guard;
+}
+
+static void
+free_guard (MdEntryGuard *guard)
+{
+  free (guard->alive);
+  free (guard->cancels.ids);
+  free (guard->withdraws.ids);
+  free (guard);
+}
+
+void
+md_entry_free_guards (MdRunEntry *entry)
+{
+  for (uint32_t i = 0; i < entry->workers.n; i++)
+    {
+      MdEntryGuard *guard = guard_at (entry, i);
+
+      for (MdEntryOrder *order = guard->orders, *next; order != NULL; order = next)
+        {
+          next = order->next;
+          free (order);
+        }
+      free_guard (guard);
+    }
+  free (entry->workers.workers);
+}
+
+static void
+end_all (MdRunEntry *entry, MdEntryGuard *guard, MdRunHow how)
+{
+  guard->unsent = NULL;
+  guard->cancels.n = 0;
+  guard->withdraws.n = 0;
+  while (guard->orders != NULL)
+    md_entry_order_ended (entry, guard->orders, how, 0, "");
+}
+
+/* ------------------------------------------------------------------ */
+/* Orders                                                             */
+
+static void
+add_id (MdIdList *list, uint64_t id)
+{
+  if (list->n == list->cap)
+    {
+      uint32_t cap = list->cap > 0 ? list->cap * 2 : 16;
+      uint64_t *grown = realloc (list->ids, cap * sizeof *grown);
+
+      if (grown == NULL)
+        {
+          md_log (MD_LOG_ERROR, "cancel-lost", "order=%llu reason=\"out of memory\"",
+                  (unsigned long long)id);
+          return;
+        }
+      list->ids = grown;
+      list->cap = cap;
+    }
+  list->ids[list->n++] = id;
+}
+
+void
+md_entry_send_order (MdRunEntry *entry, MdEntryOrder *order)
+{
+  MdEntryGuard *guard = order->guard;
+
+  order->id = entry->next_order++;
+  order->next = guard->orders;
+  if (guard->orders != NULL)
+    guard->orders->previous = order;
+  guard->orders = order;
+  order->unsent = guard->unsent;
+  guard->unsent = order;
+}
+
+void
+md_entry_cancel (MdEntryOrder *order)
+{
+  if (order->cancelled)
+    return;
+  order->cancelled = true;
+  add_id (&order->guard->cancels, order->id);
+}
+
+void
+md_entry_withdraw (MdEntryOrder *order)
+{
+  if (order->cancelled || order->withdrawn)
+    return;
+  order->withdrawn = true;
+  add_id (&order->guard->withdraws, order->id);
+}
+
+static uint32_t
+count_unsent (const MdEntryGuard *guard)
+{
+  uint32_t n = 0;
+
+  for (const MdEntryOrder *order = guard->unsent; order != NULL; order = order->unsent)
+    n++;
+  return n;
+}
+
+/* Index of the text among those of the message, added when it is not there. */
+static uint32_t
+spec_index (Md__RunOrders *orders, const MdRunSpec *spec)
+{
+  for (size_t i = 0; i < orders->n_specs; i++)
+    if (orders->specs[i].data == (uint8_t *)spec->spec)
+      return (uint32_t)i;
+  orders->specs[orders->n_specs].data = (uint8_t *)spec->spec;
+  orders->specs[orders->n_specs].len = spec->spec_len;
+  return (uint32_t)orders->n_specs++;
+}
+
+/* Names of the tasks of one message; they must live until it is packed. */
+typedef struct
+{
+  char text[MD_RUN_NAME_BYTES];
+} TaskName;
+
+static void
+fill_order (Md__RunOrders *orders, Md__RunOrder *out, TaskName *name, MdEntryOrder *order,
+            MdTime now)
+{
+  const MdEntryJob *job = order->job;
+
+  md_platform_task_name (name->text, md_str (job->id), 0, order->step, order->task);
+  md__run_order__init (out);
+  out->id = order->id;
+  out->task = name->text;
+  out->run = order->run;
+  out->spec = spec_index (orders, &job->job.spec);
+  out->cpu = order->need.cpu;
+  out->memory_mb = order->need.memory_mb;
+  out->accelerators = order->need.accelerators;
+  out->expected_us = (uint64_t)order->expected;
+  out->start_within_us
+      = order->start_within - (now - order->placed_at) - order->guard->worker.delay;
+  out->checkpoint = job->job.tasks[order->step][order->task].checkpoint;
+  order->sent = true;
+}
+
+/* Orders whose job has ended before they were sent were never seen by anybody. */
+static void
+drop_ownerless (MdRunEntry *entry, MdEntryGuard *guard)
+{
+  for (MdEntryOrder **place = &guard->unsent; *place != NULL;)
+    {
+      MdEntryOrder *order = *place;
+
+      if (order->job != NULL && !order->cancelled)
+        {
+          place = &order->unsent;
+          continue;
+        }
+      *place = order->unsent;
+      md_entry_order_ended (entry, order, MD_RUN_REJECTED, 0, "");
+    }
+}
+
+static void
+send_message (MdRunEntry *entry, MdEntryGuard *guard)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunOrders orders = MD__RUN_ORDERS__INIT;
+  uint32_t n;
+  md_autofree Md__RunOrder *list = NULL;
+  md_autofree Md__RunOrder **pointers = NULL;
+  md_autofree TaskName *names = NULL;
+  md_autofree ProtobufCBinaryData *specs = NULL;
+
+  drop_ownerless (entry, guard);
+  n = count_unsent (guard);
+  list = calloc (n + 1, sizeof *list);
+  pointers = calloc (n + 1, sizeof *pointers);
+  names = calloc (n + 1, sizeof *names);
+  specs = calloc (n + 1, sizeof *specs);
+  if (list == NULL || pointers == NULL || names == NULL || specs == NULL)
+    return; /* tried again with the next message */
+  orders.guard = guard->worker.guard;
+  orders.echo_us = guard->stamp;
+  orders.ends_seen = guard->ends_seen;
+  orders.orders = pointers;
+  orders.specs = specs;
+  orders.cancels = guard->cancels.ids;
+  orders.n_cancels = guard->cancels.n;
+  orders.withdraws = guard->withdraws.ids;
+  orders.n_withdraws = guard->withdraws.n;
+  /* The list is newest first; ids must arrive in increasing order. */
+  orders.n_orders = n;
+  for (MdEntryOrder *order = guard->unsent; order != NULL; order = order->unsent)
+    {
+      n--;
+      fill_order (&orders, &list[n], &names[n], order, entry->now);
+      pointers[n] = &list[n];
+    }
+  frame.msg_case = MD__FRAME__MSG_RUN_ORDERS;
+  frame.run_orders = &orders;
+  md_count (MD_M_STARTS, (int64_t)orders.n_orders);
+  md_link_send (guard->link, &frame);
+  guard->unsent = NULL;
+  guard->cancels.n = 0;
+  guard->withdraws.n = 0;
+  guard->sent_at = entry->now;
+  guard->echoed_at = guard->stamp_at;
+}
+
+/* ------------------------------------------------------------------ */
+/* Reports                                                            */
+
+static MdEntryOrder *
+find_order (const MdEntryGuard *guard, uint64_t id)
+{
+  for (MdEntryOrder *order = guard->orders; order != NULL; order = order->next)
+    if (order->id == id)
+      return order;
+  return NULL;
+}
+
+static void
+take_worker (MdEntryGuard *guard, const Md__WorkerInfo *info)
+{
+  MdWorker *worker = &guard->worker;
+
+  if (strcmp (guard->id, info->id) != 0)
+    worker->failures = 0;
+  md_str_copy (guard->id, sizeof guard->id, md_str (info->id));
+  md_str_copy (worker->service, sizeof worker->service, md_str (info->service));
+  worker->capacity = (MdRoom){ info->cpu, info->memory_mb, info->accelerators };
+  worker->labels.n = 0;
+  for (size_t i = 0; i < info->n_labels && i < MD_MAX_LABELS; i++)
+    md_str_copy (worker->labels.label[worker->labels.n++], MD_LABEL_BYTES,
+                 md_str (info->labels[i]));
+  md_log (MD_LOG_INFO, "worker-seen", "guard=%s worker=%s born_ms=%lld cpu=%u memory_mb=%u",
+          guard->name, guard->id, (long long)info->born_ms, info->cpu, info->memory_mb);
+}
+
+/* The report does not know of orders that it crossed. */
+static void
+take_room (MdRunEntry *entry, MdEntryGuard *guard, const Md__RunReport *report)
+{
+  MdWorker *worker = &guard->worker;
+
+  worker->free = (MdRoom){ report->free_cpu, report->free_memory_mb, report->free_accelerators };
+  worker->next_end = (MdTime)report->next_end_us;
+  for (size_t i = 0; i < MD_URGENCIES; i++)
+    worker->wait[i] = i < report->n_wait_us ? (MdTime)report->wait_us[i] : 0;
+  for (const MdEntryOrder *order = guard->orders; order != NULL; order = order->next)
+    if (order->id > report->last_order)
+      md_worker_reserve (worker, order->need, order->expected, md_urgency (order->start_within));
+  worker->reported_at = entry->now;
+  worker->stalled = report->stalled;
+  if ((uint32_t)worker->state != report->state)
+    md_log (MD_LOG_INFO, "upstream-state", "guard=%s worker=%s state=%u former=%d", guard->name,
+            guard->id, report->state, (int)worker->state);
+  worker->state
+      = report->state <= MD_WORKER_DRAINING ? (MdWorkerState)report->state : MD_WORKER_ABSENT;
+}
+
+static bool
+was_alive (const MdEntryGuard *guard, uint64_t id)
+{
+  for (size_t i = 0; i < guard->n_alive; i++)
+    if (guard->alive[i] == id)
+      return true;
+  return false;
+}
+
+/* Orders that the guard neither has nor has ended never reached it. */
+static void
+settle (MdRunEntry *entry, MdEntryGuard *guard)
+{
+  guard->settling = false;
+  for (MdEntryOrder *order = guard->orders, *next; order != NULL; order = next)
+    {
+      next = order->next;
+      if (order->sent && !was_alive (guard, order->id))
+        md_entry_order_ended (entry, order, MD_RUN_REJECTED, 0, "");
+      else if (order->sent)
+        {
+          /* What was asked of it may have been lost with the connection. */
+          if (order->cancelled)
+            add_id (&guard->cancels, order->id);
+          if (order->withdrawn)
+            add_id (&guard->withdraws, order->id);
+        }
+    }
+}
+
+static void
+on_report (MdRunEntry *entry, MdEntryGuard *guard, const Md__RunReport *report)
+{
+  if (report->stamp_us > guard->stamp)
+    {
+      guard->stamp = report->stamp_us;
+      guard->stamp_at = entry->now;
+    }
+  if (report->worker != NULL)
+    take_worker (guard, report->worker);
+  for (size_t i = 0; i < report->n_started; i++)
+    {
+      MdEntryOrder *order = find_order (guard, report->started[i]);
+
+      if (order != NULL)
+        md_entry_order_started (entry, order);
+    }
+  for (size_t i = 0; i < report->n_ends; i++)
+    {
+      const Md__RunEnd *end = report->ends[i];
+      MdEntryOrder *order = find_order (guard, end->id);
+
+      if (end->number > guard->ends_seen)
+        guard->ends_seen = end->number;
+      if (order != NULL)
+        md_entry_order_ended (entry, order,
+                              end->how < MD_RUN_HOWS ? (MdRunHow)end->how : MD_RUN_LAPSED,
+                              (MdTime)end->run_us, end->checkpoint);
+    }
+  take_room (entry, guard, report);
+  if (guard->settling)
+    settle (entry, guard);
+}
+
+/* ------------------------------------------------------------------ */
+/* Connections                                                        */
+
+static void
+send_welcome (MdRunEntry *entry, MdLink *link)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunWelcome welcome = MD__RUN_WELCOME__INIT;
+  char *entries[MD_MAX_ENTRIES];
+
+  welcome.name = entry->daemon.settings.name;
+  welcome.incarnation = entry->incarnation;
+  for (unsigned i = 0; i < entry->directory.n; i++)
+    entries[i] = entry->directory.address[i];
+  welcome.entries = entries;
+  welcome.n_entries = entry->directory.n;
+  frame.msg_case = MD__FRAME__MSG_RUN_WELCOME;
+  frame.run_welcome = &welcome;
+  md_link_send (link, &frame);
+}
+
+static void
+begin_incarnation (MdRunEntry *entry, MdEntryGuard *guard, uint64_t incarnation)
+{
+  /* Nothing may be placed here while its runs end and are ordered again. */
+  guard->worker.connected = false;
+  end_all (entry, guard, MD_RUN_LAPSED);
+  guard->worker.guard = incarnation;
+  guard->worker.outstanding = 0;
+  guard->stamp = 0;
+  guard->ends_seen = 0;
+}
+
+static void
+on_hello (MdRunEntry *entry, MdLink *link, const Md__RunHello *hello)
+{
+  MdEntryGuard *guard = find_guard (entry, hello->name);
+
+  if (guard == NULL)
+    guard = new_guard (entry, hello->name);
+  if (guard == NULL)
+    {
+      md_link_drop (link);
+      return;
+    }
+  if (guard->link != NULL && guard->link != link)
+    {
+      md_link_set_data (guard->link, NULL);
+      md_link_drop (guard->link);
+    }
+  if (guard->worker.guard != hello->incarnation)
+    begin_incarnation (entry, guard, hello->incarnation);
+  free (guard->alive);
+  guard->alive = calloc (hello->n_alive + 1, sizeof *guard->alive);
+  guard->n_alive = guard->alive != NULL ? hello->n_alive : 0;
+  if (guard->n_alive > 0)
+    memcpy (guard->alive, hello->alive, guard->n_alive * sizeof *guard->alive);
+  guard->settling = true;
+  guard->link = link;
+  guard->worker.connected = true;
+  md_link_set_data (link, guard);
+  md_link_expect (link, SILENCE_MAX);
+  for (size_t i = 0; i < hello->n_entries; i++)
+    md_directory_add (&entry->directory, md_str (hello->entries[i]));
+  send_welcome (entry, link);
+  md_log (MD_LOG_INFO, "guard-up", "guard=%s incarnation=%llx orders=%u alive=%zu away_ms=%lld",
+          guard->name, (unsigned long long)hello->incarnation, guard->worker.outstanding,
+          hello->n_alive,
+          (long long)(guard->lost_at > 0 ? (entry->now - guard->lost_at) / MD_MS : 0));
+}
+
+static void
+on_up (void *user MD_UNUSED, MdLink *link MD_UNUSED)
+{
+  /* The guard speaks first. */
+}
+
+static void
+on_frame (void *user, MdLink *link, const Md__Frame *frame)
+{
+  MdRunEntry *entry = user;
+  MdEntryGuard *guard = md_link_data (link);
+
+  entry->now = md_now ();
+  switch (frame->msg_case)
+    {
+    case MD__FRAME__MSG_RUN_HELLO:
+      on_hello (entry, link, frame->run_hello);
+      break;
+    case MD__FRAME__MSG_RUN_REPORT:
+      if (guard != NULL)
+        on_report (entry, guard, frame->run_report);
+      break;
+    default:
+      md_log (MD_LOG_WARN, "frame-ignored", "peer=%s kind=%d", md_link_peer (link),
+              (int)frame->msg_case);
+      break;
+    }
+}
+
+static void
+on_down (void *user, MdLink *link, const MdError *error)
+{
+  MdRunEntry *entry = user;
+  MdEntryGuard *guard = md_link_data (link);
+
+  entry->now = md_now ();
+  if (guard == NULL)
+    return;
+  guard->link = NULL;
+  guard->worker.connected = false;
+  guard->lost_at = entry->now;
+  md_log (MD_LOG_WARN, "guard-down", "guard=%s orders=%u reason=\"%s\"", guard->name,
+          guard->worker.outstanding, error->detail);
+}
+
+const MdLinkHandler md_run_entry_handler
+    = { .on_up = on_up, .on_frame = on_frame, .on_down = on_down };
+
+/* ------------------------------------------------------------------ */
+/* Poll                                                               */
+
+/* Unsent orders of a lost guard were seen by nobody; the others may still run. */
+static MdTime
+poll_lost (MdRunEntry *entry, MdEntryGuard *guard)
+{
+  MdTime gone = guard->echoed_at + MD_RUN_GONE_AFTER;
+
+  for (MdEntryOrder *order; (order = guard->unsent) != NULL;)
+    {
+      guard->unsent = order->unsent;
+      md_entry_order_ended (entry, order, MD_RUN_REJECTED, 0, "");
+    }
+  if (guard->orders == NULL)
+    return INT64_MAX;
+  if (entry->now < gone)
+    return gone;
+  md_log (MD_LOG_WARN, "guard-lost", "guard=%s orders=%u silent_ms=%lld", guard->name,
+          guard->worker.outstanding, (long long)((entry->now - guard->stamp_at) / MD_MS));
+  end_all (entry, guard, MD_RUN_LAPSED);
+  return INT64_MAX;
+}
+
+MdTime
+md_entry_guards_poll (MdRunEntry *entry)
+{
+  MdTime due = entry->now + MD_RUN_HEARTBEAT;
+
+  for (uint32_t i = 0; i < entry->workers.n; i++)
+    {
+      MdEntryGuard *guard = guard_at (entry, i);
+      MdTime next = guard->sent_at + MD_RUN_HEARTBEAT;
+
+      if (guard->link == NULL)
+        next = poll_lost (entry, guard);
+      else if (!guard->settling
+               && (guard->unsent != NULL || guard->cancels.n > 0 || guard->withdraws.n > 0
+                   || entry->now >= next))
+        {
+          send_message (entry, guard);
+          next = entry->now + MD_RUN_HEARTBEAT;
+        }
+      due = next < due && next > entry->now ? next : due;
+    }
+  return due;
+}
--- /dev/null
+++ b/fleet/entry-jobs.c
@@ -0,0 +1,802 @@
+/* entry-jobs.c -- jobs at an entry: taken in or rejected, placed, answered
+
+   Every entry places the jobs that it took in by itself. The decisions are those of
+   sched/: this file feeds them and carries them out. */
+
+#include "run-entry.h"
+
+#include <stdio.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#define LATE_LIMIT 3               /* an answer is worth nothing after this many times the goal */
+#define NETWORK_MARGIN (8 * MD_MS) /* of the goal: the way to the caller and back */
+#define DEFAULT_PATIENCE (2 * MD_SECOND) /* of callers that do not state it */
+#define OVERDUE_MARGIN (15 * MD_MS)      /* a run that waits longer than expected is looked at */
+#define MOVE_GAIN (15 * MD_MS)           /* a run is moved to another guard for no less */
+#define TICK (10 * MD_MS)                /* between looks at waiting runs */
+#define RETRY_NO_WORKER (1 * MD_SECOND)  /* Retry-After while no upstream is usable */
+#define MAX_REJECTIONS 8                 /* of one task by guards, before its job is given up */
+#define STALE_JUMP 1000       /* raise of run numbers after a worker had seen higher ones */
+#define CALM_WAIT (5 * MD_MS) /* a longer wait than this is a backlog */
+
+/* ------------------------------------------------------------------ */
+/* Table of jobs                                                      */
+
+static uint32_t
+bucket_of (const char *id)
+{
+  uint32_t hash = 2166136261u; /* FNV-1a */
+
+  for (; *id != '\0'; id++)
+    hash = (hash ^ (unsigned char)*id) * 16777619u;
+  return hash % MD_JOB_BUCKETS;
+}
+
+static MdEntryJob *
+find_job (const MdRunEntry *entry, const char *id, const MdRoute *route)
+{
+  for (MdEntryJob *job = entry->buckets[bucket_of (id)]; job != NULL; job = job->chain)
+    if (strcmp (job->id, id) == 0 && strcmp (job->route.prefix, route->prefix) == 0
+        && strcmp (job->route.host, route->host) == 0)
+      return job;
+  return NULL;
+}
+
+static void
+link_job (MdRunEntry *entry, MdEntryJob *job)
+{
+  uint32_t bucket = bucket_of (job->id);
+
+  job->chain = entry->buckets[bucket];
+  entry->buckets[bucket] = job;
+  job->next = entry->jobs;
+  if (entry->jobs != NULL)
+    entry->jobs->previous = job;
+  entry->jobs = job;
+  entry->n_jobs++;
+}
+
+static void
+unlink_job (MdRunEntry *entry, MdEntryJob *job)
+{
+  MdEntryJob **place = &entry->buckets[bucket_of (job->id)];
+
+  while (*place != job)
+    place = &(*place)->chain;
+  *place = job->chain;
+  if (job->previous != NULL)
+    job->previous->next = job->next;
+  else
+    entry->jobs = job->next;
+  if (job->next != NULL)
+    job->next->previous = job->previous;
+  entry->n_jobs--;
+}
+
+static MdQueueStats *
+stats_of (MdRunEntry *entry, const char *name)
+{
+  MdQueueStats *grown;
+
+  for (uint32_t i = 0; i < entry->n_stats; i++)
+    if (strcmp (entry->stats[i]->name, name) == 0)
+      return entry->stats[i];
+  if (entry->n_stats == MD_MAX_QUEUES)
+    return entry->stats[0];
+  grown = calloc (1, sizeof *grown);
+  if (grown == NULL)
+    return entry->stats[0];
+  md_str_copy (grown->name, sizeof grown->name, md_str (name));
+  entry->stats[entry->n_stats++] = grown;
+  return grown;
+}
+
+/* ------------------------------------------------------------------ */
+/* Answers                                                            */
+
+static void
+answer_ticket (MdRunEntry *entry, MdRunTicket *ticket, int status, const char *state,
+               MdTime retry_after)
+{
+  uint64_t one = 1;
+  int event = ticket->event;
+
+  ticket->job = NULL;
+  ticket->status = status;
+  ticket->retry_after = retry_after;
+  if (state != NULL)
+    md_platform_write_state (&ticket->body, state);
+  atomic_fetch_sub (&entry->waiting, 1);
+  /* The ticket belongs to its thread from here on. */
+  atomic_store (&ticket->answered, true);
+  if (write (event, &one, sizeof one) < 0)
+    md_log (MD_LOG_ERROR, "eventfd", "reason=\"the waiting thread was not woken\"");
+}
+
+static const char *
+outcome_of (int status, const char *state)
+{
+  if (state != NULL)
+    return state;
+  return status == 429 || status == 503 ? "not_run" : "unknown";
+}
+
+static void
+log_answer (const MdRunEntry *entry, const MdEntryJob *job, int status, const char *state,
+            const char *reason, MdTime retry_after)
+{
+  md_log (MD_LOG_INFO, "job-answered",
+          "job=%s request=%s queue=%s status=%d outcome=%s reason=%s elapsed_ms=%lld "
+          "goal_ms=%lld first_start_ms=%lld retry_after_ms=%lld",
+          job->id, job->request, job->route.name, status, outcome_of (status, state), reason,
+          (long long)((entry->now - job->arrived) / MD_MS),
+          (long long)((job->goal - job->arrived) / MD_MS),
+          (long long)(job->started_at > 0 ? (job->started_at - job->arrived) / MD_MS : -1),
+          (long long)(retry_after / MD_MS));
+}
+
+static void
+free_job (MdRunEntry *entry, MdEntryJob *job)
+{
+  unlink_job (entry, job);
+  md_runjob_clear (&job->job);
+  free (job);
+}
+
+/* Runs that are left are ended at their guards; their orders outlive the job. */
+static void
+release_orders (MdEntryJob *job)
+{
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    for (uint32_t k = 0; k < job->job.spec.steps[i].count; k++)
+      {
+        MdEntryOrder *order = job->job.tasks[i][k].order;
+
+        if (order == NULL)
+          continue;
+        order->job = NULL;
+        if (order->sent)
+          md_entry_cancel (order);
+        else
+          order->cancelled = true;
+      }
+}
+
+static void
+finish_job (MdRunEntry *entry, MdEntryJob *job, int status, const char *state, const char *reason,
+            MdTime retry_after)
+{
+  log_answer (entry, job, status, state, reason, retry_after);
+  md_count (state != NULL && strcmp (state, MD_PLATFORM_COMPLETED) == 0 ? MD_M_JOBS_DONE
+            : status == 200                                             ? MD_M_JOBS_FAILED
+                                                                        : MD_M_REFUSED,
+            1);
+  if (entry->now > job->goal && status == 200)
+    md_count (MD_M_LATE, 1);
+  while (job->tickets != NULL)
+    {
+      MdRunTicket *ticket = job->tickets;
+
+      job->tickets = ticket->next;
+      answer_ticket (entry, ticket, status, state, retry_after);
+    }
+  release_orders (job);
+  free_job (entry, job);
+}
+
+/* ------------------------------------------------------------------ */
+/* Placement                                                          */
+
+static double
+work_of (const MdEntryJob *job, uint32_t step)
+{
+  return md_estimate_work (&job->stats->correction, job->job.spec.steps[step].estimate);
+}
+
+static void
+fill_need (const MdRunEntry *entry, const MdEntryJob *job, uint32_t step, MdTaskNeed *need)
+{
+  const MdRunStep *spec = &job->job.spec.steps[step];
+
+  need->service = job->route.pool;
+  need->requirement = spec->requirement;
+  need->affinity = spec->affinity;
+  need->need = spec->need;
+  need->work = work_of (job, step);
+  need->start_within = job->goal - entry->now - (MdTime)need->work;
+  need->per_worker = spec->per_worker;
+}
+
+/* How many tasks of a step each worker has, for a bound on them. NULL when there is
+   no bound or no memory. */
+static uint32_t *
+count_taken (const MdRunEntry *entry, const MdEntryJob *job, uint32_t step)
+{
+  uint32_t *taken;
+
+  if (job->job.spec.steps[step].per_worker == 0)
+    return NULL;
+  taken = calloc (entry->workers.n + 1, sizeof *taken);
+  for (uint32_t k = 0; taken != NULL && k < job->job.spec.steps[step].count; k++)
+    {
+      const MdEntryOrder *order = job->job.tasks[step][k].order;
+
+      for (uint32_t i = 0; order != NULL && i < entry->workers.n; i++)
+        taken[i] += entry->workers.workers[i] == &order->guard->worker;
+    }
+  return taken;
+}
+
+static void
+order_task (MdRunEntry *entry, MdEntryJob *job, uint32_t step, uint32_t index,
+            const MdTaskNeed *need, const MdPlacement *placement)
+{
+  MdRunTask *task = &job->job.tasks[step][index];
+  MdEntryOrder *order = calloc (1, sizeof *order);
+
+  if (order == NULL)
+    return; /* tried again with the next tick */
+  order->guard = (MdEntryGuard *)placement->worker;
+  order->job = job;
+  order->step = step;
+  order->task = index;
+  order->run = ++task->run + job->run_base;
+  order->need = need->need;
+  order->declared = job->job.spec.steps[step].estimate;
+  order->placed_at = entry->now;
+  order->wait = placement->wait;
+  order->expected = placement->run;
+  order->start_within = job->goal - entry->now - placement->run;
+  task->state = MD_TASK_ORDERED;
+  task->order = order;
+  job->job.ready--;
+  job->job.ordered++;
+  placement->worker->outstanding++;
+  md_worker_reserve (placement->worker, need->need, placement->run,
+                     md_urgency (order->start_within));
+  md_entry_send_order (entry, order);
+  md_log (MD_LOG_DEBUG, "run-placed",
+          "job=%s step=%u task=%u run=%u guard=%s wait_ms=%lld run_ms=%lld slack_ms=%lld "
+          "report_age_ms=%lld",
+          job->id, step, index, order->run, order->guard->name, (long long)(order->wait / MD_MS),
+          (long long)(order->expected / MD_MS), (long long)(order->start_within / MD_MS),
+          (long long)((entry->now - placement->worker->reported_at) / MD_MS));
+}
+
+/* Orders what is ready of a step; what no worker can take now stays ready. */
+static void
+place_step (MdRunEntry *entry, MdEntryJob *job, uint32_t step)
+{
+  MdTaskNeed need;
+  md_autofree uint32_t *taken = count_taken (entry, job, step);
+
+  fill_need (entry, job, step, &need);
+  for (uint32_t k = 0; k < job->job.spec.steps[step].count; k++)
+    {
+      MdRunTask *task = &job->job.tasks[step][k];
+      MdPlacement placement;
+
+      if (task->state != MD_TASK_READY)
+        continue;
+      placement = md_place (&entry->workers, &need, taken, task->last, entry->now);
+      if (placement.worker == NULL)
+        return;
+      for (uint32_t i = 0; taken != NULL && i < entry->workers.n; i++)
+        taken[i] += entry->workers.workers[i] == placement.worker;
+      order_task (entry, job, step, k, &need, &placement);
+    }
+}
+
+static void
+place_ready (MdRunEntry *entry, MdEntryJob *job)
+{
+  for (uint32_t i = 0; i < job->job.spec.n_steps && job->job.ready > 0; i++)
+    place_step (entry, job, i);
+}
+
+/* ------------------------------------------------------------------ */
+/* Admission                                                          */
+
+/* What placement changes while a forecast is made. */
+typedef struct
+{
+  MdRoom free;
+  MdTime wait[MD_URGENCIES];
+  MdTime next_end;
+} SavedRoom;
+
+static SavedRoom *
+save_rooms (const MdRunEntry *entry)
+{
+  SavedRoom *saved = calloc (entry->workers.n + 1, sizeof *saved);
+
+  for (uint32_t i = 0; saved != NULL && i < entry->workers.n; i++)
+    {
+      const MdWorker *worker = entry->workers.workers[i];
+
+      saved[i].free = worker->free;
+      saved[i].next_end = worker->next_end;
+      memcpy (saved[i].wait, worker->wait, sizeof saved[i].wait);
+    }
+  return saved;
+}
+
+static void
+restore_rooms (MdRunEntry *entry, const SavedRoom *saved)
+{
+  for (uint32_t i = 0; i < entry->workers.n; i++)
+    {
+      MdWorker *worker = entry->workers.workers[i];
+
+      worker->free = saved[i].free;
+      worker->next_end = saved[i].next_end;
+      memcpy (worker->wait, saved[i].wait, sizeof saved[i].wait);
+    }
+}
+
+/* When the tasks that are ready would end. False when some worker is missing. */
+static bool
+forecast_step (MdRunEntry *entry, const MdEntryJob *job, uint32_t step, MdForecast *forecast)
+{
+  MdTaskNeed need;
+
+  fill_need (entry, job, step, &need);
+  for (uint32_t k = 0; k < job->job.spec.steps[step].count; k++)
+    {
+      MdPlacement placement = md_place (&entry->workers, &need, NULL, NULL, entry->now);
+
+      if (placement.worker == NULL)
+        return false;
+      if (placement.wait > placement.worker->delay + CALM_WAIT)
+        forecast->backlog = true;
+      if (placement.wait + placement.run > forecast->finish)
+        forecast->finish = placement.wait + placement.run;
+      md_worker_reserve (placement.worker, need.need, placement.run,
+                         md_urgency (need.start_within));
+    }
+  return true;
+}
+
+/* The steps that follow are reckoned with their chain of work alone. */
+static bool
+forecast_job (MdRunEntry *entry, const MdEntryJob *job, double chain, MdForecast *forecast)
+{
+  md_autofree SavedRoom *saved = save_rooms (entry);
+  double first = 0;
+  bool possible = saved != NULL;
+
+  forecast->goal = job->goal - entry->now;
+  forecast->limit = job->limit - entry->now;
+  for (uint32_t i = 0; possible && i < job->job.spec.n_steps; i++)
+    if (job->job.tasks[i][0].state == MD_TASK_READY)
+      {
+        possible = forecast_step (entry, job, i, forecast);
+        if (work_of (job, i) > first)
+          first = work_of (job, i);
+      }
+  if (saved != NULL)
+    restore_rooms (entry, saved);
+  if (chain > first)
+    forecast->finish += (MdTime)(chain - first);
+  return possible;
+}
+
+/* Every step must fit somewhere, or the job can never end. */
+static bool
+is_possible (const MdRunEntry *entry, const MdEntryJob *job)
+{
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    {
+      MdTaskNeed need;
+
+      fill_need (entry, job, i, &need);
+      if (!md_place_possible (&entry->workers, &need))
+        return false;
+    }
+  return true;
+}
+
+static double
+set_times (MdRunEntry *entry, MdEntryJob *job, const MdRunTicket *ticket)
+{
+  double work[MD_MAX_STEPS];
+  MdTime patience = ticket->patience > 0 ? ticket->patience : DEFAULT_PATIENCE;
+  double chain;
+  MdTime objective;
+
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    work[i] = work_of (job, i);
+  chain = md_runjob_chain (&job->job, work);
+  objective = (MdTime)(job->route.slack_factor * chain) + job->route.target_latency;
+  if (job->route.timeout > 0 && job->route.timeout < patience)
+    patience = job->route.timeout;
+  job->arrived = ticket->arrived;
+  job->goal = ticket->arrived + objective - NETWORK_MARGIN;
+  job->limit = ticket->arrived + LATE_LIMIT * objective - NETWORK_MARGIN;
+  job->deadline = ticket->arrived + patience;
+  if (job->limit > job->deadline)
+    job->limit = job->deadline;
+  (void)entry;
+  return chain;
+}
+
+/* Places the job or rejects it. */
+static void
+admit (MdRunEntry *entry, MdEntryJob *job, double chain)
+{
+  MdForecast forecast = { 0 };
+  MdTime retry_after;
+
+  if (!is_possible (entry, job))
+    {
+      finish_job (entry, job, 503, NULL, "no-upstream", RETRY_NO_WORKER);
+      return;
+    }
+  if (!forecast_job (entry, job, chain, &forecast))
+    {
+      finish_job (entry, job, 503, NULL, "no-upstream", RETRY_NO_WORKER);
+      return;
+    }
+  switch (md_admit_run (&forecast))
+    {
+    case MD_ADMIT_NOW:
+    case MD_ADMIT_LATE:
+      md_log (MD_LOG_INFO, "job-admitted",
+              "job=%s request=%s queue=%s config=%llu forecast_ms=%lld goal_ms=%lld backlog=%d",
+              job->id, job->request, job->route.name, (unsigned long long)job->number,
+              (long long)(forecast.finish / MD_MS), (long long)(forecast.goal / MD_MS),
+              forecast.backlog);
+      place_ready (entry, job);
+      break;
+    case MD_ADMIT_NEVER:
+      retry_after = md_admit_retry_after (&forecast, md_random ());
+      md_log (MD_LOG_INFO, "job-rejected",
+              "job=%s request=%s queue=%s forecast_ms=%lld goal_ms=%lld limit_ms=%lld backlog=%d",
+              job->id, job->request, job->route.name, (long long)(forecast.finish / MD_MS),
+              (long long)(forecast.goal / MD_MS), (long long)(forecast.limit / MD_MS),
+              forecast.backlog);
+      finish_job (entry, job, 429, NULL, "overload", retry_after);
+      break;
+    }
+}
+
+static void
+submit (MdRunEntry *entry, MdRunTicket *ticket)
+{
+  MdEntryJob *job = find_job (entry, ticket->id, &ticket->route);
+  MdError error = { 0 };
+  double chain;
+
+  md_count (MD_M_JOBS, 1);
+  if (job != NULL)
+    {
+      /* The same job again: its callers share the answer. */
+      md_run_spec_clear (&ticket->spec);
+      ticket->job = job;
+      ticket->next = job->tickets;
+      job->tickets = ticket;
+      return;
+    }
+  job = calloc (1, sizeof *job);
+  if (job == NULL)
+    {
+      answer_ticket (entry, ticket, 503, NULL, RETRY_NO_WORKER);
+      return;
+    }
+  if (md_runjob_init (&job->job, &ticket->spec, ticket->route.max_attempts, &error) != MD_OK)
+    {
+      md_log (MD_LOG_WARN, "job-rejected", "job=%s queue=%s reason=\"%s\"", ticket->id,
+              ticket->route.name, error.detail);
+      md_runjob_clear (&job->job);
+      free (job);
+      answer_ticket (entry, ticket, 503, NULL, 0);
+      return;
+    }
+  job->number = entry->next_job++;
+  md_str_copy (job->id, sizeof job->id, md_str (ticket->id));
+  md_str_copy (job->request, sizeof job->request, md_str (ticket->request));
+  job->route = ticket->route;
+  job->stats = stats_of (entry, ticket->route.name);
+  md_estimate_prior (&job->stats->correction, &entry->typical);
+  job->tickets = ticket;
+  ticket->job = job;
+  link_job (entry, job);
+  chain = set_times (entry, job, ticket);
+  admit (entry, job, chain);
+}
+
+/* A caller that has left does not want the work any more. */
+static void
+forget_caller (MdRunEntry *entry, MdRunTicket *ticket)
+{
+  MdEntryJob *job = ticket->job;
+  MdRunTicket **place;
+
+  if (job == NULL)
+    return; /* answered meanwhile */
+  for (place = &job->tickets; *place != ticket; place = &(*place)->next)
+    ;
+  *place = ticket->next;
+  answer_ticket (entry, ticket, 0, NULL, 0);
+  if (job->tickets == NULL)
+    finish_job (entry, job, 0, NULL, "caller-left", 0);
+}
+
+static void
+count_pending (MdRunEntry *entry, MdRunTicket *ticket)
+{
+  uint64_t n = 0;
+
+  for (const MdEntryJob *job = entry->jobs; job != NULL; job = job->next)
+    n += job->started_at == 0 && strcmp (job->route.name, ticket->route.name) == 0;
+  md_platform_write_pending (&ticket->body, n);
+  answer_ticket (entry, ticket, 200, NULL, 0);
+}
+
+void
+md_entry_ticket (MdRunEntry *entry, MdRunTicket *ticket)
+{
+  switch (ticket->kind)
+    {
+    case MD_TICKET_SUBMIT:
+      submit (entry, ticket);
+      break;
+    case MD_TICKET_GONE:
+      forget_caller (entry, ticket->of);
+      free (ticket);
+      break;
+    case MD_TICKET_PENDING:
+      count_pending (entry, ticket);
+      break;
+    }
+}
+
+/* ------------------------------------------------------------------ */
+/* Reports of guards                                                  */
+
+void
+md_entry_order_started (MdRunEntry *entry, MdEntryOrder *order)
+{
+  order->started = true;
+  if (order->job == NULL)
+    return;
+  order->job->job.started = true;
+  if (order->job->started_at == 0)
+    order->job->started_at = entry->now;
+}
+
+static void
+unlink_order (MdEntryOrder *order)
+{
+  MdEntryGuard *guard = order->guard;
+
+  if (order->previous != NULL)
+    order->previous->next = order->next;
+  else
+    guard->orders = order->next;
+  if (order->next != NULL)
+    order->next->previous = order->previous;
+}
+
+static void
+learn (MdRunEntry *entry, MdEntryOrder *order, MdRunHow how, MdTime run)
+{
+  MdWorker *worker = &order->guard->worker;
+
+  md_worker_ended (worker, how, order->job != NULL ? order->job->number : 0, entry->now);
+  if (how == MD_RUN_DONE && order->job != NULL && run > 0)
+    md_estimate_learn (&worker->speed, &order->job->stats->correction, &entry->typical,
+                       order->declared, run, &entry->workers.tuning);
+}
+
+/* A job that is being given up is rejected once nothing of it is out; when some of it
+   has run after all, the answer must not say otherwise. */
+static void
+settle_given_up (MdRunEntry *entry, MdEntryJob *job)
+{
+  if (job->job.ordered > 0)
+    return;
+  if (job->job.started)
+    finish_job (entry, job, 200, MD_PLATFORM_FAILED, "given-up", 0);
+  else
+    finish_job (entry, job, 429, NULL, "overload", RETRY_NO_WORKER / 2);
+}
+
+static void
+advance_job (MdRunEntry *entry, MdEntryJob *job)
+{
+  switch (job->job.state)
+    {
+    case MD_RUNJOB_COMPLETED:
+      finish_job (entry, job, 200, MD_PLATFORM_COMPLETED, "done", 0);
+      break;
+    case MD_RUNJOB_FAILED:
+      finish_job (entry, job, 200, MD_PLATFORM_FAILED, "task-failed", 0);
+      break;
+    case MD_RUNJOB_ACTIVE:
+      if (job->giving_up)
+        settle_given_up (entry, job);
+      else if (job->job.ready > 0)
+        place_ready (entry, job);
+      break;
+    }
+}
+
+void
+md_entry_order_ended (MdRunEntry *entry, MdEntryOrder *order, MdRunHow how, MdTime run,
+                      const char *checkpoint)
+{
+  MdEntryJob *job = order->job;
+  MdRunTask *task;
+
+  unlink_order (order);
+  learn (entry, order, how, run);
+  if (job != NULL)
+    {
+      task = &job->job.tasks[order->step][order->task];
+      if (how != MD_RUN_REJECTED && how != MD_RUN_STALE)
+        md_entry_order_started (entry, order);
+      if (checkpoint[0] != '\0')
+        md_str_copy (task->checkpoint, sizeof task->checkpoint, md_str (checkpoint));
+      if (how == MD_RUN_STALE)
+        job->run_base += STALE_JUMP;
+      task->last = how == MD_RUN_DONE || order->withdrawn ? NULL : &order->guard->worker;
+      md_runjob_end (&job->job, order->step, order->task, how);
+      if (how != MD_RUN_DONE)
+        md_log (MD_LOG_INFO, "run-ended",
+                "job=%s request=%s step=%u task=%u run=%u guard=%s how=%s run_ms=%lld left_ms=%lld",
+                job->id, job->request, order->step, order->task, order->run, order->guard->name,
+                md_run_how_name (how), (long long)(run / MD_MS),
+                (long long)((job->deadline - entry->now) / MD_MS));
+    }
+  free (order);
+  if (job != NULL)
+    advance_job (entry, job);
+}
+
+/* ------------------------------------------------------------------ */
+/* Tick                                                               */
+
+static bool
+is_overdue (const MdRunEntry *entry, const MdEntryOrder *order)
+{
+  return order != NULL && order->sent && !order->started && !order->withdrawn
+         && entry->now > order->placed_at + order->wait + OVERDUE_MARGIN;
+}
+
+/* Takes a run back that could start sooner elsewhere. */
+static void
+move_if_better (MdRunEntry *entry, MdEntryJob *job, MdEntryOrder *order)
+{
+  MdWorker *here = &order->guard->worker;
+  MdPlacement other;
+  MdTaskNeed need;
+  MdTime stay;
+
+  fill_need (entry, job, order->step, &need);
+  other = md_place (&entry->workers, &need, NULL, here, entry->now);
+  if (other.worker == NULL || other.worker == here)
+    return;
+  stay = here->connected ? here->wait[md_urgency (need.start_within)] + order->expected
+                         : MD_RUN_GONE_AFTER + order->expected;
+  if (stay < here->next_end + order->expected)
+    stay = here->next_end + order->expected;
+  if (other.wait + other.run + MOVE_GAIN >= stay)
+    return;
+  md_log (MD_LOG_INFO, "run-moved",
+          "job=%s step=%u task=%u from=%s to=%s stay_ms=%lld there_ms=%lld waited_ms=%lld", job->id,
+          order->step, order->task, order->guard->name, ((MdEntryGuard *)other.worker)->name,
+          (long long)(stay / MD_MS), (long long)((other.wait + other.run) / MD_MS),
+          (long long)((entry->now - order->placed_at) / MD_MS));
+  md_worker_reserve (other.worker, need.need, other.run, md_urgency (need.start_within));
+  md_entry_withdraw (order);
+}
+
+static void
+look_at_orders (MdRunEntry *entry, MdEntryJob *job)
+{
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    for (uint32_t k = 0; k < job->job.spec.steps[i].count; k++)
+      if (is_overdue (entry, job->job.tasks[i][k].order))
+        move_if_better (entry, job, job->job.tasks[i][k].order);
+}
+
+/* Nothing has started and the goal cannot be met any more: the caller is told at once
+   instead of at its deadline. */
+static bool
+is_hopeless (const MdRunEntry *entry, const MdEntryJob *job)
+{
+  double shortest = 0;
+
+  if (job->job.started || job->job.done != 0)
+    return false;
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    if (job->job.tasks[i][0].state != MD_TASK_BLOCKED && work_of (job, i) > shortest)
+      shortest = work_of (job, i);
+  return entry->now + (MdTime)(shortest / 2) > job->goal;
+}
+
+static void
+give_up (MdRunEntry *entry, MdEntryJob *job)
+{
+  job->giving_up = true;
+  md_log (MD_LOG_INFO, "job-given-up", "job=%s request=%s queue=%s waited_ms=%lld goal_ms=%lld",
+          job->id, job->request, job->route.name, (long long)((entry->now - job->arrived) / MD_MS),
+          (long long)((job->goal - job->arrived) / MD_MS));
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    for (uint32_t k = 0; k < job->job.spec.steps[i].count; k++)
+      {
+        MdEntryOrder *order = job->job.tasks[i][k].order;
+
+        if (order != NULL)
+          md_entry_withdraw (order);
+      }
+  if (job->job.ordered == 0)
+    settle_given_up (entry, job);
+}
+
+static bool
+is_rejected_everywhere (const MdEntryJob *job)
+{
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    for (uint32_t k = 0; k < job->job.spec.steps[i].count; k++)
+      if (job->job.tasks[i][k].rejections > MAX_REJECTIONS)
+        return true;
+  return false;
+}
+
+static void
+tick_job (MdRunEntry *entry, MdEntryJob *job)
+{
+  if (entry->now >= job->deadline)
+    {
+      if (job->job.started || job->job.ordered > 0)
+        finish_job (entry, job, 200, MD_PLATFORM_FAILED, "deadline", 0);
+      else
+        finish_job (entry, job, 503, NULL, "deadline", RETRY_NO_WORKER);
+      return;
+    }
+  if (job->giving_up)
+    {
+      /* A run had started after all: the job goes on. */
+      if (job->job.started)
+        job->giving_up = false;
+      return;
+    }
+  if (is_hopeless (entry, job) || (!job->job.started && is_rejected_everywhere (job)))
+    {
+      give_up (entry, job);
+      return;
+    }
+  look_at_orders (entry, job);
+  if (job->job.ready > 0)
+    place_ready (entry, job);
+}
+
+void
+md_entry_jobs_tick (MdRunEntry *entry)
+{
+  if (entry->now < entry->next_tick)
+    return;
+  entry->next_tick = entry->now + TICK;
+  for (MdEntryJob *job = entry->jobs, *next; job != NULL; job = next)
+    {
+      next = job->next;
+      tick_job (entry, job);
+    }
+}
+
+void
+md_entry_fail_all (MdRunEntry *entry)
+{
+  while (entry->jobs != NULL)
+    {
+      MdEntryJob *job = entry->jobs;
+
+      if (job->job.ordered > 0 || job->job.started)
+        finish_job (entry, job, 200, MD_PLATFORM_FAILED, "leaving", 0);
+      else
+        finish_job (entry, job, 503, NULL, "leaving", RETRY_NO_WORKER);
+    }
+}
--- /dev/null
+++ b/fleet/front.c
@@ -0,0 +1,457 @@
+/* front.c -- HTTP for callers, for the balancer's probes and for counters
+
+   A CivetWeb thread carries a connection. It reads and checks a request, posts it to
+   the engine as a ticket and waits for the answer or for the caller to leave. Probes
+   and counters have a server of their own, so that they are answered when all threads
+   for callers are taken. */
+
+#define _GNU_SOURCE /* POLLRDHUP */
+
+#include "run-entry.h"
+
+#include <arpa/inet.h>
+#include <civetweb.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <stdio.h>
+#include <strings.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <urcu/urcu-memb.h>
+
+#define RETRY_NO_CONFIG (1 * MD_SECOND) /* Retry-After before the configuration is read */
+#define MAX_DESCRIPTOR 8192             /* highest descriptor looked at */
+#define DEFAULT_BODY_MAX (256u << 10)   /* bytes, where the configuration states none */
+
+struct MdFront
+{
+  MdRunEntry *entry;          /* engine */
+  struct mg_context *callers; /* CivetWeb for callers */
+  struct mg_context *probes;  /* CivetWeb for probes and counters */
+  atomic_bool leaving;        /* responses close their connections */
+};
+
+/* One request. */
+typedef struct
+{
+  MdFront *front;
+  struct mg_connection *conn;
+  const struct mg_request_info *info;
+  MdTime arrived;
+} Request;
+
+static __thread int thread_event = -1; /* wakes this thread */
+
+/* ------------------------------------------------------------------ */
+/* Responses                                                          */
+
+static int
+respond (const Request *request, int status, MdStr body, MdTime retry_after)
+{
+  MD_AUTO_BUF out = { 0 };
+  bool leaving = atomic_load (&request->front->leaving);
+  char extra[64] = "";
+
+  if (retry_after > 0)
+    snprintf (extra, sizeof extra, "Retry-After: %lld\r\n",
+              (long long)((retry_after + MD_SECOND - 1) / MD_SECOND));
+  if (leaving)
+    mg_disable_connection_keep_alive (request->conn);
+  md_buf_printf (&out,
+                 "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n"
+                 "%sConnection: %s\r\n\r\n",
+                 status, mg_get_response_code_text (request->conn, status), body.len, extra,
+                 leaving ? "close" : "keep-alive");
+  md_buf_append (&out, body);
+  if (out.failed || mg_write (request->conn, out.data, out.len) < (int)out.len)
+    {
+      md_log (MD_LOG_WARN, "response-lost", "path=%s status=%d", request->info->local_uri, status);
+      mg_disable_connection_keep_alive (request->conn);
+    }
+  return status;
+}
+
+/* A rejection of something that no engine has seen: it has not run. */
+static int
+reject (const Request *request, int status, const char *reason, MdTime retry_after)
+{
+  char id[160];
+
+  md_log (MD_LOG_INFO, "request-rejected", "path=%s status=%d outcome=not_run reason=\"%s\"",
+          md_log_quote (md_str (request->info->local_uri), id, sizeof id), status, reason);
+  return respond (request, status, MD_STR ("{\"outcome\":\"not_run\"}"), retry_after);
+}
+
+/* ------------------------------------------------------------------ */
+/* Callers that leave                                                 */
+
+/* CivetWeb does not give its socket away; it is the one with the remote address and
+   port of the request. */
+static int
+find_socket (const struct mg_request_info *info)
+{
+  for (int fd = 0; fd < MAX_DESCRIPTOR; fd++)
+    {
+      struct sockaddr_in sa;
+      socklen_t len = sizeof sa;
+      char host[INET_ADDRSTRLEN];
+
+      if (getpeername (fd, (struct sockaddr *)&sa, &len) != 0 || sa.sin_family != AF_INET
+          || ntohs (sa.sin_port) != info->remote_port)
+        continue;
+      if (inet_ntop (AF_INET, &sa.sin_addr, host, sizeof host) != NULL
+          && strcmp (host, info->remote_addr) == 0)
+        return fd;
+    }
+  return -1;
+}
+
+/* The socket is kept with the connection, plus one. */
+static int
+caller_socket (const Request *request)
+{
+  intptr_t kept = (intptr_t)mg_get_user_connection_data (request->conn);
+  int fd;
+
+  if (kept > 0)
+    return (int)kept - 1;
+  fd = find_socket (request->info);
+  if (fd >= 0)
+    mg_set_user_connection_data (request->conn, (void *)(intptr_t)(fd + 1));
+  return fd;
+}
+
+static int
+event_of_thread (void)
+{
+  if (thread_event < 0)
+    thread_event = eventfd (0, EFD_CLOEXEC);
+  return thread_event;
+}
+
+static void
+post (MdRunEntry *entry, MdRunTicket *ticket)
+{
+  md_inbox_push (&entry->inbox, &ticket->node);
+  md_links_wake (entry->daemon.links);
+}
+
+static void
+report_gone (MdRunEntry *entry, MdRunTicket *ticket)
+{
+  MdRunTicket *gone = calloc (1, sizeof *gone);
+
+  if (gone == NULL)
+    return; /* the job runs on to its deadline */
+  gone->kind = MD_TICKET_GONE;
+  gone->of = ticket;
+  post (entry, gone);
+}
+
+/* Waits until the engine has answered; tells it when the caller leaves. */
+static void
+wait_answer (const Request *request, MdRunTicket *ticket)
+{
+  struct pollfd fds[2] = { { .fd = ticket->event, .events = POLLIN },
+                           { .fd = caller_socket (request), .events = POLLRDHUP } };
+  bool gone = fds[1].fd < 0;
+  uint64_t count;
+
+  while (!atomic_load (&ticket->answered))
+    {
+      int n = poll (fds, gone ? 1 : 2, -1);
+
+      if (n < 0 && errno != EINTR)
+        md_log (MD_LOG_ERROR, "poll", "reason=\"%s\"", strerror (errno));
+      if (n > 0 && !gone && fds[1].revents != 0)
+        {
+          gone = true;
+          report_gone (request->front->entry, ticket);
+        }
+    }
+  if (read (ticket->event, &count, sizeof count) < 0)
+    md_log (MD_LOG_ERROR, "eventfd", "reason=\"%s\"", strerror (errno));
+}
+
+/* ------------------------------------------------------------------ */
+/* Requests                                                           */
+
+/* Copies the route of the request. False when there is none, or no configuration. */
+static bool
+find_route (const Request *request, MdRoute *route, size_t *max_body, bool *configured)
+{
+  const char *host = mg_get_header (request->conn, "Host");
+  const MdRoutes *routes;
+  const MdRoute *found = NULL;
+
+  urcu_memb_read_lock ();
+  routes = rcu_dereference (request->front->entry->routes);
+  *configured = routes != NULL;
+  if (routes != NULL)
+    {
+      found = md_routes_find (routes, md_str (host), md_str (request->info->local_uri));
+      *max_body = routes->max_body_bytes > 0 ? routes->max_body_bytes : DEFAULT_BODY_MAX;
+    }
+  if (found != NULL)
+    *route = *found;
+  urcu_memb_read_unlock ();
+  return found != NULL;
+}
+
+/* Returns 0, or the status of a rejection. */
+static int
+read_body (const Request *request, MdBuf *body, size_t max)
+{
+  char chunk[8192];
+  int n;
+
+  if (request->info->content_length > (long long)max)
+    return 413;
+  while ((n = mg_read (request->conn, chunk, sizeof chunk)) > 0)
+    {
+      if (body->len + (size_t)n > max)
+        return 413;
+      md_buf_append (body, md_str_n (chunk, (size_t)n));
+    }
+  if (n < 0 || body->failed
+      || (request->info->content_length >= 0 && body->len != (size_t)request->info->content_length))
+    return 400;
+  return 0;
+}
+
+static int
+answer (const Request *request, MdRunTicket *ticket)
+{
+  int status;
+
+  atomic_fetch_add (&request->front->entry->waiting, 1);
+  post (request->front->entry, ticket);
+  wait_answer (request, ticket);
+  status = ticket->status;
+  if (status == 0)
+    {
+      /* The caller has left. */
+      mg_disable_connection_keep_alive (request->conn);
+      md_buf_clear (&ticket->body);
+      return 499;
+    }
+  respond (request, status, md_buf_str (&ticket->body), ticket->retry_after);
+  md_buf_clear (&ticket->body);
+  return status;
+}
+
+static void
+copy_header (const Request *request, const char *name, char *out, size_t size)
+{
+  const char *value = mg_get_header (request->conn, name);
+  MdStr text = value != NULL ? md_str (value) : MD_STR ("-");
+
+  md_log_quote (text, out, size);
+}
+
+static int
+submit (const Request *request, const MdRoute *route, const char *id, size_t max_body)
+{
+  MdRunTicket ticket = { .kind = MD_TICKET_SUBMIT, .arrived = request->arrived };
+  const char *patience = mg_get_header (request->conn, MD_PLATFORM_PATIENCE_HEADER);
+  MD_AUTO_BUF body = { 0 };
+  MdError error = { 0 };
+  int status = read_body (request, &body, max_body);
+
+  if (status != 0)
+    {
+      /* What is left of the body must not be taken for a request. */
+      mg_disable_connection_keep_alive (request->conn);
+      return reject (request, status, "the body is too large or broke off", 0);
+    }
+  if (md_platform_read_job (md_buf_str (&body), &ticket.spec, &error) != MD_OK)
+    return reject (request, 400, error.detail, 0);
+  if (!ticket.spec.best_effort || route->advised)
+    {
+      md_run_spec_clear (&ticket.spec);
+      return reject (request, 503,
+                     route->advised ? "queues with an advisor are not served"
+                                    : "jobs that must be stored are not served",
+                     0);
+    }
+  ticket.event = event_of_thread ();
+  if (ticket.event < 0)
+    {
+      md_run_spec_clear (&ticket.spec);
+      return reject (request, 503, "no descriptor", MD_SECOND);
+    }
+  md_str_copy (ticket.id, sizeof ticket.id, md_str (id));
+  copy_header (request, "X-Request-Id", ticket.request, sizeof ticket.request);
+  ticket.route = *route;
+  if (patience != NULL)
+    ticket.patience = strtol (patience, NULL, 10) * MD_MS;
+  return answer (request, &ticket);
+}
+
+static int
+count_pending (const Request *request, const MdRoute *route)
+{
+  MdRunTicket ticket = { .kind = MD_TICKET_PENDING, .route = *route, .event = event_of_thread () };
+
+  if (ticket.event < 0)
+    return reject (request, 503, "no descriptor", MD_SECOND);
+  return answer (request, &ticket);
+}
+
+static bool
+is_job_id (const char *id)
+{
+  size_t len = strlen (id);
+
+  return len > 0 && len < MD_JOB_ID_BYTES && strspn (id, "0123456789abcdefABCDEF") == len;
+}
+
+static int
+handle_routed (const Request *request, const MdRoute *route, size_t max_body)
+{
+  const char *method = request->info->request_method;
+  const char *id = request->info->local_uri + route->prefix_len;
+
+  if (*id == '\0' && strcmp (method, "GET") == 0)
+    return count_pending (request, route);
+  if (!is_job_id (id))
+    return reject (request, 404, "not the name of a job", 0);
+  if (strcmp (method, "POST") == 0)
+    return submit (request, route, id, max_body);
+  if (strcmp (method, "GET") == 0 || strcmp (method, "DELETE") == 0)
+    return respond (request, 410, MD_STR ("{}"), 0); /* no job is kept */
+  return reject (request, 405, "the method is not known", 0);
+}
+
+static int
+handle_caller (struct mg_connection *conn, void *user)
+{
+  Request request
+      = { .front = user, .conn = conn, .info = mg_get_request_info (conn), .arrived = md_now () };
+  MdRoute route;
+  size_t max_body = DEFAULT_BODY_MAX;
+  bool configured;
+
+  if (!find_route (&request, &route, &max_body, &configured))
+    {
+      MD_AUTO_BUF body = { 0 };
+
+      if (read_body (&request, &body, max_body) != 0)
+        mg_disable_connection_keep_alive (conn);
+      if (!configured)
+        return reject (&request, 503, "no configuration has been read yet", RETRY_NO_CONFIG);
+      return reject (&request, 404, "no such queue", 0);
+    }
+  return handle_routed (&request, &route, max_body);
+}
+
+static int
+handle_ready (struct mg_connection *conn, void *user)
+{
+  MdFront *front = user;
+  bool ready = atomic_load (&front->entry->ready);
+
+  mg_printf (conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+             ready ? "200 OK" : "503 Service Unavailable");
+  return ready ? 200 : 503;
+}
+
+/* ------------------------------------------------------------------ */
+/* Servers                                                            */
+
+static void *
+init_thread (const struct mg_context *context MD_UNUSED, int type MD_UNUSED)
+{
+  urcu_memb_register_thread ();
+  return NULL;
+}
+
+static void
+exit_thread (const struct mg_context *context MD_UNUSED, int type MD_UNUSED, void *data MD_UNUSED)
+{
+  if (thread_event >= 0)
+    close (thread_event);
+  thread_event = -1;
+  urcu_memb_unregister_thread ();
+}
+
+static int
+init_connection (const struct mg_connection *conn MD_UNUSED, void **data)
+{
+  *data = NULL;
+  return 0;
+}
+
+static struct mg_context *
+start_server (MdFront *front, const char *address, const char *threads,
+              int (*handler) (struct mg_connection *, void *), MdError *error)
+{
+  const char *options[] = { "listening_ports",
+                            address,
+                            "num_threads",
+                            threads,
+                            "enable_keep_alive",
+                            "yes",
+                            "keep_alive_timeout_ms",
+                            "60000",
+                            "request_timeout_ms",
+                            "60000",
+                            "tcp_nodelay",
+                            "1",
+                            "max_request_size",
+                            "32768",
+                            "connection_queue",
+                            "512",
+                            NULL };
+  struct mg_callbacks callbacks = { .init_thread = init_thread,
+                                    .exit_thread = exit_thread,
+                                    .init_connection = init_connection };
+  struct mg_context *server = mg_start (&callbacks, front, options);
+
+  if (server == NULL)
+    md_error_set (error, MD_E_IO, "listen", address, "cannot listen");
+  else
+    mg_set_request_handler (server, "/", handler, front);
+  return server;
+}
+
+MdFront *
+md_front_start (MdRunEntry *entry, MdError *error)
+{
+  const MdSettings *settings = &entry->daemon.settings;
+  MdFront *front = calloc (1, sizeof *front);
+  char threads[16];
+
+  if (front == NULL)
+    return NULL;
+  front->entry = entry;
+  snprintf (threads, sizeof threads, "%u", settings->caller_threads);
+  front->callers = start_server (front, settings->caller_address, threads, handle_caller, error);
+  if (front->callers != NULL)
+    front->probes = start_server (front, settings->ready_address, "3", handle_ready, error);
+  if (front->probes != NULL)
+    return front;
+  md_front_stop (front);
+  return NULL;
+}
+
+void
+md_front_leave (MdFront *front)
+{
+  atomic_store (&front->leaving, true);
+}
+
+void
+md_front_stop (MdFront *front)
+{
+  if (front == NULL)
+    return;
+  if (front->callers != NULL)
+    mg_stop (front->callers);
+  if (front->probes != NULL)
+    mg_stop (front->probes);
+  free (front);
+}
--- /dev/null
+++ b/fleet/guard-orders.c
@@ -0,0 +1,593 @@
+/* guard-orders.c -- links to entries: orders in, reports out
+
+   A guard dials every entry it knows. Its first messages on a connection say which
+   orders it still has and which have ended, so that an order or an end that a broken
+   connection swallowed is settled at once.
+
+   The runs of an entry live as long as the entry echoes recent reports. An entry that
+   is lost, frozen or cut off loses them before a caller repeats the job elsewhere. */
+
+#include "run-guard.h"
+
+#include <stdio.h>
+
+#define DROP_PEER_AFTER (30 * MD_SECOND) /* an address that has been silent for so long */
+#define REPORT_INTERVAL (4 * MD_MS)      /* shortest between reports without own news */
+#define REPORT_INTERVAL_PEER                                                                       \
+  (1 * MD_MS) /* added for each entry, so that the cost of a
+                                            guard does not grow with the square */
+
+/* ------------------------------------------------------------------ */
+/* Ends                                                               */
+
+static MdGuardPeer *
+peer_of (MdRunGuard *guard, uint64_t entry)
+{
+  for (MdGuardPeer *peer = guard->peers; peer != NULL; peer = peer->next)
+    if (peer->incarnation == entry && entry != 0)
+      return peer;
+  return NULL;
+}
+
+static void
+add_end (MdGuardPeer *peer, const MdGuardRun *run, MdRunHow how, MdTime time,
+         const char *checkpoint)
+{
+  MdGuardEnd *end = calloc (1, sizeof *end);
+
+  if (end == NULL)
+    {
+      md_log (MD_LOG_ERROR, "end-lost", "task=%s reason=\"out of memory\"", run->task);
+      return;
+    }
+  end->number = ++peer->next_end;
+  end->id = run->queued.id;
+  end->how = how;
+  end->run = time;
+  md_str_copy (end->checkpoint, sizeof end->checkpoint, md_str (checkpoint));
+  if (peer->last_end != NULL)
+    peer->last_end->next = end;
+  else
+    peer->ends = end;
+  peer->last_end = end;
+  peer->urgent = true;
+}
+
+static void
+drop_ends (MdGuardPeer *peer, uint64_t up_to)
+{
+  while (peer->ends != NULL && peer->ends->number <= up_to)
+    {
+      MdGuardEnd *end = peer->ends;
+
+      peer->ends = end->next;
+      if (peer->ends == NULL)
+        peer->last_end = NULL;
+      free (end);
+    }
+}
+
+static void
+unref_text (MdRunText *text)
+{
+  if (text != NULL && --text->references == 0)
+    free (text);
+}
+
+void
+md_guard_end_run (MdRunGuard *guard, MdGuardRun *run, MdRunHow how, const char *checkpoint)
+{
+  MdGuardPeer *peer = peer_of (guard, run->queued.entry);
+  MdTime time = run->queued.state == MD_RUN_WAITING ? 0 : guard->now - run->queued.started_at;
+
+  if (peer != NULL)
+    add_end (peer, run, how, time, checkpoint);
+  md_log (MD_LOG_INFO, "run-end", "task=%s run=%u how=%s run_ms=%lld entry=%s", run->task, run->run,
+          md_run_how_name (how), (long long)(time / MD_MS), peer != NULL ? peer->name : "gone");
+  md_runqueue_remove (&guard->queue, &run->queued, guard->now);
+  guard->change++;
+  unref_text (run->spec);
+  free (run);
+}
+
+void
+md_guard_cancel_run (MdRunGuard *guard, MdGuardRun *run)
+{
+  if (run->queued.state == MD_RUN_WAITING)
+    {
+      md_guard_end_run (guard, run, MD_RUN_REJECTED, "");
+      return;
+    }
+  if (run->cancelled)
+    return;
+  run->cancelled = true;
+  run->stop_due = guard->now;
+}
+
+void
+md_guard_started (MdRunGuard *guard, const MdGuardRun *run)
+{
+  MdGuardPeer *peer = peer_of (guard, run->queued.entry);
+
+  guard->change++;
+  if (peer == NULL || peer->n_started == MD_ARRAY_SIZE (peer->started))
+    return;
+  peer->started[peer->n_started++] = run->queued.id;
+  peer->urgent = true;
+}
+
+void
+md_guard_return_waiting (MdRunGuard *guard)
+{
+  for (MdRun *run = guard->queue.waiting.first, *next; run != NULL; run = next)
+    {
+      next = run->next;
+      md_guard_end_run (guard, (MdGuardRun *)run, MD_RUN_REJECTED, "");
+    }
+}
+
+static void
+cancel_runs_of (MdRunGuard *guard, uint64_t entry)
+{
+  MdRunList *lists[] = { &guard->queue.waiting, &guard->queue.running };
+
+  for (unsigned i = 0; i < MD_ARRAY_SIZE (lists); i++)
+    for (MdRun *run = lists[i]->first, *next; run != NULL; run = next)
+      {
+        next = run->next;
+        if (run->entry == entry)
+          md_guard_cancel_run (guard, (MdGuardRun *)run);
+      }
+}
+
+void
+md_guard_cancel_all (MdRunGuard *guard)
+{
+  MdRunList *lists[] = { &guard->queue.waiting, &guard->queue.running };
+
+  for (unsigned i = 0; i < MD_ARRAY_SIZE (lists); i++)
+    for (MdRun *run = lists[i]->first, *next; run != NULL; run = next)
+      {
+        next = run->next;
+        unref_text (((MdGuardRun *)run)->spec);
+        free (run);
+      }
+}
+
+/* ------------------------------------------------------------------ */
+/* Reports                                                            */
+
+static void
+fill_worker (const MdGuardWorker *worker, Md__WorkerInfo *info, char **labels)
+{
+  const MdWorkerReport *report = &worker->report;
+
+  md__worker_info__init (info);
+  info->id = (char *)worker->id;
+  info->born_ms = report->born_ms;
+  info->cpu = report->capacity.cpu;
+  info->memory_mb = report->capacity.memory_mb;
+  info->accelerators = report->capacity.accelerators;
+  info->service = (char *)report->service;
+  for (unsigned i = 0; i < report->labels.n; i++)
+    labels[i] = (char *)report->labels.label[i];
+  info->labels = labels;
+  info->n_labels = report->labels.n;
+}
+
+static size_t
+count_unsent (const MdGuardPeer *peer)
+{
+  size_t n = 0;
+
+  for (const MdGuardEnd *end = peer->ends; end != NULL; end = end->next)
+    n += !end->sent;
+  return n;
+}
+
+static void
+fill_ends (MdGuardPeer *peer, Md__RunReport *report, Md__RunEnd *ends, Md__RunEnd **pointers)
+{
+  for (MdGuardEnd *end = peer->ends; end != NULL; end = end->next)
+    {
+      Md__RunEnd *out = &ends[report->n_ends];
+
+      if (end->sent)
+        continue;
+      md__run_end__init (out);
+      out->number = end->number;
+      out->id = end->id;
+      out->how = end->how;
+      out->run_us = (uint64_t)end->run;
+      out->checkpoint = end->checkpoint;
+      pointers[report->n_ends++] = out;
+      end->sent = true;
+    }
+  report->ends = pointers;
+}
+
+static void
+send_report (MdRunGuard *guard, MdGuardPeer *peer)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunReport report = MD__RUN_REPORT__INIT;
+  Md__WorkerInfo info;
+  char *labels[MD_MAX_LABELS];
+  uint64_t waits[MD_URGENCIES];
+  size_t n = count_unsent (peer);
+  md_autofree Md__RunEnd *ends = calloc (n + 1, sizeof *ends);
+  md_autofree Md__RunEnd **pointers = calloc (n + 1, sizeof *pointers);
+
+  if (ends == NULL || pointers == NULL)
+    return; /* reported with the next heartbeat */
+  report.stamp_us = guard->now;
+  report.last_order = peer->last_order;
+  report.free_cpu = guard->queue.free.cpu;
+  report.free_memory_mb = guard->queue.free.memory_mb;
+  report.free_accelerators = guard->queue.free.accelerators;
+  for (unsigned i = 0; i < MD_URGENCIES; i++)
+    waits[i] = (uint64_t)md_runqueue_wait (&guard->queue, i, guard->now);
+  report.next_end_us = (uint64_t)md_runqueue_next_end (&guard->queue, guard->now);
+  report.wait_us = waits;
+  report.n_wait_us = MD_URGENCIES;
+  report.started = peer->started;
+  report.n_started = peer->n_started;
+  report.stalled = md_runqueue_stalled (&guard->queue, guard->now);
+  report.state = md_guard_open (guard)                              ? MD_WORKER_READY
+                 : guard->worker.report.state == MD_WORKER_DRAINING ? MD_WORKER_DRAINING
+                                                                    : MD_WORKER_ABSENT;
+  if (!peer->told_worker && guard->worker.known)
+    {
+      fill_worker (&guard->worker, &info, labels);
+      report.worker = &info;
+    }
+  fill_ends (peer, &report, ends, pointers);
+  frame.msg_case = MD__FRAME__MSG_RUN_REPORT;
+  frame.run_report = &report;
+  if (md_link_send (peer->link, &frame) != MD_OK)
+    return; /* the link ends, and everything is sent again on the next */
+  peer->told_worker |= guard->worker.known;
+  peer->n_started = 0;
+  peer->urgent = false;
+  peer->told_change = guard->change;
+  peer->reported_at = guard->now;
+}
+
+/* ------------------------------------------------------------------ */
+/* Connections                                                        */
+
+void
+md_guard_add_peer (MdRunGuard *guard, MdStr address)
+{
+  MdGuardPeer *peer;
+
+  if (!md_directory_add (&guard->directory, address))
+    return;
+  peer = calloc (1, sizeof *peer);
+  if (peer == NULL)
+    {
+      md_directory_remove (&guard->directory, address);
+      return;
+    }
+  md_str_copy (peer->address, sizeof peer->address, address);
+  peer->heard_at = guard->now;
+  peer->link = md_links_dial (guard->daemon.links, address, peer);
+  peer->next = guard->peers;
+  guard->peers = peer;
+  md_log (MD_LOG_INFO, "entry-found", "address=%s", peer->address);
+}
+
+static void
+free_peer (MdGuardPeer *peer)
+{
+  drop_ends (peer, UINT64_MAX);
+  free (peer);
+}
+
+void
+md_guard_free_peers (MdRunGuard *guard)
+{
+  for (MdGuardPeer *peer = guard->peers, *next; peer != NULL; peer = next)
+    {
+      next = peer->next;
+      free_peer (peer);
+    }
+  guard->peers = NULL;
+}
+
+static size_t
+list_alive (const MdRunGuard *guard, uint64_t entry, uint64_t *out)
+{
+  const MdRunList *lists[] = { &guard->queue.waiting, &guard->queue.running };
+  size_t n = 0;
+
+  for (unsigned i = 0; i < MD_ARRAY_SIZE (lists); i++)
+    for (const MdRun *run = lists[i]->first; run != NULL; run = run->next)
+      if (run->entry == entry)
+        out[n++] = run->id;
+  return n;
+}
+
+static void
+send_hello (MdRunGuard *guard, MdGuardPeer *peer)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunHello hello = MD__RUN_HELLO__INIT;
+  char *entries[MD_MAX_ENTRIES];
+  size_t most = (size_t)guard->queue.waiting.n + guard->queue.running.n;
+  md_autofree uint64_t *alive = calloc (most + 1, sizeof *alive);
+
+  if (alive == NULL)
+    {
+      md_link_drop (peer->link);
+      return;
+    }
+  hello.name = guard->daemon.settings.name;
+  hello.incarnation = guard->incarnation;
+  hello.failure_domain = guard->daemon.settings.failure_domain;
+  hello.alive = alive;
+  hello.n_alive = list_alive (guard, peer->incarnation, alive);
+  for (unsigned i = 0; i < guard->directory.n; i++)
+    entries[i] = guard->directory.address[i];
+  hello.entries = entries;
+  hello.n_entries = guard->directory.n;
+  frame.msg_case = MD__FRAME__MSG_RUN_HELLO;
+  frame.run_hello = &hello;
+  md_link_send (peer->link, &frame);
+}
+
+static void
+on_up (void *user, MdLink *link)
+{
+  MdRunGuard *guard = user;
+  MdGuardPeer *peer = md_link_data (link);
+
+  guard->now = md_now ();
+  peer->up = true;
+  peer->told_worker = false;
+  peer->n_started = 0;
+  for (MdGuardEnd *end = peer->ends; end != NULL; end = end->next)
+    end->sent = false;
+  md_link_expect (link, MD_ENTRY_LEASE);
+  send_hello (guard, peer);
+  send_report (guard, peer);
+}
+
+static void
+on_down (void *user, MdLink *link, const MdError *error)
+{
+  MdRunGuard *guard = user;
+  MdGuardPeer *peer = md_link_data (link);
+
+  guard->now = md_now ();
+  if (peer == NULL)
+    return;
+  if (peer->up && peer->incarnation != 0)
+    md_log (MD_LOG_WARN, "entry-lost", "entry=%s address=%s reason=\"%s\"", peer->name,
+            peer->address, error->detail);
+  peer->up = false;
+}
+
+/* ------------------------------------------------------------------ */
+/* Frames                                                             */
+
+static void
+on_welcome (MdRunGuard *guard, MdGuardPeer *peer, const Md__RunWelcome *welcome)
+{
+  if (peer->incarnation != welcome->incarnation)
+    {
+      /* The former process is gone; nobody waits for its runs. */
+      if (peer->incarnation != 0)
+        cancel_runs_of (guard, peer->incarnation);
+      drop_ends (peer, UINT64_MAX);
+      peer->incarnation = welcome->incarnation;
+      peer->last_order = 0;
+      peer->next_end = 0;
+    }
+  md_str_copy (peer->name, sizeof peer->name, md_str (welcome->name));
+  md_log (MD_LOG_INFO, "entry-reached", "entry=%s address=%s incarnation=%llx", peer->name,
+          peer->address, (unsigned long long)peer->incarnation);
+  for (size_t i = 0; i < welcome->n_entries; i++)
+    md_guard_add_peer (guard, md_str (welcome->entries[i]));
+}
+
+static MdRunText *
+new_text (const ProtobufCBinaryData *bytes)
+{
+  MdRunText *text = malloc (sizeof *text + bytes->len + 1);
+
+  if (text == NULL)
+    return NULL;
+  text->references = 1;
+  text->len = bytes->len;
+  memcpy (text->text, bytes->data, bytes->len);
+  text->text[bytes->len] = '\0';
+  return text;
+}
+
+static void
+take_order (MdRunGuard *guard, MdGuardPeer *peer, const Md__RunOrder *order, MdRunText *spec)
+{
+  MdGuardRun *run = calloc (1, sizeof *run);
+
+  if (run == NULL || spec == NULL)
+    {
+      /* Settled when the entry reconnects: the order is not among those alive. */
+      free (run);
+      md_link_drop (peer->link);
+      return;
+    }
+  run->queued.entry = peer->incarnation;
+  run->queued.id = order->id;
+  run->queued.need = (MdRoom){ order->cpu, order->memory_mb, order->accelerators };
+  run->queued.expected = (MdTime)order->expected_us;
+  run->queued.start_by = guard->now + order->start_within_us;
+  md_str_copy (run->task, sizeof run->task, md_str (order->task));
+  run->run = order->run;
+  md_str_copy (run->checkpoint, sizeof run->checkpoint, md_str (order->checkpoint));
+  md_str_copy (run->ticket, sizeof run->ticket, md_str (order->ticket));
+  run->spec = spec;
+  spec->references++;
+  md_runqueue_add (&guard->queue, &run->queued);
+  guard->change++;
+  peer->last_order = order->id;
+  /* An echo that is too old means that the entry may already count the run as gone. */
+  if (!guard->queue.open || guard->now >= peer->echo + MD_ENTRY_LEASE)
+    md_guard_end_run (guard, run, MD_RUN_REJECTED, "");
+}
+
+static MdGuardRun *
+find_order (MdRunGuard *guard, uint64_t entry, uint64_t id)
+{
+  MdRunList *lists[] = { &guard->queue.waiting, &guard->queue.running };
+
+  for (unsigned i = 0; i < MD_ARRAY_SIZE (lists); i++)
+    for (MdRun *run = lists[i]->first; run != NULL; run = run->next)
+      if (run->entry == entry && run->id == id)
+        return (MdGuardRun *)run;
+  return NULL;
+}
+
+static void
+on_orders (MdRunGuard *guard, MdGuardPeer *peer, const Md__RunOrders *orders)
+{
+  md_autofree MdRunText **specs = calloc (orders->n_specs + 1, sizeof *specs);
+
+  if (orders->guard != guard->incarnation || peer->incarnation == 0 || specs == NULL)
+    {
+      md_log (MD_LOG_WARN, "orders-ignored", "entry=%s count=%zu reason=\"not for this process\"",
+              peer->name, orders->n_orders);
+      return;
+    }
+  if (orders->echo_us > peer->echo && orders->echo_us <= guard->now)
+    peer->echo = orders->echo_us;
+  drop_ends (peer, orders->ends_seen);
+  for (size_t i = 0; i < orders->n_specs; i++)
+    specs[i] = new_text (&orders->specs[i]);
+  for (size_t i = 0; i < orders->n_orders; i++)
+    if (orders->orders[i]->spec < orders->n_specs)
+      take_order (guard, peer, orders->orders[i], specs[orders->orders[i]->spec]);
+  for (size_t i = 0; i < orders->n_specs; i++)
+    unref_text (specs[i]);
+  for (size_t i = 0; i < orders->n_cancels; i++)
+    {
+      MdGuardRun *run = find_order (guard, peer->incarnation, orders->cancels[i]);
+
+      if (run != NULL)
+        md_guard_cancel_run (guard, run);
+    }
+  for (size_t i = 0; i < orders->n_withdraws; i++)
+    {
+      MdGuardRun *run = find_order (guard, peer->incarnation, orders->withdraws[i]);
+
+      if (run != NULL && run->queued.state == MD_RUN_WAITING)
+        md_guard_cancel_run (guard, run);
+    }
+}
+
+static void
+on_frame (void *user, MdLink *link, const Md__Frame *frame)
+{
+  MdRunGuard *guard = user;
+  MdGuardPeer *peer = md_link_data (link);
+
+  guard->now = md_now ();
+  peer->heard_at = guard->now;
+  switch (frame->msg_case)
+    {
+    case MD__FRAME__MSG_RUN_WELCOME:
+      on_welcome (guard, peer, frame->run_welcome);
+      break;
+    case MD__FRAME__MSG_RUN_ORDERS:
+      on_orders (guard, peer, frame->run_orders);
+      break;
+    default:
+      md_log (MD_LOG_WARN, "frame-ignored", "address=%s kind=%d", peer->address,
+              (int)frame->msg_case);
+      break;
+    }
+}
+
+const MdLinkHandler md_run_guard_handler
+    = { .on_up = on_up, .on_frame = on_frame, .on_down = on_down };
+
+/* ------------------------------------------------------------------ */
+/* Poll                                                               */
+
+static bool
+has_runs (const MdRunGuard *guard, uint64_t entry)
+{
+  const MdRunList *lists[] = { &guard->queue.waiting, &guard->queue.running };
+
+  for (unsigned i = 0; entry != 0 && i < MD_ARRAY_SIZE (lists); i++)
+    for (const MdRun *run = lists[i]->first; run != NULL; run = run->next)
+      if (run->entry == entry && !((const MdGuardRun *)run)->cancelled)
+        return true;
+  return false;
+}
+
+static void
+check_lease (MdRunGuard *guard, MdGuardPeer *peer)
+{
+  if (guard->now < peer->echo + MD_ENTRY_LEASE || !has_runs (guard, peer->incarnation))
+    return;
+  md_log (MD_LOG_WARN, "entry-silent", "entry=%s echo_age_ms=%lld action=\"ending its runs\"",
+          peer->name, (long long)((guard->now - peer->echo) / MD_MS));
+  cancel_runs_of (guard, peer->incarnation);
+}
+
+static void
+drop_silent_peers (MdRunGuard *guard)
+{
+  for (MdGuardPeer **place = &guard->peers; *place != NULL;)
+    {
+      MdGuardPeer *peer = *place;
+
+      if (peer->up || guard->now < peer->heard_at + DROP_PEER_AFTER)
+        {
+          place = &peer->next;
+          continue;
+        }
+      md_log (MD_LOG_INFO, "entry-dropped", "entry=%s address=%s", peer->name, peer->address);
+      *place = peer->next;
+      md_directory_remove (&guard->directory, md_str (peer->address));
+      md_link_set_data (peer->link, NULL);
+      md_link_close (peer->link);
+      free_peer (peer);
+    }
+}
+
+static unsigned
+count_peers (const MdRunGuard *guard)
+{
+  unsigned n = 0;
+
+  for (const MdGuardPeer *peer = guard->peers; peer != NULL; peer = peer->next)
+    n += peer->up;
+  return n;
+}
+
+MdTime
+md_guard_orders_poll (MdRunGuard *guard)
+{
+  MdTime interval = REPORT_INTERVAL + REPORT_INTERVAL_PEER * count_peers (guard);
+  MdTime due = guard->now + MD_RUN_HEARTBEAT;
+
+  drop_silent_peers (guard);
+  for (MdGuardPeer *peer = guard->peers; peer != NULL; peer = peer->next)
+    {
+      MdTime next
+          = peer->reported_at + (peer->told_change != guard->change ? interval : MD_RUN_HEARTBEAT);
+
+      check_lease (guard, peer);
+      if (!peer->up)
+        continue;
+      if (peer->urgent || guard->now >= next)
+        {
+          send_report (guard, peer);
+          next = guard->now + MD_RUN_HEARTBEAT;
+        }
+      due = next < due ? next : due;
+    }
+  return due;
+}
--- /dev/null
+++ b/fleet/guard-registrar.c
@@ -0,0 +1,115 @@
+/* guard-registrar.c -- the server to which the worker reports
+
+   The worker on this machine reports its state every second or two. A report is
+   checked here and handed to the engine before it is acknowledged. */
+
+#include "run-guard.h"
+
+#include <civetweb.h>
+#include <stdio.h>
+
+#define REPORT_MAX (64u << 10) /* bytes of a report */
+
+struct MdRegistrarServer
+{
+  MdInbox *inbox;            /* of the engine */
+  MdLinks *links;            /* to wake it */
+  struct mg_context *server; /* CivetWeb */
+};
+
+static int
+respond (struct mg_connection *conn, int status, const char *body)
+{
+  mg_printf (conn,
+             "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n"
+             "Connection: keep-alive\r\n\r\n%s",
+             status, mg_get_response_code_text (conn, status), strlen (body), body);
+  return status;
+}
+
+static void
+post (MdRegistrarServer *server, const MdWorkerEvent *event)
+{
+  MdWorkerEvent *copy = malloc (sizeof *copy);
+
+  if (copy == NULL)
+    {
+      md_log (MD_LOG_ERROR, "worker-report-lost", "worker=%s reason=\"out of memory\"", event->id);
+      return;
+    }
+  *copy = *event;
+  md_inbox_push (server->inbox, &copy->node);
+  md_links_wake (server->links);
+}
+
+static int
+handle (struct mg_connection *conn, void *user)
+{
+  MdRegistrarServer *server = user;
+  const struct mg_request_info *info = mg_get_request_info (conn);
+  const char *id = info->local_uri + strlen (MD_PLATFORM_WORKER_PREFIX);
+  MdWorkerEvent event = { 0 };
+  MdError error = { 0 };
+  MD_AUTO_BUF body = { 0 };
+  char chunk[4096];
+  int n;
+
+  while ((n = mg_read (conn, chunk, sizeof chunk)) > 0 && body.len <= REPORT_MAX)
+    md_buf_append (&body, md_str_n (chunk, (size_t)n));
+  if (strlen (info->local_uri) <= strlen (MD_PLATFORM_WORKER_PREFIX)
+      || strlen (id) >= sizeof event.id)
+    return respond (conn, 404, "{}");
+  md_str_copy (event.id, sizeof event.id, md_str (id));
+  event.gone = strcmp (info->request_method, "DELETE") == 0;
+  if (!event.gone && strcmp (info->request_method, "PUT") != 0)
+    return respond (conn, 405, "{}");
+  if (!event.gone && md_platform_read_worker (md_buf_str (&body), &event.report, &error) != MD_OK)
+    {
+      md_log (MD_LOG_WARN, "worker-report-ignored", "worker=%s reason=\"%s\"", event.id,
+              error.detail);
+      return respond (conn, 400, "{}");
+    }
+  post (server, &event);
+  return respond (conn, 200, "{}");
+}
+
+MdRegistrarServer *
+md_registrar_server_start (const char *address, MdInbox *inbox, MdLinks *links, MdError *error)
+{
+  const char *options[] = { "listening_ports",
+                            address,
+                            "num_threads",
+                            "4",
+                            "enable_keep_alive",
+                            "yes",
+                            "keep_alive_timeout_ms",
+                            "30000",
+                            "tcp_nodelay",
+                            "1",
+                            NULL };
+  struct mg_callbacks callbacks = { 0 };
+  MdRegistrarServer *server = calloc (1, sizeof *server);
+
+  if (server == NULL)
+    return NULL;
+  server->inbox = inbox;
+  server->links = links;
+  server->server = mg_start (&callbacks, server, options);
+  if (server->server == NULL)
+    {
+      md_error_set (error, MD_E_IO, "listen", address, "the registration server cannot listen");
+      free (server);
+      return NULL;
+    }
+  mg_set_request_handler (server->server, MD_PLATFORM_WORKER_PREFIX "*", handle, server);
+  return server;
+}
+
+void
+md_registrar_server_stop (MdRegistrarServer *server)
+{
+  if (server == NULL)
+    return;
+  mg_stop (server->server);
+  free (server);
+}
--- /dev/null
+++ b/fleet/run-entry.c
@@ -0,0 +1,262 @@
+/* run-entry.c -- an entry on the users' platform
+
+   It takes jobs from callers, places their tasks on guards and answers. It shares
+   nothing with other entries but the guards: there is no owner, so the loss of an
+   entry costs its own callers a repeated request and nobody else anything. The
+   operator's configuration comes from the platform's store. */
+
+#include "run-entry.h"
+
+#include <stdio.h>
+#include <urcu/urcu-memb.h>
+
+#define CONFIG_WAIT                                                                                \
+  (800 * MD_MS) /* a read waits so long, so that a silent connection
+                                       is noticed before a configuration is overdue */
+#define REGISTER_TIMEOUT (1500 * MD_MS)
+#define REGISTER_RETRY (500 * MD_MS)
+#define LEAVE_AFTER                                                                                \
+  (2600 * MD_MS)                   /* the balancer takes two probes, a second apart, to
+                                       send no new connections */
+#define LEAVE_MARGIN (600 * MD_MS) /* before the platform kills the process */
+
+/* ------------------------------------------------------------------ */
+/* Configuration                                                      */
+
+static void
+on_config_record (void *user, const MdKeyedRecord *record)
+{
+  MdRunEntry *entry = user;
+  MdError error = { 0 };
+  MdRoutes *routes;
+  MdRoutes *former = entry->routes;
+
+  if (!md_str_equal (record->key, MD_STR (MD_KEY_CONFIG)) || record->value.len == 0)
+    return;
+  routes = md_platform_read_config (record->value, &error);
+  if (routes == NULL)
+    {
+      md_log (MD_LOG_ERROR, "config-ignored", "offset=%llu reason=\"%s\"",
+              (unsigned long long)record->offset, error.detail);
+      return;
+    }
+  /* Versions grow; an older one is the past of the topic. */
+  if (former != NULL && routes->version <= former->version)
+    {
+      md_routes_free (routes);
+      return;
+    }
+  md_log (MD_LOG_INFO, "config-applied", "version=%llu former=%llu routes=%zu offset=%llu",
+          (unsigned long long)routes->version,
+          (unsigned long long)(former != NULL ? former->version : 0), routes->n,
+          (unsigned long long)record->offset);
+  rcu_assign_pointer (entry->routes, routes);
+  urcu_memb_synchronize_rcu ();
+  md_routes_free (former);
+}
+
+/* ------------------------------------------------------------------ */
+/* Registration                                                       */
+
+static void
+on_registered (void *user, const MdHttpAnswer *answer)
+{
+  MdRunEntry *entry = user;
+
+  entry->registering = false;
+  entry->registered = answer->status == 200;
+  entry->register_due = md_now () + REGISTER_RETRY;
+  if (entry->registered)
+    md_log (MD_LOG_INFO, "registered", "address=%s", entry->daemon.settings.internal_address);
+  else
+    md_log (MD_LOG_WARN, "register-failed", "status=%d reason=\"%s\"", answer->status,
+            answer->error.detail);
+}
+
+/* The record has a key, so that a repeated append changes nothing. */
+static MdTime
+poll_registration (MdRunEntry *entry)
+{
+  const MdSettings *settings = &entry->daemon.settings;
+  MD_AUTO_CALL call = { 0 };
+  MD_AUTO_BUF value = { 0 };
+  MdHttpCall request = { .address = settings->store_address, .timeout = REGISTER_TIMEOUT };
+
+  if (entry->registered || entry->registering)
+    return INT64_MAX;
+  if (entry->now < entry->register_due)
+    return entry->register_due;
+  md_platform_write_entry (&value, md_str (settings->internal_address));
+  md_platform_put (&call, MD_TOPIC_ENTRIES, md_str (settings->name), md_buf_str (&value));
+  request.method = call.method;
+  request.target = call.target.data;
+  request.headers = call.headers.data;
+  request.body = md_buf_str (&call.body);
+  md_count (MD_M_LOG_APPENDS, 1);
+  entry->registering = md_http_start (entry->daemon.store, &request, on_registered, entry) == MD_OK;
+  entry->register_due = entry->now + REGISTER_RETRY;
+  return entry->register_due;
+}
+
+/* ------------------------------------------------------------------ */
+/* Life cycle                                                         */
+
+static bool
+has_upstream (const MdRunEntry *entry)
+{
+  for (uint32_t i = 0; i < entry->workers.n; i++)
+    if (entry->workers.workers[i]->connected && entry->workers.workers[i]->state == MD_WORKER_READY)
+      return true;
+  return false;
+}
+
+static void
+update_ready (MdRunEntry *entry)
+{
+  bool ready = entry->routes != NULL && has_upstream (entry) && !entry->leaving;
+
+  if (ready == atomic_load (&entry->ready))
+    return;
+  atomic_store (&entry->ready, ready);
+  md_log (MD_LOG_INFO, "readiness", "ready=%d configured=%d upstream=%d leaving=%d", ready,
+          entry->routes != NULL, has_upstream (entry), entry->leaving);
+}
+
+static void
+begin_leaving (MdRunEntry *entry)
+{
+  MdTime grace = entry->daemon.settings.drain_timeout - LEAVE_MARGIN;
+
+  if (entry->leaving || !md_daemon_stopping ())
+    return;
+  entry->leaving = true;
+  entry->leave_after = entry->now + LEAVE_AFTER;
+  entry->leave_until = entry->now + (grace > 0 ? grace : 0);
+  md_front_leave (entry->front);
+  md_log (MD_LOG_INFO, "leaving", "jobs=%u", entry->n_jobs);
+}
+
+static bool
+has_left (const MdRunEntry *entry)
+{
+  if (!entry->leaving)
+    return false;
+  return entry->now >= entry->leave_until
+         || (entry->now >= entry->leave_after && entry->n_jobs == 0
+             && atomic_load (&entry->waiting) == 0);
+}
+
+static void
+take_tickets (MdRunEntry *entry)
+{
+  for (MdNode *node = md_inbox_take (&entry->inbox), *next; node != NULL; node = next)
+    {
+      next = node->next;
+      md_entry_ticket (entry, (MdRunTicket *)node);
+    }
+}
+
+static MdTime
+earlier (MdTime a, MdTime b)
+{
+  return a < b ? a : b;
+}
+
+static void
+run_loop (MdRunEntry *entry)
+{
+  while (!has_left (entry))
+    {
+      MdTime due;
+
+      entry->now = md_now ();
+      begin_leaving (entry);
+      take_tickets (entry);
+      md_entry_jobs_tick (entry);
+      update_ready (entry);
+      due = md_entry_guards_poll (entry);
+      due = earlier (due, md_keyed_poll (entry->config, entry->now));
+      due = earlier (due, poll_registration (entry));
+      due = earlier (due, md_http_poll (entry->daemon.store));
+      if (entry->n_jobs > 0)
+        due = earlier (due, entry->next_tick);
+      md_links_poll (entry->daemon.links, due);
+      entry->now = md_now ();
+      md_http_poll (entry->daemon.store);
+    }
+}
+
+static int
+start_parts (MdRunEntry *entry, MdError *error)
+{
+  const MdSettings *settings = &entry->daemon.settings;
+  char bound[MD_ADDRESS_BYTES];
+  int rc = md_links_listen (entry->daemon.links, md_str (settings->internal_address), bound, error);
+
+  if (rc != MD_OK)
+    return rc;
+  md_directory_add (&entry->directory, md_str (settings->internal_address));
+  md_directory_add_seeds (&entry->directory, settings);
+  entry->daemon.store = md_http_new (entry->daemon.links, MD_STORE_CONNECTIONS);
+  entry->config = md_keyed_new (entry->daemon.store, settings->store_address, MD_TOPIC_OPERATOR,
+                                CONFIG_WAIT, on_config_record, entry);
+  if (entry->daemon.store == NULL || entry->config == NULL)
+    return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
+  entry->front = md_front_start (entry, error);
+  return entry->front != NULL ? MD_OK : MD_E_IO;
+}
+
+static int
+run_entry (MdRunEntry *entry)
+{
+  MdError error = { 0 };
+  int rc;
+
+  entry->daemon.links = md_links_new (&entry->daemon.settings.tuning, &md_run_entry_handler, entry);
+  if (entry->daemon.links == NULL)
+    return MD_EXIT_FAILED;
+  md_daemon_catch_signals (entry->daemon.links);
+  urcu_memb_register_thread ();
+  rc = start_parts (entry, &error);
+  if (rc == MD_OK)
+    {
+      md_log (MD_LOG_INFO, "started", "incarnation=%llx caller_address=%s",
+              (unsigned long long)entry->incarnation, entry->daemon.settings.caller_address);
+      run_loop (entry);
+      md_entry_fail_all (entry);
+      md_log (MD_LOG_INFO, "stopped", "jobs_done=%lld jobs_failed=%lld refused=%lld",
+              (long long)atomic_load (&md_metrics[MD_M_JOBS_DONE]),
+              (long long)atomic_load (&md_metrics[MD_M_JOBS_FAILED]),
+              (long long)atomic_load (&md_metrics[MD_M_REFUSED]));
+    }
+  else
+    md_log (MD_LOG_ERROR, "start", "step=%s peer=%s detail=\"%s\"", error.step, error.peer,
+            error.detail);
+  md_front_stop (entry->front);
+  md_keyed_free (entry->config);
+  urcu_memb_unregister_thread ();
+  return rc == MD_OK ? MD_EXIT_OK : MD_EXIT_FAILED;
+}
+
+int
+md_run_entry_main (int argc, const char **argv)
+{
+  static MdRunEntry entry;
+  int rc = md_daemon_open (&entry.daemon, argc, argv);
+
+  if (rc != MD_EXIT_OK)
+    return rc;
+  md_http_init ();
+  entry.incarnation = md_new_incarnation ();
+  entry.now = md_now ();
+  entry.next_order = 1;
+  entry.workers.remote_factor = entry.daemon.settings.remote_factor;
+  entry.workers.tuning = entry.daemon.settings.tuning;
+  rc = run_entry (&entry);
+  md_entry_free_guards (&entry);
+  md_routes_free (entry.routes);
+  for (uint32_t i = 0; i < entry.n_stats; i++)
+    free (entry.stats[i]);
+  md_daemon_close (&entry.daemon);
+  return rc;
+}
--- /dev/null
+++ b/fleet/run-entry.h
@@ -0,0 +1,204 @@
+/* run-entry.h -- what the files of the entry daemon share
+
+   front.c is the HTTP server for callers, run-entry.c the life cycle, entry-jobs.c the
+   jobs, entry-guards.c the links to guards. All but front.c run in the engine thread. */
+
+#ifndef MD_RUN_ENTRY_H
+#define MD_RUN_ENTRY_H
+
+#include "daemon.h"
+#include "inbox.h"
+
+#include "wire.pb-c.h"
+
+/* ------------------------------------------------------------------ */
+/* Tickets: requests of callers on their way to the engine and back    */
+
+#define MD_JOB_ID_BYTES 64 /* name of a job as its caller chose it, with terminator */
+
+typedef enum
+{
+  MD_TICKET_SUBMIT,  /* run a job */
+  MD_TICKET_GONE,    /* the caller of the ticket in of has left */
+  MD_TICKET_PENDING, /* count the jobs of a queue that have not started */
+} MdTicketKind;
+
+typedef struct MdRunTicket MdRunTicket;
+typedef struct MdEntryJob MdEntryJob;
+
+/* Owned by the thread that posted it until it is answered; GONE tickets belong to the
+   engine. */
+struct MdRunTicket
+{
+  MdNode node;              /* in the inbox */
+  MdTicketKind kind;        /* see above */
+  MdRunTicket *of;          /* GONE: the ticket that is not waited for any more */
+  char id[MD_JOB_ID_BYTES]; /* SUBMIT: name of the job */
+  char request[64];         /* SUBMIT: the caller's name for the request */
+  MdRoute route;            /* queue */
+  MdRunSpec spec;           /* SUBMIT: the job; taken over by the engine */
+  MdTime arrived;           /* when the request had been read */
+  MdTime patience;          /* how long the caller waits for the response, 0 not stated */
+  MdRunTicket *next;        /* engine: further tickets of the same job */
+  MdEntryJob *job;          /* engine: its job, NULL answered */
+  int event;                /* descriptor that is written when it is answered */
+  int status;               /* answer: HTTP status */
+  MdTime retry_after;       /* answer: 0 none */
+  MdBuf body;               /* answer */
+  atomic_bool answered;     /* the above is valid */
+};
+
+/* ------------------------------------------------------------------ */
+/* Guards                                                             */
+
+typedef struct MdEntryOrder MdEntryOrder;
+
+typedef struct
+{
+  uint64_t *ids; /* n entries, owned */
+  uint32_t n;    /* entries */
+  uint32_t cap;  /* allocated */
+} MdIdList;
+
+typedef struct
+{
+  MdWorker worker;          /* first: as placement sees it */
+  char name[MD_NAME_BYTES]; /* of the guard */
+  char id[64];              /* of the worker */
+  MdLink *link;             /* NULL not connected */
+  MdTime stamp;             /* latest stamp of its reports */
+  MdTime stamp_at;          /* when that arrived here */
+  MdTime echoed_at;         /* stamp_at of the stamp that was echoed last */
+  MdTime lost_at;           /* when the link was lost */
+  uint64_t ends_seen;       /* highest end received */
+  uint64_t *alive;          /* orders named in its hello, until its first report */
+  size_t n_alive;           /* of them */
+  bool settling;            /* hello received, first report not yet */
+  MdEntryOrder *orders;     /* without an end */
+  MdEntryOrder *unsent;     /* to go with the next message, in reverse */
+  MdIdList cancels;         /* to go with the next message */
+  MdIdList withdraws;       /* to go with the next message */
+  MdTime sent_at;           /* last message */
+} MdEntryGuard;
+
+/* A run ordered and not ended. */
+struct MdEntryOrder
+{
+  MdEntryOrder *next;     /* at the guard */
+  MdEntryOrder *previous; /* at the guard */
+  MdEntryOrder *unsent;   /* next to be sent */
+  uint64_t id;            /* unique in this process */
+  MdEntryGuard *guard;    /* where */
+  MdEntryJob *job;        /* whose; NULL: nobody waits for it any more */
+  uint32_t step;          /* of the job */
+  uint32_t task;          /* of the step */
+  uint32_t run;           /* number of the start */
+  MdRoom need;            /* room */
+  MdTime declared;        /* run time that the caller stated */
+  MdTime placed_at;       /* when it was ordered */
+  MdTime wait;            /* expected then */
+  MdTime expected;        /* run time expected there */
+  MdTime start_within;    /* slack then */
+  bool sent;              /* on its way */
+  bool started;           /* the guard has handed it to the worker */
+  bool withdrawn;         /* the guard was asked to give it back */
+  bool cancelled;         /* the guard was asked to end it */
+};
+
+/* ------------------------------------------------------------------ */
+/* Jobs                                                               */
+
+/* What is learned about the jobs of a queue. */
+typedef struct
+{
+  char name[MD_NAME_BYTES]; /* of the queue */
+  MdCorrection correction;  /* of declared run times */
+} MdQueueStats;
+
+struct MdEntryJob
+{
+  MdEntryJob *next;         /* all jobs */
+  MdEntryJob *previous;     /* all jobs */
+  MdEntryJob *chain;        /* same bucket */
+  uint64_t number;          /* counts jobs */
+  char id[MD_JOB_ID_BYTES]; /* name */
+  char request[64];         /* the caller's name for the request */
+  MdRoute route;            /* queue */
+  MdQueueStats *stats;      /* of the queue */
+  MdRunJob job;             /* tasks */
+  MdRunTicket *tickets;     /* callers that wait */
+  MdTime arrived;           /* first ticket */
+  MdTime goal;              /* answered later, it is late */
+  MdTime limit;             /* answered later, it is worth nothing */
+  MdTime deadline;          /* given up then */
+  MdTime started_at;        /* first start reported, 0 none */
+  uint32_t run_base;        /* added to run numbers, after a worker had seen higher ones */
+  bool giving_up;           /* to be rejected once all orders are back */
+  bool refused_full;        /* giving_up: for want of room */
+};
+
+#define MD_MAX_QUEUES 1024   /* queues that are learned about */
+#define MD_JOB_BUCKETS 4096u /* of the table of jobs */
+
+typedef struct
+{
+  MdDaemon daemon;                     /* settings, links, store */
+  uint64_t incarnation;                /* of this process */
+  MdKeyed *config;                     /* the operator's records */
+  MdDirectory directory;               /* entries known */
+  MdInbox inbox;                       /* tickets */
+  MdRoutes *routes;                    /* RCU: configuration in force, NULL none yet */
+  struct MdFront *front;               /* HTTP for callers */
+  MdWorkers workers;                   /* of all guards */
+  uint32_t cap_workers;                /* allocated */
+  MdEntryJob *jobs;                    /* all */
+  MdEntryJob *buckets[MD_JOB_BUCKETS]; /* by id */
+  uint32_t n_jobs;                     /* all */
+  uint64_t next_job;                   /* number of the next one */
+  uint64_t next_order;                 /* id of the next one */
+  MdQueueStats *stats[MD_MAX_QUEUES];  /* n_stats entries */
+  uint32_t n_stats;                    /* queues seen */
+  MdCorrection typical;                /* of all queues together */
+  MdTime now;                          /* at the start of the pass */
+  MdTime next_tick;                    /* next look at waiting runs */
+  MdTime register_due;                 /* next attempt to write our address */
+  bool registering;                    /* such an attempt is under way */
+  bool registered;                     /* our address is in the store */
+  bool leaving;                        /* SIGTERM has arrived */
+  MdTime leave_after;                  /* the balancer may still send until then */
+  MdTime leave_until;                  /* end of the drain */
+  atomic_bool ready;                   /* for the balancer */
+  atomic_int waiting;                  /* tickets of the front that are not answered */
+} MdRunEntry;
+
+/* front.c */
+typedef struct MdFront MdFront;
+MdFront *md_front_start (MdRunEntry *entry, MdError *error);
+void md_front_stop (MdFront *front);
+/* md_front_leave: responses close their connections from now on. */
+void md_front_leave (MdFront *front);
+
+/* entry-jobs.c */
+void md_entry_ticket (MdRunEntry *entry, MdRunTicket *ticket);
+/* md_entry_order_started, md_entry_order_ended: what a guard reports. Ended frees the
+   order. */
+void md_entry_order_started (MdRunEntry *entry, MdEntryOrder *order);
+void md_entry_order_ended (MdRunEntry *entry, MdEntryOrder *order, MdRunHow how, MdTime run,
+                           const char *checkpoint);
+/* md_entry_jobs_tick: deadlines, runs that wait too long, tasks without a worker. */
+void md_entry_jobs_tick (MdRunEntry *entry);
+/* md_entry_fail_all: answer every job, at the end of the process. */
+void md_entry_fail_all (MdRunEntry *entry);
+
+/* entry-guards.c */
+extern const MdLinkHandler md_run_entry_handler;
+/* md_entry_send_order, md_entry_cancel, md_entry_withdraw: with the next message. */
+void md_entry_send_order (MdRunEntry *entry, MdEntryOrder *order);
+void md_entry_cancel (MdEntryOrder *order);
+void md_entry_withdraw (MdEntryOrder *order);
+/* md_entry_guards_poll: messages that are due, and guards that are lost for good;
+   returns when to call again. */
+MdTime md_entry_guards_poll (MdRunEntry *entry);
+void md_entry_free_guards (MdRunEntry *entry);
+
+#endif
--- /dev/null
+++ b/fleet/run-guard.c
@@ -0,0 +1,196 @@
+/* run-guard.c -- the guard beside a worker of the users' platform
+
+   It takes runs from all entries on equal terms, lets them wait for room in one queue
+   (runqueue.c), starts them, keeps the worker's lease and reports what it sees. It
+   keeps nothing: a new process ends whatever an earlier one has left at the worker
+   before it reports to entries. */
+
+#include "run-guard.h"
+
+#include <civetweb.h>
+
+#define WORKER_CONNECTIONS 6L          /* one for the hold, the others for starts and stops */
+#define DIRECTORY_WAIT (5 * MD_SECOND) /* a read of the entries' topic waits so long */
+#define LEAVE_MARGIN (1 * MD_SECOND)   /* before the platform kills the process */
+#define RECONNECT_MAX (400 * MD_MS)    /* entries come back within a second or two */
+
+static void
+on_entry_record (void *user, const MdKeyedRecord *record)
+{
+  MdRunGuard *guard = user;
+  MdError error = { 0 };
+  char address[MD_ADDRESS_BYTES];
+
+  if (record->value.len == 0)
+    return;
+  if (md_platform_read_entry (record->value, address, &error) == MD_OK)
+    md_guard_add_peer (guard, md_str (address));
+  else
+    md_log (MD_LOG_WARN, "record-ignored", "topic=%s reason=\"%s\"", MD_TOPIC_ENTRIES,
+            error.detail);
+}
+
+static void
+take_events (MdRunGuard *guard)
+{
+  for (MdNode *node = md_inbox_take (&guard->inbox), *next; node != NULL; node = next)
+    {
+      next = node->next;
+      md_guard_worker_event (guard, (MdWorkerEvent *)node);
+      free (node);
+    }
+}
+
+/* Entries are dialled once the worker is free of runs that nobody here ordered, so
+   that a hello means that nothing of an earlier process runs. */
+static void
+add_first_peers (MdRunGuard *guard)
+{
+  MdDirectory seeds = { 0 };
+
+  md_directory_add_seeds (&seeds, &guard->daemon.settings);
+  for (unsigned i = 0; i < seeds.n; i++)
+    md_guard_add_peer (guard, md_str (seeds.address[i]));
+}
+
+static void
+begin_leaving (MdRunGuard *guard)
+{
+  MdTime grace = guard->daemon.settings.drain_timeout - LEAVE_MARGIN;
+
+  if (guard->leaving || !md_daemon_stopping ())
+    return;
+  guard->leaving = true;
+  guard->leave_until = guard->now + (grace > 0 ? grace : 0);
+  guard->queue.open = false;
+  guard->change++;
+  md_guard_return_waiting (guard);
+  md_log (MD_LOG_INFO, "leaving", "runs=%u", guard->queue.running.n);
+}
+
+static bool
+has_unsent_ends (const MdRunGuard *guard)
+{
+  for (const MdGuardPeer *peer = guard->peers; peer != NULL; peer = peer->next)
+    if (peer->up && peer->ends != NULL)
+      return true;
+  return false;
+}
+
+static bool
+has_left (const MdRunGuard *guard)
+{
+  if (!guard->leaving)
+    return false;
+  return guard->now >= guard->leave_until
+         || (guard->queue.running.n == 0 && !has_unsent_ends (guard));
+}
+
+static MdTime
+earlier (MdTime a, MdTime b)
+{
+  return a < b ? a : b;
+}
+
+static void
+run_loop (MdRunGuard *guard)
+{
+  bool dialled = false;
+
+  while (!has_left (guard))
+    {
+      MdTime due;
+
+      guard->now = md_now ();
+      begin_leaving (guard);
+      take_events (guard);
+      due = md_guard_worker_poll (guard);
+      if (!dialled && guard->worker.clean)
+        {
+          dialled = true;
+          add_first_peers (guard);
+        }
+      if (dialled)
+        due = earlier (due, md_keyed_poll (guard->entries, guard->now));
+      due = earlier (due, md_guard_orders_poll (guard));
+      if (guard->leaving)
+        due = earlier (due, guard->leave_until);
+      due = earlier (due, md_http_poll (guard->http));
+      due = earlier (due, md_http_poll (guard->daemon.store));
+      md_links_poll (guard->daemon.links, due);
+      guard->now = md_now ();
+      md_http_poll (guard->http);
+      md_http_poll (guard->daemon.store);
+    }
+}
+
+static int
+start_parts (MdRunGuard *guard, MdError *error)
+{
+  const MdSettings *settings = &guard->daemon.settings;
+
+  guard->http = md_http_new (guard->daemon.links, WORKER_CONNECTIONS);
+  guard->daemon.store = md_http_new (guard->daemon.links, MD_STORE_CONNECTIONS);
+  guard->entries = md_keyed_new (guard->daemon.store, settings->store_address, MD_TOPIC_ENTRIES,
+                                 DIRECTORY_WAIT, on_entry_record, guard);
+  if (guard->http == NULL || guard->daemon.store == NULL || guard->entries == NULL)
+    return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
+  guard->server = md_registrar_server_start (settings->register_address, &guard->inbox,
+                                             guard->daemon.links, error);
+  return guard->server != NULL ? MD_OK : MD_E_IO;
+}
+
+static int
+run_guard (MdRunGuard *guard)
+{
+  MdTuning tuning = guard->daemon.settings.tuning;
+  MdError error = { 0 };
+  int rc;
+
+  tuning.reconnect_max = RECONNECT_MAX;
+  guard->daemon.links = md_links_new (&tuning, &md_run_guard_handler, guard);
+  if (guard->daemon.links == NULL)
+    return MD_EXIT_FAILED;
+  md_daemon_catch_signals (guard->daemon.links);
+  rc = start_parts (guard, &error);
+  if (rc == MD_OK)
+    {
+      md_log (MD_LOG_INFO, "started", "incarnation=%llx worker_address=%s",
+              (unsigned long long)guard->incarnation, guard->daemon.settings.worker_address);
+      run_loop (guard);
+      md_log (MD_LOG_INFO, "stopped", "runs=%u", guard->queue.running.n);
+    }
+  else
+    md_log (MD_LOG_ERROR, "start", "step=%s peer=%s detail=\"%s\"", error.step, error.peer,
+            error.detail);
+  md_registrar_server_stop (guard->server);
+  md_http_free (guard->http);
+  md_keyed_free (guard->entries);
+  for (MdNode *node = md_inbox_take (&guard->inbox), *next; node != NULL; node = next)
+    {
+      next = node->next;
+      free (node);
+    }
+  return rc == MD_OK ? MD_EXIT_OK : MD_EXIT_FAILED;
+}
+
+int
+md_run_guard_main (int argc, const char **argv)
+{
+  MdRunGuard guard = { 0 };
+  int rc = md_daemon_open (&guard.daemon, argc, argv);
+
+  if (rc != MD_EXIT_OK)
+    return rc;
+  md_http_init ();
+  guard.incarnation = md_new_incarnation ();
+  guard.now = md_now ();
+  guard.worker.report.born_ms = -1;
+  /* Above the tokens of earlier processes as long as the clock was not set back. */
+  guard.worker.token = (uint64_t)md_wall_ms ();
+  rc = run_guard (&guard);
+  md_guard_cancel_all (&guard);
+  md_guard_free_peers (&guard);
+  md_daemon_close (&guard.daemon);
+  return rc;
+}
--- /dev/null
+++ b/fleet/run-guard.h
@@ -0,0 +1,172 @@
+/* run-guard.h -- what the files of the guard daemon share
+
+   run-guard.c is the life cycle, guard-orders.c the links to entries and their
+   orders, guard-worker.c the calls to the worker, guard-registrar.c the server to which
+   the worker reports. All but the latter run in the engine thread. */
+
+#ifndef MD_RUN_GUARD_H
+#define MD_RUN_GUARD_H
+
+#include "daemon.h"
+#include "inbox.h"
+
+#include "wire.pb-c.h"
+
+/* ------------------------------------------------------------------ */
+/* Runs                                                               */
+
+/* The text that the runs of a job share; counted references. */
+typedef struct
+{
+  unsigned references;
+  size_t len;
+  char text[];
+} MdRunText;
+
+typedef struct MdGuardPeer MdGuardPeer;
+
+typedef struct
+{
+  MdRun queued;                         /* first: place in the queue */
+  char task[MD_RUN_NAME_BYTES];         /* name at the worker */
+  uint32_t run;                         /* number of the start */
+  MdRunText *spec;                      /* what it runs */
+  char checkpoint[MD_CHECKPOINT_BYTES]; /* to resume from, empty none */
+  char ticket[MD_CHECKPOINT_BYTES];     /* of the advisory service, empty none */
+  bool confirmed;                       /* the worker has it */
+  MdTime confirmed_at;                  /* since when */
+  bool calling;                         /* a start is under way */
+  uint64_t fenced_by;                   /* an unanswered start is void once the worker has seen this
+                          token; 0 none */
+  bool cancelled;                       /* to be stopped */
+  MdTime stop_due;                      /* when to order the stop (again) */
+  unsigned attempts;                    /* starts that the worker rejected */
+  unsigned missing;                     /* holds in a row that did not list it */
+} MdGuardRun;
+
+/* ------------------------------------------------------------------ */
+/* Entries                                                            */
+
+typedef struct MdGuardEnd MdGuardEnd;
+
+/* An end that its entry has not confirmed. */
+struct MdGuardEnd
+{
+  MdGuardEnd *next;                     /* newer */
+  uint64_t number;                      /* counts the ends for the entry */
+  uint64_t id;                          /* of the order */
+  MdRunHow how;                         /* how */
+  MdTime run;                           /* time at the worker */
+  char checkpoint[MD_CHECKPOINT_BYTES]; /* saved */
+  bool sent;                            /* on the present connection */
+};
+
+struct MdGuardPeer
+{
+  MdGuardPeer *next;              /* all */
+  MdLink *link;                   /* dialled */
+  char address[MD_ADDRESS_BYTES]; /* of the link */
+  char name[MD_NAME_BYTES];       /* from its welcome */
+  uint64_t incarnation;           /* from its welcome, 0 never heard */
+  bool up;                        /* connected */
+  MdTime heard_at;                /* last frame, or when it was added */
+  MdTime echo;                    /* latest stamp that it returned */
+  uint64_t last_order;            /* highest order received */
+  uint64_t next_end;              /* number of the next end */
+  MdGuardEnd *ends;               /* oldest first */
+  MdGuardEnd *last_end;           /* newest */
+  uint64_t started[256];          /* orders started and not reported yet */
+  unsigned n_started;             /* of them */
+  bool urgent;                    /* an end or a start is to be reported */
+  uint64_t told_change;           /* change count of the state it was told */
+  bool told_worker;               /* the worker's description as well */
+  MdTime reported_at;             /* last report */
+};
+
+/* ------------------------------------------------------------------ */
+/* Guard                                                              */
+
+/* What the worker's reports and answers say. */
+typedef struct
+{
+  char id[MD_WORKER_ID_BYTES]; /* its name, empty not heard of */
+  MdWorkerReport report;       /* last report of this lifetime */
+  bool known;                  /* a report of this lifetime has arrived */
+  bool clean;                  /* runs of an earlier guard are gone */
+  bool clock_known;            /* clock_offset holds */
+  MdTime clock_offset;         /* worker's clock less ours */
+  uint64_t seen;               /* highest end taken note of */
+  uint64_t token;              /* fencing token in use */
+  uint64_t token_seen;         /* highest token that the worker has answered to */
+  MdTime lease_until;          /* our clock: what runs has ended after this */
+  MdTime heard_at;             /* last answer to a hold */
+  bool reachable;              /* holds are answered */
+} MdGuardWorker;
+
+typedef struct MdRegistrarServer MdRegistrarServer;
+
+typedef struct
+{
+  MdDaemon daemon;           /* settings, links, store */
+  uint64_t incarnation;      /* of this process */
+  MdHttp *http;              /* calls to the worker */
+  MdRegistrarServer *server; /* to which the worker reports */
+  MdKeyed *entries;          /* entries in the store */
+  MdDirectory directory;     /* entries known */
+  MdInbox inbox;             /* events of the server's threads */
+  MdRunQueue queue;          /* runs here */
+  MdGuardWorker worker;      /* the worker */
+  MdGuardPeer *peers;        /* entries */
+  MdTime now;                /* at the start of the pass */
+  uint64_t change;           /* counts changes of the state that is reported */
+  bool holding;              /* a hold is under way */
+  MdTime hold_due;           /* when to make the next one */
+  MdTime hold_sent;          /* when the one under way was made */
+  uint64_t hold_token;       /* token it carries */
+  MdTime start_after;        /* no starts before, after a rejection for want of room */
+  bool leaving;              /* SIGTERM has arrived */
+  MdTime leave_until;        /* end of the drain */
+} MdRunGuard;
+
+/* What the registration server tells the engine. */
+typedef struct
+{
+  MdNode node;                 /* in the inbox */
+  char id[MD_WORKER_ID_BYTES]; /* name of the worker */
+  bool gone;                   /* it has left */
+  MdWorkerReport report;       /* otherwise */
+} MdWorkerEvent;
+
+/* guard-registrar.c */
+MdRegistrarServer *md_registrar_server_start (const char *address, MdInbox *inbox, MdLinks *links,
+                                              MdError *error);
+void md_registrar_server_stop (MdRegistrarServer *server);
+
+/* guard-worker.c */
+/* md_guard_worker_event: a report of the worker. */
+void md_guard_worker_event (MdRunGuard *guard, const MdWorkerEvent *event);
+/* md_guard_worker_poll: hold, starts and stops that are due; returns when to call
+   again. */
+MdTime md_guard_worker_poll (MdRunGuard *guard);
+/* md_guard_open: the worker takes runs. */
+bool md_guard_open (const MdRunGuard *guard);
+
+/* guard-orders.c */
+extern const MdLinkHandler md_run_guard_handler;
+void md_guard_add_peer (MdRunGuard *guard, MdStr address);
+void md_guard_free_peers (MdRunGuard *guard);
+/* md_guard_end_run: tell the entry and forget the run. */
+void md_guard_end_run (MdRunGuard *guard, MdGuardRun *run, MdRunHow how, const char *checkpoint);
+/* md_guard_cancel_run: end it now if it has not been handed to the worker, otherwise
+   have it stopped. */
+void md_guard_cancel_run (MdRunGuard *guard, MdGuardRun *run);
+/* md_guard_started: the run was handed to the worker. */
+void md_guard_started (MdRunGuard *guard, const MdGuardRun *run);
+/* md_guard_return_waiting: hand back what has not been started. */
+void md_guard_return_waiting (MdRunGuard *guard);
+/* md_guard_cancel_all: forget every run without a word, at the end of the process. */
+void md_guard_cancel_all (MdRunGuard *guard);
+/* md_guard_orders_poll: reports and leases that are due; returns when to call again. */
+MdTime md_guard_orders_poll (MdRunGuard *guard);
+
+#endif
--- a/main.c
+++ b/main.c
@@ -19,6 +19,8 @@
 static const Command commands[] = {
   { "entry", md_entry_main, "serve callers and operators (--config FILE)" },
   { "guard", md_guard_main, "guard one upstream (--config FILE)" },
+  { "run-entry", md_run_entry_main, "serve jobs on the users' platform (--config FILE)" },
+  { "run-guard", md_run_guard_main, "guard one worker of the users' platform (--config FILE)" },
   { "check-config", md_check_config_main, "check a settings file" },
   { "submit", md_submit_main, "submit a job or fetch its answer" },
   { "get", md_resource_main, "list or show resources" },
--- a/settings.c
+++ b/settings.c
@@ -21,6 +21,8 @@
   SETTING_U32,     /* whole number */
   SETTING_U64,     /* whole number */
   SETTING_MS,      /* milliseconds in the file, MdTime in memory */
+  SETTING_SECONDS, /* seconds in the file, with fractions, MdTime in memory */
+  SETTING_LIST,    /* ip:port, separated by commas, at most MD_LIST_BYTES - 1 */
   SETTING_DOUBLE,  /* number */
   SETTING_LEVEL,   /* debug, info, warn, error */
 } SettingType;
@@ -31,6 +33,10 @@
   FOR_GUARD = 2,
   FOR_BOTH = 3,
   REQUIRED = 4,
+  FOR_RUN_ENTRY = 8,
+  FOR_RUN_GUARD = 16,
+  FOR_RUNS = FOR_RUN_ENTRY | FOR_RUN_GUARD,
+  FOR_ALL = FOR_BOTH | FOR_RUNS,
 };
 
 typedef struct
@@ -45,18 +51,20 @@
 
 #define AT(field) offsetof (MdSettings, field)
 static const Setting settings_table[] = {
-  { "name", SETTING_NAME, AT (name), FOR_BOTH | REQUIRED, 0, 0 },
-  { "region", SETTING_NAME, AT (region), FOR_BOTH | REQUIRED, 0, 0 },
-  { "failure_domain", SETTING_NAME, AT (failure_domain), FOR_BOTH | REQUIRED, 0, 0 },
+  { "name", SETTING_NAME, AT (name), FOR_ALL | REQUIRED, 0, 0 },
+  { "region", SETTING_NAME, AT (region), FOR_ALL | REQUIRED, 0, 0 },
+  { "failure_domain", SETTING_NAME, AT (failure_domain), FOR_ALL | REQUIRED, 0, 0 },
   { "log_address", SETTING_ADDRESS, AT (log_address), FOR_BOTH | REQUIRED, 0, 0 },
   { "balancer_address", SETTING_ADDRESS, AT (balancer_address), FOR_BOTH, 0, 0 },
-  { "internal_address", SETTING_ADDRESS, AT (internal_address), FOR_ENTRY | REQUIRED, 0, 0 },
+  { "internal_address", SETTING_ADDRESS, AT (internal_address),
+    FOR_ENTRY | FOR_RUN_ENTRY | REQUIRED, 0, 0 },
   { "advertised_address", SETTING_ADDRESS, AT (advertised_address), FOR_ENTRY, 0, 0 },
-  { "caller_address", SETTING_ADDRESS, AT (caller_address), FOR_ENTRY | REQUIRED, 0, 0 },
+  { "caller_address", SETTING_ADDRESS, AT (caller_address), FOR_ENTRY | FOR_RUN_ENTRY | REQUIRED, 0,
+    0 },
   { "operator_address", SETTING_ADDRESS, AT (operator_address), FOR_ENTRY | REQUIRED, 0, 0 },
-  { "caller_threads", SETTING_U32, AT (caller_threads), FOR_ENTRY, 8, 4096 },
+  { "caller_threads", SETTING_U32, AT (caller_threads), FOR_ENTRY | FOR_RUN_ENTRY, 8, 4096 },
   { "operator_threads", SETTING_U32, AT (operator_threads), FOR_ENTRY, 2, 256 },
-  { "max_body_bytes", SETTING_U64, AT (max_body_bytes), FOR_ENTRY, 1024, 8 << 20 },
+  { "max_body_bytes", SETTING_U64, AT (max_body_bytes), FOR_ENTRY | FOR_RUN_ENTRY, 1024, 8 << 20 },
   { "upstream_address", SETTING_ADDRESS, AT (upstream_address), FOR_GUARD | REQUIRED, 0, 0 },
   { "pool", SETTING_NAME, AT (pool), FOR_GUARD | REQUIRED, 0, 0 },
   { "slots", SETTING_U32, AT (slots), FOR_GUARD, 1, 1024 },
@@ -64,8 +72,19 @@
   { "cores", SETTING_U32, AT (cores), FOR_GUARD, 1, 4096 },
   { "memory_mb", SETTING_U32, AT (memory_mb), FOR_GUARD, 1, 1 << 26 },
   { "accelerators", SETTING_U32, AT (accelerators), FOR_GUARD, 0, 64 },
-  { "drain_timeout_ms", SETTING_MS, AT (drain_timeout), FOR_BOTH, 0, 3600e3 },
-  { "log_level", SETTING_LEVEL, AT (log_level), FOR_BOTH, 0, 0 },
+  { "drain_timeout_ms", SETTING_MS, AT (drain_timeout), FOR_ALL, 0, 3600e3 },
+  { "grace_s", SETTING_SECONDS, AT (drain_timeout), FOR_RUNS, 0, 3600 },
+  { "log_level", SETTING_LEVEL, AT (log_level), FOR_ALL, 0, 0 },
+  { "store_address", SETTING_ADDRESS, AT (store_address), FOR_RUNS | REQUIRED, 0, 0 },
+  { "ready_address", SETTING_ADDRESS, AT (ready_address), FOR_RUN_ENTRY | REQUIRED, 0, 0 },
+  { "metrics_address", SETTING_ADDRESS, AT (metrics_address), FOR_RUNS, 0, 0 },
+  { "seeds", SETTING_LIST, AT (seeds), FOR_RUNS, 0, 0 },
+  { "entry_port", SETTING_U32, AT (entry_port), FOR_RUNS | REQUIRED, 1, 65535 },
+  { "worker_address", SETTING_ADDRESS, AT (worker_address), FOR_RUN_GUARD | REQUIRED, 0, 0 },
+  { "register_address", SETTING_ADDRESS, AT (register_address), FOR_RUN_GUARD | REQUIRED, 0, 0 },
+  { "worker_lease_max_ms", SETTING_MS, AT (worker_lease_max), FOR_RUN_GUARD, 100, 60e3 },
+  { "resend_after_ms", SETTING_MS, AT (resend_after), FOR_RUNS, 100, 600e3 },
+  { "remote_factor", SETTING_DOUBLE, AT (remote_factor), FOR_RUN_ENTRY, 1, 100 },
 };
 
 #define TUNE(field) offsetof (MdTuning, field)
@@ -178,6 +197,9 @@
     case SETTING_MS:
       *(MdTime *)place = (MdTime)(value * (double)MD_MS);
       break;
+    case SETTING_SECONDS:
+      *(MdTime *)place = (MdTime)(value * (double)MD_SECOND);
+      break;
     case SETTING_DOUBLE:
       *(double *)place = value;
       break;
@@ -197,7 +219,8 @@
   else if (value < setting->min || value > setting->max)
     add_fault (reader, node, "%s: must be between %.15g and %.15g", setting->name, setting->min,
                setting->max);
-  else if (setting->type != SETTING_DOUBLE && value != (double)(int64_t)value)
+  else if (setting->type != SETTING_DOUBLE && setting->type != SETTING_SECONDS
+           && value != (double)(int64_t)value)
     add_fault (reader, node, "%s: must be a whole number", setting->name);
   else
     store_number (setting, place, value);
@@ -218,6 +241,34 @@
   add_fault (reader, node, "%s: must be debug, info, warn or error", setting->name);
 }
 
+/* An empty list is allowed: a template may have nothing to fill in. */
+static void
+read_list (Reader *reader, const Setting *setting, void *place, const yaml_node_t *node)
+{
+  char host[MD_ADDRESS_BYTES];
+  MdStr value;
+  int port;
+
+  if (!scalar_text (node, &value) || value.len >= MD_LIST_BYTES)
+    {
+      add_fault (reader, node, "%s: must be a text of at most %d bytes", setting->name,
+                 MD_LIST_BYTES - 1);
+      return;
+    }
+  md_str_copy (place, MD_LIST_BYTES, value);
+  while (value.len > 0)
+    {
+      const char *comma = memchr (value.data, ',', value.len);
+      size_t len = comma != NULL ? (size_t)(comma - value.data) : value.len;
+
+      if (md_address_split (md_str_n (value.data, len), host, &port) != MD_OK)
+        add_fault (reader, node, "%s: must be ip:port, separated by commas", setting->name);
+      value = md_str_n (value.data + len, value.len - len);
+      if (value.len > 0)
+        value = md_str_n (value.data + 1, value.len - 1);
+    }
+}
+
 static void
 read_value (Reader *reader, const Setting *setting, void *base, const yaml_node_t *node)
 {
@@ -227,6 +278,11 @@
   MdStr value;
   int port;
 
+  if (setting->type == SETTING_LIST)
+    {
+      read_list (reader, setting, place, node);
+      return;
+    }
   if (!scalar_text (node, &value) || value.len == 0 || value.len >= sizeof text)
     {
       add_fault (reader, node, "%s: must be a text of 1 to %d bytes", setting->name,
@@ -382,12 +438,16 @@
         reader->role = FOR_ENTRY;
       else if (md_str_equal (value, MD_STR ("guard")))
         reader->role = FOR_GUARD;
+      else if (md_str_equal (value, MD_STR ("run-entry")))
+        reader->role = FOR_RUN_ENTRY;
+      else if (md_str_equal (value, MD_STR ("run-guard")))
+        reader->role = FOR_RUN_GUARD;
       else
-        add_fault (reader, node, "role: must be entry or guard");
+        add_fault (reader, node, "role: must be entry, guard, run-entry or run-guard");
     }
   if (reader->role == 0 && !reader->bad)
     add_fault (reader, root, "role: missing");
-  settings->is_entry = reader->role == FOR_ENTRY;
+  settings->is_entry = reader->role == FOR_ENTRY || reader->role == FOR_RUN_ENTRY;
 }
 
 static void
@@ -491,6 +551,9 @@
   settings->operator_threads = 16;
   settings->max_body_bytes = 4u << 20;
   settings->drain_timeout = 30 * MD_SECOND;
+  settings->worker_lease_max = 1 * MD_SECOND;
+  settings->resend_after = 1300 * MD_MS;
+  settings->remote_factor = 1.5;
   settings->log_level = MD_LOG_INFO;
 }
 
