--- a/estimate.c
+++ b/estimate.c
@@ -133,6 +133,30 @@
     correction->prior = typical->work - typical->declared;
 }
 
+/* Says nothing about a speed, as the work of the task is unknown. */
+static void
+learn_plain (MdCorrection *correction, double work, const MdTuning *tuning)
+{
+  correction->plain_work
+      += gain (correction->plain, tuning->correction_gain) * (work - correction->plain_work);
+  correction->plain++;
+}
+
+void
+md_estimate_learn_work (MdCorrection *correction, MdCorrection *typical, MdTime declared,
+                        double work, const MdTuning *tuning)
+{
+  double y = log (work > 1 ? work : 1);
+
+  if (declared <= 0)
+    {
+      learn_plain (correction, y, tuning);
+      return;
+    }
+  learn_line (correction, log ((double)declared), y, tuning);
+  learn_line (typical, log ((double)declared), y, tuning);
+}
+
 double
 md_estimate_learn (MdSpeed *speed, MdCorrection *correction, MdCorrection *typical, MdTime declared,
                    MdTime run, const MdTuning *tuning)
@@ -143,10 +167,7 @@
 
   if (declared <= 0)
     {
-      /* Says nothing about the speed, as the work of the task is unknown. */
-      correction->plain_work
-          += gain (correction->plain, tuning->correction_gain) * (work - correction->plain_work);
-      correction->plain++;
+      learn_plain (correction, work, tuning);
       return 0;
     }
   difference = work - log_work (correction, declared);
--- a/estimate.h
+++ b/estimate.h
@@ -38,5 +38,9 @@
    the actual over the expected run time, 0 when nothing was expected. */
 double md_estimate_learn (MdSpeed *speed, MdCorrection *correction, MdCorrection *typical,
                           MdTime declared, MdTime run, const MdTuning *tuning);
+/* md_estimate_learn_work: the same where the speed is learned elsewhere; work is the
+   run time at speed 1, microseconds. */
+void md_estimate_learn_work (MdCorrection *correction, MdCorrection *typical, MdTime declared,
+                             double work, const MdTuning *tuning);
 
 #endif
--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -8,7 +8,9 @@
 #include "run-entry.h"
 
 #include <stdio.h>
+#include <xxhash.h>
 
+#define BIAS_MAX (12 * MD_MS)     /* small against the run times, more than the age of a report */
 #define SILENCE_MAX (350 * MD_MS) /* a guard reports every MD_RUN_HEARTBEAT */
 
 /* ------------------------------------------------------------------ */
@@ -29,6 +31,15 @@
   return NULL;
 }
 
+/* A fixed share of BIAS_MAX for each pair of entry and guard. */
+static MdTime
+bias_of (const char *entry, const char *guard)
+{
+  uint64_t hash = XXH64 (guard, strlen (guard), XXH64 (entry, strlen (entry), 0));
+
+  return (MdTime)(hash % (uint64_t)BIAS_MAX);
+}
+
 static MdEntryGuard *
 new_guard (MdRunEntry *entry, const char *name)
 {
@@ -48,6 +59,8 @@
   if (guard == NULL)
     return NULL;
   md_str_copy (guard->name, sizeof guard->name, md_str (name));
+  guard->worker.speed = 1;
+  guard->worker.bias = bias_of (entry->daemon.settings.name, name);
   entry->workers.workers[entry->workers.n++] = &guard->worker;
   return guard;
 }
@@ -186,9 +199,8 @@
   out->cpu = order->need.cpu;
   out->memory_mb = order->need.memory_mb;
   out->accelerators = order->need.accelerators;
-  out->expected_us = (uint64_t)order->expected;
-  out->start_within_us
-      = order->start_within - (now - order->placed_at) - order->guard->worker.delay;
+  out->work_us = (uint64_t)order->work;
+  out->start_within_us = order->start_within - (now - order->placed_at);
   out->checkpoint = job->job.tasks[order->step][order->task].checkpoint;
   order->sent = true;
 }
@@ -296,11 +308,11 @@
 
   worker->free = (MdRoom){ report->free_cpu, report->free_memory_mb, report->free_accelerators };
   worker->next_end = (MdTime)report->next_end_us;
-  for (size_t i = 0; i < MD_URGENCIES; i++)
-    worker->wait[i] = i < report->n_wait_us ? (MdTime)report->wait_us[i] : 0;
+  worker->wait = (MdTime)report->wait_us;
+  worker->speed = report->speed;
   for (const MdEntryOrder *order = guard->orders; order != NULL; order = order->next)
     if (order->id > report->last_order)
-      md_worker_reserve (worker, order->need, order->expected, md_urgency (order->start_within));
+      md_worker_reserve (worker, order->need, order->expected);
   worker->reported_at = entry->now;
   worker->stalled = report->stalled;
   if ((uint32_t)worker->state != report->state)
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -17,8 +17,8 @@
 #define TICK (10 * MD_MS)                /* between looks at waiting runs */
 #define RETRY_NO_WORKER (1 * MD_SECOND)  /* Retry-After while no upstream is usable */
 #define MAX_REJECTIONS 8                 /* of one task by guards, before its job is given up */
-#define STALE_JUMP 1000       /* raise of run numbers after a worker had seen higher ones */
-#define CALM_WAIT (5 * MD_MS) /* a longer wait than this is a backlog */
+#define STALE_JUMP 1000     /* raise of run numbers after a worker had seen higher ones */
+#define STATUS_GIVEN_UP 504 /* something of the job may have run */
 
 /* ------------------------------------------------------------------ */
 /* Table of jobs                                                      */
@@ -204,7 +204,7 @@
   need->affinity = spec->affinity;
   need->need = spec->need;
   need->work = work_of (job, step);
-  need->start_within = job->goal - entry->now - (MdTime)need->work;
+  need->goal = job->goal - entry->now;
   need->per_worker = spec->per_worker;
 }
 
@@ -246,6 +246,7 @@
   order->declared = job->job.spec.steps[step].estimate;
   order->placed_at = entry->now;
   order->wait = placement->wait;
+  order->work = need->work;
   order->expected = placement->run;
   order->start_within = job->goal - entry->now - placement->run;
   task->state = MD_TASK_ORDERED;
@@ -253,8 +254,7 @@
   job->job.ready--;
   job->job.ordered++;
   placement->worker->outstanding++;
-  md_worker_reserve (placement->worker, need->need, placement->run,
-                     md_urgency (order->start_within));
+  md_worker_reserve (placement->worker, need->need, placement->run);
   md_entry_send_order (entry, order);
   md_log (MD_LOG_DEBUG, "run-placed",
           "job=%s step=%u task=%u run=%u guard=%s wait_ms=%lld run_ms=%lld slack_ms=%lld "
@@ -302,7 +302,7 @@
 typedef struct
 {
   MdRoom free;
-  MdTime wait[MD_URGENCIES];
+  MdTime wait;
   MdTime next_end;
 } SavedRoom;
 
@@ -317,7 +317,7 @@
 
       saved[i].free = worker->free;
       saved[i].next_end = worker->next_end;
-      memcpy (saved[i].wait, worker->wait, sizeof saved[i].wait);
+      saved[i].wait = worker->wait;
     }
   return saved;
 }
@@ -331,7 +331,7 @@
 
       worker->free = saved[i].free;
       worker->next_end = saved[i].next_end;
-      memcpy (worker->wait, saved[i].wait, sizeof saved[i].wait);
+      worker->wait = saved[i].wait;
     }
 }
 
@@ -348,12 +348,11 @@
 
       if (placement.worker == NULL)
         return false;
-      if (placement.wait > placement.worker->delay + CALM_WAIT)
-        forecast->backlog = true;
+      if (placement.wait > forecast->wait)
+        forecast->wait = placement.wait;
       if (placement.wait + placement.run > forecast->finish)
         forecast->finish = placement.wait + placement.run;
-      md_worker_reserve (placement.worker, need.need, placement.run,
-                         md_urgency (need.start_within));
+      md_worker_reserve (placement.worker, need.need, placement.run);
     }
   return true;
 }
@@ -421,11 +420,32 @@
   return chain;
 }
 
+static double
+total_work (const MdEntryJob *job)
+{
+  double work = 0;
+
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    work += work_of (job, i) * job->job.spec.steps[i].count * job->job.spec.steps[i].need.cpu;
+  return work / 1000.0;
+}
+
+static double
+demand_of (MdRunEntry *entry, MdEntryJob *job)
+{
+  const MdDemand *demands[MD_MAX_QUEUES];
+
+  for (uint32_t i = 0; i < entry->n_stats; i++)
+    demands[i] = &entry->stats[i]->demand;
+  md_demand_add (&job->stats->demand, total_work (job), entry->now);
+  return md_demand_ratio (demands, entry->n_stats, &job->stats->demand, entry->now);
+}
+
 /* Places the job or rejects it. */
 static void
 admit (MdRunEntry *entry, MdEntryJob *job, double chain)
 {
-  MdForecast forecast = { 0 };
+  MdForecast forecast = { .demand = demand_of (entry, job) };
   MdTime retry_after;
 
   if (!is_possible (entry, job))
@@ -443,19 +463,20 @@
     case MD_ADMIT_NOW:
     case MD_ADMIT_LATE:
       md_log (MD_LOG_INFO, "job-admitted",
-              "job=%s request=%s queue=%s config=%llu forecast_ms=%lld goal_ms=%lld backlog=%d",
-              job->id, job->request, job->route.name, (unsigned long long)job->number,
-              (long long)(forecast.finish / MD_MS), (long long)(forecast.goal / MD_MS),
-              forecast.backlog);
+              "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f",
+              job->id, job->request, job->route.name, (long long)(forecast.finish / MD_MS),
+              (long long)(forecast.wait / MD_MS), (long long)(forecast.goal / MD_MS),
+              forecast.demand);
       place_ready (entry, job);
       break;
     case MD_ADMIT_NEVER:
       retry_after = md_admit_retry_after (&forecast, md_random ());
       md_log (MD_LOG_INFO, "job-rejected",
-              "job=%s request=%s queue=%s forecast_ms=%lld goal_ms=%lld limit_ms=%lld backlog=%d",
+              "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f "
+              "wait_bound_ms=%lld",
               job->id, job->request, job->route.name, (long long)(forecast.finish / MD_MS),
-              (long long)(forecast.goal / MD_MS), (long long)(forecast.limit / MD_MS),
-              forecast.backlog);
+              (long long)(forecast.wait / MD_MS), (long long)(forecast.goal / MD_MS),
+              forecast.demand, (long long)(md_admit_wait_bound (forecast.demand) / MD_MS));
       finish_job (entry, job, 429, NULL, "overload", retry_after);
       break;
     }
@@ -586,8 +607,8 @@
 
   md_worker_ended (worker, how, order->job != NULL ? order->job->number : 0, entry->now);
   if (how == MD_RUN_DONE && order->job != NULL && run > 0)
-    md_estimate_learn (&worker->speed, &order->job->stats->correction, &entry->typical,
-                       order->declared, run, &entry->workers.tuning);
+    md_estimate_learn_work (&order->job->stats->correction, &entry->typical, order->declared,
+                            (double)run * worker->speed, &entry->daemon.settings.tuning);
 }
 
 /* A job that is being given up is rejected once nothing of it is out; when some of it
@@ -598,7 +619,7 @@
   if (job->job.ordered > 0)
     return;
   if (job->job.started)
-    finish_job (entry, job, 200, MD_PLATFORM_FAILED, "given-up", 0);
+    finish_job (entry, job, STATUS_GIVEN_UP, NULL, "given-up", 0);
   else
     finish_job (entry, job, 429, NULL, "overload", RETRY_NO_WORKER / 2);
 }
@@ -678,18 +699,15 @@
   other = md_place (&entry->workers, &need, NULL, here, entry->now);
   if (other.worker == NULL || other.worker == here)
     return;
-  stay = here->connected ? here->wait[md_urgency (need.start_within)] + order->expected
-                         : MD_RUN_GONE_AFTER + order->expected;
-  if (stay < here->next_end + order->expected)
-    stay = here->next_end + order->expected;
-  if (other.wait + other.run + MOVE_GAIN >= stay)
+  stay = (here->connected ? here->wait : MD_RUN_GONE_AFTER) + order->expected;
+  if (other.wait > 0 || other.run + MOVE_GAIN >= stay)
     return;
   md_log (MD_LOG_INFO, "run-moved",
           "job=%s step=%u task=%u from=%s to=%s stay_ms=%lld there_ms=%lld waited_ms=%lld", job->id,
           order->step, order->task, order->guard->name, ((MdEntryGuard *)other.worker)->name,
           (long long)(stay / MD_MS), (long long)((other.wait + other.run) / MD_MS),
           (long long)((entry->now - order->placed_at) / MD_MS));
-  md_worker_reserve (other.worker, need.need, other.run, md_urgency (need.start_within));
+  md_worker_reserve (other.worker, need.need, other.run);
   md_entry_withdraw (order);
 }
 
@@ -752,7 +770,7 @@
   if (entry->now >= job->deadline)
     {
       if (job->job.started || job->job.ordered > 0)
-        finish_job (entry, job, 200, MD_PLATFORM_FAILED, "deadline", 0);
+        finish_job (entry, job, STATUS_GIVEN_UP, NULL, "deadline", 0);
       else
         finish_job (entry, job, 503, NULL, "deadline", RETRY_NO_WORKER);
       return;
@@ -795,7 +813,7 @@
       MdEntryJob *job = entry->jobs;
 
       if (job->job.ordered > 0 || job->job.started)
-        finish_job (entry, job, 200, MD_PLATFORM_FAILED, "leaving", 0);
+        finish_job (entry, job, STATUS_GIVEN_UP, NULL, "leaving", 0);
       else
         finish_job (entry, job, 503, NULL, "leaving", RETRY_NO_WORKER);
     }
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -32,6 +32,8 @@
   struct mg_context *callers; /* CivetWeb for callers */
   struct mg_context *probes;  /* CivetWeb for probes and counters */
   atomic_bool leaving;        /* responses close their connections */
+  atomic_int connections;     /* open, of callers */
+  int threads;                /* for callers */
 };
 
 /* One request. */
@@ -48,23 +50,32 @@
 /* ------------------------------------------------------------------ */
 /* Responses                                                          */
 
+/* An idle connection holds a thread. Past three quarters of the threads, connections
+   are closed after their response, so that new ones do not wait for a thread. */
+static bool
+must_close (const MdFront *front)
+{
+  return atomic_load (&front->leaving)
+         || atomic_load (&front->connections) * 4 > front->threads * 3;
+}
+
 static int
 respond (const Request *request, int status, MdStr body, MdTime retry_after)
 {
   MD_AUTO_BUF out = { 0 };
-  bool leaving = atomic_load (&request->front->leaving);
+  bool closing = must_close (request->front);
   char extra[64] = "";
 
   if (retry_after > 0)
     snprintf (extra, sizeof extra, "Retry-After: %lld\r\n",
               (long long)((retry_after + MD_SECOND - 1) / MD_SECOND));
-  if (leaving)
+  if (closing)
     mg_disable_connection_keep_alive (request->conn);
   md_buf_printf (&out,
                  "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n"
                  "%sConnection: %s\r\n\r\n",
                  status, mg_get_response_code_text (request->conn, status), body.len, extra,
-                 leaving ? "close" : "keep-alive");
+                 closing ? "close" : "keep-alive");
   md_buf_append (&out, body);
   if (out.failed || mg_write (request->conn, out.data, out.len) < (int)out.len)
     {
@@ -378,13 +389,26 @@
   urcu_memb_unregister_thread ();
 }
 
+static MdFront *
+front_of (const struct mg_connection *conn)
+{
+  return mg_get_user_data (mg_get_context (conn));
+}
+
 static int
-init_connection (const struct mg_connection *conn MD_UNUSED, void **data)
+init_connection (const struct mg_connection *conn, void **data)
 {
   *data = NULL;
+  atomic_fetch_add (&front_of (conn)->connections, 1);
   return 0;
 }
 
+static void
+connection_closed (const struct mg_connection *conn)
+{
+  atomic_fetch_sub (&front_of (conn)->connections, 1);
+}
+
 static struct mg_context *
 start_server (MdFront *front, const char *address, const char *threads,
               int (*handler) (struct mg_connection *, void *), MdError *error)
@@ -408,7 +432,8 @@
                             NULL };
   struct mg_callbacks callbacks = { .init_thread = init_thread,
                                     .exit_thread = exit_thread,
-                                    .init_connection = init_connection };
+                                    .init_connection = init_connection,
+                                    .connection_closed = connection_closed };
   struct mg_context *server = mg_start (&callbacks, front, options);
 
   if (server == NULL)
@@ -428,6 +453,7 @@
   if (front == NULL)
     return NULL;
   front->entry = entry;
+  front->threads = (int)settings->caller_threads;
   snprintf (threads, sizeof threads, "%u", settings->caller_threads);
   front->callers = start_server (front, settings->caller_address, threads, handle_caller, error);
   if (front->callers != NULL)
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -84,6 +84,9 @@
     add_end (peer, run, how, time, checkpoint);
   md_log (MD_LOG_INFO, "run-end", "task=%s run=%u how=%s run_ms=%lld entry=%s", run->task, run->run,
           md_run_how_name (how), (long long)(time / MD_MS), peer != NULL ? peer->name : "gone");
+  /* After a hold without an answer the end was seen late. */
+  if (how == MD_RUN_DONE && run->checkpoint[0] == '\0' && !guard->hold_missed)
+    md_runqueue_learn (&guard->queue, &run->queued, time, guard->now);
   md_runqueue_remove (&guard->queue, &run->queued, guard->now);
   guard->change++;
   unref_text (run->spec);
@@ -213,7 +216,6 @@
   Md__RunReport report = MD__RUN_REPORT__INIT;
   Md__WorkerInfo info;
   char *labels[MD_MAX_LABELS];
-  uint64_t waits[MD_URGENCIES];
   size_t n = count_unsent (peer);
   md_autofree Md__RunEnd *ends = calloc (n + 1, sizeof *ends);
   md_autofree Md__RunEnd **pointers = calloc (n + 1, sizeof *pointers);
@@ -225,11 +227,9 @@
   report.free_cpu = guard->queue.free.cpu;
   report.free_memory_mb = guard->queue.free.memory_mb;
   report.free_accelerators = guard->queue.free.accelerators;
-  for (unsigned i = 0; i < MD_URGENCIES; i++)
-    waits[i] = (uint64_t)md_runqueue_wait (&guard->queue, i, guard->now);
+  report.wait_us = (uint64_t)md_runqueue_wait (&guard->queue, guard->now);
+  report.speed = md_runqueue_speed (&guard->queue, guard->now);
   report.next_end_us = (uint64_t)md_runqueue_next_end (&guard->queue, guard->now);
-  report.wait_us = waits;
-  report.n_wait_us = MD_URGENCIES;
   report.started = peer->started;
   report.n_started = peer->n_started;
   report.stalled = md_runqueue_stalled (&guard->queue, guard->now);
@@ -420,7 +420,7 @@
   run->queued.entry = peer->incarnation;
   run->queued.id = order->id;
   run->queued.need = (MdRoom){ order->cpu, order->memory_mb, order->accelerators };
-  run->queued.expected = (MdTime)order->expected_us;
+  run->queued.work = (double)order->work_us;
   run->queued.start_by = guard->now + order->start_within_us;
   md_str_copy (run->task, sizeof run->task, md_str (order->task));
   run->run = order->run;
@@ -428,7 +428,7 @@
   md_str_copy (run->ticket, sizeof run->ticket, md_str (order->ticket));
   run->spec = spec;
   spec->references++;
-  md_runqueue_add (&guard->queue, &run->queued);
+  md_runqueue_add (&guard->queue, &run->queued, guard->now);
   guard->change++;
   peer->last_order = order->id;
   /* An echo that is too old means that the entry may already count the run as gone. */
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -12,13 +12,13 @@
 
 #include <stdio.h>
 
-#define HOLD_WAIT                                                                                  \
-  (200 * MD_MS)                         /* a hold waits so long for an end; three fit into the
-                                        worker's lease */
-#define HOLD_TIMEOUT (350 * MD_MS)      /* for its answer, the wait included */
+/* A hold waits so long for an end. Several fit into the worker's lease, and a lost one
+   hides ends no longer than HOLD_TIMEOUT. */
+#define HOLD_WAIT (100 * MD_MS)
+#define HOLD_TIMEOUT (150 * MD_MS)      /* for its answer, the wait included */
 #define HOLD_RETRY (20 * MD_MS)         /* after a hold failed */
 #define HOLD_RETRY_AWAY (200 * MD_MS)   /* the same while the worker is not reached */
-#define START_TIMEOUT (300 * MD_MS)     /* a start is answered in a millisecond or two */
+#define START_TIMEOUT (120 * MD_MS)     /* a start is answered in a millisecond or two */
 #define STOP_TIMEOUT (200 * MD_MS)      /* the same for a stop */
 #define STOP_RETRY (100 * MD_MS)        /* a stop is ordered again when no end follows */
 #define ROOM_PAUSE (10 * MD_MS)         /* after a rejection for want of room */
@@ -403,9 +403,13 @@
   guard->now = md_now ();
   guard->hold_due = guard->now + (guard->worker.reachable ? HOLD_RETRY : HOLD_RETRY_AWAY);
   if (answer->status == 200 && md_platform_hold_answer (answer->body, &held, &error) == MD_OK)
-    take_held (guard, &held);
+    {
+      take_held (guard, &held);
+      guard->hold_missed = false;
+    }
   else
     {
+      guard->hold_missed = true;
       if (answer->status == 409)
         raise_token (guard, guard->hold_token, TOKEN_JUMP);
       if (guard->worker.reachable)
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -251,7 +251,6 @@
   entry.now = md_now ();
   entry.next_order = 1;
   entry.workers.remote_factor = entry.daemon.settings.remote_factor;
-  entry.workers.tuning = entry.daemon.settings.tuning;
   rc = run_entry (&entry);
   md_entry_free_guards (&entry);
   md_routes_free (entry.routes);
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -97,6 +97,7 @@
   MdTime declared;        /* run time that the caller stated */
   MdTime placed_at;       /* when it was ordered */
   MdTime wait;            /* expected then */
+  double work;            /* run time expected at speed 1 */
   MdTime expected;        /* run time expected there */
   MdTime start_within;    /* slack then */
   bool sent;              /* on its way */
@@ -113,6 +114,7 @@
 {
   char name[MD_NAME_BYTES]; /* of the queue */
   MdCorrection correction;  /* of declared run times */
+  MdDemand demand;          /* of its jobs */
 } MdQueueStats;
 
 struct MdEntryJob
@@ -137,7 +139,6 @@
   bool refused_full;        /* giving_up: for want of room */
 };
 
-#define MD_MAX_QUEUES 1024   /* queues that are learned about */
 #define MD_JOB_BUCKETS 4096u /* of the table of jobs */
 
 typedef struct
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -3,12 +3,16 @@
    Load pattern: workers differ in speed and size, which nobody declares; some are
    slow for seconds, some fail whatever they start. Several entries choose from
    reports that are a message old. Each entry reckons with what it has sent itself
-   since the last report; what others have sent shows up as a wait in the guard's
-   next report, and the run waits in that guard's queue meanwhile.
+   since the last report; what others have sent shows in the next report, and a run
+   that met others on its way waits in that guard's queue.
 
-   The expected end is the reported wait for the urgency of the task plus its run
-   time at the learned speed. A worker that failed runs of several jobs in a row is
-   tried again with one run at a time. */
+   The expected end is the reported wait plus the run time at the learned speed. At a
+   peak a slow worker that is free is better than a wait for a fast one as long as it
+   meets the goal: the fast ones are then left to tasks that need them. If all
+   entries ranked workers alike, they would all send to the same one between two
+   reports; a small bias that is unlike for each pair of entry and worker keeps them
+   apart, so that each first fills workers of its own. A worker that failed runs of
+   several jobs in a row is tried again with one run at a time. */
 
 #include "run-sched.h"
 
@@ -17,6 +21,7 @@
 #define FAILURES_TO_AVOID 3           /* consecutive, of different jobs */
 #define AVOID_MIN (500 * MD_MS)       /* first pause of such a worker */
 #define AVOID_MAX (4 * MD_SECOND)     /* longest pause */
+#define GOAL_SAFETY 1.05              /* estimates of run times scatter */
 #define STALL_PENALTY (2 * MD_SECOND) /* added to the wait at a stalled worker */
 #define REPORT_AGE_MAX (600 * MD_MS)  /* an older report says little about room */
 
@@ -49,7 +54,7 @@
 static MdPlacement
 place_on (const MdWorkers *workers, MdWorker *worker, const MdTaskNeed *need, MdTime now)
 {
-  double run = need->work / md_estimate_speed (&worker->speed);
+  double run = need->work / (worker->speed > 0 ? worker->speed : 1.0);
   MdPlacement placement = { .worker = worker };
 
   if (need->affinity[0] != '\0' && !md_labels_have (&worker->labels, need->affinity))
@@ -57,16 +62,40 @@
   placement.run = (MdTime)run;
   if (!md_room_fits (worker->free, need->need))
     {
-      placement.wait = worker->wait[md_urgency (need->start_within)];
+      placement.wait = worker->wait;
       if (placement.wait < worker->next_end)
         placement.wait = worker->next_end;
     }
-  placement.wait += worker->delay;
   if (worker->stalled || now - worker->reported_at > REPORT_AGE_MAX)
     placement.wait += STALL_PENALTY;
   return placement;
 }
 
+static MdTime
+rank (const MdPlacement *placement)
+{
+  return placement->wait + placement->run + placement->worker->bias;
+}
+
+/* An estimate misses by more than the goal allows only now and then. */
+static bool
+meets_goal_at_once (const MdPlacement *placement, const MdTaskNeed *need)
+{
+  return placement->wait == 0 && (double)placement->run * GOAL_SAFETY <= (double)need->goal;
+}
+
+static bool
+is_better (const MdPlacement *a, const MdPlacement *b, const MdTaskNeed *need)
+{
+  bool a_meets = meets_goal_at_once (a, need);
+
+  if (b->worker == NULL)
+    return true;
+  if (a_meets != meets_goal_at_once (b, need))
+    return a_meets;
+  return rank (a) < rank (b);
+}
+
 MdPlacement
 md_place (const MdWorkers *workers, const MdTaskNeed *need, const uint32_t *taken,
           const MdWorker *avoid, MdTime now)
@@ -85,7 +114,7 @@
       if (need->per_worker > 0 && taken != NULL && taken[i] >= need->per_worker)
         continue;
       placement = place_on (workers, worker, need, now);
-      if (kept->worker == NULL || placement.wait + placement.run < kept->wait + kept->run)
+      if (is_better (&placement, kept, need))
         *kept = placement;
     }
   return best.worker != NULL ? best : fallback;
@@ -94,7 +123,7 @@
 /* Without room the run takes its share of the worker's time, and the next waits so
    much longer. */
 void
-md_worker_reserve (MdWorker *worker, MdRoom need, MdTime run, unsigned urgency)
+md_worker_reserve (MdWorker *worker, MdRoom need, MdTime run)
 {
   MdTime share = worker->capacity.cpu > 0 ? run * need.cpu / worker->capacity.cpu : run;
   bool fits = md_room_fits (worker->free, need);
@@ -106,8 +135,7 @@
         worker->next_end = run;
       return;
     }
-  for (unsigned i = urgency; i < MD_URGENCIES; i++)
-    worker->wait[i] += share;
+  worker->wait += share;
 }
 
 bool
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -77,12 +77,6 @@
 
 const char *md_run_how_name (MdRunHow how);
 
-/* Runs are grouped by how soon they must start; a guard reports the wait that a
-   new run of each group has to expect. */
-#define MD_URGENCIES 3
-/* md_urgency: the group of a run that must start within this time. */
-unsigned md_urgency (MdTime start_within);
-
 /* ------------------------------------------------------------------ */
 /* Runs at a guard (runqueue.c)                                       */
 
@@ -103,8 +97,9 @@
   uint64_t entry;    /* incarnation of the entry that ordered it */
   uint64_t id;       /* of the order */
   MdRoom need;       /* room taken from STARTING on */
-  MdTime expected;   /* run time expected here */
+  double work;       /* run time expected at speed 1, microseconds; 0 unknown */
   MdTime start_by;   /* a later start misses the goal of its job */
+  MdTime order_by;   /* place in the queue: start_by, but soon enough for any run */
   MdTime started_at; /* STARTING, RUNNING: since when */
   void *data;        /* the caller's */
 };
@@ -118,20 +113,29 @@
 
 typedef struct
 {
-  MdRunList waiting;    /* by start_by, soonest first */
+  MdRunList waiting;    /* by order_by, soonest first */
   MdRunList running;    /* STARTING and RUNNING, in order of start */
   MdRoom capacity;      /* of the worker */
   MdRoom free;          /* not taken */
   bool open;            /* the worker takes runs */
   MdTime last_end;      /* when a run ended last */
   uint32_t typical_cpu; /* average need, thousandths of a core; 0 unknown */
+  MdSpeed speed;        /* of the worker, learned from all entries' runs */
+  MdTime learned_at;    /* of the last run that it was learned from */
 } MdRunQueue;
 
 /* md_runqueue_set_room: the worker's capacity, first heard of or changed. */
 void md_runqueue_set_room (MdRunQueue *queue, MdRoom capacity);
 
 /* md_runqueue_add: a WAITING run; the queue links it and the caller owns it. */
-void md_runqueue_add (MdRunQueue *queue, MdRun *run);
+void md_runqueue_add (MdRunQueue *queue, MdRun *run, MdTime now);
+
+/* md_runqueue_learn: the run is done and took this long. */
+void md_runqueue_learn (MdRunQueue *queue, const MdRun *run, MdTime time, MdTime now);
+
+/* md_runqueue_speed: of the worker at present, relative to declared times: the learned
+   one, less what runs that are overdue take away from it. */
+double md_runqueue_speed (const MdRunQueue *queue, MdTime now);
 
 /* md_runqueue_next: the run to start now, taken over into STARTING with its room;
    NULL when none fits or the worker takes none. */
@@ -143,9 +147,9 @@
 /* md_runqueue_remove: unlink a run in any state and free its room. */
 void md_runqueue_remove (MdRunQueue *queue, MdRun *run, MdTime now);
 
-/* md_runqueue_wait: how long a new run of typical need and this urgency would
-   wait, from the expected ends of what runs and what waits ahead of it. */
-MdTime md_runqueue_wait (const MdRunQueue *queue, unsigned urgency, MdTime now);
+/* md_runqueue_wait: how long a new run of typical need would wait behind all others,
+   from the expected ends of what runs. */
+MdTime md_runqueue_wait (const MdRunQueue *queue, MdTime now);
 
 /* md_runqueue_next_end: until the next run is expected to end, 0 when none runs. */
 MdTime md_runqueue_next_end (const MdRunQueue *queue, MdTime now);
@@ -169,23 +173,23 @@
 
 typedef struct
 {
-  uint64_t guard;              /* incarnation of its guard */
-  MdWorkerState state;         /* as reported */
-  MdRoom capacity;             /* as reported */
-  MdRoom free;                 /* as reported, less what was ordered since */
-  MdTime wait[MD_URGENCIES];   /* as reported, plus what was ordered since */
-  MdTime next_end;             /* until the next run is expected to end, as reported */
-  MdTime delay;                /* one way */
-  MdTime reported_at;          /* age of the above */
-  bool connected;              /* its guard is heard */
-  bool stalled;                /* as reported */
-  MdTime avoid_until;          /* no runs before, but for a trial */
-  uint32_t failures;           /* consecutive ends FAILED of different jobs */
-  uint64_t last_failed_job;    /* the job that failed last, by its number */
-  uint32_t outstanding;        /* orders without an end */
+  uint64_t guard;           /* incarnation of its guard */
+  MdWorkerState state;      /* as reported */
+  MdRoom capacity;          /* as reported */
+  MdRoom free;              /* as reported, less what was ordered since */
+  MdTime wait;              /* as reported, plus what was ordered since */
+  MdTime next_end;          /* until the next run is expected to end, as reported */
+  MdTime bias;              /* added to its expected end, unlike for each entry, see placement.c */
+  MdTime reported_at;       /* age of the above */
+  bool connected;           /* its guard is heard */
+  bool stalled;             /* as reported */
+  MdTime avoid_until;       /* no runs before, but for a trial */
+  uint32_t failures;        /* consecutive ends FAILED of different jobs */
+  uint64_t last_failed_job; /* the job that failed last, by its number */
+  uint32_t outstanding;     /* orders without an end */
   char service[MD_NAME_BYTES]; /* pool it belongs to */
   MdLabels labels;             /* kind and rack */
-  MdSpeed speed;               /* learned */
+  double speed;                /* as reported, relative to declared times */
 } MdWorker;
 
 typedef struct
@@ -193,7 +197,6 @@
   MdWorker **workers;   /* n entries, owned by the caller */
   uint32_t n;           /* workers */
   double remote_factor; /* run time away from the data, as a factor */
-  MdTuning tuning;      /* of the learned speeds */
 } MdWorkers;
 
 /* What a task asks of a worker. */
@@ -204,7 +207,7 @@
   const char *affinity;    /* label of the rack of its data, empty none */
   MdRoom need;             /* room */
   double work;             /* run time at speed 1, microseconds */
-  MdTime start_within;     /* on a worker of speed 1, to meet the goal */
+  MdTime goal;             /* an end within this time meets the goal of the job */
   uint32_t per_worker;     /* most tasks of the step on one worker, 0 any */
 } MdTaskNeed;
 
@@ -215,14 +218,15 @@
   MdTime run;       /* expected run time there */
 } MdPlacement;
 
-/* md_place: the worker on which the task ends first. taken[i] counts tasks of the
+/* md_place: a worker that can start the task at once and meet the goal, the fastest of
+   them; otherwise the worker on which the task ends first. taken[i] counts tasks of the
    step on worker i, for per_worker; NULL when that does not matter. avoid, if not
    NULL, is used only when there is no other. */
 MdPlacement md_place (const MdWorkers *workers, const MdTaskNeed *need, const uint32_t *taken,
                       const MdWorker *avoid, MdTime now);
 
 /* md_worker_reserve: reckon with an order that the last report does not know of. */
-void md_worker_reserve (MdWorker *worker, MdRoom need, MdTime run, unsigned urgency);
+void md_worker_reserve (MdWorker *worker, MdRoom need, MdTime run);
 
 /* md_place_possible: some worker, busy or not, has the room and the labels. */
 bool md_place_possible (const MdWorkers *workers, const MdTaskNeed *need);
@@ -230,26 +234,49 @@
 /* md_worker_ended: learn from the end of a run of a job with this number. */
 void md_worker_ended (MdWorker *worker, MdRunHow how, uint64_t job, MdTime now);
 
+/* ------------------------------------------------------------------ */
+/* Shares of queues in the demand (demand.c)                          */
+
+#define MD_MAX_QUEUES 1024 /* queues that are told apart */
+
+/* Work that the jobs of a queue ask for, decayed. */
+typedef struct
+{
+  double work; /* core microseconds */
+  MdTime at;   /* of the figure */
+} MdDemand;
+
+void md_demand_add (MdDemand *demand, double work, MdTime now);
+
+/* md_demand_ratio: the share of one queue in the demand of all, as a multiple of an
+   equal share; 1 when it is the only one. */
+double md_demand_ratio (const MdDemand *const *demands, uint32_t n, const MdDemand *one,
+                        MdTime now);
+
 /* ------------------------------------------------------------------ */
 /* Admission (admission.c)                                            */
 
 typedef struct
 {
+  MdTime wait;   /* predicted until the last task starts */
   MdTime finish; /* predicted, from now */
   MdTime goal;   /* from now */
   MdTime limit;  /* the answer is worth nothing after this, from now */
-  bool backlog;  /* tasks would wait for others */
+  double demand; /* share of its queue in the demand, see md_demand_ratio */
 } MdForecast;
 
 typedef enum
 {
   MD_ADMIT_NOW,   /* place it */
-  MD_ADMIT_LATE,  /* place it behind what can still meet its goal */
+  MD_ADMIT_LATE,  /* place it although it will be late: it delays nobody */
   MD_ADMIT_NEVER, /* reject */
 } MdAdmitRun;
 
 MdAdmitRun md_admit_run (const MdForecast *forecast);
 
+/* md_admit_wait_bound: longest wait with which a job of such a queue is taken in. */
+MdTime md_admit_wait_bound (double demand);
+
 /* md_admit_retry_after: when a rejected job should come back; random spreads the
    callers over the time that the backlog takes to clear. */
 MdTime md_admit_retry_after (const MdForecast *forecast, uint64_t random);
--- a/sched/runqueue.c
+++ b/sched/runqueue.c
@@ -5,26 +5,33 @@
    the worker has room for. The queue stands at the guard, where a freed room is
    known first: the next run starts without a message.
 
-   The run that must start soonest goes first. A run that can no longer start in
-   time goes behind all that can, because starting it early gains its job nothing
-   and costs another its goal. Room too small for the first run may go to a smaller
-   one behind it. */
+   The run that must start soonest goes first, but none is overtaken by runs that
+   arrive more than ORDER_MAX later: entries take jobs in by the wait that this queue
+   reports, and a run that others keep overtaking would wait longer than that. A run
+   that can no longer start in time goes behind all that can, because starting it early
+   gains its job nothing and costs another its goal. Room too small for the first run
+   may go to a smaller one behind it. */
 
 #include "run-sched.h"
 
+#include <math.h>
 #include <string.h>
 
 #define MAX_PROJECTED 256              /* runs looked at when a wait is projected */
 #define STALL_FACTOR 3.0               /* overdue: multiple of the expected run time */
 #define STALL_MARGIN (300 * MD_MS)     /* overdue: at least this much longer */
 #define STALL_RUNS 2                   /* overdue runs that make a worker stalled */
+#define ORDER_MAX (40 * MD_MS)         /* most that slack moves a run back */
+#define SPEED_GAIN 0.05                /* least weight of a run in the learned speed */
+#define SPEED_MEMORY (2 * MD_SECOND)   /* an idle worker's speed is forgotten in about this */
+#define SAMPLES_KEPT 4                 /* weight of what was learned before an idle time */
+#define SURPRISE_MAX 0.7               /* of a logarithm: most that one run may differ */
+#define OVERDUE_FACTOR 1.5             /* of the expected time: run times scatter by 0.4 */
+#define SPEED_MIN 0.05                 /* bounds of the learned speed */
+#define SPEED_MAX 20.0                 /* the same */
 #define TYPICAL_GAIN 0.1               /* weight of a new need in the average */
 #define DEFAULT_EXPECTED (200 * MD_MS) /* run time of a run with no estimate */
 
-/* Slack of the urgency groups: most runs of jobs of tens of milliseconds must start
-   within the first, those of a few hundred within the second. */
-static const MdTime urgency_bounds[MD_URGENCIES - 1] = { 100 * MD_MS, 300 * MD_MS };
-
 static const char *const how_names[MD_RUN_HOWS]
     = { "done", "failed", "stopped", "lapsed", "broken", "alone", "rejected", "stale" };
 
@@ -34,16 +41,6 @@
   return (unsigned)how < MD_RUN_HOWS ? how_names[how] : "unknown";
 }
 
-unsigned
-md_urgency (MdTime start_within)
-{
-  unsigned group = 0;
-
-  while (group < MD_URGENCIES - 1 && start_within > urgency_bounds[group])
-    group++;
-  return group;
-}
-
 /* ------------------------------------------------------------------ */
 /* Lists                                                              */
 
@@ -103,16 +100,17 @@
   MdRun *place = queue->waiting.first;
 
   run->state = MD_RUN_WAITING;
-  while (place != NULL && place->start_by <= run->start_by)
+  while (place != NULL && place->order_by <= run->order_by)
     place = place->next;
   insert_before (&queue->waiting, place, run);
 }
 
 void
-md_runqueue_add (MdRunQueue *queue, MdRun *run)
+md_runqueue_add (MdRunQueue *queue, MdRun *run, MdTime now)
 {
   double cpu = run->need.cpu;
 
+  run->order_by = run->start_by < now + ORDER_MAX ? run->start_by : now + ORDER_MAX;
   if (queue->typical_cpu == 0)
     queue->typical_cpu = run->need.cpu;
   else
@@ -174,6 +172,59 @@
   queue->last_end = now;
 }
 
+/* What was learned loses its weight while a worker is idle, so that one that was slow
+   for a while is tried again. */
+static double
+remembered_log_speed (const MdRunQueue *queue, MdTime now)
+{
+  MdTime idle = queue->running.n > 0 ? 0 : now - queue->learned_at;
+
+  if (queue->speed.samples == 0)
+    return 0;
+  if (idle < 0)
+    idle = 0;
+  return queue->speed.log_speed * exp (-(double)idle / (double)SPEED_MEMORY);
+}
+
+/* A run that failed or was stopped says nothing about the speed. One that took much
+   longer than any other may have stood still on its own. */
+void
+md_runqueue_learn (MdRunQueue *queue, const MdRun *run, MdTime time, MdTime now)
+{
+  MdSpeed *speed = &queue->speed;
+  double known = remembered_log_speed (queue, now);
+  double difference;
+
+  if (run->work <= 0 || time <= 0)
+    return;
+  if (now - queue->learned_at > SPEED_MEMORY && speed->samples > SAMPLES_KEPT)
+    speed->samples = SAMPLES_KEPT;
+  difference = log (run->work / (double)time) - known;
+  difference = fmax (-SURPRISE_MAX, fmin (SURPRISE_MAX, difference));
+  speed->log_speed = known + fmax (SPEED_GAIN, 1.0 / (speed->samples + 1.5)) * difference;
+  speed->log_speed = fmax (log (SPEED_MIN), fmin (log (SPEED_MAX), speed->log_speed));
+  speed->samples++;
+  queue->learned_at = now;
+}
+
+double
+md_runqueue_speed (const MdRunQueue *queue, MdTime now)
+{
+  double speed = exp (remembered_log_speed (queue, now));
+  double progress = 0;
+
+  if (queue->running.n == 0)
+    return speed;
+  for (const MdRun *run = queue->running.first; run != NULL; run = run->next)
+    {
+      double expected = run->work > 0 ? run->work / speed : (double)DEFAULT_EXPECTED;
+      double taken = (double)(now - run->started_at);
+
+      progress += taken > OVERDUE_FACTOR * expected ? OVERDUE_FACTOR * expected / taken : 1;
+    }
+  return speed * progress / queue->running.n;
+}
+
 /* ------------------------------------------------------------------ */
 /* Projection                                                         */
 
@@ -223,35 +274,37 @@
   return at > from ? at : from;
 }
 
+static MdTime
+expected_time (const MdRun *run, double speed)
+{
+  return run->work > 0 ? (MdTime)(run->work / speed) : DEFAULT_EXPECTED;
+}
+
 /* The time a run has taken says more than its estimate once it is overdue: it is
    then expected to take as long again as half of what it took. */
 static MdTime
-expected_end (const MdRun *run, MdTime now)
+expected_end (const MdRun *run, double speed, MdTime now)
 {
-  MdTime expected = run->expected > 0 ? run->expected : DEFAULT_EXPECTED;
+  MdTime expected = expected_time (run, speed);
   MdTime taken = now - run->started_at;
 
   return taken < expected ? run->started_at + expected : now + taken / 2;
 }
 
 MdTime
-md_runqueue_wait (const MdRunQueue *queue, unsigned urgency, MdTime now)
+md_runqueue_wait (const MdRunQueue *queue, MdTime now)
 {
-  MdTime bound = urgency < MD_URGENCIES - 1 ? now + urgency_bounds[urgency] : INT64_MAX;
   Projection p = { .free = queue->free.cpu };
+  double speed = md_runqueue_speed (queue, now);
   MdTime start = now;
 
   for (const MdRun *run = queue->running.first; run != NULL; run = run->next)
-    project_end (&p, expected_end (run, now), run->need.cpu);
-  for (const MdRun *run = queue->waiting.first; run != NULL && run->start_by <= bound;
-       run = run->next)
+    project_end (&p, expected_end (run, speed, now), run->need.cpu);
+  for (const MdRun *run = queue->waiting.first; run != NULL; run = run->next)
     {
-      if (run->start_by < now && urgency < MD_URGENCIES - 1)
-        continue;
       start = project_start (&p, start, run->need.cpu);
       p.free = md_room_less (p.free, run->need.cpu);
-      project_end (&p, start + (run->expected > 0 ? run->expected : DEFAULT_EXPECTED),
-                   run->need.cpu);
+      project_end (&p, start + expected_time (run, speed), run->need.cpu);
     }
   return project_start (&p, start, queue->typical_cpu) - now;
 }
@@ -259,11 +312,12 @@
 MdTime
 md_runqueue_next_end (const MdRunQueue *queue, MdTime now)
 {
+  double speed = md_runqueue_speed (queue, now);
   MdTime soonest = 0;
 
   for (const MdRun *run = queue->running.first; run != NULL; run = run->next)
     {
-      MdTime left = expected_end (run, now) - now;
+      MdTime left = expected_end (run, speed, now) - now;
 
       if (soonest == 0 || left < soonest)
         soonest = left;
@@ -274,11 +328,12 @@
 bool
 md_runqueue_stalled (const MdRunQueue *queue, MdTime now)
 {
+  double speed = exp (remembered_log_speed (queue, now));
   uint32_t overdue = 0;
 
   for (const MdRun *run = queue->running.first; run != NULL; run = run->next)
     {
-      MdTime expected = run->expected > 0 ? run->expected : DEFAULT_EXPECTED;
+      MdTime expected = expected_time (run, speed);
       MdTime limit = run->started_at + (MdTime)(STALL_FACTOR * (double)expected);
 
       if (now > limit && now > run->started_at + expected + STALL_MARGIN
--- a/wire.pb-c.c
+++ b/wire.pb-c.c
@@ -4008,12 +4008,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "expected_us",
+    "work_us",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Md__RunOrder, expected_us),
+    offsetof(Md__RunOrder, work_us),
     NULL,
     NULL,
     0,             /* flags */
@@ -4060,7 +4060,6 @@
   6,   /* field[6] = accelerators */
   9,   /* field[9] = checkpoint */
   4,   /* field[4] = cpu */
-  7,   /* field[7] = expected_us */
   0,   /* field[0] = id */
   5,   /* field[5] = memory_mb */
   2,   /* field[2] = run */
@@ -4068,6 +4067,7 @@
   8,   /* field[8] = start_within_us */
   1,   /* field[1] = task */
   10,   /* field[10] = ticket */
+  7,   /* field[7] = work_us */
 };
 static const ProtobufCIntRange md__run_order__number_ranges[1 + 1] =
 {
@@ -4295,7 +4295,7 @@
   (ProtobufCMessageInit) md__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_report__field_descriptors[12] =
+static const ProtobufCFieldDescriptor md__run_report__field_descriptors[13] =
 {
   {
     "stamp_us",
@@ -4360,13 +4360,13 @@
   {
     "wait_us",
     6,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
-    offsetof(Md__RunReport, n_wait_us),
+    0,   /* quantifier_offset */
     offsetof(Md__RunReport, wait_us),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -4441,6 +4441,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "speed",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, speed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_report__field_indices_by_name[] = {
   7,   /* field[7] = ends */
@@ -4449,6 +4461,7 @@
   3,   /* field[3] = free_memory_mb */
   1,   /* field[1] = last_order */
   11,   /* field[11] = next_end_us */
+  12,   /* field[12] = speed */
   9,   /* field[9] = stalled */
   0,   /* field[0] = stamp_us */
   6,   /* field[6] = started */
@@ -4459,7 +4472,7 @@
 static const ProtobufCIntRange md__run_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor md__run_report__descriptor =
 {
@@ -4469,7 +4482,7 @@
   "Md__RunReport",
   "md",
   sizeof(Md__RunReport),
-  12,
+  13,
   md__run_report__field_descriptors,
   md__run_report__field_indices_by_name,
   1,  md__run_report__number_ranges,
--- a/wire.pb-c.h
+++ b/wire.pb-c.h
@@ -595,9 +595,9 @@
   uint32_t memory_mb;
   uint32_t accelerators;
   /*
-   * run time expected at this worker
+   * run time expected at speed 1
    */
-  uint64_t expected_us;
+  uint64_t work_us;
   /*
    * it must start so soon to meet the goal of its job
    */
@@ -686,10 +686,9 @@
   uint32_t free_memory_mb;
   uint32_t free_accelerators;
   /*
-   * expected wait by urgency, see MD_URGENCIES
+   * expected wait of a further run
    */
-  size_t n_wait_us;
-  uint64_t *wait_us;
+  uint64_t wait_us;
   /*
    * orders of this entry that have started
    */
@@ -713,10 +712,14 @@
    * until the next expected end of a run
    */
   uint64_t next_end_us;
+  /*
+   * learned, relative to the declared run times
+   */
+  double speed;
 };
 #define MD__RUN_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0 }
 
 
 typedef enum {
