--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -96,8 +96,7 @@
 /* Answers                                                            */
 
 static void
-answer_ticket (MdRunEntry *entry, MdRunTicket *ticket, int status, const char *state,
-               MdTime retry_after)
+answer_ticket (MdRunTicket *ticket, int status, const char *state, MdTime retry_after)
 {
   uint64_t one = 1;
   int event = ticket->event;
@@ -107,7 +106,6 @@
   ticket->retry_after = retry_after;
   if (state != NULL)
     md_platform_write_state (&ticket->body, state);
-  atomic_fetch_sub (&entry->waiting, 1);
   /* The ticket belongs to its thread from here on. */
   atomic_store (&ticket->answered, true);
   if (write (event, &one, sizeof one) < 0)
@@ -179,7 +177,7 @@
       MdRunTicket *ticket = job->tickets;
 
       job->tickets = ticket->next;
-      answer_ticket (entry, ticket, status, state, retry_after);
+      answer_ticket (ticket, status, state, retry_after);
     }
   release_orders (job);
   free_job (entry, job);
@@ -502,7 +500,7 @@
   job = calloc (1, sizeof *job);
   if (job == NULL)
     {
-      answer_ticket (entry, ticket, 503, NULL, RETRY_NO_WORKER);
+      answer_ticket (ticket, 503, NULL, RETRY_NO_WORKER);
       return;
     }
   if (md_runjob_init (&job->job, &ticket->spec, ticket->route.max_attempts, &error) != MD_OK)
@@ -511,7 +509,7 @@
               ticket->route.name, error.detail);
       md_runjob_clear (&job->job);
       free (job);
-      answer_ticket (entry, ticket, 503, NULL, 0);
+      answer_ticket (ticket, 503, NULL, 0);
       return;
     }
   job->number = entry->next_job++;
@@ -539,7 +537,7 @@
   for (place = &job->tickets; *place != ticket; place = &(*place)->next)
     ;
   *place = ticket->next;
-  answer_ticket (entry, ticket, 0, NULL, 0);
+  answer_ticket (ticket, 0, NULL, 0);
   if (job->tickets == NULL)
     finish_job (entry, job, 0, NULL, "caller-left", 0);
 }
@@ -552,7 +550,7 @@
   for (const MdEntryJob *job = entry->jobs; job != NULL; job = job->next)
     n += job->started_at == 0 && strcmp (job->route.name, ticket->route.name) == 0;
   md_platform_write_pending (&ticket->body, n);
-  answer_ticket (entry, ticket, 200, NULL, 0);
+  answer_ticket (ticket, 200, NULL, 0);
 }
 
 void
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -238,7 +238,6 @@
 {
   int status;
 
-  atomic_fetch_add (&request->front->entry->waiting, 1);
   post (request->front->entry, ticket);
   wait_answer (request, ticket);
   status = ticket->status;
@@ -338,25 +337,37 @@
 }
 
 static int
-handle_caller (struct mg_connection *conn, void *user)
+handle_request (const Request *request)
 {
-  Request request
-      = { .front = user, .conn = conn, .info = mg_get_request_info (conn), .arrived = md_now () };
   MdRoute route;
   size_t max_body = DEFAULT_BODY_MAX;
   bool configured;
 
-  if (!find_route (&request, &route, &max_body, &configured))
+  if (!find_route (request, &route, &max_body, &configured))
     {
       MD_AUTO_BUF body = { 0 };
 
-      if (read_body (&request, &body, max_body) != 0)
-        mg_disable_connection_keep_alive (conn);
+      if (read_body (request, &body, max_body) != 0)
+        mg_disable_connection_keep_alive (request->conn);
       if (!configured)
-        return reject (&request, 503, "no configuration has been read yet", RETRY_NO_CONFIG);
-      return reject (&request, 404, "no such queue", 0);
+        return reject (request, 503, "no configuration has been read yet", RETRY_NO_CONFIG);
+      return reject (request, 404, "no such queue", 0);
     }
-  return handle_routed (&request, &route, max_body);
+  return handle_routed (request, &route, max_body);
+}
+
+static int
+handle_caller (struct mg_connection *conn, void *user)
+{
+  Request request
+      = { .front = user, .conn = conn, .info = mg_get_request_info (conn), .arrived = md_now () };
+  MdRunEntry *entry = request.front->entry;
+  int status;
+
+  atomic_fetch_add (&entry->requests, 1);
+  status = handle_request (&request);
+  atomic_fetch_sub (&entry->requests, 1);
+  return status;
 }
 
 static int
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -143,7 +143,7 @@
     return false;
   return entry->now >= entry->leave_until
          || (entry->now >= entry->leave_after && entry->n_jobs == 0
-             && atomic_load (&entry->waiting) == 0);
+             && atomic_load (&entry->requests) == 0);
 }
 
 static void
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -169,7 +169,7 @@
   MdTime leave_after;                  /* the balancer may still send until then */
   MdTime leave_until;                  /* end of the drain */
   atomic_bool ready;                   /* for the balancer */
-  atomic_int waiting;                  /* tickets of the front that are not answered */
+  atomic_int requests;                 /* of callers that have no response yet */
 } MdRunEntry;
 
 /* front.c */
