Notice lost orders sooner; keep room on fast workers for long tasks

Change: 30 ms for a start; holds of 20 ms for two seconds after a loss; a busy worker is left to tasks that need it.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -203,6 +203,7 @@
   need->need = spec->need;
   need->work = work_of (job, step);
   need->goal = job->goal - entry->now;
+  need->limit = job->limit - entry->now;
   need->per_worker = spec->per_worker;
 }
 
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -12,14 +12,19 @@
 
 #include <stdio.h>
 
-/* A hold waits so long for an end. Several fit into the worker's lease, and a lost one
-   hides ends no longer than HOLD_TIMEOUT. */
+/* A hold waits so long for an end, and is given up HOLD_MARGIN later. Several fit into
+   the worker's lease. */
 #define HOLD_WAIT (100 * MD_MS)
-#define HOLD_TIMEOUT (150 * MD_MS)      /* for its answer, the wait included */
+#define HOLD_MARGIN (40 * MD_MS)
+/* The same for LOSSY_TIME after an order was not answered: a further lost hold hides
+   ends for a shorter time than the slack of short tasks. */
+#define HOLD_WAIT_LOSSY (20 * MD_MS)
+#define HOLD_MARGIN_LOSSY (15 * MD_MS)
+#define LOSSY_TIME (2 * MD_SECOND)
 #define HOLD_RETRY (20 * MD_MS)         /* after a hold failed */
 #define HOLD_RETRY_AWAY (200 * MD_MS)   /* the same while the worker is not reached */
-#define START_TIMEOUT (120 * MD_MS)     /* a start is answered in a millisecond or two */
-#define STOP_TIMEOUT (200 * MD_MS)      /* the same for a stop */
+#define START_TIMEOUT (30 * MD_MS)      /* a start is answered in a millisecond or two */
+#define STOP_TIMEOUT (60 * MD_MS)       /* the same for a stop */
 #define STOP_RETRY (100 * MD_MS)        /* a stop is ordered again when no end follows */
 #define ROOM_PAUSE (10 * MD_MS)         /* after a rejection for want of room */
 #define MAX_ATTEMPTS 4                  /* rejected starts before the run is handed back */
@@ -192,6 +197,13 @@
     guard->worker.token += step;
 }
 
+/* An order was not answered; more may follow. */
+static void
+note_loss (MdRunGuard *guard)
+{
+  guard->lossy_until = guard->now + LOSSY_TIME;
+}
+
 /* ------------------------------------------------------------------ */
 /* Finding runs                                                       */
 
@@ -410,6 +422,8 @@
   else
     {
       guard->hold_missed = true;
+      if (guard->worker.reachable)
+        note_loss (guard);
       if (answer->status == 409)
         raise_token (guard, guard->hold_token, TOKEN_JUMP);
       if (guard->worker.reachable)
@@ -422,15 +436,20 @@
 static void
 send_hold (MdRunGuard *guard)
 {
+  bool lossy = guard->now < guard->lossy_until;
+  MdTime wait = lossy ? HOLD_WAIT_LOSSY : HOLD_WAIT;
+  MdTime margin = lossy ? HOLD_MARGIN_LOSSY : HOLD_MARGIN;
   MD_AUTO_CALL order = { 0 };
-  MdHttpCall request
-      = { .address = guard->daemon.settings.worker_address, .timeout = HOLD_TIMEOUT };
-  bool wait = guard->worker.clean && guard->worker.token_seen == guard->worker.token;
+  MdHttpCall request = { .address = guard->daemon.settings.worker_address, .timeout = margin };
+
+  if (!guard->worker.clean || guard->worker.token_seen != guard->worker.token)
+    wait = 0; /* an answer is needed at once */
+  request.timeout += wait;
 
   /* The name is left out: a hold answers for whichever lifetime is there, and states
      its birth. */
   md_platform_hold (&order, MD_STR (""), lease_ms (guard), guard->worker.token, guard->worker.seen,
-                    wait ? HOLD_WAIT : 0);
+                    wait);
   request.method = order.method;
   request.target = order.target.data;
   request.headers = order.headers.data;
@@ -466,6 +485,7 @@
 static void
 doubt_start (MdRunGuard *guard, MdGuardRun *run, const OrderCall *call, const MdError *error)
 {
+  note_loss (guard);
   raise_token (guard, call->token, TOKEN_STEP);
   run->fenced_by = call->token + 1;
   md_log (MD_LOG_WARN, "start-unanswered", "task=%s run=%u token=%llu reason=\"%s\"", run->task,
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -124,6 +124,7 @@
   MdTime hold_sent;          /* when the one under way was made */
   uint64_t hold_token;       /* token it carries */
   bool hold_missed;          /* the last hold was not answered */
+  MdTime lossy_until;        /* orders are lost now and then */
   MdTime start_after;        /* no starts before, after a rejection for want of room */
   bool leaving;              /* SIGTERM has arrived */
   MdTime leave_until;        /* end of the drain */
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -8,7 +8,9 @@
 
    The expected end is the reported wait plus the run time at the learned speed. At a
    peak a slow worker that is free is better than a wait for a fast one as long as it
-   meets the goal: the fast ones are then left to tasks that need them. If all
+   meets the goal: the fast ones are then left to tasks that need them. The same holds
+   for the last free rooms of a fast worker, as long tasks meet their goals nowhere
+   else. If all
    entries ranked workers alike, they would all send to the same one between two
    reports; a small bias that is unlike for each pair of entry and worker keeps them
    apart, so that each first fills workers of its own. A worker that failed runs of
@@ -21,7 +23,13 @@
 #define FAILURES_TO_AVOID 3           /* consecutive, of different jobs */
 #define AVOID_MIN (500 * MD_MS)       /* first pause of such a worker */
 #define AVOID_MAX (4 * MD_SECOND)     /* longest pause */
-#define GOAL_SAFETY 1.05              /* estimates of run times scatter */
+/* Estimates of run times scatter by a factor of about exp (0.4). */
+#define GOAL_SAFETY 1.05
+#define LIMIT_SAFETY 1.4
+/* A worker that is busier than this is left to tasks that need it, if there are others:
+   at a busy share of 0.47 half its speed elsewhere is as good. */
+#define BUSY_FREE 0.3
+#define BUSY_WEIGHT 6.0
 #define STALL_PENALTY (2 * MD_SECOND) /* added to the wait at a stalled worker */
 #define REPORT_AGE_MAX (600 * MD_MS)  /* an older report says little about room */
 
@@ -71,29 +79,38 @@
   return placement;
 }
 
-static MdTime
-rank (const MdPlacement *placement)
+/* Smaller is better. */
+static double
+rank (const MdPlacement *placement, bool meets)
 {
-  return placement->wait + placement->run + placement->worker->bias;
+  const MdWorker *worker = placement->worker;
+  double busy
+      = worker->capacity.cpu > 0 ? 1.0 - (double)worker->free.cpu / worker->capacity.cpu : 1;
+  double run = (double)placement->run;
+
+  if (meets && busy > BUSY_FREE)
+    run *= 1 + BUSY_WEIGHT * (busy - BUSY_FREE);
+  return (double)(placement->wait + worker->bias) + run;
 }
 
-/* An estimate misses by more than the goal allows only now and then. */
+/* Goals grow with the work, as run times do; limits do not. */
 static bool
 meets_goal_at_once (const MdPlacement *placement, const MdTaskNeed *need)
 {
-  return placement->wait == 0 && (double)placement->run * GOAL_SAFETY <= (double)need->goal;
+  return placement->wait == 0 && (double)placement->run * GOAL_SAFETY <= (double)need->goal
+         && (double)placement->run * LIMIT_SAFETY <= (double)need->limit;
 }
 
 static bool
 is_better (const MdPlacement *a, const MdPlacement *b, const MdTaskNeed *need)
 {
-  bool a_meets = meets_goal_at_once (a, need);
+  bool meets = meets_goal_at_once (a, need);
 
   if (b->worker == NULL)
     return true;
-  if (a_meets != meets_goal_at_once (b, need))
-    return a_meets;
-  return rank (a) < rank (b);
+  if (meets != meets_goal_at_once (b, need))
+    return meets;
+  return rank (a, meets) < rank (b, meets);
 }
 
 MdPlacement
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -208,6 +208,7 @@
   MdRoom need;             /* room */
   double work;             /* run time at speed 1, microseconds */
   MdTime goal;             /* an end within this time meets the goal of the job */
+  MdTime limit;            /* an end after this time is worth nothing */
   uint32_t per_worker;     /* most tasks of the step on one worker, 0 any */
 } MdTaskNeed;
 
@@ -218,8 +219,8 @@
   MdTime run;       /* expected run time there */
 } MdPlacement;
 
-/* md_place: a worker that can start the task at once and meet the goal, the fastest of
-   them; otherwise the worker on which the task ends first. taken[i] counts tasks of the
+/* md_place: a worker that can start the task at once and meet the goal, the faster and
+   the emptier the better; otherwise the worker on which the task ends first. taken[i] counts tasks of the
    step on worker i, for per_worker; NULL when that does not matter. avoid, if not
    NULL, is used only when there is no other. */
 MdPlacement md_place (const MdWorkers *workers, const MdTaskNeed *need, const uint32_t *taken,
