Let long tasks wait for fast workers; bound the backlog, not every wait

Change: a worker counts as safe for a task only if twice the estimate ends in time; otherwise the wait for a fast worker is compared at twice the estimate; admission looks at the shortest wait in the fleet. Tests of the queue and of placement.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -339,16 +339,17 @@
 forecast_step (MdRunEntry *entry, const MdEntryJob *job, uint32_t step, MdForecast *forecast)
 {
   MdTaskNeed need;
+  MdTime backlog;
 
   fill_need (entry, job, step, &need);
+  backlog = md_place_backlog (&entry->workers, &need, entry->now);
+  forecast->wait = backlog > forecast->wait ? backlog : forecast->wait;
   for (uint32_t k = 0; k < job->job.spec.steps[step].count; k++)
     {
       MdPlacement placement = md_place (&entry->workers, &need, NULL, NULL, entry->now);
 
       if (placement.worker == NULL)
         return false;
-      if (placement.wait > forecast->wait)
-        forecast->wait = placement.wait;
       if (placement.wait + placement.run > forecast->finish)
         forecast->finish = placement.wait + placement.run;
       md_worker_reserve (placement.worker, need.need, placement.run);
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -5,8 +5,9 @@
    caller, and its tasks would make others late as well, so it is rejected on arrival,
    when nothing of it has run and the caller still has time to come back.
 
-   Beyond that the wait is bounded, because a backlog as long as the slack of the most
-   patient queue would turn away all jobs of the others. The bound is shorter for a
+   Beyond that the backlog is bounded, because one as long as the slack of the most
+   patient queue would turn away all jobs of the others. A wait for some worker that a
+   job prefers, while others are free, is no backlog. The bound is shorter for a
    queue that asks for more than its share: it is cut back first, and the queues that
    ask for less are hardly touched. A short backlog keeps all workers busy just as well
    as a long one. A job that is late without any wait, for want of fast workers, delays
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -20,12 +20,13 @@
 
 #include <string.h>
 
-#define FAILURES_TO_AVOID 3           /* consecutive, of different jobs */
-#define AVOID_MIN (500 * MD_MS)       /* first pause of such a worker */
-#define AVOID_MAX (4 * MD_SECOND)     /* longest pause */
-/* Estimates of run times scatter by a factor of about exp (0.4). */
+#define FAILURES_TO_AVOID 3       /* consecutive, of different jobs */
+#define AVOID_MIN (500 * MD_MS)   /* first pause of such a worker */
+#define AVOID_MAX (4 * MD_SECOND) /* longest pause */
+/* Estimates of run times scatter by a factor of about exp (0.4). A goal grows with the
+   work as the run time does, a limit does not: 2 is seldom exceeded. */
 #define GOAL_SAFETY 1.05
-#define LIMIT_SAFETY 1.4
+#define LIMIT_SAFETY 2.0
 /* A worker that is busier than this is left to tasks that need it, if there are others:
    at a busy share of 0.47 half its speed elsewhere is as good. */
 #define BUSY_FREE 0.3
@@ -79,9 +80,18 @@
   return placement;
 }
 
-/* Smaller is better. */
+/* The caller leaves little more time than the goal: a run that takes longer than
+   estimated is worth nothing. */
+static bool
+is_limited (const MdTaskNeed *need)
+{
+  return (double)need->limit < LIMIT_SAFETY * (double)need->goal;
+}
+
+/* Smaller is better. A long task waits for a fast worker rather than to start at once
+   on one that ends it in time only if the estimate holds. */
 static double
-rank (const MdPlacement *placement, bool meets)
+rank (const MdPlacement *placement, const MdTaskNeed *need, bool meets)
 {
   const MdWorker *worker = placement->worker;
   double busy
@@ -90,6 +100,8 @@
 
   if (meets && busy > BUSY_FREE)
     run *= 1 + BUSY_WEIGHT * (busy - BUSY_FREE);
+  if (!meets && is_limited (need))
+    run *= LIMIT_SAFETY;
   return (double)(placement->wait + worker->bias) + run;
 }
 
@@ -110,7 +122,7 @@
     return true;
   if (meets != meets_goal_at_once (b, need))
     return meets;
-  return rank (a, meets) < rank (b, meets);
+  return rank (a, need, meets) < rank (b, need, meets);
 }
 
 MdPlacement
@@ -137,6 +149,25 @@
   return best.worker != NULL ? best : fallback;
 }
 
+MdTime
+md_place_backlog (const MdWorkers *workers, const MdTaskNeed *need, MdTime now)
+{
+  MdTime shortest = INT64_MAX;
+
+  for (uint32_t i = 0; i < workers->n && shortest > 0; i++)
+    {
+      MdWorker *worker = workers->workers[i];
+
+      if (can_run (worker, need) && !is_avoided (worker, now))
+        {
+          MdTime wait = place_on (workers, worker, need, now).wait;
+
+          shortest = wait < shortest ? wait : shortest;
+        }
+    }
+  return shortest;
+}
+
 /* Without room the run takes its share of the worker's time, and the next waits so
    much longer. */
 void
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -226,6 +226,9 @@
 MdPlacement md_place (const MdWorkers *workers, const MdTaskNeed *need, const uint32_t *taken,
                       const MdWorker *avoid, MdTime now);
 
+/* md_place_backlog: the shortest wait for such a task at any worker that could run it. */
+MdTime md_place_backlog (const MdWorkers *workers, const MdTaskNeed *need, MdTime now);
+
 /* md_worker_reserve: reckon with an order that the last report does not know of. */
 void md_worker_reserve (MdWorker *worker, MdRoom need, MdTime run);
 
@@ -259,7 +262,7 @@
 
 typedef struct
 {
-  MdTime wait;   /* predicted until the last task starts */
+  MdTime wait;   /* shortest at any worker that could run it: the backlog */
   MdTime finish; /* predicted, from now */
   MdTime goal;   /* from now */
   MdTime limit;  /* the answer is worth nothing after this, from now */
--- /dev/null
+++ b/tests/test-placement.c
@@ -0,0 +1,351 @@
+/* test-placement.c -- placement, admission, shares of queues, steps of jobs
+
+   Each test states the load pattern or the failure it guards against. */
+
+#include "run-sched.h"
+
+#include <check.h>
+
+#define N 4
+
+typedef struct
+{
+  MdWorker worker[N];
+  MdWorker *list[N];
+  MdWorkers all;
+} Fleet;
+
+static void
+fleet_init (Fleet *fleet)
+{
+  *fleet = (Fleet){ 0 };
+  for (unsigned i = 0; i < N; i++)
+    {
+      MdWorker *worker = &fleet->worker[i];
+
+      worker->state = MD_WORKER_READY;
+      worker->connected = true;
+      worker->capacity = worker->free = (MdRoom){ 64000, 262144, 0 };
+      worker->speed = 1;
+      md_str_copy (worker->service, sizeof worker->service, MD_STR ("calc"));
+      worker->labels.n = 1;
+      md_str_copy (worker->labels.label[0], MD_LABEL_BYTES, i % 2 ? MD_STR ("r1") : MD_STR ("r0"));
+      fleet->list[i] = worker;
+    }
+  fleet->all = (MdWorkers){ .workers = fleet->list, .n = N, .remote_factor = 1.5 };
+}
+
+static MdTaskNeed
+need_of (MdTime work)
+{
+  return (MdTaskNeed){ .service = "calc",
+                       .requirement = "",
+                       .affinity = "",
+                       .need = { 6200, 64, 0 },
+                       .work = (double)work,
+                       .goal = work * 16 / 10 + 60 * MD_MS,
+                       .limit = 1500 * MD_MS };
+}
+
+START_TEST (only_workers_that_can_run_it_are_chosen)
+{
+  Fleet fleet;
+  MdTaskNeed need = need_of (100 * MD_MS);
+
+  fleet_init (&fleet);
+  fleet.worker[0].state = MD_WORKER_DRAINING;
+  fleet.worker[1].connected = false;
+  md_str_copy (fleet.worker[2].service, MD_NAME_BYTES, MD_STR ("other"));
+  ck_assert_ptr_eq (md_place (&fleet.all, &need, NULL, NULL, 0).worker, &fleet.worker[3]);
+  need.requirement = "a100";
+  ck_assert_ptr_null (md_place (&fleet.all, &need, NULL, NULL, 0).worker);
+  ck_assert (!md_place_possible (&fleet.all, &need));
+}
+END_TEST
+
+START_TEST (data_is_near)
+{
+  Fleet fleet;
+  MdTaskNeed need = need_of (100 * MD_MS);
+
+  fleet_init (&fleet);
+  need.affinity = "r1";
+  fleet.worker[1].speed = 0.8;
+  fleet.worker[3].state = MD_WORKER_DRAINING;
+  ck_assert_ptr_eq (md_place (&fleet.all, &need, NULL, NULL, 0).worker, &fleet.worker[1]);
+}
+END_TEST
+
+START_TEST (bound_per_worker_holds)
+{
+  Fleet fleet;
+  MdTaskNeed need = need_of (100 * MD_MS);
+  uint32_t taken[N] = { 1, 1, 0, 1 };
+
+  fleet_init (&fleet);
+  need.per_worker = 1;
+  ck_assert_ptr_eq (md_place (&fleet.all, &need, taken, NULL, 0).worker, &fleet.worker[2]);
+  taken[2] = 1;
+  ck_assert_ptr_null (md_place (&fleet.all, &need, taken, NULL, 0).worker);
+}
+END_TEST
+
+/* Load pattern: a burst fills the fast workers. A task that meets its goal on a slow
+   worker that is free must not queue for a fast one. */
+START_TEST (free_slow_worker_before_a_wait)
+{
+  Fleet fleet;
+  MdTaskNeed need = need_of (200 * MD_MS);
+
+  fleet_init (&fleet);
+  for (unsigned i = 0; i < N - 1; i++)
+    {
+      fleet.worker[i].speed = 1.4;
+      fleet.worker[i].free.cpu = 0;
+      fleet.worker[i].wait = 30 * MD_MS;
+    }
+  fleet.worker[N - 1].speed = 0.6;
+  ck_assert_ptr_eq (md_place (&fleet.all, &need, NULL, NULL, 0).worker, &fleet.worker[N - 1]);
+  /* Where the slow one misses the goal, the wait is shorter. */
+  fleet.worker[N - 1].speed = 0.4;
+  ck_assert_ptr_ne (md_place (&fleet.all, &need, NULL, NULL, 0).worker, &fleet.worker[N - 1]);
+}
+END_TEST
+
+/* Load pattern: tasks of 60 ms and 900 ms, few fast workers. Only these end the long
+   ones in time, so short ones leave their last rooms alone. */
+START_TEST (last_rooms_of_a_fast_worker_are_kept)
+{
+  Fleet fleet;
+  MdTaskNeed brief = need_of (60 * MD_MS);
+  MdTaskNeed lengthy = need_of (900 * MD_MS);
+
+  fleet_init (&fleet);
+  for (unsigned i = 1; i < N; i++)
+    fleet.worker[i].speed = 0.83;
+  fleet.worker[0].speed = 1.8;
+  fleet.worker[0].free.cpu = 13000;
+  ck_assert_ptr_ne (md_place (&fleet.all, &brief, NULL, NULL, 0).worker, &fleet.worker[0]);
+  ck_assert_ptr_eq (md_place (&fleet.all, &lengthy, NULL, NULL, 0).worker, &fleet.worker[0]);
+}
+END_TEST
+
+START_TEST (reserved_room_counts)
+{
+  Fleet fleet;
+  MdTaskNeed need = need_of (100 * MD_MS);
+  unsigned used[N] = { 0 };
+
+  fleet_init (&fleet);
+  for (unsigned k = 0; k < 40; k++)
+    {
+      MdPlacement placement = md_place (&fleet.all, &need, NULL, NULL, 0);
+
+      ck_assert_int_eq (placement.wait, 0);
+      used[placement.worker - fleet.worker]++;
+      md_worker_reserve (placement.worker, need.need, placement.run);
+    }
+  for (unsigned i = 0; i < N; i++)
+    ck_assert_uint_eq (used[i], 10);
+  ck_assert_int_gt (md_place (&fleet.all, &need, NULL, NULL, 0).wait, 0);
+}
+END_TEST
+
+/* Failure: a worker fails whatever it starts, at once, and looks free for ever. */
+START_TEST (failing_worker_is_tried_now_and_then)
+{
+  Fleet fleet;
+  MdTaskNeed need = need_of (100 * MD_MS);
+
+  fleet_init (&fleet);
+  fleet.worker[0].speed = 3;
+  for (uint64_t job = 1; job <= 3; job++)
+    md_worker_ended (&fleet.worker[0], MD_RUN_FAILED, job, 0);
+  ck_assert_ptr_ne (md_place (&fleet.all, &need, NULL, NULL, 0).worker, &fleet.worker[0]);
+  ck_assert_ptr_eq (md_place (&fleet.all, &need, NULL, NULL, MD_SECOND).worker, &fleet.worker[0]);
+  fleet.worker[0].outstanding = 1;
+  ck_assert_ptr_ne (md_place (&fleet.all, &need, NULL, NULL, MD_SECOND).worker, &fleet.worker[0]);
+  md_worker_ended (&fleet.worker[0], MD_RUN_DONE, 4, MD_SECOND);
+  ck_assert_ptr_eq (md_place (&fleet.all, &need, NULL, NULL, MD_SECOND).worker, &fleet.worker[0]);
+}
+END_TEST
+
+/* Failure: a job that can never be done fails on every worker, one after the other. */
+START_TEST (one_bad_job_condemns_nobody)
+{
+  Fleet fleet;
+
+  fleet_init (&fleet);
+  for (int i = 0; i < 8; i++)
+    md_worker_ended (&fleet.worker[0], MD_RUN_FAILED, 7, 0);
+  ck_assert_uint_eq (fleet.worker[0].failures, 1);
+}
+END_TEST
+
+START_TEST (stalled_worker_is_left_alone)
+{
+  Fleet fleet;
+  MdTaskNeed need = need_of (100 * MD_MS);
+
+  fleet_init (&fleet);
+  fleet.worker[0].speed = 3;
+  fleet.worker[0].stalled = true;
+  ck_assert_ptr_ne (md_place (&fleet.all, &need, NULL, NULL, 0).worker, &fleet.worker[0]);
+}
+END_TEST
+
+START_TEST (busy_queue_yields_first)
+{
+  MdDemand demand[3] = { 0 };
+  const MdDemand *list[3] = { &demand[0], &demand[1], &demand[2] };
+
+  md_demand_add (&demand[0], 100, 0);
+  md_demand_add (&demand[1], 140, 0);
+  md_demand_add (&demand[2], 250, 0);
+  ck_assert (md_admit_wait_bound (md_demand_ratio (list, 3, &demand[2], 0))
+             < md_admit_wait_bound (md_demand_ratio (list, 3, &demand[1], 0)));
+  ck_assert_double_eq_tol (md_demand_ratio (list, 1, &demand[0], 0), 1.0, 1e-9);
+  /* A queue that has gone quiet is forgotten. */
+  md_demand_add (&demand[0], 100, 60 * MD_SECOND);
+  ck_assert_double_lt (md_demand_ratio (list, 3, &demand[2], 60 * MD_SECOND), 0.01);
+}
+END_TEST
+
+/* Load pattern: a burst. What cannot meet its goal is turned away on arrival. */
+START_TEST (late_job_is_rejected_only_behind_others)
+{
+  MdForecast fits = { .wait = 20 * MD_MS,
+                      .finish = 100 * MD_MS,
+                      .goal = 150 * MD_MS,
+                      .limit = 450 * MD_MS,
+                      .demand = 1 };
+  MdForecast queued = fits;
+  MdForecast slow = fits;
+
+  ck_assert_int_eq (md_admit_run (&fits), MD_ADMIT_NOW);
+  queued.finish = 200 * MD_MS;
+  ck_assert_int_eq (md_admit_run (&queued), MD_ADMIT_NEVER);
+  slow.wait = 0;
+  slow.finish = 200 * MD_MS;
+  ck_assert_int_eq (md_admit_run (&slow), MD_ADMIT_LATE);
+  slow.finish = 500 * MD_MS;
+  ck_assert_int_eq (md_admit_run (&slow), MD_ADMIT_NEVER);
+}
+END_TEST
+
+START_TEST (retries_are_spread)
+{
+  MdForecast forecast = { .wait = 400 * MD_MS };
+  MdTime first = md_admit_retry_after (&forecast, 0);
+  MdTime last = md_admit_retry_after (&forecast, (uint64_t)(400 * MD_MS) - 1);
+
+  ck_assert_int_eq (first, 400 * MD_MS);
+  ck_assert_int_gt (last, 790 * MD_MS);
+}
+END_TEST
+
+static void
+job_init (MdRunJob *job, uint32_t attempts)
+{
+  MdRunSpec spec = { .n_steps = 3 };
+
+  spec.spec = calloc (1, 1);
+  spec.steps = calloc (3, sizeof *spec.steps);
+  for (unsigned i = 0; i < 3; i++)
+    spec.steps[i].count = 2;
+  spec.steps[2].after = 3;
+  ck_assert_int_eq (md_runjob_init (job, &spec, attempts, NULL), MD_OK);
+}
+
+static void
+end_task (MdRunJob *job, uint32_t step, uint32_t task, MdRunHow how)
+{
+  job->tasks[step][task].state = MD_TASK_ORDERED;
+  job->ready--;
+  job->ordered++;
+  md_runjob_end (job, step, task, how);
+}
+
+START_TEST (steps_wait_for_those_before)
+{
+  double work[3] = { 10, 30, 5 };
+  MdRunJob job;
+
+  job_init (&job, 3);
+  ck_assert_uint_eq (job.ready, 4);
+  ck_assert_double_eq (md_runjob_chain (&job, work), 35);
+  for (uint32_t i = 0; i < 2; i++)
+    for (uint32_t k = 0; k < 2; k++)
+      {
+        ck_assert_int_eq (job.tasks[2][0].state, MD_TASK_BLOCKED);
+        end_task (&job, i, k, MD_RUN_DONE);
+      }
+  ck_assert_int_eq (job.tasks[2][0].state, MD_TASK_READY);
+  end_task (&job, 2, 0, MD_RUN_DONE);
+  ck_assert_int_eq (job.state, MD_RUNJOB_ACTIVE);
+  end_task (&job, 2, 1, MD_RUN_DONE);
+  ck_assert_int_eq (job.state, MD_RUNJOB_COMPLETED);
+  md_runjob_clear (&job);
+}
+END_TEST
+
+START_TEST (only_failures_use_up_attempts)
+{
+  MdRunJob job;
+
+  job_init (&job, 2);
+  for (int i = 0; i < 5; i++)
+    end_task (&job, 0, 0, i % 2 ? MD_RUN_LAPSED : MD_RUN_REJECTED);
+  ck_assert_int_eq (job.state, MD_RUNJOB_ACTIVE);
+  end_task (&job, 0, 0, MD_RUN_FAILED);
+  ck_assert_int_eq (job.state, MD_RUNJOB_ACTIVE);
+  end_task (&job, 0, 0, MD_RUN_FAILED);
+  ck_assert_int_eq (job.state, MD_RUNJOB_FAILED);
+  md_runjob_clear (&job);
+}
+END_TEST
+
+START_TEST (unsupported_jobs_are_told_apart)
+{
+  MdRunSpec spec = { .n_steps = 1, .repeat = 2 };
+  MdError error = { 0 };
+  MdRunJob job;
+
+  spec.steps = calloc (1, sizeof *spec.steps);
+  spec.steps[0].count = 1;
+  ck_assert_int_eq (md_runjob_init (&job, &spec, 1, &error), MD_E_INVALID);
+  ck_assert_str_ne (error.detail, "");
+  md_runjob_clear (&job);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("placement");
+  TCase *tc = tcase_create ("placement");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (tc, only_workers_that_can_run_it_are_chosen);
+  tcase_add_test (tc, data_is_near);
+  tcase_add_test (tc, bound_per_worker_holds);
+  tcase_add_test (tc, free_slow_worker_before_a_wait);
+  tcase_add_test (tc, last_rooms_of_a_fast_worker_are_kept);
+  tcase_add_test (tc, reserved_room_counts);
+  tcase_add_test (tc, failing_worker_is_tried_now_and_then);
+  tcase_add_test (tc, one_bad_job_condemns_nobody);
+  tcase_add_test (tc, stalled_worker_is_left_alone);
+  tcase_add_test (tc, busy_queue_yields_first);
+  tcase_add_test (tc, late_job_is_rejected_only_behind_others);
+  tcase_add_test (tc, retries_are_spread);
+  tcase_add_test (tc, steps_wait_for_those_before);
+  tcase_add_test (tc, only_failures_use_up_attempts);
+  tcase_add_test (tc, unsupported_jobs_are_told_apart);
+  suite_add_tcase (suite, tc);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
