--- /dev/null
+++ b/tests/platform.sh
@@ -0,0 +1,163 @@
+# platform.sh -- a small installation on stand-ins of the users' platform; to be sourced
+#
+# $BIN names the build. Every process runs on loopback; its id stands in $RUN/NAME.pid.
+BIN=${MD_BIN:-build/release}
+RUN=$(mktemp -d)
+: > "$RUN/journal"
+ENTRIES=2
+GUARDS=3
+
+finish_platform () {
+  for f in "$RUN"/*.pid; do [ -f "$f" ] && kill -KILL "$(cat "$f")" 2>/dev/null; done
+  wait 2>/dev/null
+  [ -n "${KEEP:-}" ] && echo "logs: $RUN" || rm -rf "$RUN"
+}
+trap finish_platform EXIT
+
+fail () { echo "FAILED: $*"; KEEP=1; exit 1; }
+
+# Entries share one internal port, as on the platform, and differ by address.
+plan_ports () {
+  set -- $("$BIN/tests/freeport" $((6 + 3 * GUARDS)))
+  INNER=$1 CALLERS=$2 READY=$3 STORE=127.0.0.1:$4
+  shift 6
+  local n
+  for n in $(seq "$GUARDS"); do
+    eval "ORDERS_$n=127.0.0.1:$1 REGISTER_$n=127.0.0.1:$2 VIA_$n=127.0.0.1:$3"
+    shift 3
+  done
+  SEEDS=
+  for n in $(seq "$ENTRIES"); do SEEDS=$SEEDS${SEEDS:+,}127.0.0.$((10 + n)):1; done
+}
+
+launch () { # name command...
+  local name=$1; shift
+  "$@" >> "$RUN/$name.log" 2>&1 &
+  echo $! > "$RUN/$name.pid"
+}
+pid_of () { cat "$RUN/$1.pid"; }
+
+start_store () { launch store "$BIN/tests/platform-store" --listen "$STORE"; }
+store_mode () { curl -sS -m 3 -X POST "http://$STORE/control?mode=$1" > /dev/null; }
+
+start_worker () { # n [speed]
+  local orders register
+  eval "orders=\$ORDERS_$1 register=\$REGISTER_$1"
+  launch "worker-$1" "$BIN/tests/platform-worker" --id "i-$1" --listen "$orders" \
+    --guard "$register" --speed "${2:-1}" --cpu 8000 --journal "$RUN/journal"
+}
+worker_mode () {
+  local orders
+  eval "orders=\$ORDERS_$1"
+  curl -sS -m 3 -X POST "http://$orders/control?mode=$2" > /dev/null
+}
+
+start_entry () { # n
+  local ip=127.0.0.$((10 + $1))
+  cat > "$RUN/entry-$1.yaml" <<YAML
+role: run-entry
+name: entry-$1
+region: lusitania
+failure_domain: lusitania-a
+store_address: $STORE
+internal_address: $ip:$INNER
+entry_port: $INNER
+caller_address: $ip:$CALLERS
+ready_address: $ip:$READY
+seeds: "$SEEDS"
+caller_threads: 64
+grace_s: 6
+YAML
+  launch "entry-$1" "$BIN/mulberrydrift" run-entry --config "$RUN/entry-$1.yaml"
+}
+
+start_guard () { # n; through VIA_n when PROXIED is set
+  local orders register via
+  eval "orders=\$ORDERS_$1 register=\$REGISTER_$1 via=\$VIA_$1"
+  [ -n "${PROXIED:-}" ] && orders=$via
+  cat > "$RUN/guard-$1.yaml" <<YAML
+role: run-guard
+name: guard-$1
+region: lusitania
+failure_domain: lusitania-a
+store_address: $STORE
+entry_port: $INNER
+seeds: "$SEEDS"
+worker_address: $orders
+register_address: $register
+worker_lease_max_ms: 1000
+grace_s: 6
+YAML
+  launch "guard-$1" "$BIN/mulberrydrift" run-guard --config "$RUN/guard-$1.yaml"
+}
+
+# put_config VERSION PREFIX...: the operator's configuration with these queues.
+put_config () {
+  local version=$1 routes= prefix
+  shift
+  for prefix in "$@"; do
+    routes="$routes${routes:+,}{\"name\":\"q$prefix\",\"host\":\"jobs.example\",\"path_prefix\":\"$prefix\",\"timeout_ms\":1500,\"target_latency_ms\":60,\"priority\":1,\"service\":\"calc\",\"max_attempts\":2,\"slack_factor\":4}"
+  done
+  printf '{"version":%s,"routes":[%s],"services":[],"limits":{}}' "$version" "$routes" \
+    > "$RUN/config.json"
+  local len=$(($(stat -c %s "$RUN/config.json") + 7))
+  { printf "\\x$(printf %02x $((len >> 24)))\\x$(printf %02x $((len >> 16 & 255)))\\x$(printf %02x $((len >> 8 & 255)))\\x$(printf %02x $((len & 255)))\\x06config"
+    cat "$RUN/config.json"; } > "$RUN/record"
+  curl -sS -m 3 --data-binary @"$RUN/record" \
+    "http://$STORE/v1/log-append?topic=keyed.op&part=0" > /dev/null
+}
+
+ready () { # n
+  [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' "http://127.0.0.$((10 + $1)):$READY/v1/readyz")" = 200 ]
+}
+seen () { grep -q "$2" "$RUN/$1.log"; } # name pattern
+wait_for () { # seconds command...
+  local left=$(($1 * 20))
+  shift
+  while ! "$@"; do
+    left=$((left - 1))
+    [ $left -gt 0 ] || return 1
+    sleep 0.05
+  done
+}
+workers_seen () { # entry count
+  [ "$(grep -c 'event=upstream-state.*state=1' "$RUN/entry-$1.log")" -ge "$2" ]
+}
+
+# post JOB BODY [entry]: prints the status and the body.
+post () {
+  curl -s -m 5 -w ' %{http_code}\n' -H 'Host: jobs.example' -H 'Content-Type: application/json' \
+    -d "$2" "http://127.0.0.$((10 + ${3:-1})):$CALLERS/calc/$1"
+}
+
+start_platform () {
+  plan_ports
+  local n
+  start_store
+  wait_for 5 curl -sS -m 1 -o /dev/null "http://$STORE/control" || fail "the store did not start"
+  put_config 3 /calc/
+  for n in $(seq "$ENTRIES"); do start_entry "$n"; done
+  for n in $(seq "$GUARDS"); do start_worker "$n"; start_guard "$n"; done
+  for n in $(seq "$ENTRIES"); do
+    wait_for 20 workers_seen "$n" "$GUARDS" || fail "entry-$n does not see every worker"
+    wait_for 5 ready "$n" || fail "entry-$n is not ready"
+  done
+}
+
+# judge_runs JOURNAL RESULTS: counts broken promises from what workers and callers saw:
+# two runs of a task at once, and jobs that started although every attempt was rejected.
+judge_runs () {
+  sort -s -k1,1 -k2,2 "$2" > "$RUN/sorted" 2>/dev/null
+  awk -v slack=5 '
+    FNR == NR { outcome[$1] = $2; n[$2]++; next }
+    $1 == "start" { starts++
+      split($2, part, "."); begun[part[1]] = 1
+      for (r in open) { split(r, k, SUBSEP); if (k[1] == $2 && k[2] != $3) { twice++; print "TWICE " $2 > "/dev/stderr" } }
+      open[$2, $3] = $4 }
+    $1 == "end" { delete open[$2, $3] }
+    END {
+      for (id in outcome) if (outcome[id] == "rejected" && begun[id]) { false_not_run++; print "REFUSED " id > "/dev/stderr" }
+      printf "starts=%d twice=%d false_not_run=%d completed=%d failed=%d rejected=%d unknown=%d left=%d\n",
+        starts, twice, false_not_run, n["completed"], n["failed"], n["rejected"], n["unknown"], n["left"] }' \
+    "$2" "$1"
+}
--- /dev/null
+++ b/tests/run-platform.sh
@@ -0,0 +1,71 @@
+#!/usr/bin/env bash
+# Entries and guards on stand-ins of the users' platform: a job of several steps, queue
+# states, a configuration that comes and goes, a worker that leaves, a lost entry, a
+# lost guard, lost orders, a store that is away. Expected output stands in
+# run-platform.expected; guards against a path that works on calm days only.
+cd "$(dirname "$0")/.."
+. tests/platform.sh
+
+JOB='{"best_effort":true,"spec":"ms=30 cpu=1000","steps":[{"count":3,"cpu":1000,"mem_mb":64,"estimated_ms":30},{"count":2,"cpu":1000,"mem_mb":64,"estimated_ms":30,"depends_on":[0]}]}'
+
+run () {
+  start_platform
+  echo "a job of two steps: $(post 00000000000000a1 "$JOB")"
+  echo "in order: $(awk '/^start .*\.1\.[01] 1/ { if (done < 3) print "no" } /^end .*\.0\.[012] 1 done/ { done++ }' "$RUN/journal" | sort -u | grep -c no) early starts"
+  echo "no such queue: $(curl -s -m 5 -o /dev/null -w '%{http_code}' -H 'Host: other.example' "http://127.0.0.11:$CALLERS/calc/")"
+  echo "pending: $(curl -s -m 5 -H 'Host: jobs.example' "http://127.0.0.11:$CALLERS/calc/")"
+  echo "unknown job: $(curl -s -m 5 -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' "http://127.0.0.11:$CALLERS/calc/00000000000000ff")"
+  echo "a job that must be stored: $(post 00000000000000a2 "${JOB/\"best_effort\":true,/}")"
+  echo "larger than any worker: $(post 00000000000000a3 "${JOB//\"cpu\":1000/\"cpu\":900000}")"
+  echo "a task that fails: $(post 00000000000000a4 "${JOB/cpu=1000/cpu=1000 fail}")"
+  echo "not a job: $(post 00000000000000a5 'nonsense')"
+
+  store_mode forget
+  put_config 8 /calc/ /added/
+  wait_for 5 seen entry-1 'config-applied version=8' || fail "version 8 is not applied"
+  put_config 5 /calc/
+  put_config 9 /calc/ /added/ /more/
+  wait_for 5 seen entry-1 'config-applied version=9' || fail "version 9 is not applied"
+  seen entry-1 'config-applied version=5' && fail "an older version was applied"
+  echo "an added queue: $(curl -s -m 5 -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' "http://127.0.0.11:$CALLERS/more/")"
+
+  store_mode silent
+  echo "while the store is silent: $(post 00000000000000b1 "$JOB")"
+  store_mode normal
+
+  worker_mode 1 drain
+  wait_for 5 seen entry-1 'upstream-state guard=guard-1 worker=i-1 state=2' || fail "the drain is not seen"
+  : > "$RUN/journal"
+  for i in 1 2 3 4; do post "00000000000000c$i" "$JOB" > /dev/null; done
+  echo "starts on others while a worker drains: $(grep -c '^start' "$RUN/journal")"
+  worker_mode 1 normal
+  wait_for 5 workers_seen 1 4 || fail "the worker is not back"
+
+  kill -KILL "$(pid_of guard-2)"; wait "$(pid_of guard-2)" 2>/dev/null
+  echo "with a lost guard: $(post 00000000000000d1 "$JOB")"
+  start_guard 2
+  wait_for 10 workers_seen 1 5 || fail "the guard is not back"
+
+  kill -KILL "$(pid_of entry-2)"; wait "$(pid_of entry-2)" 2>/dev/null
+  echo "with a lost entry: $(post 00000000000000e1 "$JOB")"
+  start_entry 2
+  wait_for 20 workers_seen 2 6 || fail "the entry does not see every worker"
+
+  worker_mode 2 lost
+  "$BIN/tests/jobload" --servers "127.0.0.11:$CALLERS,127.0.0.12:$CALLERS" --threads 6 --jobs 12 \
+    --results "$RUN/results" --seed 77 > "$RUN/load.out"
+  worker_mode 2 normal
+  sleep 3 # orders that are carried out late
+  echo "with lost orders: $(judge_runs "$RUN/journal" "$RUN/results" 2>&1 | grep -o 'twice=.* false_not_run=[0-9]*')"
+
+  post 00000000000000f1 "${JOB/ms=30/ms=400}" > "$RUN/last" &
+  local request=$!
+  wait_for 5 grep -q '^start 00000000000000f1' "$RUN/journal" || fail "the last job did not start"
+  kill -TERM "$(pid_of entry-1)"
+  wait "$request"
+  echo "answered while its entry leaves: $(cat "$RUN/last")"
+}
+
+run > "$RUN/out" || { cat "$RUN/out"; exit 1; }
+if [ -n "${UPDATE:-}" ]; then cp "$RUN/out" tests/run-platform.expected; exit; fi
+diff -u tests/run-platform.expected "$RUN/out"
