--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -95,6 +95,13 @@
 /* ------------------------------------------------------------------ */
 /* Answers                                                            */
 
+/* Nothing of the job has run or will. */
+static bool
+is_rejection (int status)
+{
+  return status == 429 || status == 503;
+}
+
 static void
 answer_ticket (MdRunTicket *ticket, int status, const char *state, MdTime retry_after)
 {
@@ -106,6 +113,8 @@
   ticket->retry_after = retry_after;
   if (state != NULL)
     md_platform_write_state (&ticket->body, state);
+  else if (is_rejection (status))
+    md_buf_append (&ticket->body, MD_STR (MD_BODY_NOT_RUN));
   /* The ticket belongs to its thread from here on. */
   atomic_store (&ticket->answered, true);
   if (write (event, &one, sizeof one) < 0)
@@ -117,7 +126,7 @@
 {
   if (state != NULL)
     return state;
-  return status == 429 || status == 503 ? "not_run" : "unknown";
+  return is_rejection (status) ? "not_run" : "unknown";
 }
 
 static void
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -93,7 +93,7 @@
 
   md_log (MD_LOG_INFO, "request-rejected", "path=%s status=%d outcome=not_run reason=\"%s\"",
           md_log_quote (md_str (request->info->local_uri), id, sizeof id), status, reason);
-  return respond (request, status, MD_STR ("{\"outcome\":\"not_run\"}"), retry_after);
+  return respond (request, status, MD_STR (MD_BODY_NOT_RUN), retry_after);
 }
 
 /* ------------------------------------------------------------------ */
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -172,6 +172,9 @@
   atomic_int requests;                 /* of callers that have no response yet */
 } MdRunEntry;
 
+/* Body of a response that says that nothing has run. */
+#define MD_BODY_NOT_RUN "{\"outcome\":\"not_run\"}"
+
 /* front.c */
 typedef struct MdFront MdFront;
 MdFront *md_front_start (MdRunEntry *entry, MdError *error);
--- a/tests/jobload.c
+++ b/tests/jobload.c
@@ -176,11 +176,11 @@
   int ms = load.ms / 2 + (int)(next_random (caller) % (uint64_t)load.ms);
   bool leaves = (int)(next_random (caller) % 100) < load.leave;
   MdTime start = md_now ();
-  char id[17];
+  char id[32];
   char body[512];
   char line[128];
   int outcome;
-  int status;
+  int status = 0;
   int len;
 
   snprintf (id, sizeof id, "%08x%04x%04x", load.seed, caller->number, n);
