Explain a request from logs: buffered logger, histograms, explain

Cause: the users' on-call engineers have only logs and metrics; the logger wrote each line at once, so that a slow reader held up requests. Change: a daemon's lines go through a bounded buffer and a writer thread, routine lines are left out first and counted; one line per placement; histograms of times, counters by queue with bounded labels, memory and descriptors on the metrics address of both roles; 'mulberrydrift explain ID' orders the lines of a job and names the first cause.

--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -43,6 +43,7 @@
       return MD_EXIT_FAILED;
     }
   md_log_open (STDOUT_FILENO, daemon->settings.name, daemon->settings.log_level);
+  md_log_start_writer ();
   return MD_EXIT_OK;
 }
 
@@ -52,6 +53,7 @@
   md_http_free (daemon->store);
   md_links_free (daemon->links);
   md_settings_clear (&daemon->settings);
+  md_log_stop_writer ();
 }
 
 static void
--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -28,6 +28,8 @@
    clock, and the time of a stop. */
 #define MD_RUN_GONE_AFTER ((MD_ENTRY_LEASE + MD_WORKER_LEASE) * 102 / 100 + 50 * MD_MS)
 
+#define MD_METRICS_PATH "/metrics" /* on the metrics address of the settings */
+
 /* Connections to the store: one for a read that waits, one for the rest. */
 #define MD_STORE_CONNECTIONS 2L
 
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -143,6 +143,45 @@
           (long long)(retry_after / MD_MS));
 }
 
+static void
+count_answer (const MdRunEntry *entry, MdEntryJob *job, int status, const char *state)
+{
+  MdTime elapsed = entry->now - job->arrived;
+  bool late = entry->now > job->goal;
+  MdMetric metric = MD_M_GIVEN_UP;
+  MdHistogram histogram = MD_H_JOB_GIVEN_UP;
+  MdQueueCount count = MD_QUEUE_GIVEN_UP;
+
+  if (state != NULL && strcmp (state, MD_PLATFORM_COMPLETED) == 0)
+    {
+      metric = MD_M_JOBS_DONE;
+      histogram = MD_H_JOB_COMPLETED;
+      count = late ? MD_QUEUE_LATE : MD_QUEUE_IN_GOAL;
+      md_count (MD_M_LATE, late);
+    }
+  else if (status == 200)
+    {
+      metric = MD_M_JOBS_FAILED;
+      histogram = MD_H_JOB_FAILED;
+      count = MD_QUEUE_FAILED;
+    }
+  else if (is_rejection (status))
+    {
+      metric = MD_M_REFUSED;
+      histogram = MD_H_JOB_REJECTED;
+      count = MD_QUEUE_REJECTED;
+    }
+  else if (status == 0)
+    {
+      metric = MD_M_CALLERS_LEFT;
+      histogram = MD_H_JOB_LEFT;
+      count = MD_QUEUE_LEFT;
+    }
+  md_count (metric, 1);
+  md_observe (histogram, elapsed);
+  atomic_fetch_add (&job->stats->counts[count], 1);
+}
+
 static void
 free_job (MdRunEntry *entry, MdEntryJob *job)
 {
@@ -175,12 +214,7 @@
             MdTime retry_after)
 {
   log_answer (entry, job, status, state, reason, retry_after);
-  md_count (state != NULL && strcmp (state, MD_PLATFORM_COMPLETED) == 0 ? MD_M_JOBS_DONE
-            : status == 200                                             ? MD_M_JOBS_FAILED
-                                                                        : MD_M_REFUSED,
-            1);
-  if (entry->now > job->goal && status == 200)
-    md_count (MD_M_LATE, 1);
+  count_answer (entry, job, status, state);
   while (job->tickets != NULL)
     {
       MdRunTicket *ticket = job->tickets;
@@ -264,7 +298,7 @@
   placement->worker->outstanding++;
   md_worker_reserve (placement->worker, need->need, placement->run);
   md_entry_send_order (entry, order);
-  md_log (MD_LOG_DEBUG, "run-placed",
+  md_log (MD_LOG_INFO, "run-placed",
           "job=%s step=%u task=%u run=%u guard=%s wait_ms=%lld run_ms=%lld slack_ms=%lld "
           "report_age_ms=%lld",
           job->id, step, index, order->run, order->guard->name, (long long)(order->wait / MD_MS),
@@ -593,7 +627,10 @@
     return;
   order->job->job.started = true;
   if (order->job->started_at == 0)
-    order->job->started_at = entry->now;
+    {
+      order->job->started_at = entry->now;
+      md_observe (MD_H_FIRST_START, entry->now - order->job->arrived);
+    }
 }
 
 static void
@@ -662,6 +699,8 @@
 
   unlink_order (order);
   learn (entry, order, how, run);
+  if (how == MD_RUN_LAPSED)
+    md_count (MD_M_RUNS_LOST, 1);
   if (job != NULL)
     {
       task = &job->job.tasks[order->step][order->task];
@@ -716,6 +755,7 @@
           order->step, order->task, order->guard->name, ((MdEntryGuard *)other.worker)->name,
           (long long)(stay / MD_MS), (long long)((other.wait + other.run) / MD_MS),
           (long long)((entry->now - order->placed_at) / MD_MS));
+  md_count (MD_M_RUNS_MOVED, 1);
   md_worker_reserve (other.worker, need.need, other.run);
   md_entry_withdraw (order);
 }
--- /dev/null
+++ b/fleet/entry-metrics.c
@@ -0,0 +1,46 @@
+/* entry-metrics.c -- counters of an entry by queue
+
+   A configuration may have hundreds of queues; the first MAX_LABELS that had a job have
+   rows of their own, the others share one. */
+
+#include "run-entry.h"
+
+#define MAX_LABELS 32
+
+static const char *const outcome_names[MD_QUEUE_COUNTS]
+    = { "in_goal", "late", "failed", "rejected", "given_up", "caller_left" };
+
+static void
+write_rows (MdBuf *out, const char *queue, const int64_t counts[MD_QUEUE_COUNTS])
+{
+  for (int i = 0; i < MD_QUEUE_COUNTS; i++)
+    md_buf_printf (out, "mulberrydrift_queue_jobs_total{queue=\"%s\",outcome=\"%s\"} %lld\n", queue,
+                   outcome_names[i], (long long)counts[i]);
+}
+
+void
+md_entry_write_metrics (MdRunEntry *entry, MdBuf *out)
+{
+  uint32_t n = atomic_load (&entry->n_stats);
+  int64_t others[MD_QUEUE_COUNTS] = { 0 };
+
+  md_metrics_note_process ();
+  md_metrics_write (out);
+  md_buf_append (out, MD_STR ("# HELP mulberrydrift_queue_jobs_total Jobs by queue and answer.\n"
+                              "# TYPE mulberrydrift_queue_jobs_total counter\n"));
+  for (uint32_t q = 0; q < n; q++)
+    {
+      int64_t counts[MD_QUEUE_COUNTS];
+
+      for (int i = 0; i < MD_QUEUE_COUNTS; i++)
+        {
+          counts[i] = atomic_load (&entry->stats[q]->counts[i]);
+          if (q >= MAX_LABELS)
+            others[i] += counts[i];
+        }
+      if (q < MAX_LABELS)
+        write_rows (out, entry->stats[q]->name, counts);
+    }
+  if (n > MAX_LABELS)
+    write_rows (out, "others", others);
+}
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -294,7 +294,7 @@
       return reject (request, 503, "no descriptor", MD_SECOND);
     }
   md_str_copy (ticket.id, sizeof ticket.id, md_str (id));
-  copy_header (request, "X-Request-Id", ticket.request, sizeof ticket.request);
+  copy_header (request, MD_PLATFORM_REQUEST_HEADER, ticket.request, sizeof ticket.request);
   ticket.route = *route;
   if (patience != NULL)
     ticket.patience = strtol (patience, NULL, 10) * MD_MS;
@@ -371,11 +371,27 @@
 }
 
 static int
-handle_ready (struct mg_connection *conn, void *user)
+handle_metrics (struct mg_connection *conn, MdFront *front)
+{
+  MD_AUTO_BUF text = { 0 };
+
+  md_entry_write_metrics (front->entry, &text);
+  mg_printf (conn,
+             "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\n"
+             "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+             text.len);
+  mg_write (conn, text.data, text.len);
+  return 200;
+}
+
+static int
+handle_probe (struct mg_connection *conn, void *user)
 {
   MdFront *front = user;
   bool ready = atomic_load (&front->entry->ready);
 
+  if (strcmp (mg_get_request_info (conn)->local_uri, MD_METRICS_PATH) == 0)
+    return handle_metrics (conn, front);
   mg_printf (conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
              ready ? "200 OK" : "503 Service Unavailable");
   return ready ? 200 : 503;
@@ -460,6 +476,7 @@
   const MdSettings *settings = &entry->daemon.settings;
   MdFront *front = calloc (1, sizeof *front);
   char threads[16];
+  char probes[2 * MD_ADDRESS_BYTES + 2];
 
   if (front == NULL)
     return NULL;
@@ -467,8 +484,10 @@
   front->threads = (int)settings->caller_threads;
   snprintf (threads, sizeof threads, "%u", settings->caller_threads);
   front->callers = start_server (front, settings->caller_address, threads, handle_caller, error);
+  snprintf (probes, sizeof probes, "%s%s%s", settings->ready_address,
+            settings->metrics_address[0] != '\0' ? "," : "", settings->metrics_address);
   if (front->callers != NULL)
-    front->probes = start_server (front, settings->ready_address, "3", handle_ready, error);
+    front->probes = start_server (front, probes, "3", handle_probe, error);
   if (front->probes != NULL)
     return front;
   md_front_stop (front);
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -82,6 +82,8 @@
 
   if (peer != NULL)
     add_end (peer, run, how, time, checkpoint);
+  if (run->queued.state != MD_RUN_WAITING)
+    md_observe (MD_H_RUN, time);
   md_log (MD_LOG_INFO, "run-end", "task=%s run=%u how=%s run_ms=%lld entry=%s", run->task, run->run,
           md_run_how_name (how), (long long)(time / MD_MS), peer != NULL ? peer->name : "gone");
   /* After a hold without an answer the end was seen late. */
@@ -113,6 +115,7 @@
   MdGuardPeer *peer = peer_of (guard, run->queued.entry);
 
   guard->change++;
+  md_observe (MD_H_QUEUE_WAIT, guard->now - run->arrived);
   if (peer == NULL || peer->n_started == MD_ARRAY_SIZE (peer->started))
     return;
   peer->started[peer->n_started++] = run->queued.id;
@@ -417,6 +420,7 @@
       md_link_drop (peer->link);
       return;
     }
+  run->arrived = guard->now;
   run->queued.entry = peer->incarnation;
   run->queued.id = order->id;
   run->queued.need = (MdRoom){ order->cpu, order->memory_mb, order->accelerators };
--- a/fleet/guard-registrar.c
+++ b/fleet/guard-registrar.c
@@ -8,6 +8,7 @@
 #include <civetweb.h>
 #include <stdio.h>
 
+#define JSON_TYPE "application/json"
 #define REPORT_MAX (64u << 10) /* bytes of a report */
 
 struct MdRegistrarServer
@@ -18,12 +19,12 @@
 };
 
 static int
-respond (struct mg_connection *conn, int status, const char *body)
+respond (struct mg_connection *conn, int status, const char *type, const char *body)
 {
   mg_printf (conn,
-             "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n"
+             "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
              "Connection: keep-alive\r\n\r\n%s",
-             status, mg_get_response_code_text (conn, status), strlen (body), body);
+             status, mg_get_response_code_text (conn, status), type, strlen (body), body);
   return status;
 }
 
@@ -58,24 +59,36 @@
     md_buf_append (&body, md_str_n (chunk, (size_t)n));
   if (strlen (info->local_uri) <= strlen (MD_PLATFORM_WORKER_PREFIX)
       || strlen (id) >= sizeof event.id)
-    return respond (conn, 404, "{}");
+    return respond (conn, 404, JSON_TYPE, "{}");
   md_str_copy (event.id, sizeof event.id, md_str (id));
   event.gone = strcmp (info->request_method, "DELETE") == 0;
   if (!event.gone && strcmp (info->request_method, "PUT") != 0)
-    return respond (conn, 405, "{}");
+    return respond (conn, 405, JSON_TYPE, "{}");
   if (!event.gone && md_platform_read_worker (md_buf_str (&body), &event.report, &error) != MD_OK)
     {
       md_log (MD_LOG_WARN, "worker-report-ignored", "worker=%s reason=\"%s\"", event.id,
               error.detail);
-      return respond (conn, 400, "{}");
+      return respond (conn, 400, JSON_TYPE, "{}");
     }
   post (server, &event);
-  return respond (conn, 200, "{}");
+  return respond (conn, 200, JSON_TYPE, "{}");
+}
+
+static int
+handle_metrics (struct mg_connection *conn, void *user MD_UNUSED)
+{
+  MD_AUTO_BUF text = { 0 };
+
+  md_metrics_note_process ();
+  md_metrics_write (&text);
+  return respond (conn, 200, "text/plain; version=0.0.4", text.data != NULL ? text.data : "");
 }
 
 MdRegistrarServer *
-md_registrar_server_start (const char *address, MdInbox *inbox, MdLinks *links, MdError *error)
+md_registrar_server_start (const MdSettings *settings, MdInbox *inbox, MdLinks *links,
+                           MdError *error)
 {
+  char address[2 * MD_ADDRESS_BYTES + 2];
   const char *options[] = { "listening_ports",
                             address,
                             "num_threads",
@@ -92,6 +105,8 @@
 
   if (server == NULL)
     return NULL;
+  snprintf (address, sizeof address, "%s%s%s", settings->register_address,
+            settings->metrics_address[0] != '\0' ? "," : "", settings->metrics_address);
   server->inbox = inbox;
   server->links = links;
   server->server = mg_start (&callbacks, server, options);
@@ -102,6 +117,7 @@
       return NULL;
     }
   mg_set_request_handler (server->server, MD_PLATFORM_WORKER_PREFIX "*", handle, server);
+  mg_set_request_handler (server->server, MD_METRICS_PATH, handle_metrics, server);
   return server;
 }
 
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -124,6 +124,23 @@
   update_open (guard);
 }
 
+static bool
+is_same_worker (const MdWorkerReport *a, const MdWorkerReport *b)
+{
+  return a->state == b->state && memcmp (&a->capacity, &b->capacity, sizeof a->capacity) == 0
+         && memcmp (&a->labels, &b->labels, sizeof a->labels) == 0
+         && strcmp (a->service, b->service) == 0;
+}
+
+static void
+tell_worker (MdRunGuard *guard, const MdWorkerReport *report)
+{
+  md_runqueue_set_room (&guard->queue, report->capacity);
+  for (MdGuardPeer *peer = guard->peers; peer != NULL; peer = peer->next)
+    peer->told_worker = false;
+  guard->change++;
+}
+
 void
 md_guard_worker_event (MdRunGuard *guard, const MdWorkerEvent *event)
 {
@@ -147,12 +164,10 @@
     md_log (MD_LOG_INFO, "worker-state", "worker=%s state=%d sequence=%llu cpu=%u memory_mb=%u",
             event->id, (int)event->report.state, (unsigned long long)event->report.sequence,
             event->report.capacity.cpu, event->report.capacity.memory_mb);
+  if (!worker->known || !is_same_worker (&worker->report, &event->report))
+    tell_worker (guard, &event->report);
   worker->report = event->report;
   worker->known = true;
-  md_runqueue_set_room (&guard->queue, event->report.capacity);
-  for (MdGuardPeer *peer = guard->peers; peer != NULL; peer = peer->next)
-    peer->told_worker = false;
-  guard->change++;
   update_open (guard);
 }
 
@@ -422,6 +437,7 @@
   else
     {
       guard->hold_missed = true;
+      md_count (MD_M_HOLDS_UNANSWERED, 1);
       if (guard->worker.reachable)
         note_loss (guard);
       if (answer->status == 409)
@@ -486,6 +502,7 @@
 doubt_start (MdRunGuard *guard, MdGuardRun *run, const OrderCall *call, const MdError *error)
 {
   note_loss (guard);
+  md_count (MD_M_STARTS_UNANSWERED, 1);
   raise_token (guard, call->token, TOKEN_STEP);
   run->fenced_by = call->token + 1;
   md_log (MD_LOG_WARN, "start-unanswered", "task=%s run=%u token=%llu reason=\"%s\"", run->task,
--- a/fleet/keyed.c
+++ b/fleet/keyed.c
@@ -168,6 +168,7 @@
   MdKeyed *keyed = user;
 
   keyed->busy = false;
+  md_observe (MD_H_STORE_CALL, answer->elapsed);
   switch (keyed->state)
     {
     case KEYED_NEWEST:
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -50,6 +50,7 @@
           (unsigned long long)routes->version,
           (unsigned long long)(former != NULL ? former->version : 0), routes->n,
           (unsigned long long)record->offset);
+  md_gauge (MD_M_CONFIG_VERSION, (int64_t)routes->version);
   rcu_assign_pointer (entry->routes, routes);
   urcu_memb_synchronize_rcu ();
   md_routes_free (former);
@@ -110,6 +111,28 @@
   return false;
 }
 
+/* Once per heartbeat is often enough for gauges. */
+static void
+update_gauges (MdRunEntry *entry)
+{
+  int64_t ready = 0;
+  int64_t avoided = 0;
+
+  if (entry->now < entry->gauges_due)
+    return;
+  entry->gauges_due = entry->now + MD_RUN_HEARTBEAT;
+  for (uint32_t i = 0; i < entry->workers.n; i++)
+    {
+      const MdWorker *worker = entry->workers.workers[i];
+
+      ready += worker->connected && worker->state == MD_WORKER_READY;
+      avoided += worker->stalled || entry->now < worker->avoid_until;
+    }
+  md_gauge (MD_M_WORKERS_READY, ready);
+  md_gauge (MD_M_WORKERS_AVOIDED, avoided);
+  md_gauge (MD_M_JOBS_ACTIVE, entry->n_jobs);
+}
+
 static void
 update_ready (MdRunEntry *entry)
 {
@@ -174,12 +197,14 @@
       take_tickets (entry);
       md_entry_jobs_tick (entry);
       update_ready (entry);
+      update_gauges (entry);
       due = md_entry_guards_poll (entry);
       due = earlier (due, md_keyed_poll (entry->config, entry->now));
       due = earlier (due, poll_registration (entry));
       due = earlier (due, md_http_poll (entry->daemon.store));
       if (entry->n_jobs > 0)
         due = earlier (due, entry->next_tick);
+      md_observe (MD_H_LOOP, md_now () - entry->now);
       md_links_poll (entry->daemon.links, due);
       entry->now = md_now ();
       md_http_poll (entry->daemon.store);
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -109,12 +109,25 @@
 /* ------------------------------------------------------------------ */
 /* Jobs                                                               */
 
+/* How jobs were answered. */
+typedef enum
+{
+  MD_QUEUE_IN_GOAL,  /* completed within the response-time goal */
+  MD_QUEUE_LATE,     /* completed later */
+  MD_QUEUE_FAILED,   /* a task failed too often */
+  MD_QUEUE_REJECTED, /* nothing has run */
+  MD_QUEUE_GIVEN_UP, /* something may have run */
+  MD_QUEUE_LEFT,     /* the caller left */
+  MD_QUEUE_COUNTS
+} MdQueueCount;
+
 /* What is learned about the jobs of a queue. */
 typedef struct
 {
-  char name[MD_NAME_BYTES]; /* of the queue */
-  MdCorrection correction;  /* of declared run times */
-  MdDemand demand;          /* of its jobs */
+  char name[MD_NAME_BYTES];                /* of the queue */
+  MdCorrection correction;                 /* of declared run times */
+  MdDemand demand;                         /* of its jobs */
+  _Atomic int64_t counts[MD_QUEUE_COUNTS]; /* by answer, also read by other threads */
 } MdQueueStats;
 
 struct MdEntryJob
@@ -158,13 +171,14 @@
   uint64_t next_job;                   /* number of the next one */
   uint64_t next_order;                 /* id of the next one */
   MdQueueStats *stats[MD_MAX_QUEUES];  /* n_stats entries */
-  uint32_t n_stats;                    /* queues seen */
+  _Atomic uint32_t n_stats;            /* queues seen */
   MdCorrection typical;                /* of all queues together */
   MdTime now;                          /* at the start of the pass */
   MdTime next_tick;                    /* next look at waiting runs */
   MdTime register_due;                 /* next attempt to write our address */
   bool registering;                    /* such an attempt is under way */
   bool registered;                     /* our address is in the store */
+  MdTime gauges_due;                   /* next update of the gauges */
   bool leaving;                        /* SIGTERM has arrived */
   MdTime leave_after;                  /* the balancer may still send until then */
   MdTime leave_until;                  /* end of the drain */
@@ -194,6 +208,9 @@
 /* md_entry_fail_all: answer every job, at the end of the process. */
 void md_entry_fail_all (MdRunEntry *entry);
 
+/* entry-metrics.c */
+void md_entry_write_metrics (MdRunEntry *entry, MdBuf *out);
+
 /* entry-guards.c */
 extern const MdLinkHandler md_run_entry_handler;
 /* md_entry_send_order, md_entry_cancel, md_entry_withdraw: with the next message. */
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -117,6 +117,7 @@
         due = earlier (due, guard->leave_until);
       due = earlier (due, md_http_poll (guard->http));
       due = earlier (due, md_http_poll (guard->daemon.store));
+      md_observe (MD_H_LOOP, md_now () - guard->now);
       md_links_poll (guard->daemon.links, due);
       guard->now = md_now ();
       md_http_poll (guard->http);
@@ -135,8 +136,7 @@
                                  DIRECTORY_WAIT, on_entry_record, guard);
   if (guard->http == NULL || guard->daemon.store == NULL || guard->entries == NULL)
     return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
-  guard->server = md_registrar_server_start (settings->register_address, &guard->inbox,
-                                             guard->daemon.links, error);
+  guard->server = md_registrar_server_start (settings, &guard->inbox, guard->daemon.links, error);
   return guard->server != NULL ? MD_OK : MD_E_IO;
 }
 
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -28,6 +28,7 @@
 typedef struct
 {
   MdRun queued;                         /* first: place in the queue */
+  MdTime arrived;                       /* when it was ordered */
   char task[MD_RUN_NAME_BYTES];         /* name at the worker */
   uint32_t run;                         /* number of the start */
   MdRunText *spec;                      /* what it runs */
@@ -140,8 +141,8 @@
 } MdWorkerEvent;
 
 /* guard-registrar.c */
-MdRegistrarServer *md_registrar_server_start (const char *address, MdInbox *inbox, MdLinks *links,
-                                              MdError *error);
+MdRegistrarServer *md_registrar_server_start (const MdSettings *settings, MdInbox *inbox,
+                                              MdLinks *links, MdError *error);
 void md_registrar_server_stop (MdRegistrarServer *server);
 
 /* guard-worker.c */
--- a/log.c
+++ b/log.c
@@ -1,16 +1,26 @@
 /* log.c -- logger: one line of key=value pairs for each event
 
-   A line is formatted on the stack and written with one write call, so that
-   lines of several threads do not mix and no lock is needed. A line longer than
-   the buffer is cut. */
+   A line is formatted on the stack. A command writes it at once with one call. A daemon
+   must not wait for whoever reads its output: its lines go into a buffer of bounded
+   size that a thread writes out. When the buffer fills up or lines come faster than
+   LINES_PER_SECOND, lines below a warning are left out first, and a line says how many
+   were left out. A line longer than the buffer on the stack is cut. */
 
 #include "md-private.h"
 
+#include <errno.h>
+#include <limits.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <time.h>
 #include <unistd.h>
 
 #define LINE_BYTES 2048
+#define BUFFER_BYTES (256u << 10) /* lines that wait for the writer */
+#define LINES_PER_SECOND 4000u    /* ten lines a job at the peak of one entry */
+#define BATCH_TIME (50 * MD_MS)   /* lines are written together in this rhythm */
+#define FLUSH_TIMEOUT_MS 200      /* for the last lines, when nobody reads them */
 
 static struct
 {
@@ -19,6 +29,20 @@
   MdLogLevel lowest; /* lowest level written */
 } logger = { .fd = -1 };
 
+/* Lines of a daemon on their way to the writer. */
+static struct
+{
+  pthread_mutex_t lock;  /* for all fields */
+  pthread_cond_t filled; /* not empty, or stopping */
+  char *bytes;           /* BUFFER_BYTES, NULL: lines are written at once */
+  size_t used;           /* of them */
+  bool stopping;         /* write the rest and end */
+  pthread_t thread;      /* the writer */
+  MdTime second;         /* start of the second that lines are counted in */
+  unsigned lines;        /* in that second */
+  uint64_t dropped;      /* since the last report */
+} writer = { .lock = PTHREAD_MUTEX_INITIALIZER, .filled = PTHREAD_COND_INITIALIZER };
+
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
 
 void
@@ -51,6 +75,42 @@
   return (size_t)n;
 }
 
+/* The lock is held. */
+static bool
+has_place (MdLogLevel level, size_t len, MdTime now)
+{
+  size_t most = level >= MD_LOG_WARN ? BUFFER_BYTES : BUFFER_BYTES / 4 * 3;
+
+  if (now >= writer.second + MD_SECOND)
+    {
+      writer.second = now;
+      writer.lines = 0;
+    }
+  if (writer.used + len > most)
+    return false;
+  return level >= MD_LOG_WARN || writer.lines++ < LINES_PER_SECOND;
+}
+
+/* False when there is no writer. */
+static bool
+buffer_line (MdLogLevel level, const char *line, size_t len)
+{
+  if (writer.bytes == NULL)
+    return false;
+  pthread_mutex_lock (&writer.lock);
+  if (has_place (level, len, md_now ()))
+    {
+      if (writer.used == 0)
+        pthread_cond_signal (&writer.filled);
+      memcpy (writer.bytes + writer.used, line, len);
+      writer.used += len;
+    }
+  else
+    writer.dropped++;
+  pthread_mutex_unlock (&writer.lock);
+  return true;
+}
+
 void
 md_log (MdLogLevel level, const char *event, const char *format, ...)
 {
@@ -71,10 +131,130 @@
   if (len > sizeof line - 2)
     len = sizeof line - 2;
   line[len++] = '\n';
+  if (buffer_line (level, line, len))
+    return;
   if (write (logger.fd, line, len) < 0)
     return; /* a lost log line must not stop the service */
 }
 
+/* ------------------------------------------------------------------ */
+/* Writer of a daemon                                                 */
+
+static bool
+is_stopping (void)
+{
+  bool stopping;
+
+  pthread_mutex_lock (&writer.lock);
+  stopping = writer.stopping;
+  pthread_mutex_unlock (&writer.lock);
+  return stopping;
+}
+
+/* Waits for a slow reader, but not at the end of the process. A pipe that can be written
+   takes PIPE_BUF bytes without blocking. */
+static void
+write_all (const char *bytes, size_t n)
+{
+  while (n > 0)
+    {
+      struct pollfd fd = { .fd = logger.fd, .events = POLLOUT };
+      ssize_t written;
+
+      if (poll (&fd, 1, FLUSH_TIMEOUT_MS) == 0)
+        {
+          if (is_stopping ())
+            return;
+          continue;
+        }
+      written = write (logger.fd, bytes, n < PIPE_BUF ? n : PIPE_BUF);
+      if (written < 0 && errno != EINTR && errno != EAGAIN)
+        return; /* nobody can be told */
+      if (written > 0)
+        {
+          bytes += written;
+          n -= (size_t)written;
+        }
+    }
+}
+
+/* Takes out what has been buffered; the lock is held. */
+static size_t
+take_lines (char *out)
+{
+  size_t used = writer.used;
+
+  memcpy (out, writer.bytes, used);
+  writer.used = 0;
+  return used;
+}
+
+static void
+report_dropped (uint64_t dropped)
+{
+  if (dropped > 0)
+    md_log (MD_LOG_WARN, "log-dropped", "lines=%llu reason=\"volume or slow reader\"",
+            (unsigned long long)dropped);
+}
+
+static void *
+run_writer (void *data)
+{
+  char *batch = data;
+  struct timespec pause = { 0, BATCH_TIME * 1000 };
+  bool stopping = false;
+
+  while (!stopping)
+    {
+      uint64_t dropped;
+      size_t used;
+
+      pthread_mutex_lock (&writer.lock);
+      while (writer.used == 0 && !writer.stopping)
+        pthread_cond_wait (&writer.filled, &writer.lock);
+      stopping = writer.stopping;
+      used = take_lines (batch);
+      dropped = writer.dropped;
+      writer.dropped = 0;
+      pthread_mutex_unlock (&writer.lock);
+      write_all (batch, used);
+      report_dropped (dropped);
+      if (!stopping)
+        nanosleep (&pause, NULL);
+    }
+  free (batch);
+  return NULL;
+}
+
+void
+md_log_start_writer (void)
+{
+  char *batch = malloc (BUFFER_BYTES);
+
+  writer.bytes = malloc (BUFFER_BYTES);
+  if (writer.bytes != NULL && batch != NULL
+      && pthread_create (&writer.thread, NULL, run_writer, batch) == 0)
+    return;
+  free (writer.bytes);
+  free (batch);
+  writer.bytes = NULL;
+}
+
+void
+md_log_stop_writer (void)
+{
+  if (writer.bytes == NULL)
+    return;
+  pthread_mutex_lock (&writer.lock);
+  writer.stopping = true;
+  pthread_cond_signal (&writer.filled);
+  pthread_mutex_unlock (&writer.lock);
+  pthread_join (writer.thread, NULL);
+  free (writer.bytes);
+  writer.bytes = NULL;
+  writer.stopping = false;
+}
+
 static bool
 needs_quotes (MdStr value)
 {
--- a/main.c
+++ b/main.c
@@ -28,6 +28,7 @@
   { "delete", md_resource_main, "delete a resource" },
   { "watch", md_resource_main, "print changes of resources as they happen" },
   { "status", md_resource_main, "show pools, entries and upstreams" },
+  { "explain", md_explain_main, "tell from logs what happened to a job or request" },
   { "replay", md_replay_main, "feed a recorded trace to the dispatch core" },
 };
 
--- a/md-private.h
+++ b/md-private.h
@@ -120,6 +120,12 @@
 void md_log_open (int fd, const char *node, MdLogLevel lowest);
 bool md_log_enabled (MdLogLevel level);
 
+/* md_log_start_writer: from now on no caller of md_log waits for the reader of the
+   log; a thread writes the lines, and lines are left out when they come too fast.
+   md_log_stop_writer: write what is buffered and go back to writing at once. */
+void md_log_start_writer (void);
+void md_log_stop_writer (void);
+
 /* md_log: one line of key=value pairs. event is a fixed word; the format gives
    "key=value" pairs separated by spaces. Values that come from outside go
    through md_log_quote. */
@@ -160,8 +166,21 @@
   atomic_store_explicit (&md_metrics[metric], value, memory_order_relaxed);
 }
 
-/* md_metrics_write: the text exposition format. */
+/* Times in fixed buckets. */
+typedef enum
+{
+#define MD_HISTOGRAM(id, name, label, help) id,
+#include "histograms.def"
+#undef MD_HISTOGRAM
+  MD_HISTOGRAM_COUNT
+} MdHistogram;
+
+void md_observe (MdHistogram histogram, MdTime time);
+
+/* md_metrics_write: counters, gauges and histograms in the text exposition format. */
 void md_metrics_write (MdBuf *out);
+/* md_metrics_note_process: bring the gauges of memory and descriptors up to date. */
+void md_metrics_note_process (void);
 
 /* ------------------------------------------------------------------ */
 /* Time and random numbers for the daemons (clock.c)                  */
@@ -499,6 +518,7 @@
 int md_submit_main (int argc, const char **argv);   /* callers' client */
 int md_resource_main (int argc, const char **argv); /* get, apply, delete, watch, status */
 int md_replay_main (int argc, const char **argv);
+int md_explain_main (int argc, const char **argv); /* from an id to the cause */
 
 /* Exit codes. */
 enum
--- a/metrics.c
+++ b/metrics.c
@@ -6,6 +6,10 @@
 
 #include "md-private.h"
 
+#include <dirent.h>
+#include <stdio.h>
+#include <unistd.h>
+
 _Atomic int64_t md_metrics[MD_METRIC_COUNT];
 
 static const struct
@@ -19,6 +23,95 @@
 #undef MD_METRIC
 };
 
+/* Upper bounds of the buckets, microseconds; the last bucket has none. */
+static const MdTime bounds[]
+    = { 1 * MD_MS,   2 * MD_MS,   5 * MD_MS,   10 * MD_MS,    20 * MD_MS,    50 * MD_MS,
+        100 * MD_MS, 200 * MD_MS, 500 * MD_MS, 1 * MD_SECOND, 2 * MD_SECOND, 5 * MD_SECOND };
+#define BUCKETS (MD_ARRAY_SIZE (bounds) + 1)
+
+static struct
+{
+  _Atomic int64_t buckets[BUCKETS]; /* counts, not cumulated */
+  _Atomic int64_t sum;              /* microseconds */
+} histograms[MD_HISTOGRAM_COUNT];
+
+static const struct
+{
+  const char *name;  /* exported name */
+  const char *label; /* name="value", empty none */
+  const char *help;  /* one sentence, empty when an earlier row has it */
+} histogram_descriptions[MD_HISTOGRAM_COUNT] = {
+#define MD_HISTOGRAM(id, name, label, help) [id] = { name, label, help },
+#include "histograms.def"
+#undef MD_HISTOGRAM
+};
+
+void
+md_observe (MdHistogram histogram, MdTime time)
+{
+  size_t i = 0;
+
+  while (i < MD_ARRAY_SIZE (bounds) && time > bounds[i])
+    i++;
+  atomic_fetch_add_explicit (&histograms[histogram].buckets[i], 1, memory_order_relaxed);
+  atomic_fetch_add_explicit (&histograms[histogram].sum, time, memory_order_relaxed);
+}
+
+static void
+write_histogram (MdBuf *out, int h)
+{
+  const char *name = histogram_descriptions[h].name;
+  const char *label = histogram_descriptions[h].label;
+  const char *comma = *label != '\0' ? "," : "";
+  long long count = 0;
+
+  if (*histogram_descriptions[h].help != '\0')
+    md_buf_printf (out, "# HELP %s %s\n# TYPE %s histogram\n", name, histogram_descriptions[h].help,
+                   name);
+  for (size_t i = 0; i < BUCKETS; i++)
+    {
+      count += atomic_load_explicit (&histograms[h].buckets[i], memory_order_relaxed);
+      if (i < MD_ARRAY_SIZE (bounds))
+        md_buf_printf (out, "%s_bucket{%s%sle=\"%g\"} %lld\n", name, label, comma,
+                       (double)bounds[i] / (double)MD_SECOND, count);
+      else
+        md_buf_printf (out, "%s_bucket{%s%sle=\"+Inf\"} %lld\n", name, label, comma, count);
+    }
+  md_buf_printf (out, "%s_sum{%s} %g\n", name, label,
+                 (double)atomic_load (&histograms[h].sum) / (double)MD_SECOND);
+  md_buf_printf (out, "%s_count{%s} %lld\n", name, label, count);
+}
+
+static int64_t
+count_descriptors (void)
+{
+  DIR *dir = opendir ("/proc/self/fd");
+  int64_t n = 0;
+
+  if (dir == NULL)
+    return -1;
+  while (readdir (dir) != NULL)
+    n++;
+  closedir (dir);
+  return n - 3; /* ".", ".." and the directory itself */
+}
+
+void
+md_metrics_note_process (void)
+{
+  FILE *file = fopen ("/proc/self/statm", "r");
+  long long pages = -1;
+
+  if (file != NULL)
+    {
+      if (fscanf (file, "%*d %lld", &pages) != 1)
+        pages = -1;
+      fclose (file);
+    }
+  md_gauge (MD_M_MEMORY, pages >= 0 ? pages * sysconf (_SC_PAGESIZE) : -1);
+  md_gauge (MD_M_DESCRIPTORS, count_descriptors ());
+}
+
 void
 md_metrics_write (MdBuf *out)
 {
@@ -31,4 +124,6 @@
       md_buf_printf (out, "# TYPE %s %s\n", descriptions[i].name, type);
       md_buf_printf (out, "%s %lld\n", descriptions[i].name, value);
     }
+  for (int h = 0; h < MD_HISTOGRAM_COUNT; h++)
+    write_histogram (out, h);
 }
--- /dev/null
+++ b/tests/test-log.c
@@ -0,0 +1,150 @@
+/* test-log.c -- the logger of a daemon with a reader that does not read, and histograms
+
+   Guards against requests that wait for whoever reads the log, against lines that are
+   left out without a word, and against warnings that are lost to routine lines. */
+
+#include "md-private.h"
+
+#include <check.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#define FLOOD 200000
+
+static int
+open_pipe (int fds[2])
+{
+  int rc = pipe (fds);
+
+  ck_assert_int_eq (rc, 0);
+  return fds[1];
+}
+
+static void
+read_rest (int fd, MdBuf *out)
+{
+  char chunk[65536];
+  ssize_t n;
+
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  while ((n = read (fd, chunk, sizeof chunk)) > 0)
+    md_buf_append (out, md_str_n (chunk, (size_t)n));
+}
+
+/* The test's time limit fails it when a call waits for the reader. */
+START_TEST (flood_does_not_wait_for_the_reader)
+{
+  int fds[2];
+
+  md_log_open (open_pipe (fds), "node", MD_LOG_INFO);
+  md_log_start_writer ();
+  for (int i = 0; i < FLOOD; i++)
+    md_log (MD_LOG_INFO, "flood", "i=%d", i);
+  md_log_stop_writer ();
+  md_log_open (-1, "", MD_LOG_INFO);
+  close (fds[0]);
+  close (fds[1]);
+}
+END_TEST
+
+static void *
+drain (void *data)
+{
+  static char chunk[65536];
+  MdBuf *out = ((void **)data)[1];
+  ssize_t n;
+
+  while ((n = read (*(int *)((void **)data)[0], chunk, sizeof chunk)) > 0)
+    md_buf_append (out, md_str_n (chunk, (size_t)n));
+  return NULL;
+}
+
+START_TEST (dropped_lines_are_counted_and_warnings_kept)
+{
+  MD_AUTO_BUF text = { 0 };
+  pthread_t reader;
+  int fds[2];
+  void *data[2] = { &fds[0], &text };
+
+  md_log_open (open_pipe (fds), "node", MD_LOG_INFO);
+  ck_assert_int_eq (pthread_create (&reader, NULL, drain, data), 0);
+  md_log_start_writer ();
+  for (int i = 0; i < FLOOD; i++)
+    md_log (MD_LOG_INFO, "routine", "i=%d", i);
+  md_log (MD_LOG_WARN, "warning", "kept=1");
+  usleep (300000); /* the writer reports what it left out after its batch */
+  md_log_stop_writer ();
+  md_log_open (-1, "", MD_LOG_INFO);
+  close (fds[1]);
+  pthread_join (reader, NULL);
+  close (fds[0]);
+  ck_assert_ptr_nonnull (strstr (text.data, "event=warning kept=1"));
+  ck_assert_ptr_nonnull (strstr (text.data, "event=log-dropped lines="));
+}
+END_TEST
+
+START_TEST (lines_come_out_whole_and_in_order)
+{
+  MD_AUTO_BUF text = { 0 };
+  char *at;
+  int fds[2];
+
+  md_log_open (open_pipe (fds), "node", MD_LOG_INFO);
+  md_log_start_writer ();
+  for (int i = 0; i < 100; i++)
+    md_log (MD_LOG_INFO, "line", "i=%d.", i);
+  md_log_stop_writer ();
+  md_log_open (-1, "", MD_LOG_INFO);
+  read_rest (fds[0], &text);
+  close (fds[0]);
+  close (fds[1]);
+  at = text.data;
+  for (int i = 0; i < 100; i++)
+    {
+      char want[32];
+
+      snprintf (want, sizeof want, "event=line i=%d.\n", i);
+      at = strstr (at, want);
+      ck_assert_ptr_nonnull (at);
+    }
+}
+END_TEST
+
+START_TEST (histograms_are_cumulative)
+{
+  MD_AUTO_BUF text = { 0 };
+
+  md_observe (MD_H_RUN, 3 * MD_MS);
+  md_observe (MD_H_RUN, 30 * MD_MS);
+  md_observe (MD_H_RUN, 30 * MD_SECOND);
+  md_metrics_write (&text);
+  ck_assert_ptr_nonnull (strstr (text.data, "mulberrydrift_run_seconds_bucket{le=\"0.002\"} 0\n"));
+  ck_assert_ptr_nonnull (strstr (text.data, "mulberrydrift_run_seconds_bucket{le=\"0.005\"} 1\n"));
+  ck_assert_ptr_nonnull (strstr (text.data, "mulberrydrift_run_seconds_bucket{le=\"5\"} 2\n"));
+  ck_assert_ptr_nonnull (strstr (text.data, "mulberrydrift_run_seconds_bucket{le=\"+Inf\"} 3\n"));
+  ck_assert_ptr_nonnull (strstr (text.data, "mulberrydrift_run_seconds_count{} 3\n"));
+  ck_assert_ptr_nonnull (strstr (text.data, "# TYPE mulberrydrift_run_seconds histogram\n"));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("log");
+  TCase *tc = tcase_create ("log");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (tc, flood_does_not_wait_for_the_reader);
+  tcase_add_test (tc, dropped_lines_are_counted_and_warnings_kept);
+  tcase_add_test (tc, lines_come_out_whole_and_in_order);
+  tcase_add_test (tc, histograms_are_cumulative);
+  suite_add_tcase (suite, tc);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
