Add a fault soak of real processes on the platform's stand-ins

Cause: the users ask for randomized faults from outside, judged by what callers and workers saw. Change: tests/soak.sh on the existing proxy: cuts one way, silence, resets, delays between entries, guards and workers; kill, pause, stop and restart by signals; a store that is silent, busy, slow, forgetful or loses answers; workers that lose orders, fail, hang or drain; changes of the configuration. An entry may advertise another address; an entry known under two addresses is kept under one.

--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -298,6 +298,22 @@
   guard->peers = NULL;
 }
 
+/* The address is kept on the list of known ones when it must not be dialled again. */
+static void
+forget_peer (MdRunGuard *guard, MdGuardPeer *peer, bool keep_address)
+{
+  MdGuardPeer **place = &guard->peers;
+
+  while (*place != peer)
+    place = &(*place)->next;
+  *place = peer->next;
+  if (!keep_address)
+    md_directory_remove (&guard->directory, md_str (peer->address));
+  md_link_set_data (peer->link, NULL);
+  md_link_close (peer->link);
+  free_peer (peer);
+}
+
 static size_t
 list_alive (const MdRunGuard *guard, uint64_t entry, uint64_t *out)
 {
@@ -374,9 +390,25 @@
 /* ------------------------------------------------------------------ */
 /* Frames                                                             */
 
+/* An entry that is known under two addresses is kept under the first. */
+static bool
+is_duplicate (const MdRunGuard *guard, const MdGuardPeer *peer, uint64_t incarnation)
+{
+  for (const MdGuardPeer *other = guard->peers; other != NULL; other = other->next)
+    if (other != peer && other->up && other->incarnation == incarnation)
+      return true;
+  return false;
+}
+
 static void
 on_welcome (MdRunGuard *guard, MdGuardPeer *peer, const Md__RunWelcome *welcome)
 {
+  if (is_duplicate (guard, peer, welcome->incarnation))
+    {
+      md_log (MD_LOG_INFO, "entry-duplicate", "entry=%s address=%s", welcome->name, peer->address);
+      forget_peer (guard, peer, true);
+      return;
+    }
   if (peer->incarnation != welcome->incarnation)
     {
       /* The former process is gone; nobody waits for its runs. */
@@ -495,6 +527,8 @@
   MdRunGuard *guard = user;
   MdGuardPeer *peer = md_link_data (link);
 
+  if (peer == NULL)
+    return; /* the peer was forgotten */
   guard->now = md_now ();
   peer->heard_at = guard->now;
   switch (frame->msg_case)
@@ -543,21 +577,13 @@
 static void
 drop_silent_peers (MdRunGuard *guard)
 {
-  for (MdGuardPeer **place = &guard->peers; *place != NULL;)
+  for (MdGuardPeer *peer = guard->peers, *next; peer != NULL; peer = next)
     {
-      MdGuardPeer *peer = *place;
-
+      next = peer->next;
       if (peer->up || guard->now < peer->heard_at + DROP_PEER_AFTER)
-        {
-          place = &peer->next;
-          continue;
-        }
+        continue;
       md_log (MD_LOG_INFO, "entry-dropped", "entry=%s address=%s", peer->name, peer->address);
-      *place = peer->next;
-      md_directory_remove (&guard->directory, md_str (peer->address));
-      md_link_set_data (peer->link, NULL);
-      md_link_close (peer->link);
-      free_peer (peer);
+      forget_peer (guard, peer, false);
     }
 }
 
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -74,6 +74,14 @@
             answer->error.detail);
 }
 
+/* Where guards reach this entry. */
+static const char *
+own_address (const MdSettings *settings)
+{
+  return settings->advertised_address[0] != '\0' ? settings->advertised_address
+                                                 : settings->internal_address;
+}
+
 /* The record has a key, so that a repeated append changes nothing. */
 static MdTime
 poll_registration (MdRunEntry *entry)
@@ -87,7 +95,7 @@
     return INT64_MAX;
   if (entry->now < entry->register_due)
     return entry->register_due;
-  md_platform_write_entry (&value, md_str (settings->internal_address));
+  md_platform_write_entry (&value, md_str (own_address (settings)));
   md_platform_put (&call, MD_TOPIC_ENTRIES, md_str (settings->name), md_buf_str (&value));
   request.method = call.method;
   request.target = call.target.data;
@@ -220,7 +228,7 @@
 
   if (rc != MD_OK)
     return rc;
-  md_directory_add (&entry->directory, md_str (settings->internal_address));
+  md_directory_add (&entry->directory, md_str (own_address (settings)));
   md_directory_add_seeds (&entry->directory, settings);
   entry->daemon.store = md_http_new (entry->daemon.links, MD_STORE_CONNECTIONS);
   entry->config = md_keyed_new (entry->daemon.store, settings->store_address, MD_TOPIC_OPERATOR,
--- a/settings.c
+++ b/settings.c
@@ -58,7 +58,7 @@
   { "balancer_address", SETTING_ADDRESS, AT (balancer_address), FOR_BOTH, 0, 0 },
   { "internal_address", SETTING_ADDRESS, AT (internal_address),
     FOR_ENTRY | FOR_RUN_ENTRY | REQUIRED, 0, 0 },
-  { "advertised_address", SETTING_ADDRESS, AT (advertised_address), FOR_ENTRY, 0, 0 },
+  { "advertised_address", SETTING_ADDRESS, AT (advertised_address), FOR_ENTRY | FOR_RUN_ENTRY, 0, 0 },
   { "caller_address", SETTING_ADDRESS, AT (caller_address), FOR_ENTRY | FOR_RUN_ENTRY | REQUIRED, 0,
     0 },
   { "operator_address", SETTING_ADDRESS, AT (operator_address), FOR_ENTRY | REQUIRED, 0, 0 },
--- a/tests/platform-worker.c
+++ b/tests/platform-worker.c
@@ -3,8 +3,9 @@
    It registers at a guard, takes starts, stops and holds, and keeps leases. A run
    lasts as long as its spec says ("ms=120", with " fail" to fail), divided by --speed.
 
-   The journal is the judge of double runs: a line "start TASK RUN MS" or
-   "end TASK RUN HOW MS", with the wall clock, appended with one write.
+   The journal is the judge of double runs: lines "start TASK RUN MS ID",
+   "end TASK RUN HOW MS", "drain - 0 MS ID" and "undrain - 0 MS ID", with the wall
+   clock, each appended with one write.
 
    POST /control?mode=M sets the behaviour of later orders: normal, lost (every tenth
    order gets no answer and is carried out up to two seconds later), fail (runs fail at
@@ -249,7 +250,7 @@
     slot->ends_ms = INT64_MAX;
   w.used_cpu += slot->cpu;
   w.n_runs++;
-  note ("start %s %d %lld\n", task, run, (long long)md_wall_ms ());
+  note ("start %s %d %lld %s\n", task, run, (long long)md_wall_ms (), w.id);
   return NULL;
 }
 
@@ -413,6 +414,9 @@
   for (size_t i = 0; i < MD_ARRAY_SIZE (mode_names); i++)
     if (strcmp (mode, mode_names[i]) == 0)
       {
+        if ((int)i == MODE_DRAIN || atomic_load (&w.mode) == MODE_DRAIN)
+          note ("%s - 0 %lld %s\n", (int)i == MODE_DRAIN ? "drain" : "undrain",
+                (long long)md_wall_ms (), w.id);
         atomic_store (&w.mode, (int)i);
         return respond (conn, 200, json_object ());
       }
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -34,6 +34,7 @@
   local name=$1; shift
   "$@" >> "$RUN/$name.log" 2>&1 &
   echo $! > "$RUN/$name.pid"
+  disown $!
 }
 pid_of () { cat "$RUN/$1.pid"; }
 
@@ -64,6 +65,7 @@
 entry_port: $INNER
 caller_address: $ip:$CALLERS
 ready_address: $ip:$READY
+advertised_address: ${ADVERTISED:-$ip:$INNER}
 seeds: "$SEEDS"
 caller_threads: 64
 grace_s: 6
@@ -145,19 +147,23 @@
 }
 
 # judge_runs JOURNAL RESULTS: counts broken promises from what workers and callers saw:
-# two runs of a task at once, and jobs that started although every attempt was rejected.
+# two runs of a task at once, jobs that started although every attempt was rejected, and
+# starts on a worker that has been draining for longer than drain_ms.
 judge_runs () {
   sort -s -k1,1 -k2,2 "$2" > "$RUN/sorted" 2>/dev/null
-  awk -v slack=5 '
+  awk -v drain_ms=2000 '
     FNR == NR { outcome[$1] = $2; n[$2]++; next }
     $1 == "start" { starts++
       split($2, part, "."); begun[part[1]] = 1
       for (r in open) { split(r, k, SUBSEP); if (k[1] == $2 && k[2] != $3) { twice++; print "TWICE " $2 > "/dev/stderr" } }
+      if (($5 in drains) && $4 > drains[$5] + drain_ms) { drained++; print "DRAIN " $2 > "/dev/stderr" }
       open[$2, $3] = $4 }
+    $1 == "drain" { drains[$5] = $4 }
+    $1 == "undrain" { delete drains[$5] }
     $1 == "end" { delete open[$2, $3] }
     END {
       for (id in outcome) if (outcome[id] == "rejected" && begun[id]) { false_not_run++; print "REFUSED " id > "/dev/stderr" }
-      printf "starts=%d twice=%d false_not_run=%d completed=%d failed=%d rejected=%d unknown=%d left=%d\n",
-        starts, twice, false_not_run, n["completed"], n["failed"], n["rejected"], n["unknown"], n["left"] }' \
+      printf "starts=%d twice=%d false_not_run=%d drained=%d completed=%d failed=%d rejected=%d unknown=%d left=%d\n",
+        starts, twice, false_not_run, drained, n["completed"], n["failed"], n["rejected"], n["unknown"], n["left"] }' \
     "$2" "$1"
 }
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -41,12 +41,12 @@
   worker_mode 1 normal
   wait_for 5 workers_seen 1 4 || fail "the worker is not back"
 
-  kill -KILL "$(pid_of guard-2)"; wait "$(pid_of guard-2)" 2> /dev/null
+  kill -KILL "$(pid_of guard-2)"
   echo "with a lost guard: $(post 00000000000000d1 "$JOB")"
   start_guard 2
   wait_for 10 workers_seen 1 5 || fail "the guard is not back"
 
-  kill -KILL "$(pid_of entry-2)"; wait "$(pid_of entry-2)" 2> /dev/null
+  kill -KILL "$(pid_of entry-2)"
   echo "with a lost entry: $(post 00000000000000e1 "$JOB")"
   start_entry 2
   wait_for 20 workers_seen 2 6 || fail "the entry does not see every worker"
--- /dev/null
+++ b/tests/soak.sh
@@ -0,0 +1,157 @@
+#!/usr/bin/env bash
+# Randomized faults against real processes on stand-ins of the users' platform:
+#   SEED=n RUNS=n bash tests/soak.sh
+#
+# Entries and guards meet through a loopback proxy that delays, resets, cuts one way or
+# silences connections, and so do guards and workers. Processes are paused, killed,
+# stopped and restarted by signals; the store is silent, busy, slow, forgetful or loses
+# answers; workers lose orders, fail, hang or drain; configurations come. Faults overlap.
+# Judged from what callers and workers saw: no two runs of a task at once, no start of a
+# rejected job, no start on a worker that drains; and after the last fault every entry
+# serves again, with the newest configuration. KEEP_LOGS=DIR keeps the logs of a failure.
+cd "$(dirname "$0")/.."
+SEED=${SEED:-1} RUNS=${RUNS:-4} AT_A_TIME=${AT_A_TIME:-3} FAULTS=${FAULTS:-8}
+
+command_proxy () {
+  local reply
+  exec 9<> "/dev/tcp/${CONTROL%:*}/${CONTROL#*:}" || return
+  echo "$*" >&9
+  IFS= read -r -t 5 reply <&9
+  exec 9>&-
+}
+
+start_soak () {
+  plan_ports
+  SEEDS=
+  local n routes=
+  for n in $(seq "$ENTRIES"); do routes="$routes e$n=127.0.0.$((10 + n)):$INNER"; done
+  for n in $(seq "$GUARDS"); do eval "routes=\"\$routes w$n=\$ORDERS_$n\""; done
+  launch proxy "$BIN/tests/faultproxy" --seed "$1" $routes
+  wait_for 5 grep -q '^control listening' "$RUN/proxy.log" || fail "the proxy did not start"
+  CONTROL=$(sed -n 's/^control listening //p' "$RUN/proxy.log")
+  for n in $(seq "$GUARDS"); do eval "VIA_$n=$(sed -n "s/^route w$n listening //p" "$RUN/proxy.log")"; done
+  PROXIED=1
+  start_store
+  wait_for 5 curl -sS -m 1 -o /dev/null "http://$STORE/control" || fail "the store did not start"
+  put_config 3 /calc/
+  for n in $(seq "$ENTRIES"); do soak_entry "$n"; done
+  for n in $(seq "$GUARDS"); do start_worker "$n" "$((n % 2 + 1))"; start_guard "$n"; done
+  for n in $(seq "$ENTRIES"); do
+    wait_for 20 workers_seen "$n" "$GUARDS" || fail "seed $1: entry-$n does not see every worker"
+  done
+}
+
+soak_entry () { ADVERTISED=$(sed -n "s/^route e$1 listening //p" "$RUN/proxy.log") start_entry "$1"; }
+
+restart () { # name
+  case $1 in
+    entry-*) soak_entry "${1#entry-}" ;;
+    guard-*) start_guard "${1#guard-}" ;;
+  esac
+}
+
+some () { echo "$1" | cut -d' ' -f$((RANDOM % $(echo "$1" | wc -w) + 1)); }
+
+# Faults run beside one another; each undoes itself.
+one_fault () { # kind name duration
+  local pid
+  pid=$(pid_of "$2")
+  case $1 in
+    kill) kill -KILL "$pid" 2> /dev/null; sleep "$3"; restart "$2" ;;
+    pause) kill -STOP "$pid" 2> /dev/null; sleep "$3"; kill -CONT "$pid" 2> /dev/null ;;
+    term) kill -TERM "$pid" 2> /dev/null
+      local left=140
+      while kill -0 "$pid" 2> /dev/null && [ $left -gt 0 ]; do left=$((left - 1)); sleep 0.05; done
+      kill -KILL "$pid" 2> /dev/null && echo "overdue $2" >> "$RUN/overdue"
+      restart "$2" ;;
+  esac
+}
+
+inject () {
+  local names="entry-1 entry-2 guard-1 guard-2 guard-3" d="$((RANDOM % 2)).$((RANDOM % 9 + 1))"
+  local route kind name
+  route=$(some "e1 e2 w1 w2 w3 *")
+  kind=$(some "kill pause term kill pause silence cut cut delay close store worker worker config")
+  case $kind in
+    kill | pause | term)
+      name=$(some "$names")
+      [ -e "$RUN/busy-$name" ] && return
+      echo "$kind:$name:$d" >> "$RUN/faults"
+      : > "$RUN/busy-$name"
+      { one_fault "$kind" "$name" "$d"; rm -f "$RUN/busy-$name"; } & ;;
+    silence) echo "silence:$route" >> "$RUN/faults"; command_proxy silence "$route" ;;
+    close) echo "close:$route" >> "$RUN/faults"; command_proxy close "$route" ;;
+    cut) name=$(some "up down both"); echo "cut:$route:$name:$d" >> "$RUN/faults"
+      command_proxy cut "$route" "$name"; { sleep "$d"; command_proxy heal "$route"; } & ;;
+    delay) echo "delay:$route:$d" >> "$RUN/faults"
+      command_proxy delay "$route" both 20 60; { sleep "$d"; command_proxy heal "$route"; } & ;;
+    store) name=$(some "silent busy slow lost forget"); echo "store:$name:$d" >> "$RUN/faults"
+      store_mode "$name"; { sleep "$d"; store_mode normal; } & ;;
+    worker) name=$(some "lost lost fail hang drain"); n=$((RANDOM % GUARDS + 1))
+      echo "worker-$n:$name:$d" >> "$RUN/faults"
+      worker_mode "$n" "$name"; { sleep "$d"; worker_mode "$n" normal; } & ;;
+    config) VERSION=$((VERSION + RANDOM % 5 + 1)); echo "config:$VERSION" >> "$RUN/faults"
+      put_config "$VERSION" /calc/ "/v$VERSION/" && LAST=$VERSION ;;
+  esac
+}
+
+serves () { # entry
+  post "$(printf 'f%015x' "$RANDOM$RANDOM")" \
+    '{"best_effort":true,"spec":"ms=20 cpu=500","steps":[{"count":2,"cpu":500,"mem_mb":64,"estimated_ms":20}]}' \
+    "$1" | grep -q completed
+}
+has_queue () { # entry prefix
+  [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' "http://127.0.0.$((10 + $1)):$CALLERS$2")" = 200 ]
+}
+
+one_run () { # seed
+  . tests/platform.sh
+  RANDOM=$1 VERSION=3 LAST=
+  start_soak "$1"
+  "$BIN/tests/jobload" --servers "127.0.0.11:$CALLERS,127.0.0.12:$CALLERS" --threads 8 --jobs 60 \
+    --tasks 6 --ms 120 --leave 8 --pause 40 --attempts 4 --seed "$1" --results "$RUN/results" > "$RUN/load.out" 2>&1 &
+  local load=$! bad=
+  for _ in $(seq "$FAULTS"); do
+    sleep "0.$((RANDOM % 9 + 1))"
+    inject
+  done
+  wait "$load"
+  while ls "$RUN"/busy-* > /dev/null 2>&1; do sleep 0.1; done
+  sleep 2.5
+  command_proxy heal '*'
+  store_mode normal
+  for n in $(seq "$GUARDS"); do worker_mode "$n" normal; done
+  for n in $(seq "$ENTRIES"); do
+    wait_for 12 serves "$n" || bad="$bad entry-$n-serves-no-more"
+    [ -z "$LAST" ] || wait_for 5 has_queue "$n" "/v$LAST/" || bad="$bad entry-$n-config"
+  done
+  sleep 3 # orders that are carried out late
+  [ -e "$RUN/overdue" ] && bad="$bad $(tr ' \n' '-,' < "$RUN/overdue")"
+  local sums
+  sums=$(judge_runs "$RUN/journal" "$RUN/results" 2>> "$RUN/verdict")
+  echo "$sums" | grep -q 'twice=0 false_not_run=0 drained=0' || bad="$bad $(tr '\n' ',' < "$RUN/verdict")"
+  echo "seed=$1 ${bad:+BROKEN:$bad }$sums faults=$(tr '\n' ' ' < "$RUN/faults")"
+  if [ -n "$bad" ] && [ -n "${KEEP_LOGS:-}" ]; then
+    mkdir -p "$KEEP_LOGS" && cp -r "$RUN" "$KEEP_LOGS/seed-$1"
+  fi
+  [ -z "$bad" ]
+}
+
+if [ "${1:-}" = one ]; then one_run "$2" 2> /dev/null; exit; fi
+
+out=$(mktemp)
+seq "$SEED" $((SEED + RUNS - 1)) \
+  | xargs -P "$AT_A_TIME" -n 1 bash tests/soak.sh one 2>&1 | tee "$out"
+awk -v runs="$RUNS" '
+  /^seed=/ { done++
+    broken += /BROKEN/
+    for (i = 1; i <= NF; i++) { split($i, kv, "="); sum[kv[1]] += kv[2] } }
+  END {
+    printf "soak runs=%d broken=%d starts=%d twice=%d false_not_run=%d drained=%d completed=%d rejected=%d unknown=%d\n",
+      done, broken, sum["starts"], sum["twice"], sum["false_not_run"], sum["drained"],
+      sum["completed"], sum["rejected"], sum["unknown"]
+    exit done != runs || broken > 0
+  }' "$out"
+status=$?
+rm -f "$out"
+exit $status
