--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -66,7 +66,7 @@
   echo "answered while its entry leaves: $(cat "$RUN/last")"
 
   # Callers that go on must not keep an entry from leaving.
-  "$BIN/tests/jobload" --servers "127.0.0.12:$CALLERS" --threads 6 --jobs 400 --attempts 1 \
+  "$BIN/tests/jobload" --servers "127.0.0.12:$CALLERS" --threads 24 --jobs 400 --ms 300 --attempts 1 \
     --seed 78 > "$RUN/load.out" &
   local load=$!
   wait_for 5 seen entry-2 'job-answered job=0000004e' || fail "the load does not run"
