Reject what comes to an entry long after SIGTERM; mend a flaky check

Change: once the balancer has noticed, an entry rejects new jobs and uses the rest of the grace time for those it has; the state of a worker is learned anew with a new process of its guard; failures of the script are shown.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -414,6 +414,7 @@
   guard->worker.connected = false;
   end_all (entry, guard, MD_RUN_LAPSED);
   guard->worker.guard = incarnation;
+  guard->worker.state = MD_WORKER_ABSENT;
   guard->worker.outstanding = 0;
   guard->stamp = 0;
   guard->ends_seen = 0;
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -170,11 +170,15 @@
   md_log (MD_LOG_INFO, "leaving", "jobs=%u", entry->n_jobs);
 }
 
+/* What comes after the balancer knows is rejected, so that what was taken in before has
+   the rest of the grace time to end. */
 static bool
-has_left (const MdRunEntry *entry)
+has_left (MdRunEntry *entry)
 {
   if (!entry->leaving)
     return false;
+  if (entry->now >= entry->leave_after)
+    atomic_store (&entry->closed, true);
   return entry->now >= entry->leave_until
          || (entry->now >= entry->leave_after && entry->n_jobs == 0
              && atomic_load (&entry->requests) == 0);
@@ -210,6 +214,8 @@
       update_ready (entry);
       update_gauges (entry);
       due = md_entry_guards_poll (entry);
+      if (entry->leaving && entry->now < entry->leave_after)
+        due = earlier (due, entry->leave_after);
       due = earlier (due, md_keyed_poll (entry->config, entry->now));
       due = earlier (due, poll_registration (entry));
       due = earlier (due, md_http_poll (entry->daemon.store));
--- a/tests/jobload.c
+++ b/tests/jobload.c
@@ -109,7 +109,7 @@
   return caller->conn != NULL;
 }
 
-/* Status of the answer, 0 for none; *completed as the body says. */
+/* Status of the answer, 0 for none, -1 for no connection; *completed as the body says. */
 static int
 exchange (Caller *caller, const char *id, const char *body, int patience, bool *completed)
 {
@@ -121,7 +121,7 @@
   int n;
 
   if (!ensure_connected (caller))
-    return 0;
+    return -1;
   md_buf_printf (&request,
                  "POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
                  "X-Mulberrydrift-Deadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n%s",
@@ -162,7 +162,7 @@
       caller->server = (caller->server + 1) % load.n_servers;
       if (leaves)
         return LEFT;
-      if (*status != 0 && *status != 502 && *status != 504)
+      if (*status > 0 && *status != 502 && *status != 504)
         return UNKNOWN;
       pause_ms (RESEND_MS);
     }
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -10,11 +10,11 @@
 finish_platform () {
   for f in "$RUN"/*.pid; do [ -f "$f" ] && kill -KILL "$(cat "$f")" 2>/dev/null; done
   wait 2>/dev/null
-  [ -n "${KEEP:-}" ] && echo "logs: $RUN" || rm -rf "$RUN"
+  [ -n "${KEEP:-}" ] && echo "logs: $RUN" >&2 || rm -rf "$RUN"
 }
 trap finish_platform EXIT
 
-fail () { echo "FAILED: $*"; KEEP=1; exit 1; }
+fail () { echo "FAILED: $*" >&2; KEEP=1; exit 1; }
 
 # Entries share one internal port, as on the platform, and differ by address.
 plan_ports () {
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -70,13 +70,14 @@
 
   # Callers that go on must not keep an entry from leaving.
   "$BIN/tests/jobload" --servers "127.0.0.12:$CALLERS" --threads 24 --jobs 400 --ms 300 --attempts 1 \
-    --seed 78 > "$RUN/load.out" &
+    --seed 78 --results "$RUN/leaving" > "$RUN/load.out" &
   local load=$!
   wait_for 5 seen entry-2 'job-answered job=0000004e' || fail "the load does not run"
   kill -TERM "$(pid_of entry-2)"
   gone () { ! kill -0 "$(pid_of entry-2)" 2> /dev/null; }
   wait_for 60 gone || fail "entry-2 does not leave"
   wait_for 5 seen entry-2 event=stopped && echo "an entry leaves under load"
+  echo "requests that it cut off: $(grep -c ' unknown 0 ' "$RUN/leaving")"
   kill "$load" 2> /dev/null || true
 }
 
