--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -16,6 +16,7 @@
 #define MOVE_GAIN (15 * MD_MS)           /* a run is moved to another guard for no less */
 #define TICK (10 * MD_MS)                /* between looks at waiting runs */
 #define RETRY_NO_WORKER (1 * MD_SECOND)  /* Retry-After while no upstream is usable */
+#define RETRY_SAFETY 1.25                /* run times scatter by a factor of about exp (0.4) */
 #define MAX_REJECTIONS 8                 /* of one task by guards, before its job is given up */
 #define STALE_JUMP 1000     /* raise of run numbers after a worker had seen higher ones */
 #define STATUS_GIVEN_UP 504 /* something of the job may have run */
@@ -306,6 +307,16 @@
           (long long)((entry->now - placement->worker->reported_at) / MD_MS));
 }
 
+/* The goal grows with the work, which is known roughly; the time that a first attempt
+   took does not. A further attempt therefore needs a margin. */
+static MdTime
+goal_of (const MdRunEntry *entry, const MdEntryJob *job, const MdRunTask *task)
+{
+  MdTime left = job->goal - entry->now;
+
+  return task->run > 0 ? (MdTime)((double)left / RETRY_SAFETY) : left;
+}
+
 /* Orders what is ready of a step; what no worker can take now stays ready. */
 static void
 place_step (MdRunEntry *entry, MdEntryJob *job, uint32_t step)
@@ -321,6 +332,7 @@
 
       if (task->state != MD_TASK_READY)
         continue;
+      need.goal = goal_of (entry, job, task);
       placement = md_place (&entry->workers, &need, taken, task->last, entry->now);
       if (placement.worker == NULL)
         return;
