--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -287,8 +287,6 @@
 {
   MdWorker *worker = &guard->worker;
 
-  if (strcmp (guard->id, info->id) != 0)
-    worker->failures = 0;
   md_str_copy (guard->id, sizeof guard->id, md_str (info->id));
   md_str_copy (worker->service, sizeof worker->service, md_str (info->service));
   worker->capacity = (MdRoom){ info->cpu, info->memory_mb, info->accelerators };
@@ -315,6 +313,7 @@
       md_worker_reserve (worker, order->need, order->expected);
   worker->reported_at = entry->now;
   worker->stalled = report->stalled;
+  md_worker_failures (worker, report->failures, entry->now);
   if ((uint32_t)worker->state != report->state)
     md_log (MD_LOG_INFO, "upstream-state", "guard=%s worker=%s state=%u former=%d", guard->name,
             guard->id, report->state, (int)worker->state);
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -675,7 +675,8 @@
 {
   MdWorker *worker = &order->guard->worker;
 
-  md_worker_ended (worker, how, order->job != NULL ? order->job->number : 0, entry->now);
+  if (worker->outstanding > 0)
+    worker->outstanding--;
   if (how == MD_RUN_DONE && order->job != NULL && run > 0)
     md_estimate_learn_work (&order->job->stats->correction, &entry->typical, order->declared,
                             (double)run * worker->speed, &entry->daemon.settings.tuning);
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -10,6 +10,7 @@
 #include "run-guard.h"
 
 #include <stdio.h>
+#include <xxhash.h>
 
 #define DROP_PEER_AFTER (30 * MD_SECOND) /* an address that has been silent for so long */
 #define REPORT_INTERVAL (4 * MD_MS)      /* shortest between reports without own news */
@@ -84,6 +85,7 @@
     add_end (peer, run, how, time, checkpoint);
   if (run->queued.state != MD_RUN_WAITING)
     md_observe (MD_H_RUN, time);
+  md_runqueue_judge (&guard->queue, how, XXH64 (run->task, strcspn (run->task, "."), 0));
   md_log (MD_LOG_INFO, "run-end", "task=%s run=%u how=%s run_ms=%lld entry=%s", run->task, run->run,
           md_run_how_name (how), (long long)(time / MD_MS), peer != NULL ? peer->name : "gone");
   /* After a hold without an answer the end was seen late. */
@@ -235,6 +237,7 @@
   report.next_end_us = (uint64_t)md_runqueue_next_end (&guard->queue, guard->now);
   report.started = peer->started;
   report.n_started = peer->n_started;
+  report.failures = guard->queue.failures;
   report.stalled = md_runqueue_stalled (&guard->queue, guard->now);
   report.state = md_guard_open (guard)                              ? MD_WORKER_READY
                  : guard->worker.report.state == MD_WORKER_DRAINING ? MD_WORKER_DRAINING
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -14,7 +14,7 @@
    entries ranked workers alike, they would all send to the same one between two
    reports; a small bias that is unlike for each pair of entry and worker keeps them
    apart, so that each first fills workers of its own. A worker that failed runs of
-   several jobs in a row is tried again with one run at a time. */
+   several jobs in a row, whoever ordered them, is tried again with one run at a time. */
 
 #include "run-sched.h"
 
@@ -196,20 +196,15 @@
 }
 
 void
-md_worker_ended (MdWorker *worker, MdRunHow how, uint64_t job, MdTime now)
+md_worker_failures (MdWorker *worker, uint32_t failures, MdTime now)
 {
   MdTime pause = AVOID_MIN;
 
-  if (worker->outstanding > 0)
-    worker->outstanding--;
-  if (how == MD_RUN_DONE)
-    worker->failures = 0;
-  /* A job that can never be done fails everywhere and says nothing. */
-  if (how != MD_RUN_FAILED || job == worker->last_failed_job)
-    return;
-  worker->last_failed_job = job;
-  worker->failures++;
-  for (uint32_t i = FAILURES_TO_AVOID; i < worker->failures && pause < AVOID_MAX; i++)
-    pause *= 2;
-  worker->avoid_until = now + pause;
+  if (failures > worker->failures && failures >= FAILURES_TO_AVOID)
+    {
+      for (uint32_t i = FAILURES_TO_AVOID; i < failures && pause < AVOID_MAX; i++)
+        pause *= 2;
+      worker->avoid_until = now + pause;
+    }
+  worker->failures = failures;
 }
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -122,6 +122,8 @@
   uint32_t typical_cpu; /* average need, thousandths of a core; 0 unknown */
   MdSpeed speed;        /* of the worker, learned from all entries' runs */
   MdTime learned_at;    /* of the last run that it was learned from */
+  uint32_t failures;    /* consecutive ends FAILED of different jobs */
+  uint64_t last_failed; /* the job of the last one */
 } MdRunQueue;
 
 /* md_runqueue_set_room: the worker's capacity, first heard of or changed. */
@@ -133,6 +135,10 @@
 /* md_runqueue_learn: the run is done and took this long. */
 void md_runqueue_learn (MdRunQueue *queue, const MdRun *run, MdTime time, MdTime now);
 
+/* md_runqueue_judge: a run of this job, told by a hash of its name, has ended at the
+   worker; counts failures in a row. */
+void md_runqueue_judge (MdRunQueue *queue, MdRunHow how, uint64_t job);
+
 /* md_runqueue_speed: of the worker at present, relative to declared times: the learned
    one, less what runs that are overdue take away from it. */
 double md_runqueue_speed (const MdRunQueue *queue, MdTime now);
@@ -173,20 +179,19 @@
 
 typedef struct
 {
-  uint64_t guard;           /* incarnation of its guard */
-  MdWorkerState state;      /* as reported */
-  MdRoom capacity;          /* as reported */
-  MdRoom free;              /* as reported, less what was ordered since */
-  MdTime wait;              /* as reported, plus what was ordered since */
-  MdTime next_end;          /* until the next run is expected to end, as reported */
-  MdTime bias;              /* added to its expected end, unlike for each entry, see placement.c */
-  MdTime reported_at;       /* age of the above */
-  bool connected;           /* its guard is heard */
-  bool stalled;             /* as reported */
-  MdTime avoid_until;       /* no runs before, but for a trial */
-  uint32_t failures;        /* consecutive ends FAILED of different jobs */
-  uint64_t last_failed_job; /* the job that failed last, by its number */
-  uint32_t outstanding;     /* orders without an end */
+  uint64_t guard;       /* incarnation of its guard */
+  MdWorkerState state;  /* as reported */
+  MdRoom capacity;      /* as reported */
+  MdRoom free;          /* as reported, less what was ordered since */
+  MdTime wait;          /* as reported, plus what was ordered since */
+  MdTime next_end;      /* until the next run is expected to end, as reported */
+  MdTime bias;          /* added to its expected end, unlike for each entry, see placement.c */
+  MdTime reported_at;   /* age of the above */
+  bool connected;       /* its guard is heard */
+  bool stalled;         /* as reported */
+  MdTime avoid_until;   /* no runs before, but for a trial */
+  uint32_t failures;    /* as reported, see MdRunQueue */
+  uint32_t outstanding; /* orders without an end */
   char service[MD_NAME_BYTES]; /* pool it belongs to */
   MdLabels labels;             /* kind and rack */
   double speed;                /* as reported, relative to declared times */
@@ -235,8 +240,8 @@
 /* md_place_possible: some worker, busy or not, has the room and the labels. */
 bool md_place_possible (const MdWorkers *workers, const MdTaskNeed *need);
 
-/* md_worker_ended: learn from the end of a run of a job with this number. */
-void md_worker_ended (MdWorker *worker, MdRunHow how, uint64_t job, MdTime now);
+/* md_worker_failures: its guard reports so many failures in a row. */
+void md_worker_failures (MdWorker *worker, uint32_t failures, MdTime now);
 
 /* ------------------------------------------------------------------ */
 /* Shares of queues in the demand (demand.c)                          */
--- a/sched/runqueue.c
+++ b/sched/runqueue.c
@@ -207,6 +207,18 @@
   queue->learned_at = now;
 }
 
+/* A job that can never be done fails everywhere and says nothing. */
+void
+md_runqueue_judge (MdRunQueue *queue, MdRunHow how, uint64_t job)
+{
+  if (how == MD_RUN_DONE)
+    queue->failures = 0;
+  if (how != MD_RUN_FAILED || (queue->failures > 0 && job == queue->last_failed))
+    return;
+  queue->last_failed = job;
+  queue->failures++;
+}
+
 double
 md_runqueue_speed (const MdRunQueue *queue, MdTime now)
 {
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -159,29 +159,19 @@
 
   fleet_init (&fleet);
   fleet.worker[0].speed = 3;
-  for (uint64_t job = 1; job <= 3; job++)
-    md_worker_ended (&fleet.worker[0], MD_RUN_FAILED, job, 0);
+  for (uint32_t failures = 1; failures <= 3; failures++)
+    md_worker_failures (&fleet.worker[0], failures, 0);
   ck_assert_ptr_ne (md_place (&fleet.all, &need, NULL, NULL, 0).worker, &fleet.worker[0]);
+  for (unsigned i = 0; i < N; i++)
+    fleet.worker[i].reported_at = MD_SECOND;
   ck_assert_ptr_eq (md_place (&fleet.all, &need, NULL, NULL, MD_SECOND).worker, &fleet.worker[0]);
   fleet.worker[0].outstanding = 1;
   ck_assert_ptr_ne (md_place (&fleet.all, &need, NULL, NULL, MD_SECOND).worker, &fleet.worker[0]);
-  md_worker_ended (&fleet.worker[0], MD_RUN_DONE, 4, MD_SECOND);
+  md_worker_failures (&fleet.worker[0], 0, MD_SECOND);
   ck_assert_ptr_eq (md_place (&fleet.all, &need, NULL, NULL, MD_SECOND).worker, &fleet.worker[0]);
 }
 END_TEST
 
-/* Failure: a job that can never be done fails on every worker, one after the other. */
-START_TEST (one_bad_job_condemns_nobody)
-{
-  Fleet fleet;
-
-  fleet_init (&fleet);
-  for (int i = 0; i < 8; i++)
-    md_worker_ended (&fleet.worker[0], MD_RUN_FAILED, 7, 0);
-  ck_assert_uint_eq (fleet.worker[0].failures, 1);
-}
-END_TEST
-
 START_TEST (stalled_worker_is_left_alone)
 {
   Fleet fleet;
@@ -334,7 +324,6 @@
   tcase_add_test (tc, last_rooms_of_a_fast_worker_are_kept);
   tcase_add_test (tc, reserved_room_counts);
   tcase_add_test (tc, failing_worker_is_tried_now_and_then);
-  tcase_add_test (tc, one_bad_job_condemns_nobody);
   tcase_add_test (tc, stalled_worker_is_left_alone);
   tcase_add_test (tc, busy_queue_yields_first);
   tcase_add_test (tc, late_job_is_rejected_only_behind_others);
--- /dev/null
+++ b/tests/test-platform.c
@@ -0,0 +1,340 @@
+/* test-platform.c -- the adapter: names, formats and calls of the users' platform
+
+   Guards against members that are missing or of another type, against answers that are
+   cut off, and against a crash on any bytes that another writer may have left. */
+
+#include "platform.h"
+
+#include <check.h>
+#include <stdio.h>
+
+#define MUTATIONS 20000
+
+typedef struct
+{
+  unsigned n;
+  char keys[4][32];
+  char values[4][64];
+  uint64_t offsets[4];
+} Records;
+
+static void
+keep_record (void *user, const MdKeyedRecord *record)
+{
+  Records *records = user;
+
+  if (records->n == 4)
+    return;
+  md_str_copy (records->keys[records->n], 32, record->key);
+  md_str_copy (records->values[records->n], 64, record->value);
+  records->offsets[records->n++] = record->offset;
+}
+
+static const char job_text[]
+    = "{\"spec\":\"ab\",\"best_effort\":true,\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,"
+      "\"estimated_ms\":900,\"affinity\":\"r1-3\",\"requirements\":\"a\"},{\"count\":20,\"cpu\":"
+      "2000,"
+      "\"gpu\":1,\"depends_on\":[0],\"checkpointing\":true,\"anti_affinity\":2}]}";
+
+START_TEST (job_is_decoded)
+{
+  MdRunSpec spec;
+
+  ck_assert_int_eq (md_platform_read_job (md_str (job_text), &spec, NULL), MD_OK);
+  ck_assert_uint_eq (spec.n_steps, 2);
+  ck_assert (spec.best_effort);
+  ck_assert_str_eq (spec.spec, "ab");
+  ck_assert_uint_eq (spec.steps[0].count, 4);
+  ck_assert_uint_eq (spec.steps[0].need.cpu, 500);
+  ck_assert_int_eq (spec.steps[0].estimate, 900 * MD_MS);
+  ck_assert_str_eq (spec.steps[0].affinity, "r1-3");
+  ck_assert_str_eq (spec.steps[0].requirement, "a");
+  ck_assert_uint_eq (spec.steps[1].after, 1);
+  ck_assert_uint_eq (spec.steps[1].need.accelerators, 1);
+  ck_assert_uint_eq (spec.steps[1].per_worker, 2);
+  ck_assert (spec.steps[1].checkpointing);
+  md_run_spec_clear (&spec);
+}
+END_TEST
+
+START_TEST (job_without_steps_is_refused)
+{
+  MdError error = { 0 };
+  MdRunSpec spec;
+
+  ck_assert_int_eq (md_platform_read_job (MD_STR ("{\"spec\":\"a\"}"), &spec, &error),
+                    MD_E_INVALID);
+  ck_assert_int_eq (md_platform_read_job (MD_STR ("[]"), &spec, NULL), MD_E_INVALID);
+  ck_assert_int_eq (md_platform_read_job (MD_STR (""), &spec, NULL), MD_E_INVALID);
+  ck_assert_str_ne (error.detail, "");
+}
+END_TEST
+
+static const char worker_text[]
+    = "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,"
+      "\"gpu\":0},"
+      "\"labels\":[\"a\",\"r1-3\"],\"clock_ms\":482113,\"sequence\":4,\"born\":1700}";
+
+START_TEST (worker_is_decoded)
+{
+  MdWorkerReport report;
+
+  ck_assert_int_eq (md_platform_read_worker (md_str (worker_text), &report, NULL), MD_OK);
+  ck_assert_int_eq (report.state, MD_WORKER_READY);
+  ck_assert_uint_eq (report.capacity.cpu, 16000);
+  ck_assert (md_labels_have (&report.labels, "r1-3"));
+  ck_assert_int_eq (report.born_ms, 1700);
+  ck_assert_int_eq (report.clock_ms, 482113);
+}
+END_TEST
+
+/* Another writer's report names no worker to use. */
+START_TEST (strange_workers_are_refused)
+{
+  static const char *const texts[]
+      = { "{}",
+          "7",
+          "{\"service\":\"calc\",\"state\":\"resting\",\"capacity\":{\"cpu\":1}}",
+          "{\"service\":7,\"state\":\"ready\",\"capacity\":{\"cpu\":1}}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":\"large\"}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":-4}}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1e30}}",
+          "\xff\xfe" };
+  MdWorkerReport report;
+
+  for (size_t i = 0; i < MD_ARRAY_SIZE (texts); i++)
+    ck_assert_int_eq (md_platform_read_worker (md_str (texts[i]), &report, NULL), MD_E_INVALID);
+}
+END_TEST
+
+static const char hold_text[]
+    = "{\"clock_ms\":482113,\"born\":99,\"running\":[[\"5c.0.1.17\",2,\"00bb\",100,41],[1,2],7],"
+      "\"finished\":[[58,\"5c.0.1.9\",1,\"done\",\"\"],[59,\"5c.0.1.8\",3,\"vanished\",\"\"],"
+      "[60,\"5c.0.1.7\",1,\"lapsed\",\"cafe\"]]}";
+
+START_TEST (held_runs_are_decoded)
+{
+  MdHeld held;
+
+  ck_assert_int_eq (md_platform_hold_answer (md_str (hold_text), &held, NULL), MD_OK);
+  ck_assert_int_eq (held.clock_ms, 482113);
+  ck_assert_int_eq (held.born_ms, 99);
+  ck_assert_uint_eq (held.n_runs, 1);
+  ck_assert_str_eq (held.runs[0].task, "5c.0.1.17");
+  ck_assert_uint_eq (held.runs[0].cpu_used, 41);
+  ck_assert_uint_eq (held.n_ends, 2);
+  ck_assert_int_eq (held.ends[0].how, MD_RUN_DONE);
+  ck_assert_int_eq (held.ends[1].how, MD_RUN_LAPSED);
+  ck_assert_str_eq (held.ends[1].checkpoint, "cafe");
+  md_held_clear (&held);
+  ck_assert_int_eq (md_platform_hold_answer (MD_STR ("{\"running\":[]}"), &held, NULL),
+                    MD_E_INVALID);
+}
+END_TEST
+
+START_TEST (orders_are_written_as_agreed)
+{
+  MD_AUTO_CALL call = { 0 };
+  MD_AUTO_CALL hold = { 0 };
+  MdPlatformStart start = {
+    .task = MD_STR ("5c.0.1.17"), .run = 2, .spec = MD_STR ("x\"y"), .lease_ms = 486000, .token = 7
+  };
+
+  md_platform_start (&call, MD_STR ("i-1"), &start);
+  ck_assert_str_eq (call.target.data, "/v1/run-start");
+  ck_assert_str_eq (call.body.data, "{\"task\":\"5c.0.1.17\",\"run\":2,\"spec\":\"x\\\"y\","
+                                    "\"deadline_ms\":486000,\"fencing_token\":7}");
+  ck_assert_ptr_nonnull (strstr (call.headers.data, "X-Mulberrydrift-Expect-Instance: i-1\r\n"));
+  md_platform_hold (&hold, MD_STR (""), 486000, 7, 57, 100 * MD_MS);
+  ck_assert_str_eq (hold.body.data, "{\"deadline_ms\":486000,\"fencing_token\":7,\"acked\":57,"
+                                    "\"wait_ms\":100}");
+}
+END_TEST
+
+START_TEST (rejections_are_told_apart)
+{
+  int64_t clock_ms;
+
+  ck_assert_int_eq (md_platform_start_answer (200, MD_STR ("{\"clock_ms\":5}"), &clock_ms),
+                    MD_ORDER_STARTED);
+  ck_assert_int_eq (clock_ms, 5);
+  ck_assert_int_eq (md_platform_start_answer (409, MD_STR ("{\"reason\":\"fence\"}"), &clock_ms),
+                    MD_ORDER_FENCED);
+  ck_assert_int_eq (md_platform_start_answer (409, MD_STR ("{\"reason\":\"old\"}"), &clock_ms),
+                    MD_ORDER_STALE);
+  ck_assert_int_eq (md_platform_start_answer (421, MD_STR (""), &clock_ms), MD_ORDER_NOT_HERE);
+  ck_assert_int_eq (md_platform_start_answer (503, MD_STR (""), &clock_ms), MD_ORDER_REFUSED);
+  ck_assert_int_eq (clock_ms, -1);
+}
+END_TEST
+
+static const char read_text[] = "\0\0\0\0\0\0\0\5\0\0\0\0\0\0\0\0"
+                                "\0\0\0\6\2abxyz"
+                                "\0\0\0\1\0"
+                                "\0\0\0\2\1k";
+
+START_TEST (records_are_decoded)
+{
+  MdStr body = md_str_n (read_text, sizeof read_text - 1);
+  Records records = { 0 };
+  uint64_t next = 0;
+
+  ck_assert_int_eq (md_platform_read_answer (body, 2, keep_record, &records, &next, NULL), MD_OK);
+  ck_assert_uint_eq (next, 5);
+  ck_assert_uint_eq (records.n, 2); /* the second has no key */
+  ck_assert_str_eq (records.keys[0], "ab");
+  ck_assert_str_eq (records.values[0], "xyz");
+  ck_assert_uint_eq (records.offsets[1], 4);
+  ck_assert_str_eq (records.values[1], "");
+  body.len--;
+  ck_assert_int_eq (md_platform_read_answer (body, 2, keep_record, &records, &next, NULL),
+                    MD_E_INVALID);
+}
+END_TEST
+
+static const char newest_text[] = "{\"items\":[{\"key\":\"config\",\"value\":\"eHl6\",\"offset\":4}"
+                                  ",{\"key\":\"x\",\"value\":\"!\"},"
+                                  "{\"value\":\"eHl6\"}],\"has_more\":true,\"end_offset\":6}";
+
+START_TEST (newest_records_are_decoded)
+{
+  Records records = { 0 };
+  uint64_t next = 0;
+  bool more = false;
+
+  ck_assert_int_eq (md_platform_newest_answer (md_str (newest_text), keep_record, &records, &next,
+                                               &more, NULL),
+                    MD_OK);
+  ck_assert_uint_eq (records.n, 1);
+  ck_assert_str_eq (records.values[0], "xyz");
+  ck_assert_uint_eq (next, 6);
+  ck_assert (more);
+}
+END_TEST
+
+static const char config_text[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h.example\",\"path_prefix\":\"/p/\","
+      "\"service\":\"calc\",\"timeout_ms\":1500,\"target_latency_ms\":60,\"slack_factor\":1.6,"
+      "\"priority\":1,\"max_attempts\":2},{\"name\":\"b\",\"host\":\"h.example\",\"path_prefix\":"
+      "\"/p/q/\",\"service\":\"calc\",\"advisor\":{\"decision_ms\":3}},{\"host\":7}],"
+      "\"limits\":{\"max_body_bytes\":262144}}";
+
+START_TEST (longest_prefix_wins)
+{
+  MdRoutes *routes = md_platform_read_config (md_str (config_text), NULL);
+  const MdRoute *route;
+
+  ck_assert_ptr_nonnull (routes);
+  ck_assert_uint_eq (routes->n, 2);
+  ck_assert_uint_eq (routes->max_body_bytes, 262144);
+  route = md_routes_find (routes, MD_STR ("H.example:80"), MD_STR ("/p/0a"));
+  ck_assert_str_eq (route->name, "a");
+  ck_assert_int_eq (route->target_latency, 60 * MD_MS);
+  ck_assert_str_eq (md_routes_find (routes, MD_STR ("h.example"), MD_STR ("/p/q/0a"))->name, "b");
+  ck_assert (md_routes_find (routes, MD_STR ("h.example"), MD_STR ("/p/q/0a"))->advised);
+  ck_assert_ptr_null (md_routes_find (routes, MD_STR ("g.example"), MD_STR ("/p/0a")));
+  ck_assert_ptr_null (md_routes_find (routes, MD_STR ("h.example"), MD_STR ("/p")));
+  md_routes_free (routes);
+  ck_assert_ptr_null (md_platform_read_config (MD_STR ("{\"routes\":[]}"), NULL));
+}
+END_TEST
+
+START_TEST (memory_of_a_worker_is_kept_whole)
+{
+  MdWorkerMemory memory = { .id = "i-1", .log_speed = -0.5, .samples = 9 };
+  MdWorkerMemory back;
+  MD_AUTO_BUF text = { 0 };
+
+  ck_assert_int_eq (md_platform_read_worker (md_str (worker_text), &memory.report, NULL), MD_OK);
+  md_platform_write_memory (&text, &memory);
+  ck_assert_int_eq (md_platform_read_memory (md_buf_str (&text), &back, NULL), MD_OK);
+  ck_assert_str_eq (back.id, "i-1");
+  ck_assert_double_eq (back.log_speed, -0.5);
+  ck_assert_uint_eq (back.samples, 9);
+  ck_assert_int_eq (back.report.born_ms, 1700);
+  ck_assert (md_labels_have (&back.report.labels, "r1-3"));
+}
+END_TEST
+
+static void
+read_all (MdStr text)
+{
+  Records records = { 0 };
+  MdWorkerReport report;
+  MdWorkerMemory memory;
+  char address[MD_ADDRESS_BYTES];
+  uint64_t next;
+  int64_t clock_ms;
+  MdHeld held = { 0 };
+  MdRunSpec spec;
+  bool more;
+
+  md_platform_read_job (text, &spec, NULL);
+  md_run_spec_clear (&spec);
+  md_platform_read_worker (text, &report, NULL);
+  md_platform_read_memory (text, &memory, NULL);
+  md_platform_hold_answer (text, &held, NULL);
+  md_held_clear (&held);
+  md_platform_start_answer (409, text, &clock_ms);
+  md_platform_read_answer (text, 0, keep_record, &records, &next, NULL);
+  md_platform_newest_answer (text, keep_record, &records, &next, &more, NULL);
+  md_routes_free (md_platform_read_config (text, NULL));
+  md_platform_read_entry (text, address, NULL);
+}
+
+/* A fixed seed; the address sanitizer's build is the judge. */
+START_TEST (any_bytes_are_survived)
+{
+  const MdStr texts[] = { MD_STR (job_text),    MD_STR (worker_text),
+                          MD_STR (hold_text),   { read_text, sizeof read_text - 1 },
+                          MD_STR (newest_text), MD_STR (config_text) };
+  uint64_t random = 88172645463325252u;
+  char copy[1024];
+
+  for (int i = 0; i < MUTATIONS; i++)
+    {
+      MdStr text = texts[i % MD_ARRAY_SIZE (texts)];
+
+      text.len = strlen (text.data) > 0 && text.len > sizeof copy ? sizeof copy : text.len;
+      memcpy (copy, text.data, text.len);
+      for (int k = 0; k < 3; k++)
+        {
+          random ^= random << 13;
+          random ^= random >> 7;
+          random ^= random << 17;
+          copy[random % text.len] = (char)(random >> 32);
+        }
+      if (random & 1)
+        text.len = random / 2 % text.len;
+      read_all (md_str_n (copy, text.len));
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("platform");
+  TCase *tc = tcase_create ("platform");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (tc, job_is_decoded);
+  tcase_add_test (tc, job_without_steps_is_refused);
+  tcase_add_test (tc, worker_is_decoded);
+  tcase_add_test (tc, strange_workers_are_refused);
+  tcase_add_test (tc, held_runs_are_decoded);
+  tcase_add_test (tc, orders_are_written_as_agreed);
+  tcase_add_test (tc, rejections_are_told_apart);
+  tcase_add_test (tc, records_are_decoded);
+  tcase_add_test (tc, newest_records_are_decoded);
+  tcase_add_test (tc, longest_prefix_wins);
+  tcase_add_test (tc, memory_of_a_worker_is_kept_whole);
+  tcase_add_test (tc, any_bytes_are_survived);
+  suite_add_tcase (suite, tc);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed != 0;
+}
--- a/tests/test-runqueue.c
+++ b/tests/test-runqueue.c
@@ -204,6 +204,24 @@
 }
 END_TEST
 
+/* Failure: a job that can never be done fails on every worker, one after the other; it
+   must not condemn them, while failures of different jobs do. */
+START_TEST (failures_of_different_jobs_count)
+{
+  MdRunQueue queue = queue_with_room (1);
+
+  for (int i = 0; i < 8; i++)
+    md_runqueue_judge (&queue, MD_RUN_FAILED, 7);
+  ck_assert_uint_eq (queue.failures, 1);
+  md_runqueue_judge (&queue, MD_RUN_FAILED, 8);
+  md_runqueue_judge (&queue, MD_RUN_REJECTED, 9);
+  md_runqueue_judge (&queue, MD_RUN_FAILED, 9);
+  ck_assert_uint_eq (queue.failures, 3);
+  md_runqueue_judge (&queue, MD_RUN_DONE, 9);
+  ck_assert_uint_eq (queue.failures, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -223,6 +241,7 @@
   tcase_add_test (tc, speed_follows_a_slow_worker);
   tcase_add_test (tc, overdue_runs_lower_the_speed);
   tcase_add_test (tc, speed_of_an_idle_worker_is_forgotten);
+  tcase_add_test (tc, failures_of_different_jobs_count);
   tcase_add_test (tc, hanging_runs_show_a_stalled_worker);
   suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
--- a/wire.pb-c.c
+++ b/wire.pb-c.c
@@ -4295,7 +4295,7 @@
   (ProtobufCMessageInit) md__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor md__run_report__field_descriptors[14] =
 {
   {
     "stamp_us",
@@ -4453,9 +4453,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failures",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, failures),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_report__field_indices_by_name[] = {
   7,   /* field[7] = ends */
+  13,   /* field[13] = failures */
   4,   /* field[4] = free_accelerators */
   2,   /* field[2] = free_cpu */
   3,   /* field[3] = free_memory_mb */
@@ -4472,7 +4485,7 @@
 static const ProtobufCIntRange md__run_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor md__run_report__descriptor =
 {
@@ -4482,7 +4495,7 @@
   "Md__RunReport",
   "md",
   sizeof(Md__RunReport),
-  13,
+  14,
   md__run_report__field_descriptors,
   md__run_report__field_indices_by_name,
   1,  md__run_report__number_ranges,
--- a/wire.pb-c.h
+++ b/wire.pb-c.h
@@ -712,6 +712,10 @@
    * until the next expected end of a run
    */
   uint64_t next_end_us;
+  /*
+   * ends FAILED of different jobs in a row
+   */
+  uint32_t failures;
   /*
    * learned, relative to the declared run times
    */
@@ -719,7 +723,7 @@
 };
 #define MD__RUN_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
