Answer the frames of an owner that is not attached any more

Change: the guard answers 'detached', and the owner attaches it again. Test: test_detached_guard_is_attached_again, seen to fail without the change.

--- a/entry-peers.c
+++ b/entry-peers.c
@@ -343,6 +343,8 @@
       md_link_expect (peer->link, entry->settings.tuning.heartbeat_max
                                       * entry->settings.tuning.missed_heartbeats);
     }
+  if (verdict.reason == MD_REASON_DETACHED && !reply->attached)
+    peer->attached = false;
   md_log (MD_LOG_INFO, "attach-reply", "shard=%s upstream=%s attached=%d reason=%s alive=%d",
           peer->shard->name, peer->name, reply->attached, md_reason_name (verdict.reason),
           reply->holder_alive);
--- a/guard-entries.c
+++ b/guard-entries.c
@@ -485,6 +485,11 @@
 {
   if (!is_owner (guard, peer))
     {
+      MdAttachVerdict verdict
+          = { .reason = MD_REASON_DETACHED, .holder = md_ledger_owner (guard->ledger) };
+
+      /* Silence would leave an owner asking for ever. */
+      send_attach_reply (guard, peer, &verdict);
       md_log (MD_LOG_INFO, "ignored", "peer=%s frame=%d reason=%s", md_link_peer (peer->link),
               (int)frame->msg_case, md_reason_name (MD_REASON_NOT_ATTACHED));
       return;
--- a/mulberrydrift.h
+++ b/mulberrydrift.h
@@ -109,6 +109,7 @@
     MD_REASON_NO_CONFIG,   /* no configuration has been read yet */
     /* refusals of a start by a guard */
     MD_REASON_NOT_ATTACHED,      /* the sender is not the attached owner */
+    MD_REASON_DETACHED,          /* the sender believes to be attached and is not */
     MD_REASON_FENCED,            /* the sender's incarnation is fenced */
     MD_REASON_LEASE_EXPIRED,     /* no fresh echo from the owner */
     MD_REASON_WRONG_INCARNATION, /* meant for an earlier process of the guard */
@@ -616,7 +617,9 @@
 
   /* md_shard_ack: the guard, not having fenced us, acknowledged a heartbeat we
    sent at sent_at, carrying registration offset. A heartbeat that says that we
-   are fenced is passed to md_shard_attach_reply with MD_REASON_FENCED. */
+   are fenced is passed to md_shard_attach_reply with MD_REASON_FENCED. A guard that
+   refuses the frames of an owner because it is not attached any more answers with
+   MD_REASON_DETACHED; the owner attaches it again. */
   void md_shard_ack (MdShard *shard, uint64_t guard, MdTime sent_at, uint64_t offset, MdTime now);
 
   /* md_shard_tick: time-outs; wall_ms is used for the cut. Returns when to call
--- a/names.c
+++ b/names.c
@@ -18,6 +18,7 @@
   [MD_REASON_OVERLOAD] = "overload",
   [MD_REASON_NO_CONFIG] = "no-configuration",
   [MD_REASON_NOT_ATTACHED] = "not-attached",
+  [MD_REASON_DETACHED] = "detached",
   [MD_REASON_FENCED] = "fenced",
   [MD_REASON_LEASE_EXPIRED] = "lease-expired",
   [MD_REASON_WRONG_INCARNATION] = "wrong-incarnation",
--- a/shard.c
+++ b/shard.c
@@ -549,6 +549,18 @@
   update (shard, now);
 }
 
+/* The guard was taken meanwhile by an entry that has given up since. */
+static void
+take_detached (MdShard *shard, MdShardGuard *guard, MdTime now)
+{
+  if (!guard->attached)
+    return;
+  guard->attached = false;
+  guard->confirmed = false;
+  guard->retry_at = now;
+  update (shard, now);
+}
+
 void
 md_shard_attach_reply (MdShard *shard, uint64_t id, const MdAttachVerdict *verdict,
                        uint64_t known_offset, MdTime now)
@@ -561,6 +573,8 @@
     take_attached (shard, guard, known_offset, now);
   else if (verdict->reason == MD_REASON_FENCED)
     take_fenced (shard, guard, verdict->holder, now);
+  else if (verdict->reason == MD_REASON_DETACHED)
+    take_detached (shard, guard, now);
   else
     take_refusal (shard, guard, verdict, now);
 }
--- a/tests/test-shard.c
+++ b/tests/test-shard.c
@@ -563,6 +563,26 @@
 }
 END_TEST
 
+/* Guards against an owner that goes on asking a guard which another entry took and gave
+   up meanwhile: the guard must be attached again. */
+START_TEST (test_detached_guard_is_attached_again)
+{
+  MdAttachVerdict detached = { .reason = MD_REASON_DETACHED };
+  Entry *e = &entries[0];
+  unsigned attaches;
+
+  serve (e, 7, 0);
+  pass (MD_SECOND);
+  attaches = e->attaches;
+  md_shard_attach_reply (e->shard, guard_id (2), &detached, 0, now);
+  pump (e);
+  ck_assert_uint_eq (e->attaches, attaches + 1);
+  pass (MD_SECOND);
+  ck_assert_int_eq (md_shard_state (e->shard), MD_SHARD_SERVING);
+  ck_assert_uint_eq (e->attaches, attaches + 1);
+}
+END_TEST
+
 /* Guards against lifting the cut of a takeover when a guard that was missing was
    restarted: its new process is reached, but what the former one ran is lost. */
 START_TEST (test_cut_outlives_restart)
@@ -670,6 +690,7 @@
   tcase_add_test (tc, test_joint_adoption);
   tcase_add_test (tc, test_successor_needs_old_view);
   tcase_add_test (tc, test_straggler_does_not_block);
+  tcase_add_test (tc, test_detached_guard_is_attached_again);
   tcase_add_test (tc, test_cut_outlives_restart);
   tcase_add_test (tc, test_most_guards_restart);
   tcase_add_test (tc, test_two_acquire);
