--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -13,6 +13,7 @@
 #define NETWORK_MARGIN (8 * MD_MS) /* of the goal: the way to the caller and back */
 #define DEFAULT_PATIENCE (2 * MD_SECOND) /* of callers that do not state it */
 #define OVERDUE_MARGIN (15 * MD_MS)      /* a run that waits longer than expected is looked at */
+#define STALLED_FACTOR 2                 /* of the expected run time, at a stalled worker */
 #define MOVE_GAIN (15 * MD_MS)           /* a run is moved to another guard for no less */
 #define TICK (10 * MD_MS)                /* between looks at waiting runs */
 #define RETRY_NO_WORKER (1 * MD_SECOND)  /* Retry-After while no upstream is usable */
@@ -785,13 +786,36 @@
   md_entry_withdraw (order);
 }
 
+/* A run that is overdue at a worker whose runs stand still is ended there and ordered
+   elsewhere, as long as the answer is still worth something. */
+static void
+abandon_if_stalled (MdRunEntry *entry, MdEntryJob *job, MdEntryOrder *order)
+{
+  MdTime taken = entry->now - order->placed_at - order->wait;
+
+  if (!order->started || order->cancelled || !order->guard->worker.stalled
+      || taken < STALLED_FACTOR * order->expected || entry->now + order->expected / 2 > job->limit)
+    return;
+  md_log (MD_LOG_INFO, "run-abandoned",
+          "job=%s step=%u task=%u run=%u guard=%s taken_ms=%lld expected_ms=%lld", job->id,
+          order->step, order->task, order->run, order->guard->name, (long long)(taken / MD_MS),
+          (long long)(order->expected / MD_MS));
+  md_entry_cancel (order);
+}
+
 static void
 look_at_orders (MdRunEntry *entry, MdEntryJob *job)
 {
   for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
     for (uint32_t k = 0; k < job->job.spec.steps[i].count; k++)
-      if (is_overdue (entry, job->job.tasks[i][k].order))
-        move_if_better (entry, job, job->job.tasks[i][k].order);
+      {
+        MdEntryOrder *order = job->job.tasks[i][k].order;
+
+        if (is_overdue (entry, order))
+          move_if_better (entry, job, order);
+        else if (order != NULL)
+          abandon_if_stalled (entry, job, order);
+      }
 }
 
 /* Nothing has started and the goal cannot be met any more: the caller is told at once
--- a/sched/runqueue.c
+++ b/sched/runqueue.c
@@ -18,9 +18,9 @@
 #include <string.h>
 
 #define MAX_PROJECTED 256              /* runs looked at when a wait is projected */
-#define STALL_FACTOR 3.0               /* overdue: multiple of the expected run time */
-#define STALL_MARGIN (300 * MD_MS)     /* overdue: at least this much longer */
-#define STALL_RUNS 2                   /* overdue runs that make a worker stalled */
+#define STALL_FACTOR 2.0               /* overdue: multiple of the expected run time */
+#define STALL_MARGIN (100 * MD_MS)     /* overdue: at least this much longer */
+#define STALL_RUNS 3                   /* overdue runs that make a worker stalled */
 #define ORDER_MAX (40 * MD_MS)         /* most that slack moves a run back */
 #define SPEED_GAIN 0.05                /* least weight of a run in the learned speed */
 #define SPEED_MEMORY (2 * MD_SECOND)   /* an idle worker's speed is forgotten in about this */
