--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -12,14 +12,14 @@
 #include <unistd.h>
 #include <urcu/urcu-memb.h>
 
-#define CONFIG_WAIT                                                                                \
-  (800 * MD_MS) /* a read waits so long, so that a silent connection
-                                       is noticed before a configuration is overdue */
+/* A read waits so long, so that a silent connection is noticed before a configuration is
+   overdue. */
+#define CONFIG_WAIT (800 * MD_MS)
 #define REGISTER_TIMEOUT (1500 * MD_MS)
 #define REGISTER_RETRY (500 * MD_MS)
-#define LEAVE_AFTER                                                                                \
-  (2600 * MD_MS)                   /* the balancer takes two probes, a second apart, to
-                                       send no new connections */
+/* The balancer takes two probes, a second apart, to send no new connections; requests
+   that come later than this on connections of before are rejected. */
+#define LEAVE_AFTER (3000 * MD_MS)
 #define FINISH_TIME (300 * MD_MS)  /* for the last responses */
 #define LEAVE_MARGIN (900 * MD_MS) /* before the platform kills the process */
 
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -12,7 +12,10 @@
 #define WORKER_CONNECTIONS 6L          /* one for the hold, the others for starts and stops */
 #define DIRECTORY_WAIT (5 * MD_SECOND) /* a read of the entries' topic waits so long */
 #define LEAVE_MARGIN (1 * MD_SECOND)   /* before the platform kills the process */
-#define RECONNECT_MAX (400 * MD_MS)    /* entries come back within a second or two */
+#define RECONNECT_MAX (200 * MD_MS)    /* entries come back within a second or two */
+/* An entry without power drops the first packet, and the kernel repeats it only after a
+   second; a new dial finds the entry sooner. */
+#define CONNECT_TIMEOUT (200 * MD_MS)
 
 static void
 on_entry_record (void *user, const MdKeyedRecord *record)
@@ -153,6 +156,7 @@
   guard->daemon.links = md_links_new (&tuning, &md_run_guard_handler, guard);
   if (guard->daemon.links == NULL)
     return MD_EXIT_FAILED;
+  md_links_set_connect_timeout (guard->daemon.links, CONNECT_TIMEOUT);
   md_daemon_catch_signals (guard->daemon.links);
   rc = start_parts (guard, &error);
   if (rc == MD_OK)
--- a/http-async.c
+++ b/http-async.c
@@ -17,7 +17,7 @@
 #define MAX_WATCHES 4096               /* descriptors of the process */
 #define MAX_IDLE_CALLS 16              /* handles kept for reuse */
 #define ANSWER_MAX (64u * 1024 * 1024) /* bytes of one answer */
-#define CONNECT_MAX (1 * MD_SECOND)    /* a silent peer is dialled again after this */
+#define CONNECT_MAX (400 * MD_MS)      /* a silent peer is dialled again after this */
 
 typedef struct Call Call;
 
--- a/link.c
+++ b/link.c
@@ -23,7 +23,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define CONNECT_TIMEOUT (2 * MD_SECOND)   /* a dial is given up after this */
+#define CONNECT_TIMEOUT (2 * MD_SECOND)   /* a dial is given up after this, by default */
 #define HANDSHAKE_TIMEOUT (5 * MD_SECOND) /* first silence allowed on a new connection */
 #define ACCEPT_PAUSE (100 * MD_MS)        /* wait after accept failed for lack of descriptors */
 #define MAX_ACCEPTED 8192                 /* accepted links at a time */
@@ -45,6 +45,7 @@
   links->user = user;
   links->listener = -1;
   links->next_check = MD_LINK_NEVER;
+  links->connect_timeout = CONNECT_TIMEOUT;
   links->epoll = epoll_create1 (EPOLL_CLOEXEC);
   links->wake = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
   if (links->epoll < 0 || links->wake < 0
@@ -210,6 +211,12 @@
   return link;
 }
 
+void
+md_links_set_connect_timeout (MdLinks *links, MdTime timeout)
+{
+  links->connect_timeout = timeout;
+}
+
 /* ------------------------------------------------------------------ */
 /* Connecting                                                         */
 
@@ -270,7 +277,7 @@
   socklen_t len;
 
   link->state = MD_LINK_CONNECTING;
-  link->due = md_now () + CONNECT_TIMEOUT;
+  link->due = md_now () + link->links->connect_timeout;
   md_links_check_at (link->links, link->due);
   if (parse_address (md_str (link->peer), &sa, &len) != MD_OK)
     {
--- a/md-link.h
+++ b/md-link.h
@@ -47,19 +47,20 @@
 
 struct MdLinks
 {
-  MdTuning tuning;       /* reconnect delays */
-  MdLinkHandler handler; /* callbacks */
-  void *user;            /* first argument of the callbacks */
-  int epoll;             /* descriptor */
-  int wake;              /* eventfd */
-  int listener;          /* descriptor, -1 none */
-  atomic_bool woken;     /* a wake is pending */
-  MdLink *links;         /* all */
-  MdLink *dirty;         /* with queued output */
-  MdLink *ended;         /* end not reported */
-  size_t accepted;       /* accepted links */
-  MdTime accept_after;   /* listener is paused until then, 0 active */
-  MdTime next_check;     /* no deadline is earlier than this */
+  MdTuning tuning;        /* reconnect delays */
+  MdLinkHandler handler;  /* callbacks */
+  void *user;             /* first argument of the callbacks */
+  int epoll;              /* descriptor */
+  int wake;               /* eventfd */
+  int listener;           /* descriptor, -1 none */
+  atomic_bool woken;      /* a wake is pending */
+  MdLink *links;          /* all */
+  MdLink *dirty;          /* with queued output */
+  MdLink *ended;          /* end not reported */
+  size_t accepted;        /* accepted links */
+  MdTime accept_after;    /* listener is paused until then, 0 active */
+  MdTime connect_timeout; /* a dial is given up after this */
+  MdTime next_check;      /* no deadline is earlier than this */
 };
 
 /* link-io.c */
--- a/md-private.h
+++ b/md-private.h
@@ -304,6 +304,9 @@
 /* md_links_dial: keep a connection to an address, with jittered reconnects. */
 MdLink *md_links_dial (MdLinks *links, MdStr address, void *data);
 
+/* md_links_set_connect_timeout: of later dials; 2 s by default. */
+void md_links_set_connect_timeout (MdLinks *links, MdTime timeout);
+
 /* md_links_poll: write what is queued, wait for I/O until the given time or a
    wake, read, and call the handler. */
 void md_links_poll (MdLinks *links, MdTime until);
