--- a/explain.c
+++ b/explain.c
@@ -300,14 +300,15 @@
 }
 
 static void
-print_rejection (const Story *story)
+print_rejection (const Story *story, const Line *answered)
 {
   const Line *line = find_own (story, "job-rejected");
   int64_t wait = line != NULL ? number_of (line->text, "wait_ms") : 0;
   int64_t bound = line != NULL ? number_of (line->text, "wait_bound_ms") : 0;
 
   if (line == NULL)
-    puts ("cause: rejected, and the line with the reason is missing");
+    printf ("cause: rejected, %.*s\n", (int)value_of (answered->text, "reason").len,
+            value_of (answered->text, "reason").data);
   else if (value_of (line->text, "reason").len > 0)
     printf ("cause: rejected, %.*s\n", (int)value_of (line->text, "reason").len,
             value_of (line->text, "reason").data);
@@ -321,6 +322,63 @@
             (long long)number_of (line->text, "goal_ms"));
 }
 
+/* The line that placed the run which a guard says has ended; its task is named
+   JOB.OCCURRENCE.STEP.INDEX. */
+static const Line *
+placement_of (const Story *story, const Line *end)
+{
+  MdStr task = value_of (end->text, "task");
+  long long step = -1;
+  long long index = -1;
+  char name[128];
+
+  md_str_copy (name, sizeof name, task);
+  if (sscanf (name, "%*[^.].%*d.%lld.%lld", &step, &index) != 2)
+    return NULL;
+  for (size_t i = 0; i < story->n; i++)
+    {
+      MdStr text = story->lines[i].text;
+
+      if (is_event (text, "run-placed") && number_of (text, "step") == step
+          && number_of (text, "task") == index
+          && number_of (text, "run") == number_of (end->text, "run"))
+        return &story->lines[i];
+    }
+  return NULL;
+}
+
+/* The run that took longest beyond what was expected of it. */
+static void
+print_slowest (const Story *story)
+{
+  const Line *slowest = NULL;
+  const Line *placed = NULL;
+  int64_t most = 0;
+
+  for (size_t i = 0; i < story->n; i++)
+    {
+      const Line *line = &story->lines[i];
+      const Line *from
+          = line->own && is_event (line->text, "run-end") ? placement_of (story, line) : NULL;
+      int64_t over
+          = from != NULL ? number_of (line->text, "run_ms") - number_of (from->text, "run_ms") : 0;
+
+      if (over > most)
+        {
+          most = over;
+          slowest = line;
+          placed = from;
+        }
+    }
+  if (slowest != NULL)
+    printf ("slowest: %.*s at %.*s, how=%.*s, %lld ms instead of %lld ms\n",
+            (int)value_of (slowest->text, "task").len, value_of (slowest->text, "task").data,
+            (int)value_of (slowest->text, "node").len, value_of (slowest->text, "node").data,
+            (int)value_of (slowest->text, "how").len, value_of (slowest->text, "how").data,
+            (long long)number_of (slowest->text, "run_ms"),
+            (long long)number_of (placed->text, "run_ms"));
+}
+
 static void
 print_delay (const Story *story, const Line *answered, const char *what)
 {
@@ -344,6 +402,7 @@
             (long long)number_of (admitted->text, "forecast_ms"));
   else
     printf ("cause: %s, the lines before the answer are missing\n", what);
+  print_slowest (story);
 }
 
 static void
@@ -364,7 +423,7 @@
           (long long)number_of (answered->text, "elapsed_ms"),
           (long long)number_of (answered->text, "goal_ms"));
   if (md_str_equal (outcome, MD_STR ("not_run")))
-    print_rejection (story);
+    print_rejection (story, answered);
   else if (md_str_equal (outcome, MD_STR ("failed")))
     print_delay (story, answered, "a task failed as often as its queue allows");
   else if (number_of (answered->text, "status") == 0)
--- a/mulberrydrift.h
+++ b/mulberrydrift.h
@@ -31,7 +31,7 @@
 {
 #endif
 
-#define MD_VERSION "0.1.0"
+#define MD_VERSION "0.2.0"
 
   /* ------------------------------------------------------------------ */
   /* Basic types                                                        */
