Split placement and admission from the jobs of an entry

What places tasks and decides on admission now stands in entry-placement.c; code is moved, nothing else changes (run-platform passes).

--- /dev/null
+++ b/fleet/entry-placement.c
@@ -0,0 +1,319 @@
+/* entry-placement.c -- jobs at an entry: where their tasks go, and whether they are taken in
+
+   Feeds the decisions of sched/ with what this entry knows of its jobs and workers, and
+   carries them out. */
+
+#include "run-entry.h"
+
+#define LATE_LIMIT 3               /* an answer is worth nothing after this many times the goal */
+#define NETWORK_MARGIN (8 * MD_MS) /* of the goal: the way to the caller and back */
+#define DEFAULT_PATIENCE (2 * MD_SECOND) /* of callers that do not state it */
+#define RETRY_SAFETY 1.25                /* run times scatter by a factor of about exp (0.4) */
+
+/* ------------------------------------------------------------------ */
+/* Placement                                                          */
+
+double
+md_entry_work (const MdEntryJob *job, uint32_t step)
+{
+  return md_estimate_work (&job->stats->correction, job->job.spec.steps[step].estimate);
+}
+
+void
+md_entry_need (const MdRunEntry *entry, const MdEntryJob *job, uint32_t step, MdTaskNeed *need)
+{
+  const MdRunStep *spec = &job->job.spec.steps[step];
+
+  need->service = job->route.pool;
+  need->requirement = spec->requirement;
+  need->affinity = spec->affinity;
+  need->need = spec->need;
+  need->work = md_entry_work (job, step);
+  need->goal = job->goal - entry->now;
+  need->limit = job->limit - entry->now;
+  need->per_worker = spec->per_worker;
+}
+
+/* How many tasks of a step each worker has, for a bound on them. NULL when there is
+   no bound or no memory. */
+static uint32_t *
+count_taken (const MdRunEntry *entry, const MdEntryJob *job, uint32_t step)
+{
+  uint32_t *taken;
+
+  if (job->job.spec.steps[step].per_worker == 0)
+    return NULL;
+  taken = calloc (entry->workers.n + 1, sizeof *taken);
+  for (uint32_t k = 0; taken != NULL && k < job->job.spec.steps[step].count; k++)
+    {
+      const MdEntryOrder *order = job->job.tasks[step][k].order;
+
+      for (uint32_t i = 0; order != NULL && i < entry->workers.n; i++)
+        taken[i] += entry->workers.workers[i] == &order->guard->worker;
+    }
+  return taken;
+}
+
+static void
+order_task (MdRunEntry *entry, MdEntryJob *job, uint32_t step, uint32_t index,
+            const MdTaskNeed *need, const MdPlacement *placement)
+{
+  MdRunTask *task = &job->job.tasks[step][index];
+  MdEntryOrder *order = calloc (1, sizeof *order);
+
+  if (order == NULL)
+    return; /* tried again with the next tick */
+  order->guard = (MdEntryGuard *)placement->worker;
+  order->job = job;
+  order->step = step;
+  order->task = index;
+  order->run = ++task->run + job->run_base;
+  order->need = need->need;
+  order->declared = job->job.spec.steps[step].estimate;
+  order->placed_at = entry->now;
+  order->wait = placement->wait;
+  order->work = need->work;
+  order->expected = placement->run;
+  order->start_within = job->goal - entry->now - placement->run;
+  task->state = MD_TASK_ORDERED;
+  task->order = order;
+  job->job.ready--;
+  job->job.ordered++;
+  placement->worker->outstanding++;
+  md_worker_reserve (placement->worker, need->need, placement->run);
+  md_entry_send_order (entry, order);
+  md_log (MD_LOG_INFO, "run-placed",
+          "job=%s step=%u task=%u run=%u guard=%s wait_ms=%lld run_ms=%lld slack_ms=%lld "
+          "report_age_ms=%lld",
+          job->id, step, index, order->run, order->guard->name, (long long)(order->wait / MD_MS),
+          (long long)(order->expected / MD_MS), (long long)(order->start_within / MD_MS),
+          (long long)((entry->now - placement->worker->reported_at) / MD_MS));
+}
+
+/* The goal grows with the work, which is known roughly; the time that a first attempt
+   took does not. A further attempt therefore needs a margin. */
+static MdTime
+goal_of (const MdRunEntry *entry, const MdEntryJob *job, const MdRunTask *task)
+{
+  MdTime left = job->goal - entry->now;
+
+  return task->run > 0 ? (MdTime)((double)left / RETRY_SAFETY) : left;
+}
+
+/* Orders what is ready of a step; what no worker can take now stays ready. */
+static void
+place_step (MdRunEntry *entry, MdEntryJob *job, uint32_t step)
+{
+  MdTaskNeed need;
+  md_autofree uint32_t *taken = count_taken (entry, job, step);
+
+  md_entry_need (entry, job, step, &need);
+  for (uint32_t k = 0; k < job->job.spec.steps[step].count; k++)
+    {
+      MdRunTask *task = &job->job.tasks[step][k];
+      MdPlacement placement;
+
+      if (task->state != MD_TASK_READY)
+        continue;
+      need.goal = goal_of (entry, job, task);
+      placement = md_place (&entry->workers, &need, taken, task->last, entry->now);
+      if (placement.worker == NULL)
+        return;
+      for (uint32_t i = 0; taken != NULL && i < entry->workers.n; i++)
+        taken[i] += entry->workers.workers[i] == placement.worker;
+      order_task (entry, job, step, k, &need, &placement);
+    }
+}
+
+void
+md_entry_place_ready (MdRunEntry *entry, MdEntryJob *job)
+{
+  for (uint32_t i = 0; i < job->job.spec.n_steps && job->job.ready > 0; i++)
+    place_step (entry, job, i);
+}
+
+/* ------------------------------------------------------------------ */
+/* Admission                                                          */
+
+/* What placement changes while a forecast is made. */
+typedef struct
+{
+  MdRoom free;
+  MdTime wait;
+  MdTime next_end;
+} SavedRoom;
+
+static SavedRoom *
+save_rooms (const MdRunEntry *entry)
+{
+  SavedRoom *saved = calloc (entry->workers.n + 1, sizeof *saved);
+
+  for (uint32_t i = 0; saved != NULL && i < entry->workers.n; i++)
+    {
+      const MdWorker *worker = entry->workers.workers[i];
+
+      saved[i].free = worker->free;
+      saved[i].next_end = worker->next_end;
+      saved[i].wait = worker->wait;
+    }
+  return saved;
+}
+
+static void
+restore_rooms (MdRunEntry *entry, const SavedRoom *saved)
+{
+  for (uint32_t i = 0; i < entry->workers.n; i++)
+    {
+      MdWorker *worker = entry->workers.workers[i];
+
+      worker->free = saved[i].free;
+      worker->next_end = saved[i].next_end;
+      worker->wait = saved[i].wait;
+    }
+}
+
+/* When the tasks that are ready would end. False when some worker is missing. */
+static bool
+forecast_step (MdRunEntry *entry, const MdEntryJob *job, uint32_t step, MdForecast *forecast)
+{
+  MdTaskNeed need;
+  MdTime backlog;
+
+  md_entry_need (entry, job, step, &need);
+  backlog = md_place_backlog (&entry->workers, &need, entry->now);
+  forecast->wait = backlog > forecast->wait ? backlog : forecast->wait;
+  for (uint32_t k = 0; k < job->job.spec.steps[step].count; k++)
+    {
+      MdPlacement placement = md_place (&entry->workers, &need, NULL, NULL, entry->now);
+
+      if (placement.worker == NULL)
+        return false;
+      if (placement.wait + placement.run > forecast->finish)
+        forecast->finish = placement.wait + placement.run;
+      md_worker_reserve (placement.worker, need.need, placement.run);
+    }
+  return true;
+}
+
+/* The steps that follow are reckoned with their chain of work alone. */
+static bool
+forecast_job (MdRunEntry *entry, const MdEntryJob *job, double chain, MdForecast *forecast)
+{
+  md_autofree SavedRoom *saved = save_rooms (entry);
+  double first = 0;
+  bool possible = saved != NULL;
+
+  forecast->goal = job->goal - entry->now;
+  forecast->limit = job->limit - entry->now;
+  for (uint32_t i = 0; possible && i < job->job.spec.n_steps; i++)
+    if (job->job.tasks[i][0].state == MD_TASK_READY)
+      {
+        possible = forecast_step (entry, job, i, forecast);
+        if (md_entry_work (job, i) > first)
+          first = md_entry_work (job, i);
+      }
+  if (saved != NULL)
+    restore_rooms (entry, saved);
+  if (chain > first)
+    forecast->finish += (MdTime)(chain - first);
+  return possible;
+}
+
+/* Every step must fit somewhere, or the job can never end. */
+static bool
+is_possible (const MdRunEntry *entry, const MdEntryJob *job)
+{
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    {
+      MdTaskNeed need;
+
+      md_entry_need (entry, job, i, &need);
+      if (!md_place_possible (&entry->workers, &need))
+        return false;
+    }
+  return true;
+}
+
+double
+md_entry_set_times (MdEntryJob *job, const MdRunTicket *ticket)
+{
+  double work[MD_MAX_STEPS];
+  MdTime patience = ticket->patience > 0 ? ticket->patience : DEFAULT_PATIENCE;
+  double chain;
+  MdTime objective;
+
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    work[i] = md_entry_work (job, i);
+  chain = md_runjob_chain (&job->job, work);
+  objective = (MdTime)(job->route.slack_factor * chain) + job->route.target_latency;
+  if (job->route.timeout > 0 && job->route.timeout < patience)
+    patience = job->route.timeout;
+  job->arrived = ticket->arrived;
+  job->goal = ticket->arrived + objective - NETWORK_MARGIN;
+  job->limit = ticket->arrived + LATE_LIMIT * objective - NETWORK_MARGIN;
+  job->deadline = ticket->arrived + patience;
+  if (job->limit > job->deadline)
+    job->limit = job->deadline;
+  return chain;
+}
+
+static double
+total_work (const MdEntryJob *job)
+{
+  double work = 0;
+
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    work += md_entry_work (job, i) * job->job.spec.steps[i].count * job->job.spec.steps[i].need.cpu;
+  return work / 1000.0;
+}
+
+static double
+demand_of (MdRunEntry *entry, MdEntryJob *job)
+{
+  const MdDemand *demands[MD_MAX_QUEUES];
+
+  for (uint32_t i = 0; i < entry->n_stats; i++)
+    demands[i] = &entry->stats[i]->demand;
+  md_demand_add (&job->stats->demand, total_work (job), entry->now);
+  return md_demand_ratio (demands, entry->n_stats, &job->stats->demand, entry->now);
+}
+
+void
+md_entry_admit (MdRunEntry *entry, MdEntryJob *job, double chain)
+{
+  MdForecast forecast = { .demand = demand_of (entry, job) };
+  MdTime retry_after;
+
+  if (!is_possible (entry, job))
+    {
+      md_entry_finish_job (entry, job, 503, NULL, "no-upstream", MD_RETRY_NO_WORKER);
+      return;
+    }
+  if (!forecast_job (entry, job, chain, &forecast))
+    {
+      md_entry_finish_job (entry, job, 503, NULL, "no-upstream", MD_RETRY_NO_WORKER);
+      return;
+    }
+  switch (md_admit_run (&forecast))
+    {
+    case MD_ADMIT_NOW:
+    case MD_ADMIT_LATE:
+      md_log (MD_LOG_INFO, "job-admitted",
+              "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f",
+              job->id, job->request, job->route.name, (long long)(forecast.finish / MD_MS),
+              (long long)(forecast.wait / MD_MS), (long long)(forecast.goal / MD_MS),
+              forecast.demand);
+      md_entry_place_ready (entry, job);
+      break;
+    case MD_ADMIT_NEVER:
+      retry_after = md_admit_retry_after (&forecast, md_random ());
+      md_log (MD_LOG_INFO, "job-rejected",
+              "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f "
+              "wait_bound_ms=%lld",
+              job->id, job->request, job->route.name, (long long)(forecast.finish / MD_MS),
+              (long long)(forecast.wait / MD_MS), (long long)(forecast.goal / MD_MS),
+              forecast.demand, (long long)(md_admit_wait_bound (forecast.demand) / MD_MS));
+      md_entry_finish_job (entry, job, 429, NULL, "overload", retry_after);
+      break;
+    }
+}
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -1,7 +1,8 @@
 /* run-entry.h -- what the files of the entry daemon share
 
    front.c is the HTTP server for callers, run-entry.c the life cycle, entry-jobs.c the
-   jobs, entry-guards.c the links to guards. All but front.c run in the engine thread. */
+   jobs, entry-placement.c where their tasks go, entry-guards.c the links to guards. All
+   but front.c run in the engine thread. */
 
 #ifndef MD_RUN_ENTRY_H
 #define MD_RUN_ENTRY_H
@@ -197,7 +198,26 @@
 /* md_front_leave: responses close their connections from now on. */
 void md_front_leave (MdFront *front);
 
+#define MD_RETRY_NO_WORKER (1 * MD_SECOND) /* Retry-After while no upstream is usable */
+
+/* entry-placement.c */
+/* md_entry_work: run time of a task of the step at speed 1, microseconds. */
+double md_entry_work (const MdEntryJob *job, uint32_t step);
+/* md_entry_need: what a task of the step asks of a worker now. */
+void md_entry_need (const MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
+                    MdTaskNeed *need);
+/* md_entry_set_times: goal, limit and deadline of a new job; returns its longest chain of
+   work, microseconds. */
+double md_entry_set_times (MdEntryJob *job, const MdRunTicket *ticket);
+/* md_entry_admit: place the job or reject it. */
+void md_entry_admit (MdRunEntry *entry, MdEntryJob *job, double chain);
+/* md_entry_place_ready: order what is ready; what no worker can take stays ready. */
+void md_entry_place_ready (MdRunEntry *entry, MdEntryJob *job);
+
 /* entry-jobs.c */
+/* md_entry_finish_job: answer the callers, end what is left of the job, and free it. */
+void md_entry_finish_job (MdRunEntry *entry, MdEntryJob *job, int status, const char *state,
+                          const char *reason, MdTime retry_after);
 void md_entry_ticket (MdRunEntry *entry, MdRunTicket *ticket);
 /* md_entry_refuse_ticket: answer a ticket that no engine will look at. */
 void md_entry_refuse_ticket (MdRunTicket *ticket);
--- a/shard.c
+++ b/shard.c
@@ -555,8 +555,7 @@
 {
   if (!guard->attached)
     return;
-  guard->attached = false;
-  guard->confirmed = false;
+  guard->attached = guard->confirmed = false;
   guard->retry_at = now;
   update (shard, now);
 }
