Call a worker stalled only for overdue runs of different jobs

Change: overdue runs of one job say nothing about a worker; only a first attempt is abandoned. Test one_underestimated_job_stalls_nobody, seen to fail before.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -478,7 +478,9 @@
 {
   MdTime taken = entry->now - order->placed_at - order->wait;
 
+  /* Only a first attempt: its estimate may be to blame. */
   if (!order->started || order->cancelled || !order->guard->worker.stalled
+      || job->job.tasks[order->step][order->task].run > 1
       || taken < STALLED_FACTOR * order->expected || entry->now + order->expected / 2 > job->limit)
     return;
   md_log (MD_LOG_INFO, "run-abandoned",
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -85,7 +85,7 @@
     add_end (peer, run, how, time, checkpoint);
   if (run->queued.state != MD_RUN_WAITING)
     md_observe (MD_H_RUN, time);
-  md_runqueue_judge (&guard->queue, how, XXH64 (run->task, strcspn (run->task, "."), 0));
+  md_runqueue_judge (&guard->queue, how, run->queued.job);
   md_log (MD_LOG_INFO, "run-end", "task=%s run=%u how=%s run_ms=%lld entry=%s", run->task, run->run,
           md_run_how_name (how), (long long)(time / MD_MS), peer != NULL ? peer->name : "gone");
   /* After a hold without an answer the end was seen late. */
@@ -463,6 +463,7 @@
   run->queued.start_by = guard->now + order->start_within_us;
   md_str_copy (run->task, sizeof run->task, md_str (order->task));
   run->run = order->run;
+  run->queued.job = XXH64 (run->task, strcspn (run->task, "."), 0);
   md_str_copy (run->checkpoint, sizeof run->checkpoint, md_str (order->checkpoint));
   md_str_copy (run->ticket, sizeof run->ticket, md_str (order->ticket));
   run->spec = spec;
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -96,6 +96,7 @@
   MdRunState state;  /* which list */
   uint64_t entry;    /* incarnation of the entry that ordered it */
   uint64_t id;       /* of the order */
+  uint64_t job;      /* hash of the name of its job */
   MdRoom need;       /* room taken from STARTING on */
   double work;       /* run time expected at speed 1, microseconds; 0 unknown */
   MdTime start_by;   /* a later start misses the goal of its job */
--- a/sched/runqueue.c
+++ b/sched/runqueue.c
@@ -341,6 +341,8 @@
 md_runqueue_stalled (const MdRunQueue *queue, MdTime now)
 {
   double speed = exp (remembered_log_speed (queue, now));
+  const MdRun *first = NULL;
+  bool other_job = false;
   uint32_t overdue = 0;
 
   for (const MdRun *run = queue->running.first; run != NULL; run = run->next)
@@ -348,9 +350,13 @@
       MdTime expected = expected_time (run, speed);
       MdTime limit = run->started_at + (MdTime)(STALL_FACTOR * (double)expected);
 
-      if (now > limit && now > run->started_at + expected + STALL_MARGIN
-          && queue->last_end < run->started_at + expected)
-        overdue++;
+      if (now <= limit || now <= run->started_at + expected + STALL_MARGIN
+          || queue->last_end >= run->started_at + expected)
+        continue;
+      overdue++;
+      other_job |= first != NULL && run->job != first->job;
+      first = run;
     }
-  return overdue >= STALL_RUNS;
+  /* One job whose estimate is far off says nothing about the worker. */
+  return overdue >= STALL_RUNS && other_job;
 }
--- a/tests/test-runqueue.c
+++ b/tests/test-runqueue.c
@@ -196,6 +196,7 @@
   for (unsigned i = 0; i < 3; i++)
     {
       runs[i] = run_with_slack (i, 100 * MD_MS, 1000 * MD_MS);
+      runs[i].job = i;
       md_runqueue_add (&queue, &runs[i], 0);
       md_runqueue_next (&queue, 0);
     }
@@ -207,6 +208,24 @@
 }
 END_TEST
 
+/* Failure: all tasks of one job take ten times their estimate. That says nothing about
+   the worker, and a job that is moved for it never ends. */
+START_TEST (one_underestimated_job_stalls_nobody)
+{
+  MdRunQueue queue = queue_with_room (4);
+  MdRun runs[4];
+
+  for (unsigned i = 0; i < 4; i++)
+    {
+      runs[i] = run_with_slack (i, 30 * MD_MS, 1000 * MD_MS);
+      runs[i].job = 7;
+      md_runqueue_add (&queue, &runs[i], 0);
+      md_runqueue_next (&queue, 0);
+    }
+  ck_assert (!md_runqueue_stalled (&queue, 400 * MD_MS));
+}
+END_TEST
+
 /* Failure: a job that can never be done fails on every worker, one after the other; it
    must not condemn them, while failures of different jobs do. */
 START_TEST (failures_of_different_jobs_count)
@@ -245,6 +264,7 @@
   tcase_add_test (tc, overdue_runs_lower_the_speed);
   tcase_add_test (tc, speed_of_an_idle_worker_is_forgotten);
   tcase_add_test (tc, failures_of_different_jobs_count);
+  tcase_add_test (tc, one_underestimated_job_stalls_nobody);
   tcase_add_test (tc, hanging_runs_show_a_stalled_worker);
   suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
