--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -67,10 +67,6 @@
 MdTime md_keyed_poll (MdKeyed *keyed, MdTime now);
 /* md_keyed_loaded: the newest record of every key has been delivered. */
 bool md_keyed_loaded (const MdKeyed *keyed);
-/* md_keyed_idle: no call is under way, so that it may be freed. */
-bool md_keyed_idle (const MdKeyed *keyed);
-/* md_keyed_read_at: when the store's answer last showed the end of the topic, 0 never. */
-MdTime md_keyed_read_at (const MdKeyed *keyed);
 
 /* ------------------------------------------------------------------ */
 /* Addresses of entries (directory.c)                                 */
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -255,7 +255,6 @@
       answer_ticket (ticket, 503, NULL, 0);
       return;
     }
-  job->number = entry->next_job++;
   md_str_copy (job->id, sizeof job->id, md_str (ticket->id));
   md_str_copy (job->request, sizeof job->request, md_str (ticket->request));
   job->route = ticket->route;
--- a/fleet/keyed.c
+++ b/fleet/keyed.c
@@ -34,7 +34,6 @@
   uint64_t next;                  /* FOLLOW: offset to read */
   uint64_t asked;                 /* FOLLOW: offset of the call under way */
   char after[256];                /* NEWEST: key to continue from */
-  MdTime read_at;                 /* when the end was last seen */
   bool reachable;                 /* the last call was answered */
   MdTime lost_at;                 /* when it became unreachable */
 };
@@ -70,18 +69,6 @@
   return keyed->state == KEYED_FOLLOW;
 }
 
-bool
-md_keyed_idle (const MdKeyed *keyed)
-{
-  return !keyed->busy;
-}
-
-MdTime
-md_keyed_read_at (const MdKeyed *keyed)
-{
-  return keyed->read_at;
-}
-
 static void
 note_failure (MdKeyed *keyed, const MdHttpAnswer *answer, const MdError *error)
 {
@@ -105,8 +92,6 @@
 
   keyed->due = now;
   keyed->delay = RETRY_FIRST;
-  if (keyed->state == KEYED_FOLLOW)
-    keyed->read_at = now;
   if (keyed->reachable)
     return;
   keyed->reachable = true;
--- a/fleet/routes.h
+++ b/fleet/routes.h
@@ -19,7 +19,6 @@
   MdTime timeout;               /* longest time for a request */
   MdTime target_latency;        /* response-time goal beyond the work */
   double slack_factor;          /* response-time goal, as a multiple of the work */
-  uint32_t priority;            /* 0 comes first */
   uint32_t max_attempts;        /* failed runs of a task that fail its job */
   bool advised;                 /* an advisory service has to allow workers; such
                                    queues are not served yet */
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -136,7 +136,6 @@
   MdEntryJob *next;         /* all jobs */
   MdEntryJob *previous;     /* all jobs */
   MdEntryJob *chain;        /* same bucket */
-  uint64_t number;          /* counts jobs */
   char id[MD_JOB_ID_BYTES]; /* name */
   char request[64];         /* the caller's name for the request */
   MdRoute route;            /* queue */
@@ -150,7 +149,6 @@
   MdTime started_at;        /* first start reported, 0 none */
   uint32_t run_base;        /* added to run numbers, after a worker had seen higher ones */
   bool giving_up;           /* to be rejected once all orders are back */
-  bool refused_full;        /* giving_up: for want of room */
 };
 
 #define MD_JOB_BUCKETS 4096u /* of the table of jobs */
@@ -169,7 +167,6 @@
   MdEntryJob *jobs;                    /* all */
   MdEntryJob *buckets[MD_JOB_BUCKETS]; /* by id */
   uint32_t n_jobs;                     /* all */
-  uint64_t next_job;                   /* number of the next one */
   uint64_t next_order;                 /* id of the next one */
   MdQueueStats *stats[MD_MAX_QUEUES];  /* n_stats entries */
   _Atomic uint32_t n_stats;            /* queues seen */
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -121,7 +121,6 @@
   ck_assert_int_eq (held.born_ms, 99);
   ck_assert_uint_eq (held.n_runs, 1);
   ck_assert_str_eq (held.runs[0].task, "5c.0.1.17");
-  ck_assert_uint_eq (held.runs[0].cpu_used, 41);
   ck_assert_uint_eq (held.n_ends, 2);
   ck_assert_int_eq (held.ends[0].how, MD_RUN_DONE);
   ck_assert_int_eq (held.ends[1].how, MD_RUN_LAPSED);
