Keep a request's ticket until the engine has seen that its caller left

A thread whose caller left posts a GONE ticket that names its own ticket on its stack; when the engine answers at the same moment, the thread goes on and the engine then looks at memory that is gone. Inferred from the code and the end of the log, no core was kept. Change: the thread waits until the engine has seen the GONE ticket as well; a wake left from an earlier request is read and ignored.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -100,9 +100,17 @@
 }
 
 static void
-answer_ticket (MdRunTicket *ticket, int status, const char *state, MdTime retry_after)
+wake_thread (int event)
 {
   uint64_t one = 1;
+
+  if (write (event, &one, sizeof one) < 0)
+    md_log (MD_LOG_ERROR, "eventfd", "reason=\"the waiting thread was not woken\"");
+}
+
+static void
+answer_ticket (MdRunTicket *ticket, int status, const char *state, MdTime retry_after)
+{
   int event = ticket->event;
 
   ticket->job = NULL;
@@ -114,8 +122,7 @@
     md_buf_append (&ticket->body, MD_STR (MD_BODY_NOT_RUN));
   /* The ticket belongs to its thread from here on. */
   atomic_store (&ticket->answered, true);
-  if (write (event, &one, sizeof one) < 0)
-    md_log (MD_LOG_ERROR, "eventfd", "reason=\"the waiting thread was not woken\"");
+  wake_thread (event);
 }
 
 static const char *
@@ -284,6 +291,17 @@
     md_entry_finish_job (entry, job, 0, NULL, "caller-left", 0);
 }
 
+/* The thread may free the ticket that the caller left as soon as it is seen. */
+static void
+release_gone (MdRunTicket *gone)
+{
+  int event = gone->of->event;
+
+  atomic_store (&gone->of->gone_seen, true);
+  wake_thread (event);
+  free (gone);
+}
+
 static void
 count_pending (MdRunEntry *entry, MdRunTicket *ticket)
 {
@@ -305,7 +323,7 @@
       break;
     case MD_TICKET_GONE:
       forget_caller (entry, ticket->of);
-      free (ticket);
+      release_gone (ticket);
       break;
     case MD_TICKET_PENDING:
       count_pending (entry, ticket);
@@ -318,7 +336,7 @@
 {
   if (ticket->kind == MD_TICKET_GONE)
     {
-      free (ticket);
+      release_gone (ticket);
       return;
     }
   md_run_spec_clear (&ticket->spec);
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -139,7 +139,7 @@
 event_of_thread (void)
 {
   if (thread_event < 0)
-    thread_event = eventfd (0, EFD_CLOEXEC);
+    thread_event = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
   return thread_event;
 }
 
@@ -150,41 +150,47 @@
   md_links_wake (entry->daemon.links);
 }
 
-static void
+/* False when there is no memory; the job then runs on to its deadline. */
+static bool
 report_gone (MdRunEntry *entry, MdRunTicket *ticket)
 {
   MdRunTicket *gone = calloc (1, sizeof *gone);
 
   if (gone == NULL)
-    return; /* the job runs on to its deadline */
+    return false;
   gone->kind = MD_TICKET_GONE;
   gone->of = ticket;
   post (entry, gone);
+  return true;
 }
 
-/* Waits until the engine has answered; tells it when the caller leaves. */
+/* Waits until the engine has answered; tells it when the caller leaves. The engine may
+   look at the ticket until it has seen both, so the wait goes on as long. A wake that is
+   left from the former request of this thread is read and ignored. */
 static void
 wait_answer (const Request *request, MdRunTicket *ticket)
 {
   struct pollfd fds[2] = { { .fd = ticket->event, .events = POLLIN },
                            { .fd = caller_socket (request), .events = POLLRDHUP } };
-  bool gone = fds[1].fd < 0;
+  bool watching = fds[1].fd >= 0;
+  bool reported = false;
   uint64_t count;
 
-  while (!atomic_load (&ticket->answered))
+  while (!atomic_load (&ticket->answered) || (reported && !atomic_load (&ticket->gone_seen)))
     {
-      int n = poll (fds, gone ? 1 : 2, -1);
+      int n = poll (fds, watching ? 2 : 1, -1);
 
       if (n < 0 && errno != EINTR)
         md_log (MD_LOG_ERROR, "poll", "reason=\"%s\"", strerror (errno));
-      if (n > 0 && !gone && fds[1].revents != 0)
+      if (n > 0 && fds[0].revents != 0 && read (ticket->event, &count, sizeof count) < 0
+          && errno != EAGAIN)
+        md_log (MD_LOG_ERROR, "eventfd", "reason=\"%s\"", strerror (errno));
+      if (n > 0 && watching && fds[1].revents != 0)
         {
-          gone = true;
-          report_gone (request->front->entry, ticket);
+          watching = false;
+          reported = report_gone (request->front->entry, ticket);
         }
     }
-  if (read (ticket->event, &count, sizeof count) < 0)
-    md_log (MD_LOG_ERROR, "eventfd", "reason=\"%s\"", strerror (errno));
 }
 
 /* ------------------------------------------------------------------ */
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -27,8 +27,9 @@
 typedef struct MdRunTicket MdRunTicket;
 typedef struct MdEntryJob MdEntryJob;
 
-/* Owned by the thread that posted it until it is answered; GONE tickets belong to the
-   engine. */
+/* Owned by the thread that posted it, which keeps it until it is answered and, when it
+   has posted a GONE ticket for it, until the engine has seen that one as well. GONE
+   tickets belong to the engine. */
 struct MdRunTicket
 {
   MdNode node;              /* in the inbox */
@@ -47,6 +48,7 @@
   MdTime retry_after;       /* answer: 0 none */
   MdBuf body;               /* answer */
   atomic_bool answered;     /* the above is valid */
+  atomic_bool gone_seen;    /* the engine has seen the GONE ticket; it may be freed */
 };
 
 /* ------------------------------------------------------------------ */
