Make the platform's calls in one place; share find_order and md_earlier

Cause: five places filled an MdHttpCall from an MdPlatformCall by hand, the two guard files had a search for an order each, and both daemons a copy of earlier. Change: md_daemon_call, md_guard_find_order, md_earlier. The search now also looks at waiting runs where an answer to a start comes in; such a run is not being called, so the answer is dropped as before.

--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -60,6 +60,20 @@
   md_log_stop_writer ();
 }
 
+int
+md_daemon_call (MdHttp *http, const char *address, const MdPlatformCall *call, MdTime timeout,
+                MdHttpDone done, void *user)
+{
+  MdHttpCall request = { .method = call->method,
+                         .address = address,
+                         .target = call->target.data,
+                         .headers = call->headers.data,
+                         .body = md_buf_str (&call->body),
+                         .timeout = timeout };
+
+  return md_http_start (http, &request, done, user);
+}
+
 static void
 on_signal (int number MD_UNUSED)
 {
--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -48,6 +48,16 @@
 int md_daemon_open (MdDaemon *daemon, int argc, const char **argv);
 void md_daemon_close (MdDaemon *daemon);
 
+static inline MdTime
+md_earlier (MdTime a, MdTime b)
+{
+  return a < b ? a : b;
+}
+
+/* md_daemon_call: make a call that platform/ has written; see md_http_start. */
+int md_daemon_call (MdHttp *http, const char *address, const MdPlatformCall *call, MdTime timeout,
+                    MdHttpDone done, void *user);
+
 /* md_daemon_stopping: SIGTERM or SIGINT has arrived; the poll of links wakes then. */
 void md_daemon_catch_signals (MdLinks *links);
 bool md_daemon_stopping (void);
--- a/fleet/guard-memory.c
+++ b/fleet/guard-memory.c
@@ -89,8 +89,6 @@
   MdWorkerMemory *memory = &guard->memory.written;
   MD_AUTO_CALL call = { 0 };
   MD_AUTO_BUF value = { 0 };
-  MdHttpCall request
-      = { .address = guard->daemon.settings.store_address, .timeout = WRITE_TIMEOUT };
 
   md_str_copy (memory->id, sizeof memory->id, md_str (guard->worker.id));
   memory->report = guard->worker.report;
@@ -99,12 +97,10 @@
   md_platform_write_memory (&value, memory);
   md_platform_put (&call, MD_TOPIC_WORKERS, md_str (guard->daemon.settings.name),
                    md_buf_str (&value));
-  request.method = call.method;
-  request.target = call.target.data;
-  request.headers = call.headers.data;
-  request.body = md_buf_str (&call.body);
   md_count (MD_M_LOG_APPENDS, 1);
-  guard->memory.writing = md_http_start (guard->daemon.store, &request, on_written, guard) == MD_OK;
+  guard->memory.writing = md_daemon_call (guard->daemon.store, guard->daemon.settings.store_address,
+                                          &call, WRITE_TIMEOUT, on_written, guard)
+                          == MD_OK;
   guard->memory.stale = !guard->memory.writing;
   guard->memory.write_due = guard->now + WRITE_INTERVAL;
 }
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -476,8 +476,8 @@
     md_guard_end_run (guard, run, MD_RUN_REJECTED, "");
 }
 
-static MdGuardRun *
-find_order (MdRunGuard *guard, uint64_t entry, uint64_t id)
+MdGuardRun *
+md_guard_find_order (MdRunGuard *guard, uint64_t entry, uint64_t id)
 {
   MdRunList *lists[] = { &guard->queue.waiting, &guard->queue.running };
 
@@ -511,14 +511,14 @@
     unref_text (specs[i]);
   for (size_t i = 0; i < orders->n_cancels; i++)
     {
-      MdGuardRun *run = find_order (guard, peer->incarnation, orders->cancels[i]);
+      MdGuardRun *run = md_guard_find_order (guard, peer->incarnation, orders->cancels[i]);
 
       if (run != NULL)
         md_guard_cancel_run (guard, run);
     }
   for (size_t i = 0; i < orders->n_withdraws; i++)
     {
-      MdGuardRun *run = find_order (guard, peer->incarnation, orders->withdraws[i]);
+      MdGuardRun *run = md_guard_find_order (guard, peer->incarnation, orders->withdraws[i]);
 
       if (run != NULL && run->queued.state == MD_RUN_WAITING)
         md_guard_cancel_run (guard, run);
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -222,15 +222,6 @@
 /* ------------------------------------------------------------------ */
 /* Finding runs                                                       */
 
-static MdGuardRun *
-find_order (MdRunGuard *guard, uint64_t entry, uint64_t id)
-{
-  for (MdRun *run = guard->queue.running.first; run != NULL; run = run->next)
-    if (run->entry == entry && run->id == id)
-      return run_of (run);
-  return NULL;
-}
-
 static MdGuardRun *
 find_task (MdRunGuard *guard, const char *task, uint32_t number)
 {
@@ -277,14 +268,11 @@
 send_order (MdRunGuard *guard, const MdPlatformCall *order, MdTime timeout, MdHttpDone done,
             OrderCall *call)
 {
-  MdHttpCall request = { .method = order->method,
-                         .address = guard->daemon.settings.worker_address,
-                         .target = order->target.data,
-                         .headers = order->headers.data,
-                         .body = md_buf_str (&order->body),
-                         .timeout = timeout };
-  int rc = call != NULL ? md_http_start (guard->http, &request, done, call) : MD_E_MEMORY;
+  int rc = MD_E_MEMORY;
 
+  if (call != NULL)
+    rc = md_daemon_call (guard->http, guard->daemon.settings.worker_address, order, timeout, done,
+                         call);
   if (rc != MD_OK)
     {
       md_log (MD_LOG_ERROR, "order-not-sent", "target=%s reason=\"out of memory\"",
@@ -456,23 +444,19 @@
   MdTime wait = lossy ? HOLD_WAIT_LOSSY : HOLD_WAIT;
   MdTime margin = lossy ? HOLD_MARGIN_LOSSY : HOLD_MARGIN;
   MD_AUTO_CALL order = { 0 };
-  MdHttpCall request = { .address = guard->daemon.settings.worker_address, .timeout = margin };
 
   if (!guard->worker.clean || guard->worker.token_seen != guard->worker.token)
     wait = 0; /* an answer is needed at once */
-  request.timeout += wait;
 
   /* The name is left out: a hold answers for whichever lifetime is there, and states
      its birth. */
   md_platform_hold (&order, MD_STR (""), lease_ms (guard), guard->worker.token, guard->worker.seen,
                     wait);
-  request.method = order.method;
-  request.target = order.target.data;
-  request.headers = order.headers.data;
-  request.body = md_buf_str (&order.body);
   guard->hold_sent = guard->now;
   guard->hold_token = guard->worker.token;
-  guard->holding = md_http_start (guard->http, &request, on_hold_answer, guard) == MD_OK;
+  guard->holding = md_daemon_call (guard->http, guard->daemon.settings.worker_address, &order,
+                                   wait + margin, on_hold_answer, guard)
+                   == MD_OK;
   guard->hold_due = guard->now + HOLD_RETRY;
   if (lease_ms (guard) > 0)
     extend_lease (guard);
@@ -514,7 +498,7 @@
 {
   md_autofree OrderCall *call = user;
   MdRunGuard *guard = call->guard;
-  MdGuardRun *run = find_order (guard, call->entry, call->id);
+  MdGuardRun *run = md_guard_find_order (guard, call->entry, call->id);
   MdOrderResult result;
   int64_t clock_ms;
 
--- a/fleet/keyed.c
+++ b/fleet/keyed.c
@@ -181,7 +181,7 @@
 md_keyed_poll (MdKeyed *keyed, MdTime now)
 {
   MD_AUTO_CALL call = { 0 };
-  MdHttpCall request = { .address = keyed->address, .timeout = ANSWER_MARGIN };
+  MdTime timeout = ANSWER_MARGIN;
 
   if (keyed->busy)
     return INT64_MAX;
@@ -195,13 +195,12 @@
     case KEYED_FOLLOW:
       md_platform_read (&call, keyed->topic, keyed->next, keyed->wait);
       keyed->asked = keyed->next;
-      request.timeout += keyed->wait;
+      timeout += keyed->wait;
       break;
     }
   md_count (MD_M_LOG_READS, 1);
-  request.method = call.method;
-  request.target = call.target.data;
-  keyed->busy = md_http_start (keyed->http, &request, on_answer, keyed) == MD_OK;
+  keyed->busy
+      = md_daemon_call (keyed->http, keyed->address, &call, timeout, on_answer, keyed) == MD_OK;
   keyed->due = now + RETRY_MOST;
   return keyed->busy ? INT64_MAX : keyed->due;
 }
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -92,7 +92,6 @@
   const MdSettings *settings = &entry->daemon.settings;
   MD_AUTO_CALL call = { 0 };
   MD_AUTO_BUF value = { 0 };
-  MdHttpCall request = { .address = settings->store_address, .timeout = REGISTER_TIMEOUT };
 
   if (entry->registered || entry->registering)
     return INT64_MAX;
@@ -100,12 +99,10 @@
     return entry->register_due;
   md_platform_write_entry (&value, md_str (own_address (settings)));
   md_platform_put (&call, MD_TOPIC_ENTRIES, md_str (settings->name), md_buf_str (&value));
-  request.method = call.method;
-  request.target = call.target.data;
-  request.headers = call.headers.data;
-  request.body = md_buf_str (&call.body);
   md_count (MD_M_LOG_APPENDS, 1);
-  entry->registering = md_http_start (entry->daemon.store, &request, on_registered, entry) == MD_OK;
+  entry->registering = md_daemon_call (entry->daemon.store, settings->store_address, &call,
+                                       REGISTER_TIMEOUT, on_registered, entry)
+                       == MD_OK;
   entry->register_due = entry->now + REGISTER_RETRY;
   return entry->register_due;
 }
@@ -194,12 +191,6 @@
     }
 }
 
-static MdTime
-earlier (MdTime a, MdTime b)
-{
-  return a < b ? a : b;
-}
-
 static void
 run_loop (MdRunEntry *entry)
 {
@@ -215,12 +206,12 @@
       update_gauges (entry);
       due = md_entry_guards_poll (entry);
       if (entry->leaving && entry->now < entry->leave_after)
-        due = earlier (due, entry->leave_after);
-      due = earlier (due, md_keyed_poll (entry->config, entry->now));
-      due = earlier (due, poll_registration (entry));
-      due = earlier (due, md_http_poll (entry->daemon.store));
+        due = md_earlier (due, entry->leave_after);
+      due = md_earlier (due, md_keyed_poll (entry->config, entry->now));
+      due = md_earlier (due, poll_registration (entry));
+      due = md_earlier (due, md_http_poll (entry->daemon.store));
       if (entry->n_jobs > 0)
-        due = earlier (due, entry->next_tick);
+        due = md_earlier (due, entry->next_tick);
       md_observe (MD_H_LOOP, md_now () - entry->now);
       md_links_poll (entry->daemon.links, due);
       entry->now = md_now ();
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -89,12 +89,6 @@
          || (guard->queue.running.n == 0 && !has_unsent_ends (guard));
 }
 
-static MdTime
-earlier (MdTime a, MdTime b)
-{
-  return a < b ? a : b;
-}
-
 static void
 run_loop (MdRunGuard *guard)
 {
@@ -108,19 +102,19 @@
       begin_leaving (guard);
       take_events (guard);
       due = md_guard_worker_poll (guard);
-      due = earlier (due, md_guard_memory_poll (guard));
+      due = md_earlier (due, md_guard_memory_poll (guard));
       if (!dialled && guard->worker.clean)
         {
           dialled = true;
           add_first_peers (guard);
         }
       if (dialled)
-        due = earlier (due, md_keyed_poll (guard->entries, guard->now));
-      due = earlier (due, md_guard_orders_poll (guard));
+        due = md_earlier (due, md_keyed_poll (guard->entries, guard->now));
+      due = md_earlier (due, md_guard_orders_poll (guard));
       if (guard->leaving)
-        due = earlier (due, guard->leave_until);
-      due = earlier (due, md_http_poll (guard->http));
-      due = earlier (due, md_http_poll (guard->daemon.store));
+        due = md_earlier (due, guard->leave_until);
+      due = md_earlier (due, md_http_poll (guard->http));
+      due = md_earlier (due, md_http_poll (guard->daemon.store));
       md_observe (MD_H_LOOP, md_now () - guard->now);
       md_links_poll (guard->daemon.links, due);
       guard->now = md_now ();
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -179,6 +179,8 @@
 extern const MdLinkHandler md_run_guard_handler;
 void md_guard_add_peer (MdRunGuard *guard, MdStr address);
 void md_guard_free_peers (MdRunGuard *guard);
+/* md_guard_find_order: the run of an order that waits or runs here; NULL when there is none. */
+MdGuardRun *md_guard_find_order (MdRunGuard *guard, uint64_t entry, uint64_t id);
 /* md_guard_end_run: tell the entry and forget the run. */
 void md_guard_end_run (MdRunGuard *guard, MdGuardRun *run, MdRunHow how, const char *checkpoint);
 /* md_guard_cancel_run: end it now if it has not been handed to the worker, otherwise
