Let a candidate yield to an owner with a quorum, and a fenced owner start anew later

An owner heard of a fence while its evidence from the other guards was stale, and only that moment decided whether it gives up its incarnation; it then served without the fenced guard. The candidate that held this guard yielded to older holders only, and an owner that was chosen anew during the cut is the younger one. Ruled out: load (it failed as often with one run per core), the unanswered query (the guard answered 'detached' in each failed run, and the owner ignored it, being fenced). Change: an owner reconsiders while it serves; a candidate also yields to a holder that has a quorum by itself. Tests: test_candidate_yields_to_owner and test_fenced_owner_starts_anew, both seen to fail without the change.

--- a/shard.c
+++ b/shard.c
@@ -275,6 +275,26 @@
   return now - shard->reachable_since > shard->tuning.guard_lease;
 }
 
+/* Some guards have fenced this owner, and the others suffice to acquire the shard
+   anew. Giving the incarnation up brings back all guards at the cost of a round
+   trip; what ran at the fenced ones would have no answer otherwise. */
+static bool
+better_anew (const MdShard *shard, MdTime now)
+{
+  const MdShardView *newest = md_shard_newest (shard);
+  size_t fenced = 0, held = 0;
+
+  for (size_t i = 0; i < newest->n; i++)
+    {
+      const MdShardGuard *guard = md_shard_find (shard, newest->guards[i]);
+
+      fenced += guard && guard->fenced;
+      held += guard && guard->attached && guard->acked_at != MD_SHARD_NEVER
+              && guard->acked_at + serve_time (shard) > now;
+    }
+  return fenced > 0 && held >= md_shard_quorum_of (newest->n);
+}
+
 static void
 update_owner (MdShard *shard, MdTime now)
 {
@@ -294,6 +314,8 @@
     }
   else if (shard->state == MD_SHARD_SUSPENDED && stuck (shard, now))
     drop (shard, false, 0);
+  if (owns (shard) && better_anew (shard, now))
+    drop (shard, true, shard->drop_holder);
   /* Not while suspended: the guards that have to agree to going on are those of
      the time at which contact was lost. */
   if (shard->state == MD_SHARD_SERVING)
@@ -303,11 +325,28 @@
     }
 }
 
+/* Guards of the newest view that were refused because they hear this holder. */
+static size_t
+guards_of_holder (const MdShard *shard, uint64_t holder)
+{
+  const MdShardView *newest = md_shard_newest (shard);
+  size_t n = 0;
+
+  for (size_t i = 0; i < newest->n; i++)
+    {
+      const MdShardGuard *guard = md_shard_find (shard, newest->guards[i]);
+
+      n += guard && guard->link_up && guard->refused_alive && guard->refused_by == holder;
+    }
+  return n;
+}
+
 /* The guards that can be reached and do not hear another holder are no quorum, and
-   one such holder is older. Two entries that acquire at the same time would
-   otherwise block each other. A holder that has just died looks the same for up
-   to fence_after, and its guards are asked again that long after the last success;
-   hence the wait. */
+   one such holder is older or has a quorum by itself. Two entries that acquire at
+   the same time would otherwise block each other, and a candidate would keep a
+   guard from a younger owner for ever. A holder that has just died looks the same
+   for up to fence_after, and its guards are asked again that long after the last
+   success; hence the wait. */
 static bool
 overruled (const MdShard *shard, MdTime now, uint64_t *holder)
 {
@@ -323,7 +362,9 @@
         continue;
       attached += guard->attached;
       available += !guard->refused_alive;
-      if (guard->refused_alive && guard->refused_by < shard->self)
+      if (guard->refused_alive
+          && (guard->refused_by < shard->self
+              || guards_of_holder (shard, guard->refused_by) >= md_shard_quorum_of (newest->n)))
         *holder = guard->refused_by;
     }
   return attached > 0 && *holder != 0 && now - shard->progress_at > 2 * shard->tuning.fence_after
@@ -499,28 +540,25 @@
   update (shard, now);
 }
 
-/* An owner that is fenced at some guards goes on while the others suffice. If
-   they also suffice to acquire the shard anew, it gives up its incarnation, since
-   this brings back the use of all guards at the cost of a round trip. */
+/* An owner that is fenced by too many guards has no evidence left. */
 static void
 take_fenced (MdShard *shard, MdShardGuard *guard, uint64_t holder, MdTime now)
 {
   const MdShardView *newest = md_shard_newest (shard);
-  size_t held = 0, open = 0;
+  size_t open = 0;
 
   guard->fenced = true;
   guard->attached = false;
   guard->confirmed = false;
+  shard->drop_holder = holder;
   for (size_t i = 0; newest && i < newest->n; i++)
     {
       const MdShardGuard *other = md_shard_find (shard, newest->guards[i]);
 
       open += other && !other->fenced;
-      held += other && other->attached && other->acked_at != MD_SHARD_NEVER
-              && other->acked_at + serve_time (shard) > now;
     }
   if (shard->state == MD_SHARD_ACQUIRING || newest == NULL
-      || open < md_shard_evidence_of (newest->n) || held >= md_shard_quorum_of (newest->n))
+      || open < md_shard_evidence_of (newest->n))
     drop (shard, true, holder);
   else
     update (shard, now);
--- a/tests/test-shard.c
+++ b/tests/test-shard.c
@@ -648,6 +648,48 @@
 }
 END_TEST
 
+/* Guards against an older candidate that keeps a guard from an owner for ever: the
+   owner was chosen anew while the candidate was cut off, so it is the younger one. */
+START_TEST (test_candidate_yields_to_owner)
+{
+  serve (&entries[1], 6, 0);
+  cut_links (&entries[0], 1);
+  acquire (&entries[0], 0);
+  pass (MD_SECOND);
+  cut_links (&entries[0], 7);
+  cut_links (&entries[1], 7);
+  pass (20 * MD_SECOND);
+  ck_assert_uint_eq (entries[0].drops, 1);
+  ck_assert_uint_eq (entries[1].drops, 0);
+  ck_assert_int_eq (md_shard_state (entries[1].shard), MD_SHARD_SERVING);
+  ck_assert_uint_eq (entries[1].used, 7);
+}
+END_TEST
+
+/* Guards against an owner that learns of a fence while it hears no other guard, and
+   then serves without the fenced guard and what ran there for ever. */
+START_TEST (test_fenced_owner_starts_anew)
+{
+  Entry *e = &entries[0];
+
+  serve (e, 7, 0);
+  pass (2 * MD_SECOND);
+  cut_links (e, 0);
+  pass (tuning.fence_after + MD_SECOND);
+  ck_assert_int_eq (md_shard_state (e->shard), MD_SHARD_SUSPENDED);
+  cut_links (&entries[1], 4);
+  acquire (&entries[1], e->self);
+  pass (MD_SECOND);
+  cut_links (e, 4);
+  pass (MD_SECOND);
+  ck_assert_uint_eq (e->drops, 0);
+  cut_links (e, 7);
+  pass (2 * MD_SECOND);
+  ck_assert_uint_eq (e->drops, 1);
+  ck_assert (e->last.fenced);
+}
+END_TEST
+
 /* Guards against starts from an earlier ownership that a guard could not tell from
    those of a second one under the same incarnation. */
 START_TEST (test_incarnation_is_spent)
@@ -694,6 +736,8 @@
   tcase_add_test (tc, test_cut_outlives_restart);
   tcase_add_test (tc, test_most_guards_restart);
   tcase_add_test (tc, test_two_acquire);
+  tcase_add_test (tc, test_candidate_yields_to_owner);
+  tcase_add_test (tc, test_fenced_owner_starts_anew);
   tcase_add_test (tc, test_incarnation_is_spent);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
