--- /dev/null
+++ b/log-line.c
@@ -0,0 +1,125 @@
+/* log-line.c -- reading log lines of key=value pairs */
+
+#define _GNU_SOURCE /* memmem */
+
+#include "log-line.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <time.h>
+
+#define MAX_INPUT ((size_t)1 << 30) /* bytes of logs */
+
+MdStr
+md_line_value (MdStr line, const char *key)
+{
+  size_t len = strlen (key);
+
+  for (size_t at = 0; at + len + 1 < line.len; at++)
+    {
+      const char *value = line.data + at + len + 1;
+      size_t left = line.len - at - len - 1;
+      char stop = ' ';
+
+      if ((at > 0 && line.data[at - 1] != ' ') || memcmp (line.data + at, key, len) != 0
+          || line.data[at + len] != '=')
+        continue;
+      if (left > 0 && *value == '"')
+        {
+          stop = '"';
+          value++;
+          left--;
+        }
+      for (size_t n = 0; n < left; n++)
+        if (value[n] == stop)
+          return md_str_n (value, n);
+      return md_str_n (value, left);
+    }
+  return MD_STR ("");
+}
+
+int64_t
+md_line_number (MdStr line, const char *key)
+{
+  char text[32];
+
+  md_str_copy (text, sizeof text, md_line_value (line, key));
+  return strtoll (text, NULL, 10);
+}
+
+bool
+md_line_is (MdStr line, const char *event)
+{
+  return md_str_equal (md_line_value (line, "event"), md_str (event));
+}
+
+/* 2026-01-02T03:04:05.678Z */
+bool
+md_line_time (MdStr line, int64_t *ms)
+{
+  MdStr value = md_line_value (line, "time");
+  struct tm tm = { 0 };
+  char text[32];
+  int millis = 0;
+
+  md_str_copy (text, sizeof text, value);
+  if (sscanf (text, "%d-%d-%dT%d:%d:%d.%dZ", &tm.tm_year, &tm.tm_mon, &tm.tm_mday, &tm.tm_hour,
+              &tm.tm_min, &tm.tm_sec, &millis)
+      != 7)
+    return false;
+  tm.tm_year -= 1900;
+  tm.tm_mon -= 1;
+  *ms = (int64_t)timegm (&tm) * 1000 + millis;
+  return true;
+}
+
+bool
+md_line_next (MdStr *rest, MdStr *line)
+{
+  const char *end;
+  const char *start;
+
+  if (rest->len == 0)
+    return false;
+  end = memchr (rest->data, '\n', rest->len);
+  *line = md_str_n (rest->data, end != NULL ? (size_t)(end - rest->data) : rest->len);
+  *rest = md_str_n (rest->data + line->len, rest->len - line->len);
+  if (rest->len > 0)
+    *rest = md_str_n (rest->data + 1, rest->len - 1);
+  /* A collector may have put something in front. */
+  start = line->len > 0 ? memmem (line->data, line->len, "time=", 5) : NULL;
+  if (start != NULL)
+    *line = md_str_n (start, line->len - (size_t)(start - line->data));
+  return true;
+}
+
+static bool
+read_stream (MdBuf *out, FILE *file)
+{
+  char chunk[65536];
+  size_t n;
+
+  while ((n = fread (chunk, 1, sizeof chunk, file)) > 0 && out->len < MAX_INPUT)
+    md_buf_append (out, md_str_n (chunk, n));
+  return !ferror (file) && !out->failed;
+}
+
+int
+md_line_read_files (MdBuf *out, const char **files, MdError *error)
+{
+  if (files == NULL || *files == NULL)
+    return read_stream (out, stdin)
+               ? MD_OK
+               : md_error_set (error, MD_E_IO, "logs", "", "standard input cannot be read");
+  for (; *files != NULL; files++)
+    {
+      FILE *file = fopen (*files, "rb");
+      bool good = file != NULL && read_stream (out, file);
+
+      if (file != NULL)
+        fclose (file);
+      if (!good)
+        return md_error_set (error, MD_E_IO, "logs", "", "%s cannot be read", *files);
+    }
+  return MD_OK;
+}
