--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 CFLAGS = -std=gnu11 -g -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
   $(CFLAGS_$(VARIANT)) $(INCLUDES) -I$(B) -MMD -MP -pthread
-INCLUDES = -I. -Isched -Iplatform -Ifleet
+INCLUDES = -I. -Isched -Iplatform -Ifleet -Imodel
 # Generated code is not ours to clean up.
 CFLAGS_GENERATED = -std=gnu11 -g -w $(CFLAGS_$(VARIANT)) -I. -pthread
 LDLIBS = -lcivetweb -lcurl -lcrypto -lprotobuf-c -lpopt -lyaml -lurcu-memb -lurcu-cds -lurcu-common -ljansson \
@@ -29,7 +29,7 @@
 LIB_SRC = $(filter $(addsuffix .c,$(LIB_NAMES)),$(wildcard *.c)) $(wildcard sched/*.c)
 GEN_SRC = wire.pb-c.c
 DAEMON_SRC = $(filter-out $(LIB_SRC) $(GEN_SRC) main.c,$(wildcard *.c)) \
-  $(wildcard platform/*.c fleet/*.c)
+  $(wildcard platform/*.c fleet/*.c model/*.c)
 TEST_SRC = $(wildcard tests/test-*.c)
 UTIL_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard tests/*-util.c))
 TOOL_SRC = $(filter-out $(TEST_SRC) $(wildcard tests/*-util.c),$(wildcard tests/*.c))
@@ -40,7 +40,7 @@
 TESTS = $(TEST_SRC:tests/%.c=$(B)/tests/%)
 TOOLS = $(TOOL_SRC:tests/%.c=$(B)/tests/%)
 OUR_FILES = $(filter-out wire.pb-c.c wire.pb-c.h,$(wildcard *.c *.h tests/*.c tests/*.h) \
-  $(wildcard sched/*.[ch] platform/*.[ch] fleet/*.[ch]))
+  $(wildcard sched/*.[ch] platform/*.[ch] fleet/*.[ch] model/*.[ch]))
 
 all: $(BIN) $(TOOLS)
 
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -278,6 +278,28 @@
   return md_demand_ratio (demands, entry->n_stats, &job->stats->demand, entry->now);
 }
 
+/* The recording of a job: md_model_read_day reads these lines. */
+static void
+log_forecast (const MdEntryJob *job, const char *event, const MdForecast *forecast)
+{
+  const MdRunSpec *spec = &job->job.spec;
+  uint64_t tasks = 0;
+
+  for (uint32_t i = 0; i < spec->n_steps; i++)
+    tasks += spec->steps[i].count;
+  md_log (MD_LOG_INFO, event,
+          "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f "
+          "wait_bound_ms=%lld patience_ms=%lld steps=%u tasks=%llu cpu=%u memory_mb=%u "
+          "declared_ms=%lld slack_percent=%.0f target_ms=%lld",
+          job->id, job->request, job->route.name, (long long)(forecast->finish / MD_MS),
+          (long long)(forecast->wait / MD_MS), (long long)(forecast->goal / MD_MS),
+          forecast->demand, (long long)(md_admit_wait_bound (forecast->demand) / MD_MS),
+          (long long)((job->deadline - job->arrived) / MD_MS), spec->n_steps,
+          (unsigned long long)tasks, spec->steps[0].need.cpu, spec->steps[0].need.memory_mb,
+          (long long)(spec->steps[0].estimate / MD_MS), job->route.slack_factor * 100,
+          (long long)(job->route.target_latency / MD_MS));
+}
+
 void
 md_entry_admit (MdRunEntry *entry, MdEntryJob *job, double chain)
 {
@@ -298,21 +320,12 @@
     {
     case MD_ADMIT_NOW:
     case MD_ADMIT_LATE:
-      md_log (MD_LOG_INFO, "job-admitted",
-              "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f",
-              job->id, job->request, job->route.name, (long long)(forecast.finish / MD_MS),
-              (long long)(forecast.wait / MD_MS), (long long)(forecast.goal / MD_MS),
-              forecast.demand);
+      log_forecast (job, "job-admitted", &forecast);
       md_entry_place_ready (entry, job);
       break;
     case MD_ADMIT_NEVER:
       retry_after = md_admit_retry_after (&forecast, md_random ());
-      md_log (MD_LOG_INFO, "job-rejected",
-              "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f "
-              "wait_bound_ms=%lld",
-              job->id, job->request, job->route.name, (long long)(forecast.finish / MD_MS),
-              (long long)(forecast.wait / MD_MS), (long long)(forecast.goal / MD_MS),
-              forecast.demand, (long long)(md_admit_wait_bound (forecast.demand) / MD_MS));
+      log_forecast (job, "job-rejected", &forecast);
       md_entry_finish_job (entry, job, 429, NULL, "overload", retry_after);
       break;
     }
--- a/md-private.h
+++ b/md-private.h
@@ -521,7 +521,8 @@
 int md_submit_main (int argc, const char **argv);   /* callers' client */
 int md_resource_main (int argc, const char **argv); /* get, apply, delete, watch, status */
 int md_replay_main (int argc, const char **argv);
-int md_explain_main (int argc, const char **argv); /* from an id to the cause */
+int md_explain_main (int argc, const char **argv);  /* from an id to the cause */
+int md_simulate_main (int argc, const char **argv); /* a day without processes */
 
 /* Exit codes. */
 enum
--- /dev/null
+++ b/model/day-log.c
@@ -0,0 +1,601 @@
+/* day-log.c -- a day from the logs of entries and guards
+
+   Entries tell the jobs (job-admitted, job-rejected) and their answers (job-answered),
+   guards the workers (worker-state, worker-left, worker-unreachable, worker-reached) and
+   the time of each run (run-end). A worker's speed is what its complete runs took
+   against the times that callers declared, in the mean over many jobs; a second in
+   which it is far off is taken as a time of trouble. What a job's tasks really need is
+   the time of their runs at that speed. Tasks without a complete run get the need of
+   the other tasks of their job, or one drawn from the seed. */
+
+#include "model.h"
+
+#include "log-line.h"
+
+#include <math.h>
+
+#define MAX_WORKERS 4096
+#define MAX_LOGGED_ENTRIES 256
+#define WINDOW MD_SECOND      /* over which a worker's speed is told apart */
+#define WINDOW_RUNS 5         /* fewer say little */
+#define TROUBLE 0.5           /* of a logarithm; estimates scatter by 0.4, five by 0.2 */
+#define DRAWN_SIGMA 0.4       /* by which declared times are off */
+#define DEFAULT_CPU 64000     /* capacity of a worker whose first line is missing */
+#define DEFAULT_MEMORY 262144 /* the same */
+
+typedef struct
+{
+  uint64_t hash; /* of the job's name */
+  uint32_t job;  /* index + 1; 0 free */
+} Slot;
+
+/* A complete run. */
+typedef struct
+{
+  MdTime at; /* end */
+  uint32_t job;
+  uint32_t index;
+  uint32_t worker;
+  MdTime time;
+} LoggedRun;
+
+typedef struct
+{
+  MdTime at;
+  uint32_t worker;
+  bool up;
+} LoggedState;
+
+typedef struct
+{
+  MdModelDay *day;
+  MdStr logs;
+  int64_t start_ms; /* of the first job */
+  MdStr entries[MAX_LOGGED_ENTRIES];
+  MdStr guards[MAX_WORKERS];
+  Slot *slots; /* n_slots entries, a power of two */
+  size_t n_slots;
+  size_t cap_jobs;
+  LoggedRun *runs;
+  size_t n_runs;
+  size_t cap_runs;
+  LoggedState *states;
+  size_t n_states;
+  size_t cap_states;
+  double *speed; /* logarithm, of each worker */
+  double *bias;  /* logarithm of work over declared time, of each queue */
+  bool out_of_memory;
+} Reader;
+
+static void
+reader_clear (Reader *reader)
+{
+  free (reader->slots);
+  free (reader->runs);
+  free (reader->states);
+  free (reader->speed);
+  free (reader->bias);
+}
+
+/* Room for one more entry; NULL and the flag when there is no memory. */
+static void *
+grow (Reader *reader, void *list, size_t n, size_t *cap, size_t size)
+{
+  void *grown;
+
+  if (n < *cap)
+    return list;
+  grown = realloc (list, (*cap > 0 ? *cap * 2 : 256) * size);
+  if (grown == NULL)
+    {
+      reader->out_of_memory = true;
+      return list;
+    }
+  *cap = *cap > 0 ? *cap * 2 : 256;
+  return grown;
+}
+
+/* ------------------------------------------------------------------ */
+/* Names                                                              */
+
+static uint64_t
+hash_of (MdStr name)
+{
+  uint64_t hash = 14695981039346656037u; /* FNV-1a */
+
+  for (size_t i = 0; i < name.len; i++)
+    hash = (hash ^ (unsigned char)name.data[i]) * 1099511628211u;
+  return hash;
+}
+
+static Slot *
+slot_of (const Reader *reader, uint64_t hash)
+{
+  size_t i = hash & (reader->n_slots - 1);
+
+  while (reader->slots[i].job != 0 && reader->slots[i].hash != hash)
+    i = (i + 1) & (reader->n_slots - 1);
+  return &reader->slots[i];
+}
+
+static MdModelJob *
+find_job (const Reader *reader, MdStr name)
+{
+  const Slot *slot = slot_of (reader, hash_of (name));
+
+  return slot->job != 0 ? &reader->day->jobs[slot->job - 1] : NULL;
+}
+
+static uint32_t
+index_of (MdStr *names, uint32_t *n, uint32_t most, MdStr name)
+{
+  for (uint32_t i = 0; i < *n; i++)
+    if (md_str_equal (names[i], name))
+      return i;
+  if (*n == most)
+    return most - 1;
+  names[*n] = name;
+  return (*n)++;
+}
+
+static uint32_t
+queue_of (Reader *reader, MdStr line)
+{
+  MdModelDay *day = reader->day;
+  MdStr name = md_line_value (line, "queue");
+  MdModelQueue *grown;
+
+  for (uint32_t q = 0; q < day->n_queues; q++)
+    if (md_str_equal (md_str (day->queues[q].name), name))
+      return q;
+  grown = realloc (day->queues, (day->n_queues + 1) * sizeof *grown);
+  if (grown == NULL)
+    {
+      reader->out_of_memory = true;
+      return 0;
+    }
+  day->queues = grown;
+  grown = &day->queues[day->n_queues];
+  memset (grown, 0, sizeof *grown);
+  md_str_copy (grown->name, sizeof grown->name, name);
+  grown->slack = (double)md_line_number (line, "slack_percent") / 100.0;
+  grown->target = md_line_number (line, "target_ms") * MD_MS;
+  return day->n_queues++;
+}
+
+/* ------------------------------------------------------------------ */
+/* Lines                                                              */
+
+static MdTime
+time_of (const Reader *reader, MdStr line)
+{
+  int64_t ms = 0;
+
+  md_line_time (line, &ms);
+  return (ms - reader->start_ms) * MD_MS;
+}
+
+static void
+read_job (Reader *reader, MdStr line)
+{
+  MdModelDay *day = reader->day;
+  uint64_t hash = hash_of (md_line_value (line, "job"));
+  Slot *slot = slot_of (reader, hash);
+  MdModelJob *job;
+  int64_t tasks = md_line_number (line, "tasks");
+
+  if (slot->job != 0)
+    {
+      day->jobs[slot->job - 1].repeated++;
+      return;
+    }
+  if (tasks < 1 || tasks > MD_MAX_STEP_TASKS)
+    return; /* a line of an older release */
+  day->jobs = grow (reader, day->jobs, day->n_jobs, &reader->cap_jobs, sizeof *day->jobs);
+  if (reader->out_of_memory)
+    return;
+  job = &day->jobs[day->n_jobs];
+  memset (job, 0, sizeof *job);
+  job->queue = queue_of (reader, line);
+  job->entry = index_of (reader->entries, &day->n_entries, MAX_LOGGED_ENTRIES,
+                         md_line_value (line, "node"));
+  job->at = time_of (reader, line);
+  job->count = (uint32_t)tasks;
+  job->need.cpu = (uint32_t)md_line_number (line, "cpu");
+  job->need.memory_mb = (uint32_t)md_line_number (line, "memory_mb");
+  job->declared = md_line_number (line, "declared_ms") * MD_MS;
+  job->patience = md_line_number (line, "patience_ms") * MD_MS;
+  job->work = calloc (job->count, sizeof *job->work);
+  if (job->work == NULL || reader->out_of_memory)
+    {
+      reader->out_of_memory = true;
+      return;
+    }
+  day->n_jobs++;
+  *slot = (Slot){ hash, day->n_jobs };
+}
+
+static void
+read_answer (Reader *reader, MdStr line)
+{
+  MdModelJob *job = find_job (reader, md_line_value (line, "job"));
+  MdTime now = time_of (reader, line);
+
+  if (job == NULL || job->completed)
+    return;
+  job->completed = md_str_equal (md_line_value (line, "outcome"), MD_STR ("completed"));
+  job->rejected = md_str_equal (md_line_value (line, "outcome"), MD_STR ("not_run"));
+  job->answered = now > job->at ? now - job->at : 1;
+}
+
+static uint32_t
+worker_of (Reader *reader, MdStr line)
+{
+  return index_of (reader->guards, &reader->day->n_workers, MAX_WORKERS,
+                   md_line_value (line, "node"));
+}
+
+static void
+read_run (Reader *reader, MdStr line)
+{
+  MdStr task = md_line_value (line, "task");
+  const char *dot = task.len > 0 ? memchr (task.data, '.', task.len) : NULL;
+  const MdModelJob *job;
+  LoggedRun run = { .at = time_of (reader, line) };
+  char index[16];
+
+  if (dot == NULL || !md_str_equal (md_line_value (line, "how"), MD_STR ("done")))
+    return;
+  job = find_job (reader, md_str_n (task.data, (size_t)(dot - task.data)));
+  if (job == NULL)
+    return;
+  while (task.len > 0 && memchr (dot + 1, '.', task.len - (size_t)(dot + 1 - task.data)) != NULL)
+    dot = memchr (dot + 1, '.', task.len - (size_t)(dot + 1 - task.data));
+  md_str_copy (index, sizeof index, md_str_n (dot + 1, task.len - (size_t)(dot + 1 - task.data)));
+  run.index = (uint32_t)strtoul (index, NULL, 10);
+  run.job = (uint32_t)(job - reader->day->jobs);
+  run.worker = worker_of (reader, line);
+  run.time = md_line_number (line, "run_ms") * MD_MS + MD_MS / 2; /* the line has whole ms */
+  if (run.index >= job->count)
+    return;
+  reader->runs
+      = grow (reader, reader->runs, reader->n_runs, &reader->cap_runs, sizeof *reader->runs);
+  if (!reader->out_of_memory)
+    reader->runs[reader->n_runs++] = run;
+}
+
+static void
+read_state (Reader *reader, MdStr line, bool up)
+{
+  MdModelDay *day = reader->day;
+  uint32_t worker = worker_of (reader, line);
+  uint32_t cpu = (uint32_t)md_line_number (line, "cpu");
+  MdRoom *grown = realloc (day->rooms, MAX_WORKERS * sizeof *grown);
+
+  reader->states = grow (reader, reader->states, reader->n_states, &reader->cap_states,
+                         sizeof *reader->states);
+  if (grown == NULL || reader->out_of_memory)
+    {
+      reader->out_of_memory = true;
+      return;
+    }
+  if (day->rooms == NULL)
+    for (uint32_t i = 0; i < MAX_WORKERS; i++)
+      grown[i] = (MdRoom){ DEFAULT_CPU, DEFAULT_MEMORY, 0 };
+  day->rooms = grown;
+  if (cpu > 0)
+    day->rooms[worker] = (MdRoom){ cpu, (uint32_t)md_line_number (line, "memory_mb"), 0 };
+  reader->states[reader->n_states++] = (LoggedState){ time_of (reader, line), worker, up };
+}
+
+static void
+read_line (Reader *reader, MdStr line)
+{
+  if (md_line_is (line, "run-end"))
+    read_run (reader, line);
+  else if (md_line_is (line, "job-answered"))
+    read_answer (reader, line);
+  else if (md_line_is (line, "worker-state"))
+    read_state (reader, line, md_line_number (line, "state") == MD_WORKER_READY);
+  else if (md_line_is (line, "worker-reached"))
+    read_state (reader, line, true);
+  else if (md_line_is (line, "worker-left") || md_line_is (line, "worker-unreachable"))
+    read_state (reader, line, false);
+  else if (md_line_is (line, "log-dropped"))
+    reader->day->gaps += (uint64_t)md_line_number (line, "lines");
+}
+
+static bool
+is_job (MdStr line)
+{
+  return md_line_is (line, "job-admitted") || md_line_is (line, "job-rejected");
+}
+
+/* Jobs first: runs and answers of a job may stand before it when logs are put one
+   behind the other. */
+static void
+read_lines (Reader *reader)
+{
+  MdStr rest = reader->logs;
+  MdStr line;
+  int64_t ms;
+  size_t n = 0;
+
+  reader->start_ms = INT64_MAX;
+  while (md_line_next (&rest, &line))
+    if (is_job (line) && md_line_time (line, &ms))
+      {
+        n++;
+        reader->start_ms = ms < reader->start_ms ? ms : reader->start_ms;
+      }
+  for (reader->n_slots = 256; reader->n_slots < 2 * n; reader->n_slots *= 2)
+    ;
+  reader->slots = calloc (reader->n_slots, sizeof *reader->slots);
+  reader->out_of_memory = reader->slots == NULL;
+  for (rest = reader->logs; !reader->out_of_memory && md_line_next (&rest, &line);)
+    if (is_job (line))
+      read_job (reader, line);
+  for (rest = reader->logs; !reader->out_of_memory && md_line_next (&rest, &line);)
+    if (!is_job (line))
+      read_line (reader, line);
+}
+
+/* ------------------------------------------------------------------ */
+/* Speeds                                                             */
+
+static double
+excess_of (const Reader *reader, const LoggedRun *run)
+{
+  const MdModelJob *job = &reader->day->jobs[run->job];
+
+  return log ((double)(run->time > 0 ? run->time : 1)
+              / (double)(job->declared > 0 ? job->declared : MD_MS));
+}
+
+/* Workers' speeds and queues' errors are told apart by turns. */
+static void
+fit (Reader *reader)
+{
+  const MdModelDay *day = reader->day;
+  md_autofree double *sum = calloc (day->n_workers + day->n_queues, sizeof *sum);
+  md_autofree double *n = calloc (day->n_workers + day->n_queues, sizeof *n);
+
+  reader->speed = calloc (day->n_workers, sizeof *reader->speed);
+  reader->bias = calloc (day->n_queues, sizeof *reader->bias);
+  if (sum == NULL || n == NULL || reader->speed == NULL || reader->bias == NULL)
+    {
+      reader->out_of_memory = true;
+      return;
+    }
+  for (int round = 0; round < 8; round++)
+    {
+      memset (sum, 0, (day->n_workers + day->n_queues) * sizeof *sum);
+      memset (n, 0, (day->n_workers + day->n_queues) * sizeof *n);
+      for (size_t i = 0; i < reader->n_runs; i++)
+        {
+          const LoggedRun *run = &reader->runs[i];
+          uint32_t q = day->jobs[run->job].queue;
+          double excess = excess_of (reader, run);
+
+          sum[run->worker] += reader->bias[q] - excess;
+          n[run->worker]++;
+          sum[day->n_workers + q] += excess + reader->speed[run->worker];
+          n[day->n_workers + q]++;
+        }
+      for (uint32_t i = 0; i < day->n_workers; i++)
+        reader->speed[i] = n[i] > 0 ? sum[i] / n[i] : 0;
+      for (uint32_t q = 0; q < day->n_queues; q++)
+        reader->bias[q]
+            = n[day->n_workers + q] > 0 ? sum[day->n_workers + q] / n[day->n_workers + q] : 0;
+    }
+}
+
+static int
+compare_changes (const void *a, const void *b)
+{
+  const MdModelChange *x = a;
+  const MdModelChange *y = b;
+
+  if (x->at != y->at)
+    return x->at < y->at ? -1 : 1;
+  return (x->worker > y->worker) - (x->worker < y->worker);
+}
+
+/* Logarithm by which a worker is off in each window, 0 where its runs say nothing. */
+static double *
+offsets_of (const Reader *reader, size_t windows)
+{
+  const MdModelDay *day = reader->day;
+  double *offset = calloc (windows * day->n_workers + 1, sizeof *offset);
+  md_autofree uint32_t *n = calloc (windows * day->n_workers + 1, sizeof *n);
+
+  for (size_t i = 0; offset != NULL && n != NULL && i < reader->n_runs; i++)
+    {
+      const LoggedRun *run = &reader->runs[i];
+      size_t place = (size_t)(run->at / WINDOW) * day->n_workers + run->worker;
+
+      if (run->at < 0 || run->at / WINDOW >= (MdTime)windows)
+        continue;
+      offset[place] += reader->bias[day->jobs[run->job].queue] - excess_of (reader, run)
+                       - reader->speed[run->worker];
+      n[place]++;
+    }
+  for (size_t i = 0; offset != NULL && n != NULL && i < windows * day->n_workers; i++)
+    {
+      double mean = n[i] >= WINDOW_RUNS ? offset[i] / n[i] : 0;
+
+      offset[i] = fabs (mean) > TROUBLE ? mean : 0;
+    }
+  return offset;
+}
+
+static bool
+is_up_at (const Reader *reader, uint32_t worker, MdTime at)
+{
+  bool up = true;
+
+  for (size_t i = 0; i < reader->n_states; i++)
+    if (reader->states[i].worker == worker && reader->states[i].at <= at)
+      up = reader->states[i].up;
+  return up;
+}
+
+static void
+add_change (MdModelDay *day, MdTime at, uint32_t worker, double speed)
+{
+  day->changes[day->n_changes++] = (MdModelChange){ at, worker, speed };
+}
+
+static int
+compare_states (const void *a, const void *b)
+{
+  const LoggedState *x = a;
+  const LoggedState *y = b;
+
+  return (x->at > y->at) - (x->at < y->at);
+}
+
+static void
+make_changes (Reader *reader, const double *offsets, size_t windows)
+{
+  MdModelDay *day = reader->day;
+
+  qsort (reader->states, reader->n_states, sizeof *reader->states, compare_states);
+  for (uint32_t i = 0; i < day->n_workers; i++)
+    {
+      double last = 0;
+
+      add_change (day, 0, i, is_up_at (reader, i, 0) ? exp (reader->speed[i]) : 0);
+      for (size_t w = 0; w < windows; w++)
+        {
+          double offset = offsets[w * day->n_workers + i];
+
+          if (offset != last && is_up_at (reader, i, (MdTime)w * WINDOW))
+            add_change (day, (MdTime)w * WINDOW, i, exp (reader->speed[i] + offset));
+          last = offset;
+        }
+    }
+  for (size_t k = 0; k < reader->n_states; k++)
+    if (reader->states[k].at > 0)
+      add_change (day, reader->states[k].at, reader->states[k].worker,
+                  reader->states[k].up ? exp (reader->speed[reader->states[k].worker]) : 0);
+  qsort (day->changes, day->n_changes, sizeof *day->changes, compare_changes);
+}
+
+/* ------------------------------------------------------------------ */
+/* Work of tasks                                                      */
+
+static void
+set_known_work (Reader *reader, const double *offsets, size_t windows)
+{
+  const MdModelDay *day = reader->day;
+
+  for (size_t i = 0; i < reader->n_runs; i++)
+    {
+      const LoggedRun *run = &reader->runs[i];
+      size_t w = run->at > 0 ? (size_t)(run->at / WINDOW) : 0;
+      double offset = w < windows ? offsets[w * day->n_workers + run->worker] : 0;
+
+      day->jobs[run->job].work[run->index]
+          = (MdTime)((double)run->time * exp (reader->speed[run->worker] + offset));
+    }
+}
+
+static void
+set_unknown_work (Reader *reader, MdModelJob *job, MdModelRandom *random)
+{
+  double known = 0;
+  uint32_t n = 0;
+
+  for (uint32_t k = 0; k < job->count; k++)
+    {
+      known += (double)job->work[k];
+      n += job->work[k] > 0;
+    }
+  if (n == job->count)
+    return;
+  reader->day->unknown_tasks += job->count - n;
+  known = n > 0 ? known / n
+                : (double)job->declared * exp (reader->bias[job->queue])
+                      * md_model_log_normal (random, DRAWN_SIGMA);
+  for (uint32_t k = 0; k < job->count; k++)
+    if (job->work[k] == 0)
+      job->work[k] = (MdTime)known + 1;
+}
+
+static void
+set_means (MdModelDay *day)
+{
+  for (uint32_t q = 0; q < day->n_queues; q++)
+    {
+      double sum = 0;
+      double n = 0;
+
+      for (uint32_t i = 0; i < day->n_jobs; i++)
+        for (uint32_t k = 0; day->jobs[i].queue == q && k < day->jobs[i].count; k++)
+          {
+            sum += (double)day->jobs[i].work[k];
+            n++;
+          }
+      day->queues[q].mean_work = n > 0 ? sum / n : MD_MS;
+    }
+}
+
+static int
+compare_jobs (const void *a, const void *b)
+{
+  const MdModelJob *x = a;
+  const MdModelJob *y = b;
+
+  return (x->at > y->at) - (x->at < y->at);
+}
+
+static void
+complete_day (Reader *reader, uint64_t seed)
+{
+  MdModelDay *day = reader->day;
+  MdModelRandom random = md_model_random (seed);
+  size_t windows;
+  md_autofree double *offsets = NULL;
+
+  for (uint32_t i = 0; i < day->n_jobs; i++)
+    if (day->jobs[i].at > day->length)
+      day->length = day->jobs[i].at;
+  windows = (size_t)(day->length / WINDOW) + 2;
+  fit (reader);
+  if (!reader->out_of_memory)
+    offsets = offsets_of (reader, windows);
+  day->changes
+      = calloc (day->n_workers * (windows + 1) + reader->n_states + 1, sizeof *day->changes);
+  if (offsets == NULL || day->changes == NULL)
+    {
+      reader->out_of_memory = true;
+      return;
+    }
+  set_known_work (reader, offsets, windows);
+  for (uint32_t i = 0; i < day->n_jobs; i++)
+    set_unknown_work (reader, &day->jobs[i], &random);
+  set_means (day);
+  make_changes (reader, offsets, windows);
+  qsort (day->jobs, day->n_jobs, sizeof *day->jobs, compare_jobs);
+}
+
+int
+md_model_read_day (MdModelDay *day, MdStr logs, uint64_t seed, MdError *error)
+{
+  Reader reader = { .day = day, .logs = logs };
+
+  memset (day, 0, sizeof *day);
+  day->recorded = true;
+  read_lines (&reader);
+  if (!reader.out_of_memory && day->n_jobs > 0 && day->rooms != NULL)
+    complete_day (&reader, seed);
+  reader_clear (&reader);
+  if (reader.out_of_memory)
+    return md_error_set (error, MD_E_MEMORY, "logs", "", "out of memory");
+  if (day->n_jobs == 0)
+    return md_error_set (error, MD_E_INVALID, "logs", "", "no job is told of");
+  if (day->rooms == NULL)
+    return md_error_set (error, MD_E_INVALID, "logs", "", "no worker is told of");
+  return MD_OK;
+}
--- /dev/null
+++ b/model/day-made.c
@@ -0,0 +1,173 @@
+/* day-made.c -- days made from a seed, and what all days share */
+
+#include "model.h"
+
+#include <math.h>
+
+#define WORKERS 11
+#define ENTRIES 4
+#define LENGTH (14 * MD_SECOND)    /* arrivals */
+#define BURST_FROM (4 * MD_SECOND) /* of arrivals */
+#define BURST_TO (8 * MD_SECOND)   /* of arrivals */
+#define SLOW_FROM (5 * MD_SECOND)  /* of two workers */
+#define SLOW_TO (12 * MD_SECOND)   /* of two workers */
+#define SLOW_WORKERS 2
+#define STEP (1 * MD_MS)        /* at most one job of a queue arrives in it */
+#define ESTIMATE_SIGMA 0.4      /* by which estimates are off */
+#define TASK_SIGMA 0.15         /* by which tasks of a job differ */
+#define PATIENCE (1500 * MD_MS) /* of callers */
+#define TASK_ROOM                                                                                  \
+  {                                                                                                \
+    6200, 64, 0                                                                                    \
+  } /* a tenth of a worker */
+
+typedef struct
+{
+  const char *name;
+  double rate;   /* jobs a second */
+  double tasks;  /* mean */
+  MdTime work;   /* mean, at speed 1 */
+  unsigned most; /* tasks */
+} MadeQueue;
+
+static const MadeQueue made_queues[] = {
+  { "short", 34, 8, 60 * MD_MS, 32 },
+  { "long", 6, 4, 900 * MD_MS, 16 },
+  { "middle", 100, 2, 200 * MD_MS, 8 },
+};
+
+#define QUEUES MD_ARRAY_SIZE (made_queues)
+
+void
+md_model_day_clear (MdModelDay *day)
+{
+  for (uint32_t i = 0; i < day->n_jobs; i++)
+    free (day->jobs[i].work);
+  free (day->jobs);
+  free (day->queues);
+  free (day->rooms);
+  free (day->changes);
+  memset (day, 0, sizeof *day);
+}
+
+/* splitmix64; a seed of 0 is as good as any. */
+MdModelRandom
+md_model_random (uint64_t seed)
+{
+  return (MdModelRandom){ seed };
+}
+
+double
+md_model_uniform (MdModelRandom *random)
+{
+  uint64_t z = random->state += 0x9e3779b97f4a7c15u;
+
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
+  z ^= z >> 31;
+  return (double)(z >> 11) / 9007199254740992.0;
+}
+
+double
+md_model_log_normal (MdModelRandom *random, double sigma)
+{
+  double radius = sqrt (-2 * log (md_model_uniform (random) + 1e-12));
+
+  return exp (sigma * radius * cos (2 * M_PI * md_model_uniform (random)));
+}
+
+static int
+make_workers (MdModelDay *day, const MdModelPattern *pattern)
+{
+  static const double speeds[] = { 1.43, 1.43, 0.59 };
+  static const double sizes[] = { 1, 1, 1.5 };
+
+  day->rooms = calloc (WORKERS, sizeof *day->rooms);
+  day->changes = calloc (WORKERS + 2 * SLOW_WORKERS, sizeof *day->changes);
+  if (day->rooms == NULL || day->changes == NULL)
+    return MD_E_MEMORY;
+  day->n_workers = WORKERS;
+  for (uint32_t i = 0; i < WORKERS; i++)
+    {
+      day->rooms[i] = (MdRoom){ (uint32_t)(64000 * sizes[i / 3 % 3]), 262144, 0 };
+      day->changes[day->n_changes++] = (MdModelChange){ 0, i, speeds[i % 3] };
+    }
+  for (uint32_t i = 0; i < SLOW_WORKERS && pattern->slow > 1; i++)
+    day->changes[day->n_changes++] = (MdModelChange){ SLOW_FROM, i, speeds[i % 3] / pattern->slow };
+  for (uint32_t i = 0; i < SLOW_WORKERS && pattern->slow > 1; i++)
+    day->changes[day->n_changes++] = (MdModelChange){ SLOW_TO, i, speeds[i % 3] };
+  return MD_OK;
+}
+
+static int
+make_queues (MdModelDay *day)
+{
+  day->queues = calloc (QUEUES, sizeof *day->queues);
+  if (day->queues == NULL)
+    return MD_E_MEMORY;
+  day->n_queues = QUEUES;
+  for (uint32_t q = 0; q < QUEUES; q++)
+    {
+      md_str_copy (day->queues[q].name, sizeof day->queues[q].name, md_str (made_queues[q].name));
+      day->queues[q].slack = 1.6;
+      day->queues[q].target = 60 * MD_MS;
+      day->queues[q].mean_work = (double)made_queues[q].work;
+    }
+  return MD_OK;
+}
+
+static int
+make_job (MdModelDay *day, uint32_t q, MdTime at, MdModelRandom *random)
+{
+  const MadeQueue *queue = &made_queues[q];
+  double count = fmax (1, queue->tasks * md_model_log_normal (random, ESTIMATE_SIGMA));
+  double work = (double)queue->work * fmin (4, md_model_log_normal (random, ESTIMATE_SIGMA));
+  MdModelJob *grown = realloc (day->jobs, (day->n_jobs + 1) * sizeof *grown);
+  MdModelJob *job;
+
+  if (grown == NULL)
+    return MD_E_MEMORY;
+  day->jobs = grown;
+  job = &day->jobs[day->n_jobs];
+  *job = (MdModelJob){ .at = at, .queue = q, .need = TASK_ROOM, .patience = PATIENCE };
+  job->count = (uint32_t)fmin (queue->most, count);
+  job->declared = (MdTime)(work * md_model_log_normal (random, ESTIMATE_SIGMA));
+  job->entry = (uint32_t)(md_model_uniform (random) * ENTRIES) % ENTRIES;
+  job->work = calloc (job->count, sizeof *job->work);
+  if (job->work == NULL)
+    return MD_E_MEMORY;
+  day->n_jobs++;
+  for (uint32_t k = 0; k < job->count; k++)
+    job->work[k] = (MdTime)(work * md_model_log_normal (random, TASK_SIGMA));
+  return MD_OK;
+}
+
+static double
+rate_at (const MdModelPattern *pattern, uint32_t q, MdTime at)
+{
+  bool burst = at >= BURST_FROM && at < BURST_TO
+               && (pattern->burst_of < 0 || (uint32_t)pattern->burst_of == q);
+
+  return made_queues[q].rate * (burst ? pattern->burst : 1);
+}
+
+int
+md_model_make_day (MdModelDay *day, const MdModelPattern *pattern, MdError *error)
+{
+  MdModelRandom random = md_model_random (pattern->seed);
+  int rc;
+
+  memset (day, 0, sizeof *day);
+  day->n_entries = ENTRIES;
+  day->length = LENGTH;
+  rc = make_workers (day, pattern);
+  if (rc == MD_OK)
+    rc = make_queues (day);
+  for (MdTime at = 0; rc == MD_OK && at < LENGTH; at += STEP)
+    for (uint32_t q = 0; rc == MD_OK && q < QUEUES; q++)
+      if (md_model_uniform (&random) < rate_at (pattern, q, at) * (double)STEP / (double)MD_SECOND)
+        rc = make_job (day, q, at, &random);
+  if (rc != MD_OK)
+    return md_error_set (error, rc, "model", "", "out of memory");
+  return MD_OK;
+}
