Hold a job until its caller's patience ends, not until its route's time-out

The deadline was the smaller of the caller's patience and the route's timeout_ms. No page says that timeout_ms bounds a job: the response is returned when the job has ended. Test: run-platform, a job that takes longer than its queue's time-out; failed before (504).

--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -246,8 +246,6 @@
     work[i] = md_entry_work (job, i);
   chain = md_runjob_chain (&job->job, work);
   objective = (MdTime)(job->route.slack_factor * chain) + job->route.target_latency;
-  if (job->route.timeout > 0 && job->route.timeout < patience)
-    patience = job->route.timeout;
   job->arrived = ticket->arrived;
   job->goal = ticket->arrived + objective - NETWORK_MARGIN;
   job->limit = ticket->arrived + LATE_LIMIT * objective - NETWORK_MARGIN;
--- a/fleet/routes.h
+++ b/fleet/routes.h
@@ -16,7 +16,6 @@
   char prefix[MD_PREFIX_BYTES]; /* of its path */
   size_t prefix_len;            /* bytes of prefix */
   char pool[MD_NAME_BYTES];     /* upstreams that run its tasks */
-  MdTime timeout;               /* longest time for a request */
   MdTime target_latency;        /* response-time goal beyond the work */
   double slack_factor;          /* response-time goal, as a multiple of the work */
   uint32_t max_attempts;        /* failed runs of a task that fail its job */
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -18,6 +18,7 @@
   echo "a job that must be stored: $(post 00000000000000a2 "${JOB/\"best_effort\":true,/}")"
   echo "larger than any worker: $(post 00000000000000a3 "${JOB//\"cpu\":1000/\"cpu\":900000}")"
   echo "a task that fails: $(post 00000000000000a4 "${JOB/cpu=1000/cpu=1000 fail}")"
+  echo "longer than its queue's time-out, the caller waits: $(post 00000000000000a6 "${JOB/ms=30/ms=900}")"
   echo "not a job: $(post 00000000000000a5 'nonsense')"
 
   store_mode forget
