Carry gangs out

Cause: steps whose tasks work only together were rejected with 503, though the users' page asks for them where the job is best effort. Change: runjob.c counts the runs of a gang as one: the end of one member stands for all when it is done; otherwise the rest is stopped and all are ordered again, with one run number, when the last has ended. The entry orders a gang as a whole or not at all and does not move its members. Tests: gang_goes_together, gang_ends_as_one (both need the new code to compile); run-platform: a gang is done; one that fails runs twice, three starts with run 1 and three with run 2.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -418,6 +418,31 @@
     }
 }
 
+/* The members of a gang that are left cannot do anything without the one that ended. */
+static void
+end_gang (MdEntryJob *job, uint32_t step)
+{
+  for (uint32_t k = 0; k < job->job.spec.steps[step].count; k++)
+    {
+      MdEntryOrder *order = job->job.tasks[step][k].order;
+
+      if (order != NULL)
+        md_entry_cancel (order);
+    }
+}
+
+/* All members of a gang resume from the same state. */
+static void
+keep_checkpoint (MdEntryJob *job, const MdEntryOrder *order, const char *checkpoint)
+{
+  const MdRunStep *step = &job->job.spec.steps[order->step];
+
+  for (uint32_t k = step->gang ? 0 : order->task; k < (step->gang ? step->count : order->task + 1);
+       k++)
+    md_str_copy (job->job.tasks[order->step][k].checkpoint, MD_CHECKPOINT_BYTES,
+                 md_str (checkpoint));
+}
+
 void
 md_entry_order_ended (MdRunEntry *entry, MdEntryOrder *order, MdRunHow how, MdTime run,
                       const char *checkpoint)
@@ -435,11 +460,13 @@
       if (how != MD_RUN_REJECTED && how != MD_RUN_STALE)
         md_entry_order_started (entry, order);
       if (checkpoint[0] != '\0')
-        md_str_copy (task->checkpoint, sizeof task->checkpoint, md_str (checkpoint));
+        keep_checkpoint (job, order, checkpoint);
       if (how == MD_RUN_STALE)
         job->run_base += STALE_JUMP;
       task->last = how == MD_RUN_DONE || order->withdrawn ? NULL : &order->guard->worker;
       md_runjob_end (&job->job, order->step, order->task, how);
+      if (md_runjob_broken (&job->job, order->step))
+        end_gang (job, order->step);
       if (how != MD_RUN_DONE)
         md_log (MD_LOG_INFO, "run-ended",
                 "job=%s request=%s step=%u task=%u run=%u guard=%s how=%s run_ms=%lld left_ms=%lld",
@@ -515,6 +542,9 @@
       {
         MdEntryOrder *order = job->job.tasks[i][k].order;
 
+        /* One member of a gang that is taken away ends the runs of all. */
+        if (job->job.spec.steps[i].gang)
+          continue;
         if (is_overdue (entry, order))
           move_if_better (entry, job, order);
         else if (order != NULL)
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -75,10 +75,7 @@
   order->work = need->work;
   order->expected = placement->run;
   order->start_within = job->goal - entry->now - placement->run;
-  task->state = MD_TASK_ORDERED;
-  task->order = order;
-  job->job.ready--;
-  job->job.ordered++;
+  md_runjob_ordered (&job->job, step, index, order);
   placement->worker->outstanding++;
   md_worker_reserve (placement->worker, need->need, placement->run);
   md_entry_send_order (entry, order);
@@ -100,41 +97,6 @@
   return task->run > 0 ? (MdTime)((double)left / RETRY_SAFETY) : left;
 }
 
-/* Orders what is ready of a step; what no worker can take now stays ready. */
-static void
-place_step (MdRunEntry *entry, MdEntryJob *job, uint32_t step)
-{
-  MdTaskNeed need;
-  md_autofree uint32_t *taken = count_taken (entry, job, step);
-
-  md_entry_need (entry, job, step, &need);
-  for (uint32_t k = 0; k < job->job.spec.steps[step].count; k++)
-    {
-      MdRunTask *task = &job->job.tasks[step][k];
-      MdPlacement placement;
-
-      if (task->state != MD_TASK_READY)
-        continue;
-      need.goal = goal_of (entry, job, task);
-      placement = md_place (&entry->workers, &need, taken, task->last, entry->now);
-      if (placement.worker == NULL)
-        return;
-      for (uint32_t i = 0; taken != NULL && i < entry->workers.n; i++)
-        taken[i] += entry->workers.workers[i] == placement.worker;
-      order_task (entry, job, step, k, &need, &placement);
-    }
-}
-
-void
-md_entry_place_ready (MdRunEntry *entry, MdEntryJob *job)
-{
-  for (uint32_t i = 0; i < job->job.spec.n_steps && job->job.ready > 0; i++)
-    place_step (entry, job, i);
-}
-
-/* ------------------------------------------------------------------ */
-/* Admission                                                          */
-
 /* What placement changes while a forecast is made. */
 typedef struct
 {
@@ -172,6 +134,71 @@
     }
 }
 
+/* A gang is ordered as a whole or not at all: members that come late would let the others
+   wait, and each holds its room meanwhile. */
+static bool
+gang_fits (MdRunEntry *entry, const MdTaskNeed *need, uint32_t count, const uint32_t *taken)
+{
+  md_autofree SavedRoom *saved = save_rooms (entry);
+  md_autofree uint32_t *counts = calloc (entry->workers.n + 1, sizeof *counts);
+  bool fits = saved != NULL && counts != NULL;
+
+  if (fits && taken != NULL)
+    memcpy (counts, taken, entry->workers.n * sizeof *counts);
+  for (uint32_t k = 0; fits && k < count; k++)
+    {
+      MdPlacement placement = md_place (&entry->workers, need, counts, NULL, entry->now);
+
+      fits = placement.worker != NULL;
+      if (!fits)
+        break;
+      for (uint32_t i = 0; i < entry->workers.n; i++)
+        counts[i] += entry->workers.workers[i] == placement.worker;
+      md_worker_reserve (placement.worker, need->need, placement.run);
+    }
+  if (saved != NULL)
+    restore_rooms (entry, saved);
+  return fits;
+}
+
+/* Orders what is ready of a step; what no worker can take now stays ready. */
+static void
+place_step (MdRunEntry *entry, MdEntryJob *job, uint32_t step)
+{
+  MdTaskNeed need;
+  md_autofree uint32_t *taken = count_taken (entry, job, step);
+
+  md_entry_need (entry, job, step, &need);
+  if (job->job.spec.steps[step].gang
+      && !gang_fits (entry, &need, job->job.spec.steps[step].count, taken))
+    return;
+  for (uint32_t k = 0; k < job->job.spec.steps[step].count; k++)
+    {
+      MdRunTask *task = &job->job.tasks[step][k];
+      MdPlacement placement;
+
+      if (task->state != MD_TASK_READY)
+        continue;
+      need.goal = goal_of (entry, job, task);
+      placement = md_place (&entry->workers, &need, taken, task->last, entry->now);
+      if (placement.worker == NULL)
+        return;
+      for (uint32_t i = 0; taken != NULL && i < entry->workers.n; i++)
+        taken[i] += entry->workers.workers[i] == placement.worker;
+      order_task (entry, job, step, k, &need, &placement);
+    }
+}
+
+void
+md_entry_place_ready (MdRunEntry *entry, MdEntryJob *job)
+{
+  for (uint32_t i = 0; i < job->job.spec.n_steps && job->job.ready > 0; i++)
+    place_step (entry, job, i);
+}
+
+/* ------------------------------------------------------------------ */
+/* Admission                                                          */
+
 /* When the tasks that are ready would end. False when some worker is missing. */
 static bool
 forecast_step (MdRunEntry *entry, const MdEntryJob *job, uint32_t step, MdForecast *forecast)
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -333,6 +333,7 @@
   MD_TASK_BLOCKED, /* earlier steps are not done */
   MD_TASK_READY,   /* to be placed */
   MD_TASK_ORDERED, /* at a guard, perhaps waiting */
+  MD_TASK_PARTED,  /* its run has ended, those of the others of its gang have not */
   MD_TASK_ENDED,   /* done */
 } MdRunTaskState;
 
@@ -347,6 +348,17 @@
   char checkpoint[MD_CHECKPOINT_BYTES]; /* to resume from, empty none */
 } MdRunTask;
 
+/* The tasks of a step that work only together: they are ordered together, with one run
+   number, and end together. The end DONE of one stands for all. */
+typedef struct
+{
+  uint32_t ordered;  /* tasks ORDERED */
+  uint32_t failures; /* runs of the gang in which a task ended FAILED */
+  bool done;         /* one of the present run has ended DONE */
+  bool broken;       /* one of the present run has ended otherwise */
+  bool failed;       /* FAILED, to be counted when the last has ended */
+} MdRunGang;
+
 typedef enum
 {
   MD_RUNJOB_ACTIVE,    /* not ended */
@@ -359,6 +371,7 @@
   MdRunSpec spec;        /* owned */
   MdRunTask **tasks;     /* per step, owned */
   uint32_t *left;        /* per step: tasks not ENDED */
+  MdRunGang *gangs;      /* per step, used where the step is a gang, owned */
   uint64_t done;         /* bit i: step i is done */
   uint32_t ready;        /* tasks READY */
   uint32_t ordered;      /* tasks ORDERED */
@@ -376,6 +389,13 @@
    is the run time of a task of step i. */
 double md_runjob_chain (const MdRunJob *job, const double *work);
 
+/* md_runjob_ordered: a READY task has been ordered. */
+void md_runjob_ordered (MdRunJob *job, uint32_t step, uint32_t task, void *order);
+
+/* md_runjob_broken: the step is a gang of which a run has ended other than DONE; what is
+   left of it has to be ended, then all are READY again. */
+bool md_runjob_broken (const MdRunJob *job, uint32_t step);
+
 /* md_runjob_end: a run of the task has ended. REJECTED, STOPPED, LAPSED and BROKEN
    make it READY again; FAILED does so up to max_attempts. Further steps become
    READY when their predecessors are done. */
--- a/sched/runjob.c
+++ b/sched/runjob.c
@@ -2,7 +2,8 @@
 
    A step becomes ready when the steps that it depends on are done. A run that ends
    without having done its task is ordered again: at once where nothing ran or the
-   worker is to blame, and up to a bound where the task itself failed. */
+   worker is to blame, and up to a bound where the task itself failed. The runs of a gang
+   count as one: it is ordered again when the last of them has ended. */
 
 #include "run-sched.h"
 
@@ -49,10 +50,9 @@
       if (i < 63 && (step->after >> i) != 0)
         return md_error_set (error, MD_E_INVALID, "job", "",
                              "step %u depends on a step that is not before it", i);
-      if (step->gang || step->long_running || spec->repeat > 0)
+      if (step->long_running || spec->repeat > 0)
         return md_error_set (error, MD_E_INVALID, "job", "",
-                             "step %u: gangs, long-running and repeated steps are not supported",
-                             i);
+                             "step %u: long-running and repeated steps are not supported", i);
     }
   return MD_OK;
 }
@@ -71,7 +71,8 @@
     return rc;
   job->tasks = calloc (job->spec.n_steps, sizeof *job->tasks);
   job->left = calloc (job->spec.n_steps, sizeof *job->left);
-  if (job->tasks == NULL || job->left == NULL)
+  job->gangs = calloc (job->spec.n_steps, sizeof *job->gangs);
+  if (job->tasks == NULL || job->left == NULL || job->gangs == NULL)
     return md_error_set (error, MD_E_MEMORY, "job", "", "out of memory");
   for (uint32_t i = 0; i < job->spec.n_steps; i++)
     {
@@ -91,6 +92,7 @@
     free (job->tasks[i]);
   free (job->tasks);
   free (job->left);
+  free (job->gangs);
   md_run_spec_clear (&job->spec);
 }
 
@@ -113,11 +115,8 @@
 }
 
 static void
-finish_task (MdRunJob *job, uint32_t step, MdRunTask *task)
+finish_step (MdRunJob *job, uint32_t step)
 {
-  task->state = MD_TASK_ENDED;
-  if (--job->left[step] > 0)
-    return;
   job->done |= UINT64_C (1) << step;
   for (uint32_t i = 0; i < job->spec.n_steps; i++)
     if (!(job->done >> i & 1))
@@ -128,6 +127,83 @@
   job->state = MD_RUNJOB_COMPLETED;
 }
 
+static void
+finish_task (MdRunJob *job, uint32_t step, MdRunTask *task)
+{
+  task->state = MD_TASK_ENDED;
+  if (--job->left[step] == 0)
+    finish_step (job, step);
+}
+
+static void
+set_all (MdRunJob *job, uint32_t step, MdRunTaskState state)
+{
+  for (uint32_t k = 0; k < job->spec.steps[step].count; k++)
+    job->tasks[step][k].state = state;
+}
+
+/* The last run of a gang has ended. */
+static void
+settle_gang (MdRunJob *job, uint32_t step)
+{
+  MdRunGang *gang = &job->gangs[step];
+  uint32_t ready = 0;
+
+  for (uint32_t k = 0; k < job->spec.steps[step].count; k++)
+    ready += job->tasks[step][k].state == MD_TASK_READY;
+  job->ready -= ready;
+  if (gang->done)
+    {
+      set_all (job, step, MD_TASK_ENDED);
+      job->left[step] = 0;
+      finish_step (job, step);
+      return;
+    }
+  gang->failures += gang->failed;
+  if (gang->failed && gang->failures >= job->max_attempts)
+    {
+      set_all (job, step, MD_TASK_ENDED);
+      job->state = MD_RUNJOB_FAILED;
+      return;
+    }
+  gang->broken = gang->failed = false;
+  set_all (job, step, MD_TASK_READY);
+  job->ready += job->spec.steps[step].count;
+}
+
+static void
+end_of_gang (MdRunJob *job, uint32_t step, MdRunTask *task, MdRunHow how)
+{
+  MdRunGang *gang = &job->gangs[step];
+
+  task->state = MD_TASK_PARTED;
+  gang->done |= how == MD_RUN_DONE;
+  gang->broken |= how != MD_RUN_DONE;
+  gang->failed |= how == MD_RUN_FAILED;
+  task->failures += how == MD_RUN_FAILED;
+  task->rejections += how == MD_RUN_REJECTED || how == MD_RUN_STALE;
+  if (--gang->ordered == 0)
+    settle_gang (job, step);
+}
+
+void
+md_runjob_ordered (MdRunJob *job, uint32_t step, uint32_t index, void *order)
+{
+  MdRunTask *task = &job->tasks[step][index];
+
+  task->state = MD_TASK_ORDERED;
+  task->order = order;
+  job->ready--;
+  job->ordered++;
+  job->gangs[step].ordered++;
+}
+
+bool
+md_runjob_broken (const MdRunJob *job, uint32_t step)
+{
+  return job->spec.steps[step].gang && job->gangs[step].broken && !job->gangs[step].done;
+}
+
 void
 md_runjob_end (MdRunJob *job, uint32_t step, uint32_t index, MdRunHow how)
 {
@@ -137,6 +213,12 @@
     return;
   job->ordered--;
   task->order = NULL;
+  if (job->spec.steps[step].gang)
+    {
+      end_of_gang (job, step, task, how);
+      return;
+    }
+  job->gangs[step].ordered--;
   switch (how)
     {
     case MD_RUN_DONE:
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -18,6 +18,10 @@
   echo "a job that must be stored: $(post 00000000000000a2 "${JOB/\"best_effort\":true,/}")"
   echo "larger than any worker: $(post 00000000000000a3 "${JOB//\"cpu\":1000/\"cpu\":900000}")"
   echo "a task that fails: $(post 00000000000000a4 "${JOB/cpu=1000/cpu=1000 fail}")"
+  local gang=$(sed 's/"estimated_ms":30}/"estimated_ms":30,"gang":true}/' <<< "$JOB")
+  echo "a gang: $(post 00000000000000a7 "$gang")"
+  echo "a gang that fails: $(post 00000000000000a8 "${gang/cpu=1000/cpu=1000 fail}")"
+  echo "runs of its members: $(sed -n 's/^start 00000000000000a8\.0\.0\.[0-2] \([0-9]*\) .*/\1/p' "$RUN/journal" | sort | uniq -c | xargs)"
   echo "longer than its queue's time-out, the caller waits: $(post 00000000000000a6 "${JOB/ms=30/ms=900}")"
   echo "not a job: $(post 00000000000000a5 'nonsense')"
 
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -268,12 +268,84 @@
 static void
 end_task (MdRunJob *job, uint32_t step, uint32_t task, MdRunHow how)
 {
-  job->tasks[step][task].state = MD_TASK_ORDERED;
-  job->ready--;
-  job->ordered++;
+  md_runjob_ordered (job, step, task, NULL);
   md_runjob_end (job, step, task, how);
 }
 
+static void
+gang_init (MdRunJob *job)
+{
+  MdRunSpec spec = { .n_steps = 2 };
+
+  spec.spec = calloc (1, 1);
+  spec.steps = calloc (2, sizeof *spec.steps);
+  spec.steps[0] = (MdRunStep){ .count = 3, .gang = true };
+  spec.steps[1] = (MdRunStep){ .count = 1, .after = 1 };
+  ck_assert_int_eq (md_runjob_init (job, &spec, 2, NULL), MD_OK);
+}
+
+static void
+order_gang (MdRunJob *job)
+{
+  ck_assert_uint_eq (job->ready, 3);
+  for (uint32_t k = 0; k < 3; k++)
+    md_runjob_ordered (job, 0, k, NULL);
+}
+
+/* Guards against a member that is ordered again while the others of its gang still run
+   (its run number would differ from theirs), and against a second count of one end. */
+START_TEST (gang_goes_together)
+{
+  MdRunJob job;
+
+  gang_init (&job);
+  order_gang (&job);
+  md_runjob_end (&job, 0, 1, MD_RUN_REJECTED);
+  ck_assert (md_runjob_broken (&job, 0));
+  md_runjob_end (&job, 0, 0, MD_RUN_STOPPED);
+  ck_assert_uint_eq (job.ready, 0);
+  md_runjob_end (&job, 0, 2, MD_RUN_STOPPED);
+  ck_assert (!md_runjob_broken (&job, 0));
+  order_gang (&job);
+  for (uint32_t k = 0; k < 3; k++)
+    {
+      ck_assert_int_eq (job.tasks[1][0].state, MD_TASK_BLOCKED);
+      md_runjob_end (&job, 0, k, MD_RUN_DONE);
+    }
+  ck_assert_uint_eq (job.ready, 1);
+  ck_assert_uint_eq (job.ordered, 0);
+  md_runjob_clear (&job);
+}
+END_TEST
+
+/* Guards against a gang that is done twice because the end of one member was lost, and
+   against one that fails oftener than its queue allows. */
+START_TEST (gang_ends_as_one)
+{
+  MdRunJob job;
+
+  gang_init (&job);
+  order_gang (&job);
+  md_runjob_end (&job, 0, 0, MD_RUN_DONE);
+  md_runjob_end (&job, 0, 1, MD_RUN_LAPSED);
+  ck_assert (!md_runjob_broken (&job, 0));
+  md_runjob_end (&job, 0, 2, MD_RUN_DONE);
+  ck_assert_int_eq (job.tasks[1][0].state, MD_TASK_READY);
+  md_runjob_clear (&job);
+  gang_init (&job);
+  for (unsigned attempt = 0; attempt < 2; attempt++)
+    {
+      ck_assert_int_eq (job.state, MD_RUNJOB_ACTIVE);
+      order_gang (&job);
+      md_runjob_end (&job, 0, 0, MD_RUN_FAILED);
+      md_runjob_end (&job, 0, 1, MD_RUN_BROKEN);
+      md_runjob_end (&job, 0, 2, MD_RUN_BROKEN);
+    }
+  ck_assert_int_eq (job.state, MD_RUNJOB_FAILED);
+  md_runjob_clear (&job);
+}
+END_TEST
+
 START_TEST (steps_wait_for_those_before)
 {
   double work[3] = { 10, 30, 5 };
@@ -349,6 +421,8 @@
   tcase_add_test (tc, retries_are_spread);
   tcase_add_test (tc, steps_wait_for_those_before);
   tcase_add_test (tc, only_failures_use_up_attempts);
+  tcase_add_test (tc, gang_goes_together);
+  tcase_add_test (tc, gang_ends_as_one);
   tcase_add_test (tc, unsupported_jobs_are_told_apart);
   suite_add_tcase (suite, tc);
   runner = srunner_create (suite);
