--- a/callers.c
+++ b/callers.c
@@ -197,18 +197,11 @@
   return send_response (call, status, "application/json", extra, md_buf_str (&body));
 }
 
+/* Credentials are the entry's, not the upstream's. */
 static bool
-is_hop_header (const char *name)
+is_kept_here (const char *name)
 {
-  static const char *const names[]
-      = { "connection",   "keep-alive", "transfer-encoding", "te",     "trailer",
-          "upgrade",      "host",       "content-length",    "expect", "proxy-connection",
-          "authorization" };
-
-  for (size_t i = 0; i < MD_ARRAY_SIZE (names); i++)
-    if (strcasecmp (name, names[i]) == 0)
-      return true;
-  return false;
+  return md_header_is_hop (name) || strcasecmp (name, "Authorization") == 0;
 }
 
 static int
@@ -222,7 +215,7 @@
     {
       if (strcasecmp (answer->headers[i].name, "Content-Type") == 0)
         type = answer->headers[i].value;
-      else if (!is_hop_header (answer->headers[i].name))
+      else if (!is_kept_here (answer->headers[i].name))
         md_buf_printf (&extra, "%s: %s\r\n", answer->headers[i].name, answer->headers[i].value);
     }
   return send_response (call, (int)answer->status, type, extra.data ? extra.data : "",
@@ -436,7 +429,7 @@
   for (int i = 0; i < call->info->num_headers; i++)
     {
       const struct mg_header *header = &call->info->http_headers[i];
-      if (is_hop_header (header->name)
+      if (is_kept_here (header->name)
           || strncasecmp (header->name, "Mulberrydrift-", strlen ("Mulberrydrift-")) == 0)
         continue;
       if (md_task_add_header (task, md_str (header->name), md_str (header->value)) != MD_OK)
--- a/md-guard.h
+++ b/md-guard.h
@@ -79,9 +79,6 @@
 /* md_upstream_expire: cut off the requests whose deadline has passed. */
 void md_upstream_expire (MdUpstream *upstream, MdTime now);
 
-/* md_header_is_hop: a header field that belongs to one connection. */
-bool md_header_is_hop (const char *name);
-
 /* ------------------------------------------------------------------ */
 /* Guard                                                              */
 
--- a/md-private.h
+++ b/md-private.h
@@ -510,6 +510,9 @@
 void md_trace_pool (MdBuf *out, const MdPoolPolicy *policy, MdTime now);
 void md_trace_customer (MdBuf *out, MdStr customer, const MdCustomerPolicy *policy, MdTime now);
 
+/* md_header_is_hop: a header field that belongs to one connection. */
+bool md_header_is_hop (const char *name);
+
 /* ------------------------------------------------------------------ */
 /* Sub-commands; each returns the exit code of the process            */
 
--- a/tests/test-basics.c
+++ b/tests/test-basics.c
@@ -1,8 +1,7 @@
 /* test-basics.c -- strings, keys, submission ids and the logger's quoting */
 
 #include "md-private.h"
-
-#include <check.h>
+#include "suite.h"
 
 /* Guards against two submissions sharing a key because parts run together. */
 START_TEST (test_key_separates_parts)
@@ -68,19 +67,12 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("basics");
   TCase *tc = tcase_create ("basics");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_add_test (tc, test_key_separates_parts);
   tcase_add_test (tc, test_uuid7_time);
   tcase_add_test (tc, test_secret_compare);
   tcase_add_test (tc, test_log_quote);
   tcase_add_test (tc, test_buffer);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("basics", tc);
 }
--- a/tests/test-config.c
+++ b/tests/test-config.c
@@ -1,8 +1,8 @@
 /* test-config.c -- declared resources by log offset */
 
 #include "config-check.h"
+#include "suite.h"
 
-#include <check.h>
 #include <stdio.h>
 
 #define TIME_MS 1700000000000
@@ -359,12 +359,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("config");
   TCase *tc = tcase_create ("config");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_add_test (tc, test_expected_version);
   tcase_add_test (tc, test_duplicate_id);
   tcase_add_test (tc, test_stale_offset);
@@ -375,8 +371,5 @@
   tcase_add_test (tc, test_gap_needs_snapshot);
   tcase_add_test (tc, test_load_never_goes_back);
   tcase_add_test (tc, test_watch_log);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("config", tc);
 }
--- a/tests/test-dispatch.c
+++ b/tests/test-dispatch.c
@@ -2,8 +2,8 @@
    against a model of what the guards and callers saw */
 
 #include "md-private.h"
+#include "suite.h"
 
-#include <check.h>
 #include <stdio.h>
 #include <unistd.h>
 
@@ -428,16 +428,9 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("dispatch");
   TCase *tc = tcase_create ("dispatch");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_add_loop_test (tc, test_promises, 0, 12);
   tcase_add_test (tc, test_replay_repeats);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("dispatch", tc);
 }
--- a/tests/test-frame.c
+++ b/tests/test-frame.c
@@ -2,10 +2,9 @@
 
 #include "md-private.h"
 
+#include "suite.h"
 #include "wire.pb-c.h"
 
-#include <check.h>
-
 #define FUZZ_ROUNDS 20000
 #define FUZZ_SEED 0x9e3779b97f4a7c15u
 
@@ -149,19 +148,12 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("frame");
   TCase *tc = tcase_create ("frame");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_add_test (tc, test_partial);
   tcase_add_test (tc, test_length_bound);
   tcase_add_test (tc, test_encode_bound);
   tcase_add_test (tc, test_decoded_bound);
   tcase_add_test (tc, test_fuzz);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("frame", tc);
 }
--- a/tests/test-fuzz.c
+++ b/tests/test-fuzz.c
@@ -8,8 +8,8 @@
 
 #include "config-check.h"
 #include "entry-private.h"
+#include "suite.h"
 
-#include <check.h>
 #include <ctype.h>
 #include <stdio.h>
 
@@ -479,12 +479,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("fuzz");
   TCase *tc = tcase_create ("fuzz");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_set_timeout (tc, 120); /* for the thread sanitizer */
   tcase_add_test (tc, test_settings);
   tcase_add_test (tc, test_changes);
@@ -492,8 +488,5 @@
   tcase_add_test (tc, test_registrations);
   tcase_add_test (tc, test_frames);
   tcase_add_test (tc, test_jobs);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("fuzz", tc);
 }
--- a/tests/test-ledger.c
+++ b/tests/test-ledger.c
@@ -1,8 +1,7 @@
 /* test-ledger.c -- verdicts and memory of a guard's ledger */
 
 #include "md-private.h"
-
-#include <check.h>
+#include "suite.h"
 
 #define GUARD 7u
 #define OWNER 100u
@@ -383,12 +382,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("ledger");
   TCase *tc = tcase_create ("ledger");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_duplicate);
   tcase_add_test (tc, test_other_fingerprint);
@@ -403,8 +398,5 @@
   tcase_add_test (tc, test_records);
   tcase_add_test (tc, test_bounds);
   tcase_add_test (tc, test_leaving_guard);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("ledger", tc);
 }
--- a/tests/test-link.c
+++ b/tests/test-link.c
@@ -5,10 +5,10 @@
 
 #include "md-private.h"
 
+#include "suite.h"
 #include "wire.pb-c.h"
 
 #include <arpa/inet.h>
-#include <check.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <sys/socket.h>
@@ -296,20 +296,13 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("link");
   TCase *tc = tcase_create ("link");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_add_test (tc, test_frames_and_reconnect);
   tcase_add_test (tc, test_silent_peer);
   tcase_add_test (tc, test_slow_reader);
   tcase_add_test (tc, test_partial_and_malformed);
   tcase_add_test (tc, test_close_with_output);
   tcase_add_test (tc, test_wake);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("link", tc);
 }
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -9,8 +9,8 @@
    Guards against a policy that loses its gain when the backlog is seen in parts. */
 
 #include "model.h"
+#include "suite.h"
 
-#include <check.h>
 #include <stdio.h>
 
 #define SEEDS 3
@@ -76,10 +76,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("load");
   TCase *tc = tcase_create ("load");
-  SRunner *runner;
-  int failed;
 
   tcase_set_timeout (tc, 240);
   tcase_add_test (tc, calm_load);
@@ -87,10 +84,5 @@
   tcase_add_test (tc, burst_beyond_the_workers);
   tcase_add_test (tc, burst_of_long_tasks);
   tcase_add_test (tc, slow_workers);
-  suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return run_suite ("load", tc);
 }
--- a/tests/test-log.c
+++ b/tests/test-log.c
@@ -4,8 +4,8 @@
    left out without a word, and against warnings that are lost to routine lines. */
 
 #include "md-private.h"
+#include "suite.h"
 
-#include <check.h>
 #include <fcntl.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -132,19 +132,11 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("log");
   TCase *tc = tcase_create ("log");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, flood_does_not_wait_for_the_reader);
   tcase_add_test (tc, dropped_lines_are_counted_and_warnings_kept);
   tcase_add_test (tc, lines_come_out_whole_and_in_order);
   tcase_add_test (tc, histograms_are_cumulative);
-  suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return run_suite ("log", tc);
 }
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -3,8 +3,7 @@
    Each test states the load pattern or the failure it guards against. */
 
 #include "run-sched.h"
-
-#include <check.h>
+#include "suite.h"
 
 #define N 4
 
@@ -402,10 +401,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("placement");
   TCase *tc = tcase_create ("placement");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, only_workers_that_can_run_it_are_chosen);
   tcase_add_test (tc, data_is_near);
@@ -424,10 +420,5 @@
   tcase_add_test (tc, gang_goes_together);
   tcase_add_test (tc, gang_ends_as_one);
   tcase_add_test (tc, unsupported_jobs_are_told_apart);
-  suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return run_suite ("placement", tc);
 }
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -4,8 +4,8 @@
    cut off, and against a crash on any bytes that another writer may have left. */
 
 #include "platform.h"
+#include "suite.h"
 
-#include <check.h>
 #include <stdio.h>
 
 #define MUTATIONS 20000
@@ -313,10 +313,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("platform");
   TCase *tc = tcase_create ("platform");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, job_is_decoded);
   tcase_add_test (tc, job_without_steps_is_refused);
@@ -330,10 +327,5 @@
   tcase_add_test (tc, longest_prefix_wins);
   tcase_add_test (tc, memory_of_a_worker_is_kept_whole);
   tcase_add_test (tc, any_bytes_are_survived);
-  suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return run_suite ("platform", tc);
 }
--- a/tests/test-policy.c
+++ b/tests/test-policy.c
@@ -2,8 +2,8 @@
    estimates, each on its own */
 
 #include "dispatch-private.h"
+#include "suite.h"
 
-#include <check.h>
 #include <math.h>
 
 #define MAX_TASKS 400
@@ -353,12 +353,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("policy");
   TCase *tc = tcase_create ("policy");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_add_test (tc, test_weights);
   tcase_add_test (tc, test_idle_gains_nothing);
   tcase_add_test (tc, test_slot_quota);
@@ -370,8 +366,5 @@
   tcase_add_test (tc, test_estimates);
   tcase_add_test (tc, test_demand);
   tcase_add_test (tc, test_cancel_once_per_guard);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("policy", tc);
 }
--- a/tests/test-runqueue.c
+++ b/tests/test-runqueue.c
@@ -5,8 +5,7 @@
    odd run spoils or that is never forgotten. */
 
 #include "run-sched.h"
-
-#include <check.h>
+#include "suite.h"
 
 #define CPU 6000u /* thousandths of a core that a run takes */
 
@@ -247,10 +246,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("runqueue");
   TCase *tc = tcase_create ("runqueue");
-  SRunner *runner;
-  int failed;
 
   tcase_add_test (tc, room_is_given_once);
   tcase_add_test (tc, closed_queue_starts_nothing);
@@ -266,10 +262,5 @@
   tcase_add_test (tc, failures_of_different_jobs_count);
   tcase_add_test (tc, one_underestimated_job_stalls_nobody);
   tcase_add_test (tc, hanging_runs_show_a_stalled_worker);
-  suite_add_tcase (suite, tc);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed != 0;
+  return run_suite ("runqueue", tc);
 }
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -1,8 +1,7 @@
 /* test-settings.c -- settings files: faults are found, named and located */
 
 #include "md-private.h"
-
-#include <check.h>
+#include "suite.h"
 
 #define GUARD_HEAD                                                                                 \
   "role: guard\nname: g1\nregion: r\nfailure_domain: r-a\nlog_address: 127.0.0.1:9000\n"           \
@@ -106,18 +105,11 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("settings");
   TCase *tc = tcase_create ("settings");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_add_test (tc, test_values);
   tcase_add_loop_test (tc, test_faults, 0, MD_ARRAY_SIZE (bad_files));
   tcase_add_test (tc, test_missing);
   tcase_add_test (tc, test_tokens);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("settings", tc);
 }
--- a/tests/test-shard.c
+++ b/tests/test-shard.c
@@ -4,8 +4,7 @@
    acknowledges heartbeats; one that is cut does nothing for that entry. */
 
 #include "md-private.h"
-
-#include <check.h>
+#include "suite.h"
 
 #define MAX_GUARDS 8
 #define T0 (1000 * MD_SECOND)
@@ -709,12 +708,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("shard");
   TCase *tc = tcase_create ("shard");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_quorum_and_cut);
   tcase_add_test (tc, test_cut_of_lost_guards);
@@ -739,8 +734,5 @@
   tcase_add_test (tc, test_candidate_yields_to_owner);
   tcase_add_test (tc, test_fenced_owner_starts_anew);
   tcase_add_test (tc, test_incarnation_is_spent);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("shard", tc);
 }
--- a/tests/test-store.c
+++ b/tests/test-store.c
@@ -5,8 +5,8 @@
    own; the check framework ends a test that hangs. */
 
 #include "md-control.h"
+#include "suite.h"
 
-#include <check.h>
 #include <civetweb.h>
 #include <signal.h>
 #include <stdio.h>
@@ -402,12 +402,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("store");
   TCase *tc = tcase_create ("store");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_add_checked_fixture (tc, set_up, tear_down);
   tcase_set_timeout (tc, 120);
   tcase_add_test (tc, test_change_and_view);
@@ -417,8 +413,5 @@
   tcase_add_test (tc, test_expired);
   tcase_add_test (tc, test_peer_snapshots);
   tcase_add_test (tc, test_observed);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("store", tc);
 }
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -4,9 +4,9 @@
    requests it has seen, which is what "never sent twice" is judged by. */
 
 #include "md-guard.h"
+#include "suite.h"
 
 #include <arpa/inet.h>
-#include <check.h>
 #include <pthread.h>
 #include <sched.h>
 #include <stdio.h>
@@ -244,12 +244,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("upstream");
   TCase *tc = tcase_create ("upstream");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
-  suite_add_tcase (suite, tc);
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, test_keep_alive);
   tcase_add_test (tc, test_idle_close);
@@ -257,8 +253,5 @@
   tcase_add_test (tc, test_stalled_body);
   tcase_add_test (tc, test_stale_hand_over);
   tcase_add_test (tc, test_no_upstream);
-  srunner_run_all (runner, CK_ENV);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? 0 : 1;
+  return run_suite ("upstream", tc);
 }
--- a/upstream.c
+++ b/upstream.c
@@ -229,20 +229,6 @@
 /* ------------------------------------------------------------------ */
 /* Response                                                           */
 
-bool
-md_header_is_hop (const char *name)
-{
-  static const char *const names[]
-      = { "Connection", "Keep-Alive",     "Proxy-Authenticate", "Proxy-Authorization",
-          "TE",         "Trailer",        "Transfer-Encoding",  "Upgrade",
-          "Host",       "Content-Length", "Proxy-Connection",   "Expect" };
-
-  for (size_t i = 0; i < MD_ARRAY_SIZE (names); i++)
-    if (strcasecmp (name, names[i]) == 0)
-      return true;
-  return false;
-}
-
 static const char *
 find_header (const struct mg_response_info *info, const char *name)
 {
