List the jobs of a queue that were not answered in time

Cause: an organiser saw how many jobs of a queue were late or lost, but not which, and had to ask for ids before "explain" could be of use. Test: run-explain, the three queues of the log and one that is not there.

--- a/explain.c
+++ b/explain.c
@@ -25,7 +25,7 @@
 
 typedef struct
 {
-  MdBuf input;       /* all logs */
+  MdStr logs;        /* all, borrowed */
   Line *lines;       /* n entries */
   size_t n;          /* lines picked */
   size_t cap;        /* allocated */
@@ -94,7 +94,7 @@
 static void
 find_names (Story *story, const char *id)
 {
-  MdStr rest = md_buf_str (&story->input);
+  MdStr rest = story->logs;
   MdStr line;
 
   md_str_copy (story->job, sizeof story->job, md_str (id));
@@ -140,7 +140,7 @@
 static void
 pick_lines (Story *story)
 {
-  MdStr rest = md_buf_str (&story->input);
+  MdStr rest = story->logs;
   int64_t first = INT64_MAX;
   int64_t last = INT64_MIN;
   MdStr line;
@@ -154,7 +154,7 @@
         first = ms < first ? ms : first;
         last = ms > last ? ms : last;
       }
-  rest = md_buf_str (&story->input);
+  rest = story->logs;
   while (story->n > 0 && md_line_next (&rest, &line))
     if (is_circumstance (line) && !touches_job (line, story->job)
         && is_known_node (story, md_line_value (line, "node")) && md_line_time (line, &ms)
@@ -375,40 +375,111 @@
   return MD_EXIT_OK;
 }
 
+/* ------------------------------------------------------------------ */
+/* Lists                                                              */
+
+/* What a job's answer was, NULL when it was in time. */
+static const char *
+trouble_of (MdStr line)
+{
+  MdStr outcome = md_line_value (line, "outcome");
+
+  if (md_str_equal (outcome, MD_STR ("not_run")))
+    return "rejected";
+  if (md_str_equal (outcome, MD_STR ("failed")))
+    return "failed";
+  if (md_line_number (line, "status") == 0)
+    return "caller-left";
+  if (md_line_number (line, "status") != 200)
+    return "lost";
+  return md_line_number (line, "elapsed_ms") > md_line_number (line, "goal_ms") ? "late" : NULL;
+}
+
+/* The jobs of a queue that were not answered in time, in the order of the logs. */
+static int
+list_troubles (MdStr logs, const char *queue)
+{
+  MdStr line;
+  unsigned answered = 0;
+  unsigned in_time = 0;
+
+  while (md_line_next (&logs, &line))
+    {
+      const char *trouble;
+
+      if (!md_line_is (line, "job-answered")
+          || !md_str_equal (md_line_value (line, "queue"), md_str (queue)))
+        continue;
+      answered++;
+      trouble = trouble_of (line);
+      if (trouble == NULL)
+        {
+          in_time++;
+          continue;
+        }
+      printf ("time=%.*s trouble=%s job=%.*s request=%.*s status=%lld reason=%.*s elapsed_ms=%lld "
+              "goal_ms=%lld\n",
+              (int)md_line_value (line, "time").len, md_line_value (line, "time").data, trouble,
+              (int)md_line_value (line, "job").len, md_line_value (line, "job").data,
+              (int)md_line_value (line, "request").len, md_line_value (line, "request").data,
+              (long long)md_line_number (line, "status"), (int)md_line_value (line, "reason").len,
+              md_line_value (line, "reason").data, (long long)md_line_number (line, "elapsed_ms"),
+              (long long)md_line_number (line, "goal_ms"));
+    }
+  printf ("queue=%s answered=%u in_time=%u\n", queue, answered, in_time);
+  if (answered > 0)
+    return MD_EXIT_OK;
+  fprintf (stderr, "explain: no answer of queue %s is logged\n", queue);
+  return MD_EXIT_FAILED;
+}
+
 /* ------------------------------------------------------------------ */
 /* Command                                                            */
 
+static int
+tell_story (MdStr logs, const char *id)
+{
+  Story story = { .logs = logs };
+  int rc;
+
+  find_names (&story, id);
+  pick_lines (&story);
+  rc = tell (&story);
+  free (story.lines);
+  return rc;
+}
+
 int
 md_explain_main (int argc, const char **argv)
 {
-  struct poptOption table[] = { POPT_AUTOHELP POPT_TABLEEND };
+  char *queue = NULL;
+  struct poptOption table[]
+      = { { "queue", 'q', POPT_ARG_STRING, &queue, 0,
+            "list the jobs of a queue that were not answered in time", "NAME" },
+          POPT_AUTOHELP POPT_TABLEEND };
   poptContext context = poptGetContext ("mulberrydrift explain", argc, argv, table, 0);
-  Story story = { 0 };
+  MD_AUTO_BUF logs = { 0 };
   MdError error = { 0 };
   const char *id;
   int rc;
 
-  poptSetOtherOptionHelp (context, "ID [LOG...]");
+  poptSetOtherOptionHelp (context, "ID [LOG...] | --queue NAME [LOG...]");
   rc = poptGetNextOpt (context);
-  id = poptGetArg (context);
-  if (rc < -1 || id == NULL)
+  id = queue == NULL ? poptGetArg (context) : NULL;
+  if (rc < -1 || (id == NULL && queue == NULL))
     {
       poptPrintUsage (context, stderr, 0);
-      poptFreeContext (context);
-      return MD_EXIT_USAGE;
+      rc = MD_EXIT_USAGE;
     }
-  rc = md_line_read_files (&story.input, poptGetArgs (context), &error) == MD_OK ? MD_EXIT_OK
-                                                                                 : MD_EXIT_FAILED;
-  if (rc != MD_EXIT_OK)
-    fprintf (stderr, "explain: %s\n", error.detail);
-  if (rc == MD_EXIT_OK)
+  else if (md_line_read_files (&logs, poptGetArgs (context), &error) != MD_OK)
     {
-      find_names (&story, id);
-      pick_lines (&story);
-      rc = tell (&story);
+      fprintf (stderr, "explain: %s\n", error.detail);
+      rc = MD_EXIT_FAILED;
     }
-  free (story.lines);
-  md_buf_clear (&story.input);
+  else
+    rc = queue != NULL ? list_troubles (md_buf_str (&logs), queue)
+                       : tell_story (md_buf_str (&logs), id);
+  free (queue);
   poptFreeContext (context);
   return rc;
 }
--- a/tests/run-explain.sh
+++ b/tests/run-explain.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # From an id to the cause: a rejected, a late and a lost request, by job and by request,
-# from one log and from two. Guards against a wrong cause, lines of uninvolved processes
-# and gaps that are not told.
+# from one log and from two; all jobs of a queue that were not in time. Guards against a
+# wrong cause, lines of uninvolved processes and gaps that are not told.
 cd "$(dirname "$0")/explain" || exit 1
 bin=../../${MD_BIN:-build/release}/mulberrydrift
 run () {
@@ -9,6 +9,10 @@
   grep edge day.log > "$dir/entries"
   grep side day.log > "$dir/guards"
   "$bin" explain aa02 "$dir/guards" "$dir/entries" | tail -n 2
+  for q in $(grep 'event=job-answered' day.log | grep -o 'queue=[a-z0-9-]*' | cut -d= -f2 | sort -u); do
+    "$bin" explain --queue "$q" < day.log
+  done
+  "$bin" explain --queue none day.log 2>&1
   "$bin" explain nobody < day.log 2>&1
   echo "exit $?"
 }
