Try placements in one place

Cause: the same loop (place a task, raise the forecast, reserve, undo it all) stood three times: in the entry's forecast, in its check of a gang and in the model. The entry also allocated the room for the undo at every job. Change: sched/placement.c has md_place_all, md_place_count and the undo; the entry keeps the room for it with its list of workers.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -40,21 +40,34 @@
   return (MdTime)(hash % (uint64_t)BIAS_MAX);
 }
 
+static bool
+reserve_worker (MdRunEntry *entry)
+{
+  uint32_t cap = entry->cap_workers > 0 ? entry->cap_workers * 2 : 16;
+  MdWorker **workers;
+  MdSavedRoom *rooms;
+
+  if (entry->workers.n < entry->cap_workers)
+    return true;
+  workers = realloc (entry->workers.workers, cap * sizeof (MdWorker *));
+  if (workers == NULL)
+    return false;
+  entry->workers.workers = workers;
+  rooms = realloc (entry->saved_rooms, cap * sizeof *rooms);
+  if (rooms == NULL)
+    return false;
+  entry->saved_rooms = rooms;
+  entry->cap_workers = cap;
+  return true;
+}
+
 static MdEntryGuard *
 new_guard (MdRunEntry *entry, const char *name)
 {
   MdEntryGuard *guard;
 
-  if (entry->workers.n == entry->cap_workers)
-    {
-      uint32_t cap = entry->cap_workers > 0 ? entry->cap_workers * 2 : 16;
-      MdWorker **grown = realloc (entry->workers.workers, cap * sizeof (MdWorker *));
-
-      if (grown == NULL)
-        return NULL;
-      entry->workers.workers = grown;
-      entry->cap_workers = cap;
-    }
+  if (!reserve_worker (entry))
+    return NULL;
   guard = calloc (1, sizeof *guard);
   if (guard == NULL)
     return NULL;
@@ -89,6 +102,7 @@
       free_guard (guard);
     }
   free (entry->workers.workers);
+  free (entry->saved_rooms);
 }
 
 static void
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -48,8 +48,8 @@
     {
       const MdEntryOrder *order = job->job.tasks[step][k].order;
 
-      for (uint32_t i = 0; order != NULL && i < entry->workers.n; i++)
-        taken[i] += entry->workers.workers[i] == &order->guard->worker;
+      if (order != NULL)
+        md_place_count (&entry->workers, taken, &order->guard->worker);
     }
   return taken;
 }
@@ -97,67 +97,23 @@
   return task->run > 0 ? (MdTime)((double)left / RETRY_SAFETY) : left;
 }
 
-/* What placement changes while a forecast is made. */
-typedef struct
-{
-  MdRoom free;
-  MdTime wait;
-  MdTime next_end;
-} SavedRoom;
-
-static SavedRoom *
-save_rooms (const MdRunEntry *entry)
-{
-  SavedRoom *saved = calloc (entry->workers.n + 1, sizeof *saved);
-
-  for (uint32_t i = 0; saved != NULL && i < entry->workers.n; i++)
-    {
-      const MdWorker *worker = entry->workers.workers[i];
-
-      saved[i].free = worker->free;
-      saved[i].next_end = worker->next_end;
-      saved[i].wait = worker->wait;
-    }
-  return saved;
-}
-
-static void
-restore_rooms (MdRunEntry *entry, const SavedRoom *saved)
-{
-  for (uint32_t i = 0; i < entry->workers.n; i++)
-    {
-      MdWorker *worker = entry->workers.workers[i];
-
-      worker->free = saved[i].free;
-      worker->next_end = saved[i].next_end;
-      worker->wait = saved[i].wait;
-    }
-}
-
 /* A gang is ordered as a whole or not at all: members that come late would let the others
    wait, and each holds its room meanwhile. */
 static bool
 gang_fits (MdRunEntry *entry, const MdTaskNeed *need, uint32_t count, const uint32_t *taken)
 {
-  md_autofree SavedRoom *saved = save_rooms (entry);
-  md_autofree uint32_t *counts = calloc (entry->workers.n + 1, sizeof *counts);
-  bool fits = saved != NULL && counts != NULL;
-
-  if (fits && taken != NULL)
-    memcpy (counts, taken, entry->workers.n * sizeof *counts);
-  for (uint32_t k = 0; fits && k < count; k++)
-    {
-      MdPlacement placement = md_place (&entry->workers, need, counts, NULL, entry->now);
-
-      fits = placement.worker != NULL;
-      if (!fits)
-        break;
-      for (uint32_t i = 0; i < entry->workers.n; i++)
-        counts[i] += entry->workers.workers[i] == placement.worker;
-      md_worker_reserve (placement.worker, need->need, placement.run);
-    }
-  if (saved != NULL)
-    restore_rooms (entry, saved);
+  size_t bytes = (entry->workers.n + 1) * sizeof *taken;
+  md_autofree uint32_t *counts = taken != NULL ? malloc (bytes) : NULL;
+  MdTime finish = 0;
+  bool fits;
+
+  if (taken != NULL && counts == NULL)
+    return false; /* tried again with the next tick */
+  if (taken != NULL)
+    memcpy (counts, taken, bytes);
+  md_workers_save (&entry->workers, entry->saved_rooms);
+  fits = md_place_all (&entry->workers, need, count, counts, &finish, entry->now);
+  md_workers_restore (&entry->workers, entry->saved_rooms);
   return fits;
 }
 
@@ -183,8 +139,7 @@
       placement = md_place (&entry->workers, &need, taken, task->last, entry->now);
       if (placement.worker == NULL)
         return;
-      for (uint32_t i = 0; taken != NULL && i < entry->workers.n; i++)
-        taken[i] += entry->workers.workers[i] == placement.worker;
+      md_place_count (&entry->workers, taken, placement.worker);
       order_task (entry, job, step, k, &need, &placement);
     }
 }
@@ -209,29 +164,20 @@
   md_entry_need (entry, job, step, &need);
   backlog = md_place_backlog (&entry->workers, &need, entry->now);
   forecast->wait = backlog > forecast->wait ? backlog : forecast->wait;
-  for (uint32_t k = 0; k < job->job.spec.steps[step].count; k++)
-    {
-      MdPlacement placement = md_place (&entry->workers, &need, NULL, NULL, entry->now);
-
-      if (placement.worker == NULL)
-        return false;
-      if (placement.wait + placement.run > forecast->finish)
-        forecast->finish = placement.wait + placement.run;
-      md_worker_reserve (placement.worker, need.need, placement.run);
-    }
-  return true;
+  return md_place_all (&entry->workers, &need, job->job.spec.steps[step].count, NULL,
+                       &forecast->finish, entry->now);
 }
 
 /* The steps that follow are reckoned with their chain of work alone. */
 static bool
 forecast_job (MdRunEntry *entry, const MdEntryJob *job, double chain, MdForecast *forecast)
 {
-  md_autofree SavedRoom *saved = save_rooms (entry);
   double first = 0;
-  bool possible = saved != NULL;
+  bool possible = true;
 
   forecast->goal = job->goal - entry->now;
   forecast->limit = job->limit - entry->now;
+  md_workers_save (&entry->workers, entry->saved_rooms);
   for (uint32_t i = 0; possible && i < job->job.spec.n_steps; i++)
     if (job->job.tasks[i][0].state == MD_TASK_READY)
       {
@@ -239,8 +185,7 @@
         if (md_entry_work (job, i) > first)
           first = md_entry_work (job, i);
       }
-  if (saved != NULL)
-    restore_rooms (entry, saved);
+  md_workers_restore (&entry->workers, entry->saved_rooms);
   if (chain > first)
     forecast->finish += (MdTime)(chain - first);
   return possible;
@@ -331,12 +276,7 @@
   MdForecast forecast = { .demand = demand_of (entry, job) };
   MdTime retry_after;
 
-  if (!is_possible (entry, job))
-    {
-      md_entry_finish_job (entry, job, 503, NULL, "no-upstream", MD_RETRY_NO_WORKER);
-      return;
-    }
-  if (!forecast_job (entry, job, chain, &forecast))
+  if (!is_possible (entry, job) || !forecast_job (entry, job, chain, &forecast))
     {
       md_entry_finish_job (entry, job, 503, NULL, "no-upstream", MD_RETRY_NO_WORKER);
       return;
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -166,6 +166,7 @@
   struct MdFront *front;               /* HTTP for callers */
   MdWorkers workers;                   /* of all guards */
   uint32_t cap_workers;                /* allocated */
+  MdSavedRoom *saved_rooms;            /* cap_workers entries, for trials of placements */
   MdEntryJob *jobs;                    /* all */
   MdEntryJob *buckets[MD_JOB_BUCKETS]; /* by id */
   uint32_t n_jobs;                     /* all */
--- a/model/play.c
+++ b/model/play.c
@@ -73,7 +73,7 @@
   PlayTask *again; /* lost, waiting to be ordered again */
   uint32_t next_job;
   uint32_t next_change;
-  MdWorker *scratch;
+  MdSavedRoom *saved_rooms; /* of one entry's workers, for a forecast */
 } Play;
 
 const char *
@@ -441,27 +441,16 @@
 static bool
 admit (Play *play, PlayEntry *entry, const MdModelJob *job, const MdTaskNeed *need)
 {
-  uint32_t n = play->day->n_workers;
   MdDemand *demand = &entry->demands[job->queue];
   MdForecast forecast = { .goal = need->goal, .limit = need->limit };
-  bool possible = true;
+  bool possible;
 
   md_demand_add (demand, need->work * job->count * job->need.cpu / 1000.0, play->now);
   forecast.demand = md_demand_ratio (entry->demand_list, play->day->n_queues, demand, play->now);
   forecast.wait = md_place_backlog (&entry->all, need, play->now);
-  memcpy (play->scratch, entry->workers, n * sizeof *play->scratch);
-  for (uint32_t k = 0; k < job->count && possible; k++)
-    {
-      MdPlacement p = md_place (&entry->all, need, NULL, NULL, play->now);
-
-      possible = p.worker != NULL;
-      if (!possible)
-        break;
-      if (p.wait + p.run > forecast.finish)
-        forecast.finish = p.wait + p.run;
-      md_worker_reserve (p.worker, need->need, p.run);
-    }
-  memcpy (entry->workers, play->scratch, n * sizeof *play->scratch);
+  md_workers_save (&entry->all, play->saved_rooms);
+  possible = md_place_all (&entry->all, need, job->count, NULL, &forecast.finish, play->now);
+  md_workers_restore (&entry->all, play->saved_rooms);
   return possible && md_admit_run (&forecast) != MD_ADMIT_NEVER;
 }
 
@@ -552,7 +541,7 @@
   free (play->guards);
   free (play->entries);
   free (play->jobs);
-  free (play->scratch);
+  free (play->saved_rooms);
 }
 
 static int
@@ -596,8 +585,9 @@
   play->guards = calloc (day->n_workers, sizeof *play->guards);
   play->entries = calloc (play->n_entries, sizeof *play->entries);
   play->jobs = calloc (day->n_jobs, sizeof *play->jobs);
-  play->scratch = calloc (day->n_workers, sizeof *play->scratch);
-  if (play->guards == NULL || play->entries == NULL || play->jobs == NULL || play->scratch == NULL)
+  play->saved_rooms = calloc (day->n_workers, sizeof *play->saved_rooms);
+  if (play->guards == NULL || play->entries == NULL || play->jobs == NULL
+      || play->saved_rooms == NULL)
     return MD_E_MEMORY;
   for (uint32_t i = 0; i < day->n_workers; i++)
     {
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -151,12 +151,13 @@
     {
       MdWorker *worker = workers->workers[i];
       MdPlacement placement;
-      MdPlacement *kept = worker == avoid || is_avoided (worker, now) ? &fallback : &best;
+      MdPlacement *kept;
 
       if (!can_run (worker, need))
         continue;
       if (need->per_worker > 0 && taken != NULL && taken[i] >= need->per_worker)
         continue;
+      kept = worker == avoid || is_avoided (worker, now) ? &fallback : &best;
       placement = place_on (workers, worker, need, now);
       if (is_better (&placement, kept, need))
         *kept = placement;
@@ -201,6 +202,55 @@
   worker->wait += share;
 }
 
+void
+md_place_count (const MdWorkers *workers, uint32_t *taken, const MdWorker *worker)
+{
+  for (uint32_t i = 0; taken != NULL && i < workers->n; i++)
+    taken[i] += workers->workers[i] == worker;
+}
+
+bool
+md_place_all (const MdWorkers *workers, const MdTaskNeed *need, uint32_t count, uint32_t *taken,
+              MdTime *finish, MdTime now)
+{
+  for (uint32_t k = 0; k < count; k++)
+    {
+      MdPlacement placement = md_place (workers, need, taken, NULL, now);
+
+      if (placement.worker == NULL)
+        return false;
+      if (placement.wait + placement.run > *finish)
+        *finish = placement.wait + placement.run;
+      md_place_count (workers, taken, placement.worker);
+      md_worker_reserve (placement.worker, need->need, placement.run);
+    }
+  return true;
+}
+
+void
+md_workers_save (const MdWorkers *workers, MdSavedRoom *saved)
+{
+  for (uint32_t i = 0; i < workers->n; i++)
+    {
+      const MdWorker *worker = workers->workers[i];
+
+      saved[i] = (MdSavedRoom){ worker->free, worker->wait, worker->next_end };
+    }
+}
+
+void
+md_workers_restore (const MdWorkers *workers, const MdSavedRoom *saved)
+{
+  for (uint32_t i = 0; i < workers->n; i++)
+    {
+      MdWorker *worker = workers->workers[i];
+
+      worker->free = saved[i].free;
+      worker->wait = saved[i].wait;
+      worker->next_end = saved[i].next_end;
+    }
+}
+
 bool
 md_place_possible (const MdWorkers *workers, const MdTaskNeed *need)
 {
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -238,6 +238,28 @@
 /* md_worker_reserve: reckon with an order that the last report does not know of. */
 void md_worker_reserve (MdWorker *worker, MdRoom need, MdTime run);
 
+/* md_place_count: count a task of the step on its worker; taken may be NULL. */
+void md_place_count (const MdWorkers *workers, uint32_t *taken, const MdWorker *worker);
+
+/* md_place_all: place tasks of a step one after the other, with their reservations, and
+   raise *finish to the last expected end. taken as for md_place, counted up. False when
+   a task has no worker; the reservations made until then stay. */
+bool md_place_all (const MdWorkers *workers, const MdTaskNeed *need, uint32_t count,
+                   uint32_t *taken, MdTime *finish, MdTime now);
+
+/* What reservations change. */
+typedef struct
+{
+  MdRoom free;
+  MdTime wait;
+  MdTime next_end;
+} MdSavedRoom;
+
+/* md_workers_save, md_workers_restore: undo the reservations of a trial; saved has an
+   entry for each worker. */
+void md_workers_save (const MdWorkers *workers, MdSavedRoom *saved);
+void md_workers_restore (const MdWorkers *workers, const MdSavedRoom *saved);
+
 /* md_place_possible: some worker, busy or not, has the room and the labels. */
 bool md_place_possible (const MdWorkers *workers, const MdTaskNeed *need);
 
