Count the ordered tasks of a step in one place

Cause: md_runjob_end lowered the count of ordered tasks in two branches, and keep_checkpoint decided twice in one loop head whether the step is a gang. Result: no change of behaviour; gang_goes_together, gang_ends_as_one and run-platform pass.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -436,9 +436,10 @@
 keep_checkpoint (MdEntryJob *job, const MdEntryOrder *order, const char *checkpoint)
 {
   const MdRunStep *step = &job->job.spec.steps[order->step];
+  uint32_t first = step->gang ? 0 : order->task;
+  uint32_t end = step->gang ? step->count : order->task + 1;
 
-  for (uint32_t k = step->gang ? 0 : order->task; k < (step->gang ? step->count : order->task + 1);
-       k++)
+  for (uint32_t k = first; k < end; k++)
     md_str_copy (job->job.tasks[order->step][k].checkpoint, MD_CHECKPOINT_BYTES,
                  md_str (checkpoint));
 }
--- a/sched/runjob.c
+++ b/sched/runjob.c
@@ -182,7 +182,7 @@
   gang->failed |= how == MD_RUN_FAILED;
   task->failures += how == MD_RUN_FAILED;
   task->rejections += how == MD_RUN_REJECTED || how == MD_RUN_STALE;
-  if (--gang->ordered == 0)
+  if (gang->ordered == 0)
     settle_gang (job, step);
 }
 
@@ -212,13 +212,13 @@
   if (task->state != MD_TASK_ORDERED)
     return;
   job->ordered--;
+  job->gangs[step].ordered--;
   task->order = NULL;
   if (job->spec.steps[step].gang)
     {
       end_of_gang (job, step, task, how);
       return;
     }
-  job->gangs[step].ordered--;
   switch (how)
     {
     case MD_RUN_DONE:
