Read request bodies and find CivetWeb's sockets with one function each

Cause: fleet/front.c had the body reader of callers.c again, and a second search for the descriptor of a connection beside upstream.c. Change: http-server.c has both; front.c turns the caller's address into the form that the kernel gives instead of printing every peer address as text. operator-resources.c keeps its own reader, which has a time limit and other answers.

--- a/callers.c
+++ b/callers.c
@@ -7,6 +7,7 @@
    a reserve requests are refused at once instead of queueing unseen. */
 
 #include "entry-private.h"
+#include "http-server.h"
 
 #include <civetweb.h>
 #include <stdio.h>
@@ -105,27 +106,6 @@
   return send_response (call, status, "application/problem+json", "", md_buf_str (&body));
 }
 
-/* The body must have a stated length or be chunked, and must arrive whole. */
-static int
-read_body (Call *call, uint64_t max)
-{
-  char chunk[16384];
-  int n;
-
-  if (call->info->content_length > (long long)max)
-    return 413;
-  while ((n = mg_read (call->conn, chunk, sizeof chunk)) > 0)
-    {
-      if (call->body.len + (size_t)n > max)
-        return 413;
-      md_buf_append (&call->body, md_str_n (chunk, (size_t)n));
-    }
-  if (n < 0 || call->body.failed
-      || (call->info->content_length >= 0 && call->body.len != (size_t)call->info->content_length))
-    return 400;
-  return 0;
-}
-
 static bool
 authenticate (Call *call)
 {
@@ -533,7 +513,7 @@
     status = send_bad_request (&call, 401, "a customer's bearer token is needed");
   else
     {
-      status = read_body (&call, settings->max_body_bytes);
+      status = md_http_read_body (conn, settings->max_body_bytes, &call.body);
       if (status != 0)
         status = send_bad_request (&call, status,
                                    status == 413 ? "the body is too large"
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -7,6 +7,7 @@
 
 #define _GNU_SOURCE /* POLLRDHUP */
 
+#include "http-server.h"
 #include "run-entry.h"
 
 #include <arpa/inet.h>
@@ -99,25 +100,14 @@
 /* ------------------------------------------------------------------ */
 /* Callers that leave                                                 */
 
-/* CivetWeb does not give its socket away; it is the one with the remote address and
-   port of the request. */
 static int
 find_socket (const struct mg_request_info *info)
 {
-  for (int fd = 0; fd < MAX_DESCRIPTOR; fd++)
-    {
-      struct sockaddr_in sa = { 0 };
-      socklen_t len = sizeof sa;
-      char host[INET_ADDRSTRLEN];
-
-      if (getpeername (fd, (struct sockaddr *)&sa, &len) != 0 || sa.sin_family != AF_INET
-          || ntohs (sa.sin_port) != info->remote_port)
-        continue;
-      if (inet_ntop (AF_INET, &sa.sin_addr, host, sizeof host) != NULL
-          && strcmp (host, info->remote_addr) == 0)
-        return fd;
-    }
-  return -1;
+  struct sockaddr_in peer = { .sin_family = AF_INET, .sin_port = htons (info->remote_port) };
+
+  if (inet_pton (AF_INET, info->remote_addr, &peer.sin_addr) != 1)
+    return -1;
+  return md_socket_find (&peer, sizeof peer, 0, MAX_DESCRIPTOR);
 }
 
 /* The socket is kept with the connection, plus one. */
@@ -218,27 +208,6 @@
   return found != NULL;
 }
 
-/* Returns 0, or the status of a rejection. */
-static int
-read_body (const Request *request, MdBuf *body, size_t max)
-{
-  char chunk[8192];
-  int n;
-
-  if (request->info->content_length > (long long)max)
-    return 413;
-  while ((n = mg_read (request->conn, chunk, sizeof chunk)) > 0)
-    {
-      if (body->len + (size_t)n > max)
-        return 413;
-      md_buf_append (body, md_str_n (chunk, (size_t)n));
-    }
-  if (n < 0 || body->failed
-      || (request->info->content_length >= 0 && body->len != (size_t)request->info->content_length))
-    return 400;
-  return 0;
-}
-
 static int
 answer (const Request *request, MdRunTicket *ticket)
 {
@@ -275,7 +244,7 @@
   const char *patience = mg_get_header (request->conn, MD_PLATFORM_PATIENCE_HEADER);
   MD_AUTO_BUF body = { 0 };
   MdError error = { 0 };
-  int status = read_body (request, &body, max_body);
+  int status = md_http_read_body (request->conn, max_body, &body);
 
   if (status != 0)
     {
@@ -358,7 +327,7 @@
     {
       MD_AUTO_BUF body = { 0 };
 
-      if (read_body (request, &body, max_body) != 0)
+      if (md_http_read_body (request->conn, max_body, &body) != 0)
         mg_disable_connection_keep_alive (request->conn);
       if (!configured)
         return reject (request, 503, "no configuration has been read yet", RETRY_NO_CONFIG);
--- a/upstream.c
+++ b/upstream.c
@@ -17,6 +17,7 @@
 
 #define _GNU_SOURCE /* strcasestr */
 
+#include "http-server.h"
 #include "md-guard.h"
 
 #include <civetweb.h>
@@ -144,25 +145,16 @@
   return claimed;
 }
 
-static bool
-is_connected_to_upstream (const MdUpstream *up, int fd)
-{
-  struct sockaddr_storage sa = { 0 };
-  socklen_t len = sizeof sa;
-
-  return getpeername (fd, (struct sockaddr *)&sa, &len) == 0 && len == up->peer_len
-         && memcmp (&sa, &up->peer, len) == 0;
-}
-
 /* Descriptors are given out lowest first, so the search ends after about as many
    steps as the process has descriptors. */
 static int
 find_socket (MdUpstream *up)
 {
-  for (int fd = 0; fd < MAX_DESCRIPTOR; fd++)
-    if (is_connected_to_upstream (up, fd) && !is_claimed (up, fd))
-      return fd;
-  return -1;
+  int fd = md_socket_find (&up->peer, up->peer_len, 0, MAX_DESCRIPTOR);
+
+  while (fd >= 0 && is_claimed (up, fd))
+    fd = md_socket_find (&up->peer, up->peer_len, fd + 1, MAX_DESCRIPTOR);
+  return fd;
 }
 
 static int
