--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #define OVERDUE_MARGIN (15 * MD_MS) /* a run that waits longer than expected is looked at */
 #define STALLED_FACTOR 2            /* of the expected run time, at a stalled worker */
@@ -23,11 +24,7 @@
 static uint32_t
 bucket_of (const char *id)
 {
-  uint32_t hash = 2166136261u; /* FNV-1a */
-
-  for (; *id != '\0'; id++)
-    hash = (hash ^ (unsigned char)*id) * 16777619u;
-  return hash % MD_JOB_BUCKETS;
+  return (uint32_t)(XXH64 (id, strlen (id), 0) % MD_JOB_BUCKETS);
 }
 
 static MdEntryJob *
--- a/model/day-log.c
+++ b/model/day-log.c
@@ -8,11 +8,14 @@
    the time of their runs at that speed. Tasks without a complete run get the need of
    the other tasks of their job, or one drawn from the seed. */
 
+#define _GNU_SOURCE /* memrchr */
+
 #include "model.h"
 
 #include "log-line.h"
 
 #include <math.h>
+#include <xxhash.h>
 
 #define MAX_WORKERS 4096
 #define MAX_LOGGED_ENTRIES 256
@@ -101,11 +104,7 @@
 static uint64_t
 hash_of (MdStr name)
 {
-  uint64_t hash = 14695981039346656037u; /* FNV-1a */
-
-  for (size_t i = 0; i < name.len; i++)
-    hash = (hash ^ (unsigned char)name.data[i]) * 1099511628211u;
-  return hash;
+  return XXH64 (name.data, name.len, 0);
 }
 
 static Slot *
@@ -240,6 +239,7 @@
 {
   MdStr task = md_line_value (line, "task");
   const char *dot = task.len > 0 ? memchr (task.data, '.', task.len) : NULL;
+  const char *last = dot != NULL ? memrchr (task.data, '.', task.len) : NULL;
   const MdModelJob *job;
   LoggedRun run = { .at = time_of (reader, line) };
   char index[16];
@@ -249,9 +249,7 @@
   job = find_job (reader, md_str_n (task.data, (size_t)(dot - task.data)));
   if (job == NULL)
     return;
-  while (task.len > 0 && memchr (dot + 1, '.', task.len - (size_t)(dot + 1 - task.data)) != NULL)
-    dot = memchr (dot + 1, '.', task.len - (size_t)(dot + 1 - task.data));
-  md_str_copy (index, sizeof index, md_str_n (dot + 1, task.len - (size_t)(dot + 1 - task.data)));
+  md_str_copy (index, sizeof index, md_str_n (last + 1, task.len - (size_t)(last + 1 - task.data)));
   run.index = (uint32_t)strtoul (index, NULL, 10);
   run.job = (uint32_t)(job - reader->day->jobs);
   run.worker = worker_of (reader, line);
@@ -270,19 +268,11 @@
   MdModelDay *day = reader->day;
   uint32_t worker = worker_of (reader, line);
   uint32_t cpu = (uint32_t)md_line_number (line, "cpu");
-  MdRoom *grown = realloc (day->rooms, MAX_WORKERS * sizeof *grown);
 
   reader->states = grow (reader, reader->states, reader->n_states, &reader->cap_states,
                          sizeof *reader->states);
-  if (grown == NULL || reader->out_of_memory)
-    {
-      reader->out_of_memory = true;
-      return;
-    }
-  if (day->rooms == NULL)
-    for (uint32_t i = 0; i < MAX_WORKERS; i++)
-      grown[i] = (MdRoom){ DEFAULT_CPU, DEFAULT_MEMORY, 0 };
-  day->rooms = grown;
+  if (reader->out_of_memory)
+    return;
   if (cpu > 0)
     day->rooms[worker] = (MdRoom){ cpu, (uint32_t)md_line_number (line, "memory_mb"), 0 };
   reader->states[reader->n_states++] = (LoggedState){ time_of (reader, line), worker, up };
@@ -291,24 +281,30 @@
 static void
 read_line (Reader *reader, MdStr line)
 {
-  if (md_line_is (line, "run-end"))
+  MdStr event = md_line_value (line, "event");
+
+  if (md_str_equal (event, MD_STR ("run-end")))
     read_run (reader, line);
-  else if (md_line_is (line, "job-answered"))
+  else if (md_str_equal (event, MD_STR ("job-answered")))
     read_answer (reader, line);
-  else if (md_line_is (line, "worker-state"))
+  else if (md_str_equal (event, MD_STR ("worker-state")))
     read_state (reader, line, md_line_number (line, "state") == MD_WORKER_READY);
-  else if (md_line_is (line, "worker-reached"))
+  else if (md_str_equal (event, MD_STR ("worker-reached")))
     read_state (reader, line, true);
-  else if (md_line_is (line, "worker-left") || md_line_is (line, "worker-unreachable"))
+  else if (md_str_equal (event, MD_STR ("worker-left"))
+           || md_str_equal (event, MD_STR ("worker-unreachable")))
     read_state (reader, line, false);
-  else if (md_line_is (line, "log-dropped"))
+  else if (md_str_equal (event, MD_STR ("log-dropped")))
     reader->day->gaps += (uint64_t)md_line_number (line, "lines");
 }
 
 static bool
 is_job (MdStr line)
 {
-  return md_line_is (line, "job-admitted") || md_line_is (line, "job-rejected");
+  MdStr event = md_line_value (line, "event");
+
+  return md_str_equal (event, MD_STR ("job-admitted"))
+         || md_str_equal (event, MD_STR ("job-rejected"));
 }
 
 /* Jobs first: runs and answers of a job may stand before it when logs are put one
@@ -331,13 +327,15 @@
   for (reader->n_slots = 256; reader->n_slots < 2 * n; reader->n_slots *= 2)
     ;
   reader->slots = calloc (reader->n_slots, sizeof *reader->slots);
-  reader->out_of_memory = reader->slots == NULL;
+  reader->day->rooms = calloc (MAX_WORKERS, sizeof *reader->day->rooms);
+  reader->out_of_memory = reader->slots == NULL || reader->day->rooms == NULL;
+  for (uint32_t i = 0; !reader->out_of_memory && i < MAX_WORKERS; i++)
+    reader->day->rooms[i] = (MdRoom){ DEFAULT_CPU, DEFAULT_MEMORY, 0 };
   for (rest = reader->logs; !reader->out_of_memory && md_line_next (&rest, &line);)
     if (is_job (line))
       read_job (reader, line);
   for (rest = reader->logs; !reader->out_of_memory && md_line_next (&rest, &line);)
-    if (!is_job (line))
-      read_line (reader, line);
+    read_line (reader, line);
 }
 
 /* ------------------------------------------------------------------ */
@@ -588,14 +586,14 @@
   memset (day, 0, sizeof *day);
   day->recorded = true;
   read_lines (&reader);
-  if (!reader.out_of_memory && day->n_jobs > 0 && day->rooms != NULL)
+  if (!reader.out_of_memory && day->n_jobs > 0 && reader.n_states > 0)
     complete_day (&reader, seed);
   reader_clear (&reader);
   if (reader.out_of_memory)
     return md_error_set (error, MD_E_MEMORY, "logs", "", "out of memory");
   if (day->n_jobs == 0)
     return md_error_set (error, MD_E_INVALID, "logs", "", "no job is told of");
-  if (day->rooms == NULL)
+  if (reader.n_states == 0)
     return md_error_set (error, MD_E_INVALID, "logs", "", "no worker is told of");
   return MD_OK;
 }
