--- a/shard-private.h
+++ b/shard-private.h
@@ -105,6 +105,12 @@
 /* md_shard_confirm: confirm guards that were attached before an instant at which
    a fence quorum was held. */
 void md_shard_confirm (MdShard *shard, MdTime now);
+/* md_shard_serve_time: how long an owner serves after E. */
+MdTime md_shard_serve_time (const MdShard *shard);
+/* md_shard_better_anew: an owner that some guards have fenced gains by a new incarnation. */
+bool md_shard_better_anew (const MdShard *shard, MdTime now);
+/* md_shard_overruled: a candidate has to yield to *holder. */
+bool md_shard_overruled (const MdShard *shard, MdTime now, uint64_t *holder);
 /* md_shard_evidence: E of the guard lease, MD_SHARD_NEVER without evidence. */
 MdTime md_shard_evidence (MdShard *shard);
 /* md_shard_carried: the offset an owner carries in heartbeats. */
--- a/shard-quorum.c
+++ b/shard-quorum.c
@@ -33,6 +33,9 @@
 
 #include "shard-private.h"
 
+/* Clocks of two nodes may differ in rate by at most 1 in this number. */
+#define CLOCK_RATE_MARGIN 100
+
 MdShardGuard *
 md_shard_find (const MdShard *shard, uint64_t id)
 {
@@ -266,6 +269,78 @@
   return any ? evidence : MD_SHARD_NEVER;
 }
 
+MdTime
+md_shard_serve_time (const MdShard *shard)
+{
+  return shard->tuning.fence_after - shard->tuning.fence_after / CLOCK_RATE_MARGIN;
+}
+
+/* Some guards have fenced this owner, and the others suffice to acquire the shard
+   anew. Giving the incarnation up brings back all guards at the cost of a round
+   trip; what ran at the fenced ones would have no answer otherwise. */
+bool
+md_shard_better_anew (const MdShard *shard, MdTime now)
+{
+  const MdShardView *newest = md_shard_newest (shard);
+  size_t fenced = 0, held = 0;
+
+  for (size_t i = 0; i < newest->n; i++)
+    {
+      const MdShardGuard *guard = md_shard_find (shard, newest->guards[i]);
+
+      fenced += guard && guard->fenced;
+      held += guard && guard->attached && guard->acked_at != MD_SHARD_NEVER
+              && guard->acked_at + md_shard_serve_time (shard) > now;
+    }
+  return fenced > 0 && held >= md_shard_quorum_of (newest->n);
+}
+
+/* Guards of the newest view that were refused because they hear this holder. */
+static size_t
+guards_of_holder (const MdShard *shard, uint64_t holder)
+{
+  const MdShardView *newest = md_shard_newest (shard);
+  size_t n = 0;
+
+  for (size_t i = 0; i < newest->n; i++)
+    {
+      const MdShardGuard *guard = md_shard_find (shard, newest->guards[i]);
+
+      n += guard && guard->link_up && guard->refused_alive && guard->refused_by == holder;
+    }
+  return n;
+}
+
+/* The guards that can be reached and do not hear another holder are no quorum, and
+   one such holder is older or has a quorum by itself. Two entries that acquire at
+   the same time would otherwise block each other, and a candidate would keep a
+   guard from a younger owner for ever. A holder that has just died looks the same
+   for up to fence_after, and its guards are asked again that long after the last
+   success; hence the wait. */
+bool
+md_shard_overruled (const MdShard *shard, MdTime now, uint64_t *holder)
+{
+  const MdShardView *newest = md_shard_newest (shard);
+  size_t available = 0, attached = 0;
+
+  *holder = 0;
+  for (size_t i = 0; i < newest->n; i++)
+    {
+      const MdShardGuard *guard = md_shard_find (shard, newest->guards[i]);
+
+      if (guard == NULL || !guard->link_up)
+        continue;
+      attached += guard->attached;
+      available += !guard->refused_alive;
+      if (guard->refused_alive
+          && (guard->refused_by < shard->self
+              || guards_of_holder (shard, guard->refused_by) >= md_shard_quorum_of (newest->n)))
+        *holder = guard->refused_by;
+    }
+  return attached > 0 && *holder != 0 && now - shard->progress_at > 2 * shard->tuning.fence_after
+         && available < md_shard_quorum_of (newest->n);
+}
+
 /* ------------------------------------------------------------------ */
 /* Choosing the views of a successor                                  */
 
--- a/shard.c
+++ b/shard.c
@@ -20,15 +20,6 @@
 
 #include "shard-private.h"
 
-/* Clocks of two nodes may differ in rate by at most 1 in this number. */
-#define CLOCK_RATE_MARGIN 100
-
-static MdTime
-serve_time (const MdShard *shard)
-{
-  return shard->tuning.fence_after - shard->tuning.fence_after / CLOCK_RATE_MARGIN;
-}
-
 MdShard *
 md_shard_new (const MdTuning *tuning, uint64_t self)
 {
@@ -275,26 +266,6 @@
   return now - shard->reachable_since > shard->tuning.guard_lease;
 }
 
-/* Some guards have fenced this owner, and the others suffice to acquire the shard
-   anew. Giving the incarnation up brings back all guards at the cost of a round
-   trip; what ran at the fenced ones would have no answer otherwise. */
-static bool
-better_anew (const MdShard *shard, MdTime now)
-{
-  const MdShardView *newest = md_shard_newest (shard);
-  size_t fenced = 0, held = 0;
-
-  for (size_t i = 0; i < newest->n; i++)
-    {
-      const MdShardGuard *guard = md_shard_find (shard, newest->guards[i]);
-
-      fenced += guard && guard->fenced;
-      held += guard && guard->attached && guard->acked_at != MD_SHARD_NEVER
-              && guard->acked_at + serve_time (shard) > now;
-    }
-  return fenced > 0 && held >= md_shard_quorum_of (newest->n);
-}
-
 static void
 update_owner (MdShard *shard, MdTime now)
 {
@@ -303,7 +274,7 @@
 
   md_shard_confirm (shard, now);
   evidence = md_shard_evidence (shard);
-  fresh = evidence != MD_SHARD_NEVER && evidence + serve_time (shard) > now;
+  fresh = evidence != MD_SHARD_NEVER && evidence + md_shard_serve_time (shard) > now;
   if (shard->state == MD_SHARD_SERVING && !fresh)
     suspend (shard, now);
   else if (shard->state == MD_SHARD_SUSPENDED && fresh)
@@ -314,7 +285,7 @@
     }
   else if (shard->state == MD_SHARD_SUSPENDED && stuck (shard, now))
     drop (shard, false, 0);
-  if (owns (shard) && better_anew (shard, now))
+  if (owns (shard) && md_shard_better_anew (shard, now))
     drop (shard, true, shard->drop_holder);
   /* Not while suspended: the guards that have to agree to going on are those of
      the time at which contact was lost. */
@@ -325,52 +296,6 @@
     }
 }
 
-/* Guards of the newest view that were refused because they hear this holder. */
-static size_t
-guards_of_holder (const MdShard *shard, uint64_t holder)
-{
-  const MdShardView *newest = md_shard_newest (shard);
-  size_t n = 0;
-
-  for (size_t i = 0; i < newest->n; i++)
-    {
-      const MdShardGuard *guard = md_shard_find (shard, newest->guards[i]);
-
-      n += guard && guard->link_up && guard->refused_alive && guard->refused_by == holder;
-    }
-  return n;
-}
-
-/* The guards that can be reached and do not hear another holder are no quorum, and
-   one such holder is older or has a quorum by itself. Two entries that acquire at
-   the same time would otherwise block each other, and a candidate would keep a
-   guard from a younger owner for ever. A holder that has just died looks the same
-   for up to fence_after, and its guards are asked again that long after the last
-   success; hence the wait. */
-static bool
-overruled (const MdShard *shard, MdTime now, uint64_t *holder)
-{
-  const MdShardView *newest = md_shard_newest (shard);
-  size_t available = 0, attached = 0;
-
-  *holder = 0;
-  for (size_t i = 0; i < newest->n; i++)
-    {
-      const MdShardGuard *guard = md_shard_find (shard, newest->guards[i]);
-
-      if (guard == NULL || !guard->link_up)
-        continue;
-      attached += guard->attached;
-      available += !guard->refused_alive;
-      if (guard->refused_alive
-          && (guard->refused_by < shard->self
-              || guards_of_holder (shard, guard->refused_by) >= md_shard_quorum_of (newest->n)))
-        *holder = guard->refused_by;
-    }
-  return attached > 0 && *holder != 0 && now - shard->progress_at > 2 * shard->tuning.fence_after
-         && available < md_shard_quorum_of (newest->n);
-}
-
 static void
 update (MdShard *shard, MdTime now)
 {
@@ -381,7 +306,7 @@
     {
       if (md_shard_choose (shard, now) && !worth_waiting (shard, now))
         become_owner (shard);
-      else if (overruled (shard, now, &holder))
+      else if (md_shard_overruled (shard, now, &holder))
         drop (shard, false, holder);
     }
   if (owns (shard))
@@ -678,7 +603,8 @@
   if (shard->state != MD_SHARD_SERVING)
     return next;
   evidence = md_shard_evidence (shard);
-  return evidence + serve_time (shard) < next ? evidence + serve_time (shard) : next;
+  return evidence + md_shard_serve_time (shard) < next ? evidence + md_shard_serve_time (shard)
+                                                       : next;
 }
 
 /* ------------------------------------------------------------------ */
