Start the servers of the platform's stand-ins in one place

Cause: the stand-ins of the store and of the worker had the same options and handlers. No test is changed.

--- a/tests/platform-store.c
+++ b/tests/platform-store.c
@@ -6,8 +6,8 @@
    records go, so that reads of them are answered 410). */
 
 #include "md-private.h"
+#include "server.h"
 
-#include <civetweb.h>
 #include <openssl/evp.h>
 #include <popt.h>
 #include <pthread.h>
@@ -276,18 +276,6 @@
   struct poptOption table[] = { { "listen", 0, POPT_ARG_STRING, &listen, 0, "address", NULL },
                                 POPT_AUTOHELP POPT_TABLEEND };
   poptContext context = poptGetContext (argv[0], argc, argv, table, 0);
-  const char *options[] = { "listening_ports",
-                            NULL,
-                            "num_threads",
-                            "64",
-                            "enable_keep_alive",
-                            "yes",
-                            "keep_alive_timeout_ms",
-                            "30000",
-                            "tcp_nodelay",
-                            "1",
-                            NULL };
-  struct mg_callbacks callbacks = { 0 };
   struct mg_context *server;
 
   if (poptGetNextOpt (context) != -1 || listen == NULL)
@@ -299,12 +287,9 @@
   signal (SIGPIPE, SIG_IGN);
   signal (SIGTERM, on_signal);
   md_http_init ();
-  options[1] = listen;
-  server = mg_start (&callbacks, NULL, options);
+  server = start_server (listen, "64", handle, handle_control);
   if (server == NULL)
     return 1;
-  mg_set_request_handler (server, "/v1/", handle, NULL);
-  mg_set_request_handler (server, "/control", handle_control, NULL);
   while (!atomic_load (&stopping))
     {
       struct timespec pause = { 0, 100000000 };
--- a/tests/platform-worker.c
+++ b/tests/platform-worker.c
@@ -13,8 +13,8 @@
    reports nothing). */
 
 #include "md-private.h"
+#include "server.h"
 
-#include <civetweb.h>
 #include <fcntl.h>
 #include <jansson.h>
 #include <popt.h>
@@ -477,18 +477,6 @@
           { "cpu", 0, POPT_ARG_INT, &w.cpu, 0, "thousandths of a core", NULL },
           POPT_AUTOHELP POPT_TABLEEND };
   poptContext context = poptGetContext (argv[0], argc, argv, table, 0);
-  const char *options[] = { "listening_ports",
-                            NULL,
-                            "num_threads",
-                            "24",
-                            "enable_keep_alive",
-                            "yes",
-                            "keep_alive_timeout_ms",
-                            "30000",
-                            "tcp_nodelay",
-                            "1",
-                            NULL };
-  struct mg_callbacks callbacks = { 0 };
   struct mg_context *server;
   pthread_t clock_thread;
 
@@ -504,12 +492,9 @@
     w.journal_fd = open (w.journal, O_WRONLY | O_APPEND | O_CREAT, 0600);
   w.born_ms = md_wall_ms ();
   md_http_init ();
-  options[1] = w.listen;
-  server = mg_start (&callbacks, NULL, options);
+  server = start_server (w.listen, "24", handle_order, handle_control);
   if (server == NULL)
     return 1;
-  mg_set_request_handler (server, "/v1/", handle_order, NULL);
-  mg_set_request_handler (server, "/control", handle_control, NULL);
   if (pthread_create (&clock_thread, NULL, run_clock, NULL) != 0)
     return 1;
   for (int64_t sequence = 1; !atomic_load (&w.stopping); sequence++)
