Refuse the hello of a connection that its guard has given up

After the heal the entry saw the present connection's hello first and sent orders over it, then the hello of the earlier one, which the network had held back. It took that for a reconnect, dropped the present connection, and took the orders that the late hello did not name for lost, so it ordered them again while they ran. Change: a guard counts its connections and says the number in its hello; an entry refuses a hello with a lower number than the one that it has from the same process. Tests: test-entry-guards, late_hello_is_refused failed before; later_hello_replaces holds both before and after.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -433,11 +433,27 @@
   guard->ends_seen = 0;
 }
 
+/* A hello that was held up on a connection which the guard has given up since. It does not
+   know of the orders that went over the present one. */
+static bool
+is_outdated (const MdEntryGuard *guard, const Md__RunHello *hello)
+{
+  return guard != NULL && guard->worker.guard == hello->incarnation
+         && hello->connection < guard->connection;
+}
+
 static void
 on_hello (MdRunEntry *entry, MdLink *link, const Md__RunHello *hello)
 {
   MdEntryGuard *guard = find_guard (entry, hello->name);
 
+  if (is_outdated (guard, hello))
+    {
+      md_log (MD_LOG_INFO, "hello-outdated", "guard=%s connection=%llu present=%llu", guard->name,
+              (unsigned long long)hello->connection, (unsigned long long)guard->connection);
+      md_link_drop (link);
+      return;
+    }
   if (guard == NULL)
     guard = new_guard (entry, hello->name);
   if (guard == NULL)
@@ -452,6 +468,7 @@
     }
   if (guard->worker.guard != hello->incarnation)
     begin_incarnation (entry, guard, hello->incarnation);
+  guard->connection = hello->connection;
   free (guard->alive);
   guard->alive = calloc (hello->n_alive + 1, sizeof *guard->alive);
   guard->n_alive = guard->alive != NULL ? hello->n_alive : 0;
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -346,6 +346,7 @@
     }
   hello.name = guard->daemon.settings.name;
   hello.incarnation = guard->incarnation;
+  hello.connection = ++guard->connections;
   hello.failure_domain = guard->daemon.settings.failure_domain;
   hello.alive = alive;
   hello.n_alive = list_alive (guard, peer->incarnation, alive);
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -69,6 +69,7 @@
   char name[MD_NAME_BYTES]; /* of the guard */
   char id[64];              /* of the worker */
   MdLink *link;             /* NULL not connected */
+  uint64_t connection;      /* number of the link among those of its process */
   MdTime stamp;             /* latest stamp of its reports */
   MdTime stamp_at;          /* when that arrived here */
   MdTime echoed_at;         /* stamp_at of the stamp that was echoed last */
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -133,6 +133,7 @@
   MdRunQueue queue;          /* runs here */
   MdGuardWorker worker;      /* the worker */
   MdGuardPeer *peers;        /* entries */
+  uint64_t connections;      /* to entries that came up so far */
   MdTime now;                /* at the start of the pass */
   uint64_t change;           /* counts changes of the state that is reported */
   bool holding;              /* a hold is under way */
--- /dev/null
+++ b/tests/test-entry-guards.c
@@ -0,0 +1,139 @@
+/* test-entry-guards.c -- connections of guards at an entry, over the loopback interface
+
+   The test plays a guard that has two connections: it gave the first one up while a
+   network fault held back what it had sent there, and dialled anew. */
+
+#include "run-entry.h"
+#include "suite.h"
+
+#define PASSES 20000 /* only ends a broken run */
+#define INCARNATION 77
+
+static MdRunEntry entry;
+static MdLinks *guard;
+static MdLink *connections[2]; /* of the guard, in the order in which they were dialled */
+static int ups;
+static int downs[2];
+
+static void
+on_up (void *user MD_UNUSED, MdLink *link MD_UNUSED)
+{
+  ups++;
+}
+
+static void
+on_frame (void *user MD_UNUSED, MdLink *link MD_UNUSED, const Md__Frame *frame MD_UNUSED)
+{
+}
+
+static void
+on_down (void *user MD_UNUSED, MdLink *link, const MdError *error MD_UNUSED)
+{
+  downs[link == connections[1]]++;
+}
+
+static const MdLinkHandler guard_handler = { on_up, on_frame, on_down };
+
+static void
+poll_both (void)
+{
+  md_links_poll (entry.daemon.links, md_now () + MD_MS);
+  md_links_poll (guard, md_now () + MD_MS);
+}
+
+static void
+setup (void)
+{
+  MdTuning tuning;
+  MdError error = { 0 };
+  char address[MD_ADDRESS_BYTES];
+
+  md_tuning_default (&tuning);
+  entry.daemon.links = md_links_new (&tuning, &md_run_entry_handler, &entry);
+  guard = md_links_new (&tuning, &guard_handler, NULL);
+  ck_assert_int_eq (md_links_listen (entry.daemon.links, MD_STR ("127.0.0.1:0"), address, &error),
+                    MD_OK);
+  for (int i = 0; i < 2; i++)
+    connections[i] = md_links_dial (guard, md_str (address), NULL);
+  for (int i = 0; i < PASSES && ups < 2; i++)
+    poll_both ();
+  ck_assert_int_eq (ups, 2);
+}
+
+static void
+teardown (void)
+{
+  md_links_free (guard);
+  md_links_free (entry.daemon.links);
+  md_entry_free_guards (&entry);
+}
+
+static void
+send_hello (int connection)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunHello hello = MD__RUN_HELLO__INIT;
+
+  hello.name = "guard-1";
+  hello.failure_domain = "lusitania-a";
+  hello.incarnation = INCARNATION;
+  hello.connection = (uint64_t)connection + 1;
+  frame.msg_case = MD__FRAME__MSG_RUN_HELLO;
+  frame.run_hello = &hello;
+  md_link_send (connections[connection], &frame);
+}
+
+static const MdEntryGuard *
+known_guard (void)
+{
+  return entry.workers.n > 0 ? (const MdEntryGuard *)entry.workers.workers[0] : NULL;
+}
+
+/* Guards against a task that runs twice: the hello of a connection that the guard gave up
+   arrives after that of the present one and does not name the orders that were sent
+   there, which would then be taken for lost and ordered again (soak seed 302). */
+START_TEST (late_hello_is_refused)
+{
+  MdLink *present;
+
+  send_hello (1);
+  for (int i = 0; i < PASSES && known_guard () == NULL; i++)
+    poll_both ();
+  ck_assert_ptr_nonnull (known_guard ());
+  present = known_guard ()->link;
+  send_hello (0);
+  for (int i = 0; i < PASSES && downs[0] + downs[1] == 0; i++)
+    poll_both ();
+  ck_assert_int_eq (downs[0], 1);
+  ck_assert_int_eq (downs[1], 0);
+  ck_assert_ptr_eq (known_guard ()->link, present);
+  ck_assert (known_guard ()->worker.connected);
+}
+END_TEST
+
+/* Guards against a guard that is shut out after its connection was replaced in order. */
+START_TEST (later_hello_replaces)
+{
+  send_hello (0);
+  for (int i = 0; i < PASSES && known_guard () == NULL; i++)
+    poll_both ();
+  send_hello (1);
+  for (int i = 0; i < PASSES && downs[0] + downs[1] == 0; i++)
+    poll_both ();
+  ck_assert_int_eq (downs[0], 1);
+  ck_assert_int_eq (downs[1], 0);
+  ck_assert (known_guard ()->worker.connected);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tc = tcase_create ("entry-guards");
+
+  tcase_set_timeout (tc, 120); /* for the thread sanitizer */
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, late_hello_is_refused);
+  tcase_add_test (tc, later_hello_replaces);
+  return run_suite ("entry-guards", tc);
+}
--- a/wire.pb-c.c
+++ b/wire.pb-c.c
@@ -3651,7 +3651,7 @@
   (ProtobufCMessageInit) md__snapshot_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_hello__field_descriptors[5] =
+static const ProtobufCFieldDescriptor md__run_hello__field_descriptors[6] =
 {
   {
     "name",
@@ -3713,9 +3713,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "connection",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunHello, connection),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_hello__field_indices_by_name[] = {
   3,   /* field[3] = alive */
+  5,   /* field[5] = connection */
   4,   /* field[4] = entries */
   2,   /* field[2] = failure_domain */
   1,   /* field[1] = incarnation */
@@ -3724,7 +3737,7 @@
 static const ProtobufCIntRange md__run_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor md__run_hello__descriptor =
 {
@@ -3734,7 +3747,7 @@
   "Md__RunHello",
   "md",
   sizeof(Md__RunHello),
-  5,
+  6,
   md__run_hello__field_descriptors,
   md__run_hello__field_indices_by_name,
   1,  md__run_hello__number_ranges,
--- a/wire.pb-c.h
+++ b/wire.pb-c.h
@@ -527,10 +527,14 @@
    */
   size_t n_entries;
   char **entries;
+  /*
+   * counts those of the guard's process
+   */
+  uint64_t connection;
 };
 #define MD__RUN_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0 }
 
 
 struct  Md__RunWelcome
