Give each part of the program a folder of its own

Cause: 70 files lay flat in the root, and md-private.h was included by the coordination library as well as by the daemons, so nothing showed what can be embedded without them. Change: core/ holds the library with mulberrydrift.h and md-base.h (strings, buffers, errors); common/, net/, store/, operator/, entry/, guard/ and cli/ hold the programs. routes.c moves to sched/, which ends the mutual include of platform/ and fleet/; md_header_is_hop moves to http-server.c, md-control.h to store/. Ruled out: several levels of folders, because every header name is unique and the flat include path keeps the includes short. Conclusion: no header that the library includes reaches I/O code.

--- a/Makefile
+++ b/Makefile
@@ -13,23 +13,17 @@
 
 CFLAGS = -std=gnu11 -g -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
   $(CFLAGS_$(VARIANT)) $(INCLUDES) -I$(B) -MMD -MP -pthread
-INCLUDES = -I. -Isched -Iplatform -Ifleet -Imodel
+INCLUDES = $(addprefix -I,core sched $(DAEMON_DIRS))
 # Generated code is not ours to clean up.
-CFLAGS_GENERATED = -std=gnu11 -g -w $(CFLAGS_$(VARIANT)) -I. -pthread
+CFLAGS_GENERATED = -std=gnu11 -g -w $(CFLAGS_$(VARIANT)) -Inet -pthread
 LDLIBS = -lcivetweb -lcurl -lcrypto -lprotobuf-c -lpopt -lyaml -lurcu-memb -lurcu-cds -lurcu-common -ljansson \
   -lxxhash -lpthread -lm
 
 # The coordination parts: no I/O, no threads, no clock.
-LIB_NAMES = str error names tuning key
-LIB_NAMES += dispatch jobs guards place recover queue estimate health limits retry
-LIB_NAMES += ledger ledger-records
-LIB_NAMES += shard shard-quorum
-LIB_NAMES += members
-LIB_NAMES += config config-check
-LIB_SRC = $(filter $(addsuffix .c,$(LIB_NAMES)),$(wildcard *.c)) $(wildcard sched/*.c)
-GEN_SRC = wire.pb-c.c
-DAEMON_SRC = $(filter-out $(LIB_SRC) $(GEN_SRC) main.c,$(wildcard *.c)) \
-  $(wildcard platform/*.c fleet/*.c model/*.c)
+LIB_SRC = $(wildcard core/*.c sched/*.c)
+GEN_SRC = net/wire.pb-c.c
+DAEMON_DIRS = common net entry guard store operator platform fleet cli model
+DAEMON_SRC = $(filter-out $(GEN_SRC),$(wildcard $(addsuffix /*.c,$(DAEMON_DIRS))))
 TEST_SRC = $(wildcard tests/test-*.c)
 UTIL_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard tests/*-util.c))
 TOOL_SRC = $(filter-out $(TEST_SRC) $(wildcard tests/*-util.c),$(wildcard tests/*.c))
@@ -39,8 +33,8 @@
 DAEMON_OBJ = $(DAEMON_SRC:%.c=$(B)/%.o) $(GEN_SRC:%.c=$(B)/%.o)
 TESTS = $(TEST_SRC:tests/%.c=$(B)/tests/%)
 TOOLS = $(TOOL_SRC:tests/%.c=$(B)/tests/%)
-OUR_FILES = $(filter-out wire.pb-c.c wire.pb-c.h,$(wildcard *.c *.h tests/*.c tests/*.h) \
-  $(wildcard sched/*.[ch] platform/*.[ch] fleet/*.[ch] model/*.[ch]))
+OUR_FILES = $(filter-out net/wire.pb-c.%,$(wildcard *.c \
+  $(addsuffix /*.[ch],core sched $(DAEMON_DIRS) tests)))
 
 all: $(BIN) $(TOOLS)
 
@@ -52,7 +46,7 @@
 $(BIN): $(B)/main.o $(DAEMON_OBJ) $(LIB)
 	$(CC) $(CFLAGS_$(VARIANT)) -pthread -o $@ $^ $(LDLIBS)
 
-$(B)/wire.pb-c.o: wire.pb-c.c
+$(B)/net/wire.pb-c.o: net/wire.pb-c.c
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_GENERATED) -c -o $@ $<
 
@@ -77,7 +71,7 @@
 
 # The generated decoder is committed; run this after a change of wire.proto.
 generate:
-	protoc-c --c_out=. wire.proto
+	protoc-c --c_out=net --proto_path=net wire.proto
 
 packages:
 	@PACKAGES="$(PACKAGES)" sh tests/packages.sh
--- a/config-check.h
+++ b/core/config-check.h
@@ -3,7 +3,7 @@
 #ifndef CONFIG_CHECK_H
 #define CONFIG_CHECK_H
 
-#include "md-private.h"
+#include "md-base.h"
 
 #include <jansson.h>
 
--- a/dispatch-private.h
+++ b/core/dispatch-private.h
@@ -9,7 +9,7 @@
 #define MD_DISPATCH_PRIVATE_H
 
 #include "estimate.h"
-#include "md-private.h"
+#include "md-base.h"
 
 /* ------------------------------------------------------------------ */
 /* Binary heap (queue.c)                                              */
--- a/error.c
+++ b/core/error.c
@@ -3,7 +3,7 @@
    The first failure is the cause; later ones on the way up are consequences.
    An error that is set already is therefore left as it is. */
 
-#include "md-private.h"
+#include "md-base.h"
 
 #include <stdio.h>
 
--- a/key.c
+++ b/core/key.c
@@ -4,7 +4,7 @@
    of any length take the same space in tables and messages. Each part is hashed
    with its length in front, so that ("ab", "c") and ("a", "bc") differ. */
 
-#include "md-private.h"
+#include "md-base.h"
 
 #include <xxhash.h>
 
--- a/ledger-private.h
+++ b/core/ledger-private.h
@@ -3,7 +3,7 @@
 #ifndef MD_LEDGER_PRIVATE_H
 #define MD_LEDGER_PRIVATE_H
 
-#include "md-private.h"
+#include "md-base.h"
 
 typedef struct MdLedgerNode MdLedgerNode;
 
--- a/names.c
+++ b/core/names.c
@@ -1,8 +1,6 @@
-/* names.c -- machine-readable names of reasons and outcomes, and header fields by name */
+/* names.c -- machine-readable names of reasons and outcomes */
 
-#include "md-private.h"
-
-#include <strings.h>
+#include "md-base.h"
 
 static const char *const reason_names[MD_REASON_COUNT] = {
   [MD_REASON_NONE] = "none",
@@ -54,17 +52,3 @@
 {
   return (unsigned)outcome <= MD_OUTCOME_UNKNOWN ? outcome_names[outcome] : "invalid";
 }
-
-bool
-md_header_is_hop (const char *name)
-{
-  static const char *const names[]
-      = { "Connection", "Keep-Alive",     "Proxy-Authenticate", "Proxy-Authorization",
-          "TE",         "Trailer",        "Transfer-Encoding",  "Upgrade",
-          "Host",       "Content-Length", "Proxy-Connection",   "Expect" };
-
-  for (size_t i = 0; i < MD_ARRAY_SIZE (names); i++)
-    if (strcasecmp (name, names[i]) == 0)
-      return true;
-  return false;
-}
--- a/shard-private.h
+++ b/core/shard-private.h
@@ -3,7 +3,7 @@
 #ifndef MD_SHARD_PRIVATE_H
 #define MD_SHARD_PRIVATE_H
 
-#include "md-private.h"
+#include "md-base.h"
 
 enum
 {
--- a/str.c
+++ b/core/str.c
@@ -4,7 +4,7 @@
    functions of the C library. A failed allocation is remembered instead of
    returned, so that a sequence of appends needs one check at its end. */
 
-#include "md-private.h"
+#include "md-base.h"
 
 #include <stdio.h>
 
--- a/guard-tasks.c
+++ b/guard/guard-tasks.c
@@ -9,6 +9,7 @@
    Refusals go back on the connection that brought the start. Everything else goes
    to the attached owner, through the list of retained answers. */
 
+#include "http-server.h"
 #include "md-guard.h"
 
 #include <ctype.h>
--- a/http-server.c
+++ b/net/http-server.c
@@ -2,6 +2,8 @@
 
 #include "http-server.h"
 
+#include <strings.h>
+
 int
 md_http_read_body (struct mg_connection *conn, size_t max, MdBuf *body)
 {
@@ -36,3 +38,17 @@
     }
   return -1;
 }
+
+bool
+md_header_is_hop (const char *name)
+{
+  static const char *const names[]
+      = { "Connection", "Keep-Alive",     "Proxy-Authenticate", "Proxy-Authorization",
+          "TE",         "Trailer",        "Transfer-Encoding",  "Upgrade",
+          "Host",       "Content-Length", "Proxy-Connection",   "Expect" };
+
+  for (size_t i = 0; i < MD_ARRAY_SIZE (names); i++)
+    if (strcasecmp (name, names[i]) == 0)
+      return true;
+  return false;
+}
--- a/fleet/routes.h
+++ b/sched/routes.h
@@ -3,7 +3,7 @@
 #ifndef MD_ROUTES_H
 #define MD_ROUTES_H
 
-#include "md-private.h"
+#include "md-base.h"
 
 #define MD_HOST_BYTES 128   /* host name, with terminator */
 #define MD_PREFIX_BYTES 128 /* path prefix, with terminator */
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -10,7 +10,7 @@
 #define MD_RUN_SCHED_H
 
 #include "estimate.h"
-#include "md-private.h"
+#include "md-base.h"
 
 /* ------------------------------------------------------------------ */
 /* Room of a worker                                                   */
