Use one blocking HTTP client

Cause: submit, the operators' client and the log client each dialled, sent, read answers and told errors apart with code of their own. Change: net/http-client.c makes an exchange on a connection of its own or on a kept one and says whether the request may have been sent; resource-http.c is gone, logclient.c keeps only the log's paths and bodies, md_http_init moves to it. Error steps of the log client are "connect", "send" and "answer" now; the peer names the service. Ruled out: the same code for http-async.c (libcurl, never waits: it serves engine threads) and for upstream.c (it must watch its socket, see decisions/house-style.md). Tests: new test-http-client.c (a broken call is not repeated and not called unsent, a kept connection is replaced once, bounds, lines).

--- a/cli/resource-cli.c
+++ b/cli/resource-cli.c
@@ -5,22 +5,44 @@
    refused and sees it. A file is checked as a whole before the first document is
    sent. */
 
+#include "http-client.h"
 #include "resource-private.h"
 
 #include <popt.h>
 #include <stdio.h>
 #include <unistd.h>
 
+/* The server answers a change within ten seconds and writes to a watch at least
+   every five. */
+#define ANSWER_TIMEOUT (20 * MD_SECOND)
+
 typedef struct
 {
-  ResourceServer server; /* where to */
-  bool json;             /* print JSON as received */
-  const char **args;     /* after the options; NULL-terminated */
-  size_t n_args;         /* of these */
-  const char *since;     /* watch: version to resume from */
-  uint64_t version;      /* delete: expected version, 0 the current one */
+  const char *server; /* operator address of any entry */
+  const char *token;  /* bearer token */
+  bool json;          /* print JSON as received */
+  const char **args;  /* after the options; NULL-terminated */
+  size_t n_args;      /* of these */
+  const char *since;  /* watch: version to resume from */
+  uint64_t version;   /* delete: expected version, 0 the current one */
 } Cli;
 
+/* One exchange. condition: a header line that ends in CRLF, NULL none. */
+static int
+call (const Cli *cli, const char *method, const char *path, const char *condition, MdStr body,
+      MdHttpResponse *answer, MdError *error)
+{
+  MdHttpRequest request = { .address = cli->server,
+                            .method = method,
+                            .path = path,
+                            .token = cli->token,
+                            .headers = condition,
+                            .body = body,
+                            .timeout = ANSWER_TIMEOUT };
+
+  return md_http_call (&request, answer, error);
+}
+
 static const char *
 text_of (const json_t *object, const char *key)
 {
@@ -36,7 +58,7 @@
 }
 
 static json_t *
-parse_body (const ResourceAnswer *answer)
+parse_body (const MdHttpResponse *answer)
 {
   return json_loadb (answer->body.data ? answer->body.data : "", answer->body.len, 0, NULL);
 }
@@ -45,7 +67,7 @@
 /* Outcomes                                                            */
 
 static void
-print_problem (const char *what, const ResourceAnswer *answer, const MdError *error)
+print_problem (const char *what, const MdHttpResponse *answer, const MdError *error)
 {
   json_t *root = parse_body (answer);
   const char *detail = text_of (root, "detail");
@@ -59,7 +81,7 @@
 
 /* Exit code of a change: a lost answer leaves its outcome unknown. */
 static int
-change_exit (const ResourceAnswer *answer)
+change_exit (const MdHttpResponse *answer)
 {
   if (answer->status >= 200 && answer->status < 300)
     return MD_EXIT_OK;
@@ -88,7 +110,7 @@
 }
 
 static void
-print_items (const Cli *cli, const ResourceAnswer *answer)
+print_items (const Cli *cli, const MdHttpResponse *answer)
 {
   json_t *root = parse_body (answer);
   const json_t *items = json_object_get (root, "items");
@@ -112,19 +134,19 @@
 }
 
 static int
-get_path (const Cli *cli, const char *kind, const char *name, ResourceAnswer *answer,
+get_path (const Cli *cli, const char *kind, const char *name, MdHttpResponse *answer,
           MdError *error)
 {
   char path[256];
 
   snprintf (path, sizeof path, "/v1/resources/%s%s%s", kind, name ? "/" : "", name ? name : "");
-  return resource_request (&cli->server, "GET", path, "", MD_STR (""), answer, error);
+  return call (cli, "GET", path, NULL, MD_STR (""), answer, error);
 }
 
 static int
 run_get (const Cli *cli)
 {
-  ResourceAnswer answer = { 0 };
+  MdHttpResponse answer = { 0 };
   MdError error = { 0 };
   int status = MD_EXIT_OK;
 
@@ -155,7 +177,7 @@
 static Current
 read_current (const Cli *cli, const ResourceDocument *document, uint64_t *version)
 {
-  ResourceAnswer answer = { 0 };
+  MdHttpResponse answer = { 0 };
   MdError error = { 0 };
   Current current = CURRENT_UNREADABLE;
   json_t *root;
@@ -178,7 +200,7 @@
 static int
 put_document (const Cli *cli, const ResourceDocument *document, uint64_t version)
 {
-  ResourceAnswer answer = { 0 };
+  MdHttpResponse answer = { 0 };
   MdError error = { 0 };
   char path[256];
   char condition[64] = "If-None-Match: *\r\n";
@@ -189,7 +211,7 @@
   if (version > 0)
     snprintf (condition, sizeof condition, "If-Match: \"%llu\"\r\n", (unsigned long long)version);
   snprintf (path, sizeof path, "/v1/resources/%s/%s", document->kind, document->name);
-  resource_request (&cli->server, "PUT", path, condition, md_str (body), &answer, &error);
+  call (cli, "PUT", path, condition, md_str (body), &answer, &error);
   status = change_exit (&answer);
   if (status == MD_EXIT_OK)
     printf ("%s/%s %s version=%llu\n", document->kind, document->name,
@@ -249,7 +271,7 @@
 run_delete (const Cli *cli)
 {
   ResourceDocument document = { 0 };
-  ResourceAnswer answer = { 0 };
+  MdHttpResponse answer = { 0 };
   MdError error = { 0 };
   uint64_t version = cli->version;
   char path[256];
@@ -269,7 +291,7 @@
     }
   snprintf (path, sizeof path, "/v1/resources/%s/%s", document.kind, document.name);
   snprintf (condition, sizeof condition, "If-Match: \"%llu\"\r\n", (unsigned long long)version);
-  resource_request (&cli->server, "DELETE", path, condition, MD_STR (""), &answer, &error);
+  call (cli, "DELETE", path, condition, MD_STR (""), &answer, &error);
   status = change_exit (&answer);
   if (status == MD_EXIT_OK)
     printf ("%s/%s deleted version=%llu\n", document.kind, document.name,
@@ -323,7 +345,7 @@
 static int
 start_watch (const Cli *cli, WatchState *state)
 {
-  ResourceAnswer answer = { 0 };
+  MdHttpResponse answer = { 0 };
   MdError error = { 0 };
   json_t *root;
   int status = MD_EXIT_OK;
@@ -357,13 +379,21 @@
 
   while (status == MD_EXIT_OK && !state.too_old)
     {
-      ResourceAnswer answer = { 0 };
+      MdHttpRequest request;
+      MdHttpResponse answer = { 0 };
       MdError error = { 0 };
       char path[256];
 
       snprintf (path, sizeof path, "/v1/resources/%s?watch=%llu", cli->args[0],
                 (unsigned long long)state.version);
-      resource_stream (&cli->server, path, on_line, &state, &answer, &error);
+      request = (MdHttpRequest){ .address = cli->server,
+                                 .method = "GET",
+                                 .path = path,
+                                 .token = cli->token,
+                                 .timeout = ANSWER_TIMEOUT,
+                                 .on_line = on_line,
+                                 .user = &state };
+      md_http_call (&request, &answer, &error);
       if (answer.status != 0 && answer.status != 200 && answer.status != 503)
         {
           print_problem ("watch", &answer, &error);
@@ -388,7 +418,7 @@
 
   for (size_t i = 0; i < MD_ARRAY_SIZE (kinds); i++)
     {
-      ResourceAnswer answer = { 0 };
+      MdHttpResponse answer = { 0 };
       MdError error = { 0 };
       int http;
 
@@ -473,12 +503,12 @@
       poptPrintUsage (pc, stderr, 0);
       return MD_EXIT_USAGE;
     }
-  if (server == NULL || cli->server.token == NULL)
+  if (server == NULL || cli->token == NULL)
     {
       fputs ("--server IP:PORT and a token (--token or MULBERRYDRIFT_TOKEN) are needed\n", stderr);
       return MD_EXIT_USAGE;
     }
-  md_str_copy (cli->server.address, sizeof cli->server.address, md_str (server));
+  cli->server = server;
   cli->json = strcmp (output, "json") == 0;
   return command->run (cli);
 }
@@ -510,7 +540,7 @@
   pc = poptGetContext (argv[0], argc, argv, options, 0);
   poptSetOtherOptionHelp (pc, command->usage);
   rc = poptGetNextOpt (pc);
-  cli.server.token = token ? token : getenv ("MULBERRYDRIFT_TOKEN");
+  cli.token = token ? token : getenv ("MULBERRYDRIFT_TOKEN");
   cli.version = (uint64_t)version;
   cli.since = since;
   if (rc < -1)
--- a/cli/resource-private.h
+++ b/cli/resource-private.h
@@ -7,37 +7,6 @@
 
 #include <jansson.h>
 
-/* ------------------------------------------------------------------ */
-/* HTTP (resource-http.c)                                              */
-
-typedef struct
-{
-  char address[MD_ADDRESS_BYTES]; /* operator address of any entry */
-  const char *token;              /* bearer token */
-} ResourceServer;
-
-typedef struct
-{
-  int status;       /* HTTP status, 0 when there was no answer */
-  bool sent;        /* the request may have reached the server */
-  uint64_t version; /* ETag, 0 none */
-  MdBuf body;       /* of the answer */
-} ResourceAnswer;
-
-/* resource_request: one exchange. condition is empty or a header line that ends in
-   CRLF. Returns MD_OK when an answer was read, whatever its status. */
-int resource_request (const ResourceServer *server, const char *method, const char *path,
-                      const char *condition, MdStr body, ResourceAnswer *answer, MdError *error);
-
-/* resource_stream: GET whose body is read line by line; on_line returns false to
-   stop. The body of an answer other than 200 is kept in answer. */
-int resource_stream (const ResourceServer *server, const char *path,
-                     bool (*on_line) (void *user, MdStr line), void *user, ResourceAnswer *answer,
-                     MdError *error);
-
-/* ------------------------------------------------------------------ */
-/* YAML (resource-yaml.c)                                              */
-
 typedef struct
 {
   char kind[MD_NAME_BYTES]; /* resource kind */
--- a/cli/submit.c
+++ b/cli/submit.c
@@ -52,7 +52,7 @@
                             .headers = headers,
                             .body = body,
                             .timeout = options->timeout_ms * MD_MS };
-  MdHttpResponse response;
+  MdHttpResponse response = { 0 };
   MdError error = { 0 };
   int code;
 
@@ -103,7 +103,7 @@
       id = made;
     }
   fprintf (stderr, "id %s\n", id);
-  md_buf_printf (&headers, "Content-Type: application/json\r\nIdempotency-Key: %s\r\n", id);
+  md_buf_printf (&headers, "Idempotency-Key: %s\r\n", id);
   return call (options, "POST", "/v1/jobs", headers.data, md_buf_str (&body));
 }
 
--- a/common/md-private.h
+++ b/common/md-private.h
@@ -257,10 +257,6 @@
 /* ------------------------------------------------------------------ */
 /* Platform log client (logclient.c)                                  */
 
-/* md_http_init: initialize the HTTP library, from any thread, any number of times.
-   To be called before any other function of CivetWeb. */
-void md_http_init (void);
-
 typedef struct
 {
   uint64_t offset; /* of the record */
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -6,6 +6,7 @@
    operator's configuration comes from the platform's store. */
 
 #include "run-entry.h"
+#include "http-client.h"
 
 #include <stdio.h>
 #include <time.h>
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -6,6 +6,7 @@
    before it reports to entries. */
 
 #include "run-guard.h"
+#include "http-client.h"
 
 #include <civetweb.h>
 
--- a/net/http-client.c
+++ b/net/http-client.c
@@ -1,57 +1,234 @@
-/* http-client.c -- one HTTP request of a command-line client
+/* http-client.c -- HTTP requests of a thread that may wait for the answer
 
-   A connection per call: these clients make one or a few calls and end. */
+   One exchange after the other on a connection of CivetWeb's client. Whether a request
+   may have reached the server is part of the result: a change whose answer is lost has an
+   unknown outcome, and a record must not be appended twice. */
 
 #include "http-client.h"
 
 #include <civetweb.h>
+#include <pthread.h>
 #include <stdio.h>
+#include <strings.h>
+
+/* CivetWeb rounds its waits; an answer this close to its time-out counts as late. */
+#define TIMEOUT_SLACK (10 * MD_MS)
+
+static pthread_once_t once = PTHREAD_ONCE_INIT;
+
+static void
+init_library (void)
+{
+  mg_init_library (0);
+}
+
+/* The first call of mg_init_library is not safe against a second one. */
+void
+md_http_init (void)
+{
+  pthread_once (&once, init_library);
+}
+
+static struct mg_connection *
+dial (const char *address, MdError *error)
+{
+  char host[MD_ADDRESS_BYTES];
+  char reason[128] = "";
+  struct mg_connection *conn;
+  int port;
+
+  if (md_address_split (md_str (address), host, &port) != MD_OK || port == 0)
+    {
+      md_error_set (error, MD_E_INVALID, "connect", address, "not an ip:port address");
+      return NULL;
+    }
+  md_http_init ();
+  conn = mg_connect_client (host, port, 0, reason, sizeof reason);
+  if (conn == NULL)
+    md_error_set (error, MD_E_NOT_FOUND, "connect", address, "%s", reason);
+  return conn;
+}
+
+static void
+write_request (MdBuf *out, const MdHttpRequest *request, bool keep)
+{
+  md_buf_printf (out, "%s %s HTTP/1.1\r\nHost: %s\r\n", request->method, request->path,
+                 request->address);
+  if (request->token != NULL)
+    md_buf_printf (out, "Authorization: Bearer %s\r\n", request->token);
+  if (request->body.len > 0)
+    md_buf_printf (out, "Content-Type: application/json\r\n");
+  if (request->body.len > 0 || strcmp (request->method, "GET") != 0)
+    md_buf_printf (out, "Content-Length: %zu\r\n", request->body.len);
+  md_buf_printf (out, "%s%s\r\n", keep ? "" : "Connection: close\r\n",
+                 request->headers ? request->headers : "");
+  md_buf_append (out, request->body);
+}
+
+/* ------------------------------------------------------------------ */
+/* Answer                                                              */
+
+static int
+read_head (struct mg_connection *conn, const MdHttpRequest *request, MdHttpResponse *response,
+           MdError *error)
+{
+  char reason[128] = "";
+  const struct mg_response_info *info;
+  MdTime start = md_now ();
+
+  if (mg_get_response (conn, reason, sizeof reason, (int)(request->timeout / MD_MS)) < 0)
+    {
+      bool late = md_now () - start >= request->timeout - TIMEOUT_SLACK;
+
+      return md_error_set (error, late ? MD_E_TIMEOUT : MD_E_IO, "answer", request->address, "%s",
+                           late ? "no answer in time" : reason);
+    }
+  info = mg_get_response_info (conn);
+  response->status = info->status_code;
+  for (int i = 0; i < info->num_headers; i++)
+    if (strcasecmp (info->http_headers[i].name, "ETag") == 0
+        && info->http_headers[i].value[0] == '"')
+      response->version = strtoull (info->http_headers[i].value + 1, NULL, 10);
+  return MD_OK;
+}
 
 static int
-read_body (struct mg_connection *conn, MdHttpResponse *response, MdError *error, const char *peer)
+read_body (struct mg_connection *conn, const MdHttpRequest *request, MdHttpResponse *response,
+           MdError *error)
 {
   const struct mg_response_info *info = mg_get_response_info (conn);
   char chunk[16384];
   int n;
 
-  response->status = info->status_code;
   while ((n = mg_read (conn, chunk, sizeof chunk)) > 0)
-    md_buf_append (&response->body, md_str_n (chunk, (size_t)n));
-  if (n < 0 || (info->content_length >= 0 && response->body.len < (size_t)info->content_length))
-    return md_error_set (error, MD_E_IO, "receive", peer, "the answer was cut off");
+    {
+      md_buf_append (&response->body, md_str_n (chunk, (size_t)n));
+      if (response->body.failed
+          || (request->max_bytes > 0 && response->body.len > request->max_bytes))
+        return md_error_set (error, MD_E_LIMIT, "answer", request->address,
+                             "the answer is too long");
+    }
+  if (n < 0 || (info->content_length >= 0 && response->body.len != (uint64_t)info->content_length))
+    return md_error_set (error, MD_E_IO, "answer", request->address, "the answer broke off");
+  return MD_OK;
+}
+
+/* Passes on the whole lines in the buffer; false when the caller stops. */
+static bool
+take_lines (MdBuf *buf, const MdHttpRequest *request)
+{
+  char *end;
+
+  while (buf->len > 0 && (end = memchr (buf->data, '\n', buf->len)) != NULL)
+    {
+      size_t len = (size_t)(end - buf->data);
+
+      if (!request->on_line (request->user, md_str_n (buf->data, len)))
+        return false;
+      md_buf_consume (buf, len + 1);
+    }
+  return true;
+}
+
+static void
+read_lines (struct mg_connection *conn, const MdHttpRequest *request)
+{
+  MD_AUTO_BUF buf = { 0 };
+  char byte;
+
+  /* A larger read would wait until its buffer is full. */
+  while (mg_read (conn, &byte, 1) == 1)
+    {
+      md_buf_append (&buf, md_str_n (&byte, 1));
+      if (byte == '\n' && !take_lines (&buf, request))
+        return;
+    }
+}
+
+/* ------------------------------------------------------------------ */
+/* Exchange                                                            */
+
+static int
+exchange (struct mg_connection *conn, const MdHttpRequest *request, bool keep,
+          MdHttpResponse *response, MdError *error)
+{
+  MD_AUTO_BUF out = { 0 };
+  int rc;
+
+  write_request (&out, request, keep);
+  if (out.failed)
+    return md_error_set (error, MD_E_MEMORY, "send", request->address, "out of memory");
+  response->sent = true;
+  if (mg_write (conn, out.data, out.len) != (int)out.len)
+    return md_error_set (error, MD_E_IO, "send", request->address, "the connection broke");
+  rc = read_head (conn, request, response, error);
+  if (rc != MD_OK)
+    return rc;
+  if (request->on_line == NULL || response->status != 200)
+    return read_body (conn, request, response, error);
+  read_lines (conn, request);
   return MD_OK;
 }
 
 int
 md_http_call (const MdHttpRequest *request, MdHttpResponse *response, MdError *error)
 {
-  char host[MD_ADDRESS_BYTES];
-  char reason[200] = "";
-  struct mg_connection *conn;
-  MD_AUTO_BUF out = { 0 };
-  int port;
-  int result;
+  MdError own = { 0 };
+  struct mg_connection *conn = dial (request->address, error ? error : &own);
+  int rc;
 
-  memset (response, 0, sizeof *response);
-  if (md_address_split (md_str (request->address), host, &port) != MD_OK)
-    return md_error_set (error, MD_E_INVALID, "connect", request->address, "not an ip:port");
-  conn = mg_connect_client (host, port, 0, reason, sizeof reason);
   if (conn == NULL)
-    return md_error_set (error, MD_E_IO, "connect", request->address, "%s", reason);
-  md_buf_printf (&out,
-                 "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n"
-                 "Content-Length: %zu\r\nConnection: close\r\n%s\r\n",
-                 request->method, request->path, request->address,
-                 request->token ? request->token : "", request->body.len,
-                 request->headers ? request->headers : "");
-  md_buf_append (&out, request->body);
-  mg_write (conn, out.data, out.len);
-  if (mg_get_response (conn, reason, sizeof reason, (int)(request->timeout / MD_MS)) < 0)
-    result = md_error_set (error, MD_E_IO, "receive", request->address, "%s", reason);
-  else
-    result = read_body (conn, response, error, request->address);
+    return error ? error->code : own.code;
+  rc = exchange (conn, request, false, response, error);
   mg_close_connection (conn);
-  return result;
+  return rc;
+}
+
+void
+md_http_disconnect (MdHttpConnection *connection)
+{
+  if (connection->conn != NULL)
+    mg_close_connection (connection->conn);
+  connection->conn = NULL;
+}
+
+/* MdError keeps the first error; each attempt therefore gets one of its own. */
+static int
+attempt (MdHttpConnection *connection, const MdHttpRequest *request, MdHttpResponse *response,
+         MdError *error)
+{
+  int rc;
+
+  *error = (MdError){ 0 };
+  response->body.len = 0;
+  if (connection->conn == NULL)
+    connection->conn = dial (request->address, error);
+  if (connection->conn == NULL)
+    return error->code;
+  rc = exchange (connection->conn, request, true, response, error);
+  if (rc != MD_OK)
+    md_http_disconnect (connection);
+  return rc;
+}
+
+int
+md_http_call_on (MdHttpConnection *connection, const MdHttpRequest *request,
+                 MdHttpResponse *response, MdError *error)
+{
+  MdError last;
+  bool kept;
+  int rc;
+
+  if (strcmp (connection->address, request->address) != 0)
+    md_http_disconnect (connection);
+  md_str_copy (connection->address, sizeof connection->address, md_str (request->address));
+  kept = connection->conn != NULL;
+  rc = attempt (connection, request, response, &last);
+  if (rc == MD_E_IO && kept)
+    rc = attempt (connection, request, response, &last);
+  if (rc != MD_OK && error != NULL && error->code == MD_OK)
+    *error = last;
+  return rc;
 }
 
 void
--- a/operator/operator.c
+++ b/operator/operator.c
@@ -6,6 +6,7 @@
    threads. A read of the state is answered even when the log is down and every
    watch is taken. */
 
+#include "http-client.h"
 #include "operator-private.h"
 
 #include <stdio.h>
--- a/store/logclient.c
+++ b/store/logclient.c
@@ -12,9 +12,8 @@
    The time allowed for the answer to a read grows while the service is slow, so
    that a slow log is read slowly instead of never. */
 
-#include "md-private.h"
+#include "http-client.h"
 
-#include <civetweb.h>
 #include <jansson.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -27,186 +26,76 @@
 
 typedef struct
 {
-  struct mg_connection *conn;     /* NULL when there is none */
-  char address[MD_ADDRESS_BYTES]; /* peer of conn */
-  MdTime margin;                  /* allowed beyond the wait of a read */
-} LogConn;
+  MdHttpConnection connection; /* to the log service */
+  MdTime margin;               /* allowed beyond the wait of a read */
+} Reader;
 
-typedef struct
-{
-  int status;  /* of the answer */
-  MdBuf body;  /* of the answer */
-  bool reused; /* the connection had served an earlier request */
-} Answer;
-
-static pthread_once_t http_once = PTHREAD_ONCE_INIT;
 static pthread_once_t once = PTHREAD_ONCE_INIT;
-static pthread_key_t conn_key; /* LogConn of the calling thread */
+static pthread_key_t reader_key; /* Reader of the calling thread */
 
 static void
-free_conn (void *data)
+free_reader (void *data)
 {
-  LogConn *lc = data;
+  Reader *reader = data;
 
-  if (lc->conn != NULL)
-    mg_close_connection (lc->conn);
-  free (lc);
-}
-
-static void
-init_http (void)
-{
-  mg_init_library (0);
-}
-
-/* The first call of mg_init_library is not safe against a second one. */
-void
-md_http_init (void)
-{
-  pthread_once (&http_once, init_http);
+  md_http_disconnect (&reader->connection);
+  free (reader);
 }
 
 static void
 init_once (void)
 {
-  md_http_init ();
-  if (pthread_key_create (&conn_key, free_conn) != 0)
+  if (pthread_key_create (&reader_key, free_reader) != 0)
     abort ();
 }
 
-static LogConn *
-thread_conn (void)
+static Reader *
+thread_reader (void)
 {
-  LogConn *lc;
+  Reader *reader;
 
   pthread_once (&once, init_once);
-  lc = pthread_getspecific (conn_key);
-  if (lc != NULL)
-    return lc;
-  lc = calloc (1, sizeof *lc);
-  if (lc == NULL || pthread_setspecific (conn_key, lc) != 0)
+  reader = pthread_getspecific (reader_key);
+  if (reader != NULL)
+    return reader;
+  reader = calloc (1, sizeof *reader);
+  if (reader == NULL || pthread_setspecific (reader_key, reader) != 0)
     abort ();
-  lc->margin = MARGIN_MIN;
-  return lc;
-}
-
-static void
-drop_conn (LogConn *lc)
-{
-  if (lc->conn != NULL)
-    mg_close_connection (lc->conn);
-  lc->conn = NULL;
-}
-
-static struct mg_connection *
-dial (const char *address, MdError *error)
-{
-  char host[MD_ADDRESS_BYTES];
-  char reason[128] = "";
-  struct mg_connection *conn;
-  int port;
-
-  if (md_address_split (md_str (address), host, &port) != MD_OK || port == 0)
-    {
-      md_error_set (error, MD_E_INVALID, "log-connect", address, "not an ip:port address");
-      return NULL;
-    }
-  conn = mg_connect_client (host, port, 0, reason, sizeof reason);
-  if (conn == NULL)
-    md_error_set (error, MD_E_NOT_FOUND, "log-connect", address, "%s", reason);
-  return conn;
-}
-
-/* ------------------------------------------------------------------ */
-/* One exchange                                                        */
-
-static int
-read_body (struct mg_connection *conn, MdBuf *body)
-{
-  char chunk[8192];
-  int n;
-
-  while ((n = mg_read (conn, chunk, sizeof chunk)) > 0)
-    {
-      md_buf_append (body, md_str_n (chunk, (size_t)n));
-      if (body->failed || body->len > ANSWER_MAX)
-        return MD_E_LIMIT;
-    }
-  return n < 0 ? MD_E_IO : MD_OK;
-}
-
-static bool
-body_complete (const struct mg_response_info *info, const MdBuf *body)
-{
-  return info->content_length < 0 || (uint64_t)info->content_length == body->len;
-}
-
-static int
-receive (struct mg_connection *conn, MdTime timeout, Answer *answer, const char *peer,
-         MdError *error)
-{
-  char reason[128] = "";
-  const struct mg_response_info *info;
-  MdTime start = md_now ();
-
-  if (mg_get_response (conn, reason, sizeof reason, (int)(timeout / MD_MS)) < 0)
-    {
-      bool late = md_now () - start >= timeout - 10 * MD_MS;
-      return md_error_set (error, late ? MD_E_TIMEOUT : MD_E_IO, "log-answer", peer, "%s",
-                           late ? "no answer in time" : reason);
-    }
-  info = mg_get_response_info (conn);
-  answer->status = info->status_code;
-  if (read_body (conn, &answer->body) != MD_OK || !body_complete (info, &answer->body))
-    return md_error_set (error, MD_E_IO, "log-answer", peer, "the answer broke off");
-  return MD_OK;
+  reader->margin = MARGIN_MIN;
+  return reader;
 }
 
-static int
-send_request (struct mg_connection *conn, const MdBuf *request, const char *peer, MdError *error)
+static json_t *
+parse_body (const MdHttpResponse *response)
 {
-  if (mg_write (conn, request->data, request->len) == (int)request->len)
-    return MD_OK;
-  return md_error_set (error, MD_E_IO, "log-send", peer, "the connection broke");
+  return json_loadb (response->body.data ? response->body.data : "", response->body.len, 0, NULL);
 }
 
 /* Status codes that mean the same for appends and reads. */
 static int
-check_status (const Answer *answer, const char *peer, MdError *error)
+check_status (const MdHttpResponse *response, const char *peer, MdError *error)
 {
-  if (answer->status == 200 || answer->status == 201)
+  if (response->status == 200 || response->status == 201)
     return MD_OK;
   return md_error_set (error,
-                       answer->status >= 400 && answer->status < 500 ? MD_E_INVALID : MD_E_IO,
-                       "log-answer", peer, "status %d", answer->status);
+                       response->status >= 400 && response->status < 500 ? MD_E_INVALID : MD_E_IO,
+                       "answer", peer, "status %d", response->status);
 }
 
 /* ------------------------------------------------------------------ */
 /* Append                                                              */
 
-static void
-write_append (MdBuf *request, const char *address, MdStr stream, MdStr json)
-{
-  md_buf_printf (request,
-                 "POST /v1/streams/%.*s/records HTTP/1.1\r\nHost: %s\r\n"
-                 "Content-Type: application/json\r\nContent-Length: %zu\r\n"
-                 "Connection: close\r\n\r\n{\"data\":",
-                 (int)stream.len, stream.data, address, json.len + 9);
-  md_buf_append (request, json);
-  md_buf_append (request, MD_STR ("}"));
-}
-
 static int
-parse_offset (const Answer *answer, uint64_t *offset, const char *peer, MdError *error)
+parse_offset (const MdHttpResponse *response, uint64_t *offset, const char *peer, MdError *error)
 {
-  json_t *root = json_loadb (answer->body.data ? answer->body.data : "", answer->body.len, 0, NULL);
+  json_t *root = parse_body (response);
   const json_t *value = json_object_get (root, "offset");
   int rc = MD_OK;
 
   if (json_is_integer (value) && json_integer_value (value) >= 0)
     *offset = (uint64_t)json_integer_value (value);
   else
-    rc = md_error_set (error, MD_E_IO, "log-answer", peer, "the answer has no offset");
+    rc = md_error_set (error, MD_E_IO, "answer", peer, "the answer has no offset");
   json_decref (root);
   return rc;
 }
@@ -216,94 +105,55 @@
                MdError *error)
 {
   char peer[MD_ADDRESS_BYTES];
-  MD_AUTO_BUF request = { 0 };
-  Answer answer = { 0 };
-  struct mg_connection *conn;
+  MD_AUTO_BUF path = { 0 };
+  MD_AUTO_BUF body = { 0 };
+  MdHttpRequest request = { .address = peer, .method = "POST", .timeout = timeout };
+  MdHttpResponse response = { 0 };
   int rc;
 
   md_str_copy (peer, sizeof peer, address);
-  thread_conn ();
   md_count (MD_M_LOG_APPENDS, 1);
-  write_append (&request, peer, stream, json);
-  if (request.failed)
-    return md_error_set (error, MD_E_MEMORY, "log-send", peer, "out of memory");
-  conn = dial (peer, error);
-  if (conn == NULL)
-    {
-      md_count (MD_M_LOG_ERRORS, 1);
-      return MD_E_NOT_FOUND;
-    }
-  rc = send_request (conn, &request, peer, error);
-  if (rc == MD_OK)
-    rc = receive (conn, timeout, &answer, peer, error);
+  md_buf_printf (&path, "/v1/streams/%.*s/records", (int)stream.len, stream.data);
+  md_buf_printf (&body, "{\"data\":%.*s}", (int)json.len, json.data);
+  if (path.failed || body.failed)
+    return md_error_set (error, MD_E_MEMORY, "send", peer, "out of memory");
+  request.path = path.data;
+  request.body = md_buf_str (&body);
+  request.max_bytes = ANSWER_MAX;
+  rc = md_http_call (&request, &response, error);
   if (rc == MD_OK)
-    rc = check_status (&answer, peer, error);
+    rc = check_status (&response, peer, error);
   if (rc == MD_OK)
-    rc = parse_offset (&answer, offset, peer, error);
+    rc = parse_offset (&response, offset, peer, error);
   if (rc != MD_OK)
     md_count (MD_M_LOG_ERRORS, 1);
-  mg_close_connection (conn);
-  md_buf_clear (&answer.body);
+  md_http_response_clear (&response);
   return rc;
 }
 
 /* ------------------------------------------------------------------ */
 /* Read                                                                */
 
-static int
-exchange_once (LogConn *lc, const MdBuf *request, MdTime timeout, Answer *answer, MdError *error)
-{
-  int rc;
-
-  answer->reused = lc->conn != NULL;
-  answer->body.len = 0;
-  if (lc->conn == NULL)
-    lc->conn = dial (lc->address, error);
-  if (lc->conn == NULL)
-    return MD_E_NOT_FOUND;
-  rc = send_request (lc->conn, request, lc->address, error);
-  if (rc == MD_OK)
-    rc = receive (lc->conn, timeout, answer, lc->address, error);
-  if (rc != MD_OK)
-    drop_conn (lc);
-  return rc;
-}
-
-/* A connection that broke while it was idle is replaced once at once; anything
-   else is left to the caller's back-off. */
-static int
-exchange (LogConn *lc, const MdBuf *request, MdTime timeout, Answer *answer, MdError *error)
-{
-  MdError first = { 0 };
-  int rc = exchange_once (lc, request, timeout, answer, &first);
-
-  if (rc == MD_E_IO && answer->reused)
-    return exchange_once (lc, request, timeout, answer, error);
-  if (rc != MD_OK && error != NULL && error->code == MD_OK)
-    *error = first;
-  return rc;
-}
-
 static void
-adapt_margin (LogConn *lc, int rc, MdTime elapsed, MdTime wait)
+adapt_margin (Reader *reader, int rc, MdTime elapsed, MdTime wait)
 {
   MdTime want;
 
   if (rc == MD_E_TIMEOUT)
     {
-      lc->margin = lc->margin * 2 < MARGIN_MAX ? lc->margin * 2 : MARGIN_MAX;
+      reader->margin = reader->margin * 2 < MARGIN_MAX ? reader->margin * 2 : MARGIN_MAX;
       return;
     }
   if (rc != MD_OK)
     return;
   want = elapsed > wait ? 2 * (elapsed - wait) : 0;
-  lc->margin -= lc->margin / 8;
-  if (lc->margin < want)
-    lc->margin = want;
-  if (lc->margin < MARGIN_MIN)
-    lc->margin = MARGIN_MIN;
-  if (lc->margin > MARGIN_MAX)
-    lc->margin = MARGIN_MAX;
+  reader->margin -= reader->margin / 8;
+  if (reader->margin < want)
+    reader->margin = want;
+  if (reader->margin < MARGIN_MIN)
+    reader->margin = MARGIN_MIN;
+  if (reader->margin > MARGIN_MAX)
+    reader->margin = MARGIN_MAX;
 }
 
 static bool
@@ -343,7 +193,7 @@
 
   if (!uint_member (root, "first", first) || !uint_member (root, "next", next)
       || !json_is_array (records))
-    return md_error_set (error, MD_E_IO, "log-answer", peer, "malformed answer");
+    return md_error_set (error, MD_E_IO, "answer", peer, "malformed answer");
   json_array_foreach ((json_t *)records, index, item)
   {
     deliver (item, on_record, user);
@@ -356,38 +206,37 @@
              void (*on_record) (void *user, const MdLogRecord *record), void *user, uint64_t *first,
              uint64_t *next, MdError *error)
 {
-  LogConn *lc = thread_conn ();
-  MD_AUTO_BUF request = { 0 };
-  Answer answer = { 0 };
+  Reader *reader = thread_reader ();
+  char peer[MD_ADDRESS_BYTES];
+  MD_AUTO_BUF path = { 0 };
+  MdHttpRequest request = { .address = peer, .method = "GET", .max_bytes = ANSWER_MAX };
+  MdHttpResponse response = { 0 };
   MdTime start = md_now ();
   json_t *root;
   int rc;
 
-  if (!md_str_equal (md_str (lc->address), address))
-    drop_conn (lc);
-  md_str_copy (lc->address, sizeof lc->address, address);
+  md_str_copy (peer, sizeof peer, address);
   md_count (MD_M_LOG_READS, 1);
-  md_buf_printf (&request,
-                 "GET /v1/streams/%.*s/records?from=%llu&limit=%u&wait_ms=%lld HTTP/1.1\r\n"
-                 "Host: %s\r\n\r\n",
-                 (int)stream.len, stream.data, (unsigned long long)from, max,
-                 (long long)(wait / MD_MS), lc->address);
-  rc = exchange (lc, &request, wait + lc->margin, &answer, error);
-  adapt_margin (lc, rc, md_now () - start, wait);
-  root = rc == MD_OK
-             ? json_loadb (answer.body.data ? answer.body.data : "", answer.body.len, 0, NULL)
-             : NULL;
-  if (rc == MD_OK && answer.status == 410)
+  md_buf_printf (&path, "/v1/streams/%.*s/records?from=%llu&limit=%u&wait_ms=%lld", (int)stream.len,
+                 stream.data, (unsigned long long)from, max, (long long)(wait / MD_MS));
+  if (path.failed)
+    return md_error_set (error, MD_E_MEMORY, "send", peer, "out of memory");
+  request.path = path.data;
+  request.timeout = wait + reader->margin;
+  rc = md_http_call_on (&reader->connection, &request, &response, error);
+  adapt_margin (reader, rc, md_now () - start, wait);
+  root = rc == MD_OK ? parse_body (&response) : NULL;
+  if (rc == MD_OK && response.status == 410)
     rc = uint_member (root, "first", first)
              ? MD_E_TOO_OLD
-             : md_error_set (error, MD_E_IO, "log-answer", lc->address, "410 without \"first\"");
+             : md_error_set (error, MD_E_IO, "answer", peer, "410 without \"first\"");
   else if (rc == MD_OK)
-    rc = check_status (&answer, lc->address, error);
+    rc = check_status (&response, peer, error);
   if (rc == MD_OK)
-    rc = parse_records (root, on_record, user, first, next, lc->address, error);
+    rc = parse_records (root, on_record, user, first, next, peer, error);
   if (rc != MD_OK && rc != MD_E_TOO_OLD)
     md_count (MD_M_LOG_ERRORS, 1);
   json_decref (root);
-  md_buf_clear (&answer.body);
+  md_http_response_clear (&response);
   return rc;
 }
--- a/tests/jobload.c
+++ b/tests/jobload.c
@@ -5,6 +5,7 @@
    answer. The result of each job is a line "ID OUTCOME STATUS MS": completed, failed,
    rejected (every attempt was answered 429 or 503), unknown, left. */
 
+#include "http-client.h"
 #include "md-private.h"
 
 #include <civetweb.h>
--- a/tests/logd.c
+++ b/tests/logd.c
@@ -15,6 +15,7 @@
 
    GET /control answers counters per stream. */
 
+#include "http-client.h"
 #include "md-private.h"
 
 #include <civetweb.h>
--- a/tests/platform-store.c
+++ b/tests/platform-store.c
@@ -5,6 +5,7 @@
    ms more an answer), lost (appends are done and not answered), forget (the oldest
    records go, so that reads of them are answered 410). */
 
+#include "http-client.h"
 #include "md-private.h"
 #include "server.h"
 
--- a/tests/platform-worker.c
+++ b/tests/platform-worker.c
@@ -12,6 +12,7 @@
    once), hang (runs stand still), drain (the worker reports that it leaves), quiet (it
    reports nothing). */
 
+#include "http-client.h"
 #include "md-private.h"
 #include "server.h"
 
--- /dev/null
+++ b/tests/test-http-client.c
@@ -0,0 +1,234 @@
+/* test-http-client.c -- what the blocking HTTP client says about a request that failed
+
+   A server thread takes connections on a free port of the loopback interface. Each test
+   states how many requests it answers on one connection before it closes the connection. */
+
+#include "http-client.h"
+
+#include "suite.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ANSWER "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 4\r\n\r\na\nb\n"
+
+typedef struct
+{
+  int listener;                   /* socket */
+  char address[MD_ADDRESS_BYTES]; /* of it */
+  int answers;                    /* given on each connection */
+  _Atomic int requests;           /* received */
+  pthread_t thread;               /* runs serve */
+} Server;
+
+/* Reads one request without a body; false at the end of the connection. */
+static bool
+read_request (int fd)
+{
+  char last[5] = "";
+  char byte;
+
+  while (recv (fd, &byte, 1, 0) == 1)
+    {
+      memmove (last, last + 1, 3);
+      last[3] = byte;
+      if (memcmp (last, "\r\n\r\n", 4) == 0)
+        return true;
+    }
+  return false;
+}
+
+static void *
+serve (void *data)
+{
+  Server *server = data;
+  int fd;
+
+  while ((fd = accept (server->listener, NULL, NULL)) >= 0)
+    {
+      int left = server->answers;
+
+      while (read_request (fd))
+        {
+          server->requests++;
+          if (left-- == 0 || send (fd, ANSWER, strlen (ANSWER), MSG_NOSIGNAL) < 0)
+            break;
+        }
+      close (fd);
+    }
+  return NULL;
+}
+
+static void
+start_server (Server *server, int answers)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t len = sizeof sa;
+
+  *server = (Server){ .answers = answers };
+  server->listener = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (bind (server->listener, (struct sockaddr *)&sa, sizeof sa), 0);
+  ck_assert_int_eq (listen (server->listener, 16), 0);
+  ck_assert_int_eq (getsockname (server->listener, (struct sockaddr *)&sa, &len), 0);
+  snprintf (server->address, sizeof server->address, "127.0.0.1:%d", ntohs (sa.sin_port));
+  ck_assert_int_eq (pthread_create (&server->thread, NULL, serve, server), 0);
+}
+
+static void
+stop_server (Server *server)
+{
+  shutdown (server->listener, SHUT_RDWR);
+  pthread_join (server->thread, NULL);
+  close (server->listener);
+}
+
+static MdHttpRequest
+get_request (const Server *server)
+{
+  return (MdHttpRequest){
+    .address = server->address, .method = "GET", .path = "/", .timeout = 5 * MD_SECOND
+  };
+}
+
+/* Guards against a record that is appended twice: a request whose connection breaks after
+   it was sent must not be repeated, and must not be reported as never sent. */
+START_TEST (broken_call_is_not_repeated)
+{
+  Server server;
+  MdHttpRequest request;
+  MdHttpResponse response = { 0 };
+  MdError error = { 0 };
+
+  start_server (&server, 0);
+  request = get_request (&server);
+  ck_assert_int_eq (md_http_call (&request, &response, &error), MD_E_IO);
+  ck_assert (response.sent);
+  ck_assert_int_eq (response.status, 0);
+  ck_assert_str_eq (error.step, "answer");
+  ck_assert_str_eq (error.peer, server.address);
+  stop_server (&server);
+  ck_assert_int_eq (server.requests, 1);
+  md_http_response_clear (&response);
+}
+END_TEST
+
+/* Guards against an outcome reported as unknown where nothing was sent. */
+START_TEST (unreachable_server_got_nothing)
+{
+  Server server;
+  MdHttpRequest request;
+  MdHttpResponse response = { 0 };
+  MdError error = { 0 };
+
+  start_server (&server, 0);
+  request = get_request (&server);
+  stop_server (&server);
+  ck_assert_int_eq (md_http_call (&request, &response, &error), MD_E_NOT_FOUND);
+  ck_assert (!response.sent);
+  ck_assert_int_eq (error.code, MD_E_NOT_FOUND);
+  md_http_response_clear (&response);
+}
+END_TEST
+
+/* Guards against a reader that waits out its back-off each time the service closes an
+   idle connection, and against two answers in one body. */
+START_TEST (kept_connection_is_replaced_once)
+{
+  Server server;
+  MdHttpConnection connection = { 0 };
+  MdHttpRequest request;
+  MdHttpResponse response = { 0 };
+
+  start_server (&server, 1);
+  request = get_request (&server);
+  for (int i = 0; i < 3; i++)
+    {
+      ck_assert_int_eq (md_http_call_on (&connection, &request, &response, NULL), MD_OK);
+      ck_assert_int_eq (response.status, 200);
+      ck_assert_uint_eq (response.body.len, 4);
+    }
+  md_http_disconnect (&connection);
+  stop_server (&server);
+  ck_assert_int_eq (server.requests, 5);
+  md_http_response_clear (&response);
+}
+END_TEST
+
+/* Guards against a second try on a server that is gone for good. */
+START_TEST (new_connection_is_not_replaced)
+{
+  Server server;
+  MdHttpConnection connection = { 0 };
+  MdHttpRequest request;
+  MdHttpResponse response = { 0 };
+
+  start_server (&server, 0);
+  request = get_request (&server);
+  ck_assert_int_eq (md_http_call_on (&connection, &request, &response, NULL), MD_E_IO);
+  stop_server (&server);
+  ck_assert_int_eq (server.requests, 1);
+  md_http_response_clear (&response);
+}
+END_TEST
+
+START_TEST (answer_has_a_bound)
+{
+  Server server;
+  MdHttpRequest request;
+  MdHttpResponse response = { 0 };
+
+  start_server (&server, 1);
+  request = get_request (&server);
+  request.max_bytes = 3;
+  ck_assert_int_eq (md_http_call (&request, &response, NULL), MD_E_LIMIT);
+  stop_server (&server);
+  md_http_response_clear (&response);
+}
+END_TEST
+
+static bool
+count_line (void *user, MdStr line)
+{
+  int *lines = user;
+
+  ck_assert_uint_eq (line.len, 1);
+  return ++*lines < 1;
+}
+
+/* Guards against a watch that goes on after its reader has ended it. */
+START_TEST (lines_end_when_the_reader_stops)
+{
+  Server server;
+  MdHttpRequest request;
+  MdHttpResponse response = { 0 };
+  int lines = 0;
+
+  start_server (&server, 1);
+  request = get_request (&server);
+  request.on_line = count_line;
+  request.user = &lines;
+  ck_assert_int_eq (md_http_call (&request, &response, NULL), MD_OK);
+  ck_assert_int_eq (lines, 1);
+  ck_assert_uint_eq (response.version, 7);
+  ck_assert_uint_eq (response.body.len, 0);
+  stop_server (&server);
+  md_http_response_clear (&response);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tc = tcase_create ("http-client");
+
+  tcase_add_test (tc, broken_call_is_not_repeated);
+  tcase_add_test (tc, unreachable_server_got_nothing);
+  tcase_add_test (tc, kept_connection_is_replaced_once);
+  tcase_add_test (tc, new_connection_is_not_replaced);
+  tcase_add_test (tc, answer_has_a_bound);
+  tcase_add_test (tc, lines_end_when_the_reader_stops);
+  return run_suite ("http-client", tc);
+}
--- a/tests/test-store.c
+++ b/tests/test-store.c
@@ -4,6 +4,7 @@
    or keep only later records. Every wait is for a state, without a bound of its
    own; the check framework ends a test that hangs. */
 
+#include "http-client.h"
 #include "md-control.h"
 #include "suite.h"
 
