Tell the state of a job that runs, and cancel it on DELETE

Cause: an entry answered every GET and DELETE of a job with 410, "no such job", also while it ran the job itself; a cancelled job went on to its end and held its workers' room. Change: both go to the engine as tickets. GET answers queued or in_progress; DELETE ends the runs and answers the job's caller with the state cancelled, and 200 to whoever cancelled it.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -160,6 +160,12 @@
       count = late ? MD_QUEUE_LATE : MD_QUEUE_IN_GOAL;
       md_count (MD_M_LATE, late);
     }
+  else if (status == 0 || (state != NULL && strcmp (state, MD_PLATFORM_CANCELLED) == 0))
+    {
+      metric = MD_M_CALLERS_LEFT;
+      histogram = MD_H_JOB_LEFT;
+      count = MD_QUEUE_LEFT;
+    }
   else if (status == 200)
     {
       metric = MD_M_JOBS_FAILED;
@@ -172,12 +178,6 @@
       histogram = MD_H_JOB_REJECTED;
       count = MD_QUEUE_REJECTED;
     }
-  else if (status == 0)
-    {
-      metric = MD_M_CALLERS_LEFT;
-      histogram = MD_H_JOB_LEFT;
-      count = MD_QUEUE_LEFT;
-    }
   md_count (metric, 1);
   md_observe (histogram, elapsed);
   atomic_fetch_add (&job->stats->counts[count], 1);
@@ -310,6 +310,41 @@
   answer_ticket (ticket, 200, NULL, 0);
 }
 
+/* A best-effort job is known only to the entry that took it in, and only until it has
+   ended. */
+static void
+answer_unknown (MdRunTicket *ticket)
+{
+  md_buf_append (&ticket->body, MD_STR ("{}"));
+  answer_ticket (ticket, 410, NULL, 0);
+}
+
+static void
+tell_state (MdRunEntry *entry, MdRunTicket *ticket)
+{
+  const MdEntryJob *job = find_job (entry, ticket->id, &ticket->route);
+
+  if (job == NULL)
+    answer_unknown (ticket);
+  else
+    answer_ticket (ticket, 200, job->started_at > 0 ? MD_PLATFORM_IN_PROGRESS : MD_PLATFORM_QUEUED,
+                   0);
+}
+
+static void
+cancel_job (MdRunEntry *entry, MdRunTicket *ticket)
+{
+  MdEntryJob *job = find_job (entry, ticket->id, &ticket->route);
+
+  if (job == NULL)
+    {
+      answer_unknown (ticket);
+      return;
+    }
+  md_entry_finish_job (entry, job, 200, MD_PLATFORM_CANCELLED, "cancelled", 0);
+  answer_ticket (ticket, 200, MD_PLATFORM_CANCELLED, 0);
+}
+
 void
 md_entry_ticket (MdRunEntry *entry, MdRunTicket *ticket)
 {
@@ -325,6 +360,12 @@
     case MD_TICKET_PENDING:
       count_pending (entry, ticket);
       break;
+    case MD_TICKET_STATE:
+      tell_state (entry, ticket);
+      break;
+    case MD_TICKET_CANCEL:
+      cancel_job (entry, ticket);
+      break;
     }
 }
 
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -276,11 +276,13 @@
   return answer (request, &ticket);
 }
 
+/* id: name of the job that is asked about, empty none. */
 static int
-count_pending (const Request *request, const MdRoute *route)
+ask (const Request *request, MdTicketKind kind, const MdRoute *route, const char *id)
 {
-  MdRunTicket ticket = { .kind = MD_TICKET_PENDING, .route = *route, .event = event_of_thread () };
+  MdRunTicket ticket = { .kind = kind, .route = *route, .event = event_of_thread () };
 
+  md_str_copy (ticket.id, sizeof ticket.id, md_str (id));
   if (ticket.event < 0)
     return reject (request, 503, "no descriptor", MD_SECOND);
   return answer (request, &ticket);
@@ -301,13 +303,15 @@
   const char *id = request->info->local_uri + route->prefix_len;
 
   if (*id == '\0' && strcmp (method, "GET") == 0)
-    return count_pending (request, route);
+    return ask (request, MD_TICKET_PENDING, route, "");
   if (!is_job_id (id))
     return reject (request, 404, "not the name of a job", 0);
   if (strcmp (method, "POST") == 0)
     return submit (request, route, id, max_body);
-  if (strcmp (method, "GET") == 0 || strcmp (method, "DELETE") == 0)
-    return respond (request, 410, MD_STR ("{}"), 0); /* no job is kept */
+  if (strcmp (method, "GET") == 0)
+    return ask (request, MD_TICKET_STATE, route, id);
+  if (strcmp (method, "DELETE") == 0)
+    return ask (request, MD_TICKET_CANCEL, route, id);
   return reject (request, 405, "the method is not known", 0);
 }
 
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -22,6 +22,8 @@
   MD_TICKET_SUBMIT,  /* run a job */
   MD_TICKET_GONE,    /* the caller of the ticket in of has left */
   MD_TICKET_PENDING, /* count the jobs of a queue that have not started */
+  MD_TICKET_STATE,   /* state of a job */
+  MD_TICKET_CANCEL,  /* end a job */
 } MdTicketKind;
 
 typedef struct MdRunTicket MdRunTicket;
@@ -35,7 +37,7 @@
   MdNode node;              /* in the inbox */
   MdTicketKind kind;        /* see above */
   MdRunTicket *of;          /* GONE: the ticket that is not waited for any more */
-  char id[MD_JOB_ID_BYTES]; /* SUBMIT: name of the job */
+  char id[MD_JOB_ID_BYTES]; /* SUBMIT, STATE, CANCEL: name of the job */
   char request[64];         /* SUBMIT: the caller's name for the request */
   MdRoute route;            /* queue */
   MdRunSpec spec;           /* SUBMIT: the job; taken over by the engine */
@@ -121,7 +123,7 @@
   MD_QUEUE_FAILED,   /* a task failed too often */
   MD_QUEUE_REJECTED, /* nothing has run */
   MD_QUEUE_GIVEN_UP, /* something may have run */
-  MD_QUEUE_LEFT,     /* the caller left */
+  MD_QUEUE_LEFT,     /* the caller left, or cancelled the job */
   MD_QUEUE_COUNTS
 } MdQueueCount;
 
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -23,6 +23,17 @@
   echo "a gang that fails: $(post 00000000000000a8 "${gang/cpu=1000/cpu=1000 fail}")"
   echo "runs of its members: $(sed -n 's/^start 00000000000000a8\.0\.0\.[0-2] \([0-9]*\) .*/\1/p' "$RUN/journal" | sort | uniq -c | xargs)"
   echo "longer than its queue's time-out, the caller waits: $(post 00000000000000a6 "${JOB/ms=30/ms=900}")"
+  post 00000000000000a9 "${JOB/ms=30/ms=1500}" > "$RUN/cancelled" &
+  local cancelled=$!
+  wait_for 5 grep -q '^start 00000000000000a9' "$RUN/journal" || fail "the job to cancel did not start"
+  ask () { curl -s -m 5 -X "$1" -w ' %{http_code}' -H 'Host: jobs.example' "http://127.0.0.11:$CALLERS/calc/00000000000000a9"; }
+  echo "state of a job that runs: $(ask GET)"
+  echo "it is cancelled: $(ask DELETE)"
+  wait "$cancelled"
+  echo "its caller reads: $(cat "$RUN/cancelled")"
+  stopped () { [ "$(grep -c '^end 00000000000000a9.* stopped' "$RUN/journal")" = 3 ]; }
+  wait_for 5 stopped && echo "its runs are stopped"
+  echo "its state after that: $(ask GET)"
   echo "not a job: $(post 00000000000000a5 'nonsense')"
 
   store_mode forget
