Refuse a guard's hello that cannot be kept for want of memory

Cause, found by reading: when the list of orders that a guard still runs could not be allocated, the entry went on with an empty one; the first report then settled all orders that run there as lost, and they would have been ordered again beside themselves. Change: such a connection is dropped with a log line; the guard dials again. Ruled out: keeping the frame instead of a copy, because the report comes with a later one. Tests: test-entry-guards and run-platform pass as before; no test makes the allocation fail.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -446,6 +446,7 @@
 on_hello (MdRunEntry *entry, MdLink *link, const Md__RunHello *hello)
 {
   MdEntryGuard *guard = find_guard (entry, hello->name);
+  uint64_t *alive;
 
   if (is_outdated (guard, hello))
     {
@@ -456,8 +457,12 @@
     }
   if (guard == NULL)
     guard = new_guard (entry, hello->name);
-  if (guard == NULL)
+  alive = calloc (hello->n_alive + 1, sizeof *alive);
+  if (guard == NULL || alive == NULL)
     {
+      /* Without the list, orders that run would be taken for lost. */
+      md_log (MD_LOG_ERROR, "guard-refused", "guard=%s reason=\"out of memory\"", hello->name);
+      free (alive);
       md_link_drop (link);
       return;
     }
@@ -470,8 +475,8 @@
     begin_incarnation (entry, guard, hello->incarnation);
   guard->connection = hello->connection;
   free (guard->alive);
-  guard->alive = calloc (hello->n_alive + 1, sizeof *guard->alive);
-  guard->n_alive = guard->alive != NULL ? hello->n_alive : 0;
+  guard->alive = alive;
+  guard->n_alive = hello->n_alive;
   if (guard->n_alive > 0)
     memcpy (guard->alive, hello->alive, guard->n_alive * sizeof *guard->alive);
   guard->settling = true;
