Serve queues with an advisor

Cause: jobs of such queues were rejected with 503, although best-effort jobs of every other kind are carried out; the permit had a field in the orders and nobody filled it in. Placement takes no worker without a valid permit, forecasts and goals reckon with the call, a permit that a worker does not accept is asked for again. A worker's rejection for want of a permit has a result of its own. Ruled out: asking about all workers, about one at a time, or from the guard; see docs/decisions/platform.md.

--- a/common/md-private.h
+++ b/common/md-private.h
@@ -139,6 +139,7 @@
   MdLogLevel log_level;                      /* lowest level written */
   bool is_entry;                             /* entry, otherwise guard */
   char store_address[MD_ADDRESS_BYTES];      /* runs: the platform's store */
+  char advisor_address[MD_ADDRESS_BYTES];    /* run-entry: advisory service, empty none */
   char ready_address[MD_ADDRESS_BYTES];      /* run-entry: the balancer's probes */
   char metrics_address[MD_ADDRESS_BYTES];    /* runs: counters, empty none */
   char seeds[MD_LIST_BYTES];                 /* runs: ip:port of entries, by commas; of
--- a/common/settings.c
+++ b/common/settings.c
@@ -77,6 +77,7 @@
   { "grace_s", SETTING_SECONDS, AT (drain_timeout), FOR_RUNS, 0, 3600 },
   { "log_level", SETTING_LEVEL, AT (log_level), FOR_ALL, 0, 0 },
   { "store_address", SETTING_ADDRESS, AT (store_address), FOR_RUNS | REQUIRED, 0, 0 },
+  { "advisor_address", SETTING_ADDRESS, AT (advisor_address), FOR_RUN_ENTRY, 0, 0 },
   { "ready_address", SETTING_ADDRESS, AT (ready_address), FOR_RUN_ENTRY | REQUIRED, 0, 0 },
   { "metrics_address", SETTING_ADDRESS, AT (metrics_address), FOR_RUNS, 0, 0 },
   { "seeds", SETTING_LIST, AT (seeds), FOR_RUNS, 0, 0 },
--- /dev/null
+++ b/fleet/entry-advice.c
@@ -0,0 +1,244 @@
+/* entry-advice.c -- calls of an entry to the advisory service
+
+   One call at a time: the service handles those of one machine in turn, so a call that
+   waits there would only hide from this entry which job is the most urgent by now. */
+
+#include "run-entry.h"
+
+#define ANSWER_MARGIN (150 * MD_MS) /* of a call, beyond the time that its queue states */
+#define VALID_DEFAULT MD_SECOND     /* of permits, where neither queue nor answer states it */
+#define ASK_RETRY (50 * MD_MS)      /* after a call that failed or was turned away */
+
+struct MdEntryAdviceCall
+{
+  MdRunEntry *entry;
+  MdEntryJob *job;                                /* NULL: it has ended meanwhile */
+  uint32_t step;                                  /* of the job */
+  uint32_t n;                                     /* workers named */
+  uint32_t allowed;                               /* of them */
+  uint64_t lifetime[MD_ADVICE_MAX];               /* of the workers */
+  char worker[MD_ADVICE_MAX][MD_WORKER_ID_BYTES]; /* their names */
+  MdTime valid;                                   /* of permits */
+};
+
+typedef struct MdEntryAdviceCall Call;
+
+/* ------------------------------------------------------------------ */
+/* Answers                                                            */
+
+static void
+keep (Call *call, uint32_t i, MdStr permit)
+{
+  if (md_advice_set (&call->job->advice[call->step], call->lifetime[i], permit, call->valid,
+                     call->entry->now)
+      != MD_OK)
+    md_log (MD_LOG_ERROR, "advice-lost", "job=%s step=%u reason=\"out of memory\"", call->job->id,
+            call->step);
+}
+
+static void
+on_allowed (void *user, MdStr worker, MdStr permit)
+{
+  Call *call = user;
+
+  for (uint32_t i = 0; i < call->n; i++)
+    if (md_str_equal (md_str (call->worker[i]), worker))
+      {
+        call->allowed++;
+        keep (call, i, permit);
+        return;
+      }
+}
+
+/* What was named and is not among the allowed is denied. */
+static int
+take_answer (Call *call, MdStr body, MdError *error)
+{
+  for (uint32_t i = 0; i < call->n; i++)
+    keep (call, i, MD_STR (""));
+  return md_platform_advise_answer (body, on_allowed, call, &call->valid, error);
+}
+
+static void
+on_answer (void *user, const MdHttpAnswer *answer)
+{
+  md_autofree Call *call = user;
+  MdRunEntry *entry = call->entry;
+  MdEntryJob *job = call->job;
+  MdError error = answer->error;
+
+  entry->asking = NULL;
+  entry->now = md_now ();
+  md_count (MD_M_ADVICE_CALLS, 1);
+  if (answer->status != 200)
+    {
+      md_count (MD_M_ADVICE_FAILED, 1);
+      entry->ask_after = entry->now + ASK_RETRY;
+      md_log (MD_LOG_WARN, "advice-failed", "job=%s step=%u workers=%u status=%d reason=\"%s\"",
+              job != NULL ? job->id : "-", call->step, call->n, answer->status, error.detail);
+      return;
+    }
+  if (job == NULL)
+    return;
+  if (take_answer (call, answer->body, &error) != MD_OK)
+    md_log (MD_LOG_WARN, "advice-ignored", "job=%s step=%u reason=\"%s\"", job->id, call->step,
+            error.detail);
+  job->stats->allowed_share = md_advice_learn (job->stats->allowed_share, call->n, call->allowed);
+  md_log (MD_LOG_INFO, "advice", "job=%s request=%s step=%u workers=%u allowed=%u elapsed_ms=%lld",
+          job->id, job->request, call->step, call->n, call->allowed,
+          (long long)(answer->elapsed / MD_MS));
+  md_entry_place_ready (entry, job);
+}
+
+/* ------------------------------------------------------------------ */
+/* Calls                                                              */
+
+static uint32_t
+wanted (const MdEntryJob *job, uint32_t step)
+{
+  return md_advice_wanted (job->job.spec.steps[step].count, job->stats->allowed_share);
+}
+
+/* The first step with a task that is ready and no worker that may run it; -1 none. */
+static int
+step_to_ask (MdRunEntry *entry, const MdEntryJob *job, MdTaskNeed *need)
+{
+  for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+    for (uint32_t k = 0; k < job->job.spec.steps[i].count; k++)
+      if (job->job.tasks[i][k].state == MD_TASK_READY)
+        {
+          md_entry_need (entry, job, i, need);
+          if (md_advice_bar (&job->advice[i], &entry->workers, need, entry->barred, entry->now)
+              == 0)
+            return (int)i;
+          break;
+        }
+  return -1;
+}
+
+/* Nothing that has started is given up for it: a worker that is allowed may come. */
+static void
+refuse_denied (MdRunEntry *entry, MdEntryJob *job, uint32_t step)
+{
+  if (job->job.started || job->job.ordered > 0)
+    return;
+  md_log (MD_LOG_INFO, "advice-denied", "job=%s request=%s step=%u workers=%u", job->id,
+          job->request, step, job->advice[step].n);
+  md_entry_finish_job (entry, job, 503, NULL, "not-allowed", MD_RETRY_NO_WORKER);
+}
+
+static void
+send_call (MdRunEntry *entry, MdEntryJob *job, uint32_t step, MdWorker *const *workers, uint32_t n)
+{
+  MD_AUTO_CALL request = { 0 };
+  char name[MD_RUN_NAME_BYTES];
+  MdStr names[MD_ADVICE_MAX];
+  MdTime timeout = md_advice_time (&job->route.advisor, n) + ANSWER_MARGIN;
+  Call *call = calloc (1, sizeof *call);
+
+  if (call == NULL)
+    return; /* tried again with the next pass */
+  *call = (Call){ .entry = entry, .job = job, .step = step, .n = n };
+  call->valid = job->route.advisor.valid > 0 ? job->route.advisor.valid : VALID_DEFAULT;
+  for (uint32_t i = 0; i < n; i++)
+    {
+      call->lifetime[i] = workers[i]->lifetime;
+      md_str_copy (call->worker[i], MD_WORKER_ID_BYTES, md_str (((MdEntryGuard *)workers[i])->id));
+      names[i] = md_str (call->worker[i]);
+    }
+  md_platform_step_name (name, md_str (job->id), 0, step);
+  md_platform_advise (&request, md_str (name), names, n);
+  if (md_daemon_call (entry->advisor, entry->daemon.settings.advisor_address, &request, timeout,
+                      on_answer, call)
+      != MD_OK)
+    {
+      free (call);
+      return;
+    }
+  entry->asking = call;
+}
+
+static void
+ask_for (MdRunEntry *entry, MdEntryJob *job)
+{
+  MdWorker *chosen[MD_ADVICE_MAX];
+  MdTaskNeed need;
+  int step = step_to_ask (entry, job, &need);
+  uint32_t n;
+
+  job->advice_wanted = false;
+  if (step < 0)
+    return;
+  need.barred = NULL;
+  n = md_advice_choose (&job->advice[step], &entry->workers, &need, wanted (job, (uint32_t)step),
+                        entry->barred, chosen, entry->now);
+  if (n > 0)
+    send_call (entry, job, (uint32_t)step, chosen, n);
+  else
+    refuse_denied (entry, job, (uint32_t)step);
+}
+
+static MdEntryJob *
+most_urgent (const MdRunEntry *entry)
+{
+  MdEntryJob *best = NULL;
+
+  for (MdEntryJob *job = entry->jobs; job != NULL; job = job->next)
+    if (job->advice_wanted && (best == NULL || job->goal < best->goal))
+      best = job;
+  return best;
+}
+
+MdTime
+md_entry_advice_poll (MdRunEntry *entry)
+{
+  MdEntryJob *job;
+
+  if (entry->advisor == NULL || entry->asking != NULL)
+    return INT64_MAX;
+  if (entry->now < entry->ask_after)
+    return entry->ask_after;
+  while (entry->asking == NULL && (job = most_urgent (entry)) != NULL)
+    ask_for (entry, job);
+  return INT64_MAX;
+}
+
+/* ------------------------------------------------------------------ */
+/* Placement                                                          */
+
+bool
+md_entry_advised (MdRunEntry *entry, MdEntryJob *job, uint32_t step, MdTaskNeed *need)
+{
+  if (job->advice == NULL)
+    return true;
+  need->barred = entry->barred;
+  if (md_advice_bar (&job->advice[step], &entry->workers, need, entry->barred, entry->now) > 0)
+    return true;
+  job->advice_wanted = entry->asking == NULL || entry->asking->job != job;
+  return false;
+}
+
+MdTime
+md_entry_advice_wait (const MdRunEntry *entry, const MdEntryJob *job)
+{
+  MdTime wait = 0;
+
+  if (job->advice == NULL)
+    return 0;
+  if (entry->asking != NULL)
+    wait += md_advice_time (&job->route.advisor, entry->asking->n);
+  for (const MdEntryJob *other = entry->jobs; other != NULL; other = other->next)
+    if (other != job && other->advice_wanted && other->goal < job->goal)
+      wait += md_advice_time (&other->route.advisor, wanted (other, 0));
+  return wait;
+}
+
+void
+md_entry_forget_advice (MdRunEntry *entry, MdEntryJob *job)
+{
+  if (entry->asking != NULL && entry->asking->job == job)
+    entry->asking->job = NULL;
+  for (uint32_t i = 0; job->advice != NULL && i < job->job.spec.n_steps; i++)
+    md_advice_clear (&job->advice[i]);
+  free (job->advice);
+}
--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -46,6 +46,7 @@
   uint32_t cap = entry->cap_workers > 0 ? entry->cap_workers * 2 : 16;
   MdWorker **workers;
   MdSavedRoom *rooms;
+  bool *barred;
 
   if (entry->workers.n < entry->cap_workers)
     return true;
@@ -57,6 +58,10 @@
   if (rooms == NULL)
     return false;
   entry->saved_rooms = rooms;
+  barred = realloc (entry->barred, cap * sizeof *barred);
+  if (barred == NULL)
+    return false;
+  entry->barred = barred;
   entry->cap_workers = cap;
   return true;
 }
@@ -103,6 +108,7 @@
     }
   free (entry->workers.workers);
   free (entry->saved_rooms);
+  free (entry->barred);
 }
 
 static void
@@ -215,6 +221,7 @@
   out->accelerators = order->need.accelerators;
   out->work_us = (uint64_t)order->work;
   out->start_within_us = order->start_within - (now - order->placed_at);
+  out->permit = order->permit;
   out->checkpoint = job->job.tasks[order->step][order->task].checkpoint;
   order->sent = true;
 }
@@ -308,6 +315,7 @@
   for (size_t i = 0; i < info->n_labels && i < MD_MAX_LABELS; i++)
     md_str_copy (worker->labels.label[worker->labels.n++], MD_LABEL_BYTES,
                  md_str (info->labels[i]));
+  worker->lifetime = XXH64 (guard->id, strlen (guard->id), (uint64_t)info->born_ms);
   md_log (MD_LOG_INFO, "worker-seen", "guard=%s worker=%s born_ms=%lld cpu=%u memory_mb=%u",
           guard->name, guard->id, (long long)info->born_ms, info->cpu, info->memory_mb);
 }
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -82,6 +82,7 @@
   if (grown == NULL)
     return entry->stats[0];
   md_str_copy (grown->name, sizeof grown->name, md_str (name));
+  grown->allowed_share = MD_ALLOWED_SHARE;
   entry->stats[entry->n_stats++] = grown;
   return grown;
 }
@@ -187,6 +188,7 @@
 free_job (MdRunEntry *entry, MdEntryJob *job)
 {
   unlink_job (entry, job);
+  md_entry_forget_advice (entry, job);
   md_runjob_clear (&job->job);
   free (job);
 }
@@ -245,15 +247,19 @@
       return;
     }
   job = calloc (1, sizeof *job);
-  if (job == NULL)
+  if (job != NULL && ticket->route.advisor.present)
+    job->advice = calloc (ticket->spec.n_steps, sizeof *job->advice);
+  if (job == NULL || (ticket->route.advisor.present && job->advice == NULL))
     {
-      answer_ticket (ticket, 503, NULL, MD_RETRY_NO_WORKER);
+      free (job);
+      md_entry_refuse_ticket (ticket);
       return;
     }
   if (md_runjob_init (&job->job, &ticket->spec, ticket->route.max_attempts, &error) != MD_OK)
     {
       md_log (MD_LOG_WARN, "job-rejected", "job=%s queue=%s reason=\"%s\"", ticket->id,
               ticket->route.name, error.detail);
+      md_entry_forget_advice (entry, job);
       md_runjob_clear (&job->job);
       free (job);
       answer_ticket (ticket, 503, NULL, 0);
@@ -500,6 +506,9 @@
         md_entry_order_started (entry, order);
       if (checkpoint[0] != '\0')
         keep_checkpoint (job, order, checkpoint);
+      /* The permit may be the reason. */
+      if (how == MD_RUN_REJECTED && job->advice != NULL)
+        md_advice_expire (&job->advice[order->step], order->guard->worker.lifetime);
       if (how == MD_RUN_STALE)
         job->run_base += STALE_JUMP;
       task->last = how == MD_RUN_DONE || order->withdrawn ? NULL : &order->guard->worker;
@@ -538,6 +547,8 @@
   MdTime stay;
 
   md_entry_need (entry, job, order->step, &need);
+  if (!md_entry_advised (entry, job, order->step, &need))
+    return;
   other = md_place (&entry->workers, &need, NULL, here, entry->now);
   if (other.worker == NULL || other.worker == here)
     return;
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -32,6 +32,7 @@
   need->goal = job->goal - entry->now;
   need->limit = job->limit - entry->now;
   need->per_worker = spec->per_worker;
+  need->barred = NULL;
 }
 
 /* How many tasks of a step each worker has, for a bound on them. NULL when there is
@@ -75,6 +76,10 @@
   order->work = need->work;
   order->expected = placement->run;
   order->start_within = job->goal - entry->now - placement->run;
+  if (job->advice != NULL)
+    md_str_copy (order->permit, sizeof order->permit,
+                 md_str (md_advice_permit (&job->advice[step], placement->worker->lifetime,
+                                           entry->now)));
   md_runjob_ordered (&job->job, step, index, order);
   placement->worker->outstanding++;
   md_worker_reserve (placement->worker, need->need, placement->run);
@@ -125,6 +130,8 @@
   md_autofree uint32_t *taken = count_taken (entry, job, step);
 
   md_entry_need (entry, job, step, &need);
+  if (!md_entry_advised (entry, job, step, &need))
+    return;
   if (job->job.spec.steps[step].gang
       && !gang_fits (entry, &need, job->job.spec.steps[step].count, taken))
     return;
@@ -188,6 +195,7 @@
   md_workers_restore (&entry->workers, entry->saved_rooms);
   if (chain > first)
     forecast->finish += (MdTime)(chain - first);
+  forecast->finish += md_entry_advice_wait (entry, job);
   return possible;
 }
 
@@ -215,7 +223,7 @@
   MdTime objective;
 
   for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
-    work[i] = md_entry_work (job, i);
+    work[i] = md_entry_work (job, i) + (double)md_advice_time (&job->route.advisor, MD_ADVICE_MAX);
   chain = md_runjob_chain (&job->job, work);
   objective = (MdTime)(job->route.slack_factor * chain) + job->route.target_latency;
   job->arrived = ticket->arrived;
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -254,13 +254,15 @@
     }
   if (md_platform_read_job (md_buf_str (&body), &ticket.spec, &error) != MD_OK)
     return reject (request, 400, error.detail, 0);
-  if (!ticket.spec.best_effort || route->advised)
+  if (!ticket.spec.best_effort)
     {
       md_run_spec_clear (&ticket.spec);
-      return reject (request, 503,
-                     route->advised ? "queues with an advisor are not served"
-                                    : "jobs that must be stored are not served",
-                     0);
+      return reject (request, 503, "jobs that must be stored are not served", 0);
+    }
+  if (route->advisor.present && request->front->entry->advisor == NULL)
+    {
+      md_run_spec_clear (&ticket.spec);
+      return reject (request, 503, "the queue needs an advisor and the settings name none", 0);
     }
   ticket.event = event_of_thread ();
   if (ticket.event < 0)
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -466,7 +466,7 @@
   run->run = order->run;
   run->queued.job = XXH64 (run->task, strcspn (run->task, "."), 0);
   md_str_copy (run->checkpoint, sizeof run->checkpoint, md_str (order->checkpoint));
-  md_str_copy (run->ticket, sizeof run->ticket, md_str (order->ticket));
+  md_str_copy (run->permit, sizeof run->permit, md_str (order->permit));
   run->spec = spec;
   spec->references++;
   md_runqueue_add (&guard->queue, &run->queued, guard->now);
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -532,7 +532,7 @@
                             .lease_ms = lease_ms (guard),
                             .token = guard->worker.token,
                             .checkpoint = md_str (run->checkpoint),
-                            .ticket = md_str (run->ticket) };
+                            .permit = md_str (run->permit) };
 
   md_platform_start (&order, md_str (guard->worker.id), &start);
   run->calling = true;
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -192,6 +192,16 @@
     }
 }
 
+static MdTime
+poll_advisor (MdRunEntry *entry)
+{
+  MdTime due = md_http_poll (entry->advisor);
+
+  due = md_earlier (due, md_entry_advice_poll (entry));
+  /* A call that was just made has work of its own to do. */
+  return md_earlier (due, md_http_poll (entry->advisor));
+}
+
 static void
 run_loop (MdRunEntry *entry)
 {
@@ -211,6 +221,8 @@
       due = md_earlier (due, md_keyed_poll (entry->config, entry->now));
       due = md_earlier (due, poll_registration (entry));
       due = md_earlier (due, md_http_poll (entry->daemon.store));
+      if (entry->advisor != NULL)
+        due = md_earlier (due, poll_advisor (entry));
       if (entry->n_jobs > 0)
         due = md_earlier (due, entry->next_tick);
       md_observe (MD_H_LOOP, md_now () - entry->now);
@@ -255,9 +267,12 @@
   md_directory_add (&entry->directory, md_str (own_address (settings)));
   md_directory_add_seeds (&entry->directory, settings);
   entry->daemon.store = md_http_new (entry->daemon.links, MD_STORE_CONNECTIONS);
+  if (settings->advisor_address[0] != '\0')
+    entry->advisor = md_http_new (entry->daemon.links, 1);
   entry->config = md_keyed_new (entry->daemon.store, settings->store_address, MD_TOPIC_OPERATOR,
                                 CONFIG_WAIT, on_config_record, entry);
-  if (entry->daemon.store == NULL || entry->config == NULL)
+  if (entry->daemon.store == NULL || entry->config == NULL
+      || (settings->advisor_address[0] != '\0' && entry->advisor == NULL))
     return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
   entry->front = md_front_start (entry, error);
   return entry->front != NULL ? MD_OK : MD_E_IO;
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -7,6 +7,7 @@
 #ifndef MD_RUN_ENTRY_H
 #define MD_RUN_ENTRY_H
 
+#include "advice.h"
 #include "daemon.h"
 #include "inbox.h"
 
@@ -90,26 +91,27 @@
 /* A run ordered and not ended. */
 struct MdEntryOrder
 {
-  MdEntryOrder *next;     /* at the guard */
-  MdEntryOrder *previous; /* at the guard */
-  MdEntryOrder *unsent;   /* next to be sent */
-  uint64_t id;            /* unique in this process */
-  MdEntryGuard *guard;    /* where */
-  MdEntryJob *job;        /* whose; NULL: nobody waits for it any more */
-  uint32_t step;          /* of the job */
-  uint32_t task;          /* of the step */
-  uint32_t run;           /* number of the start */
-  MdRoom need;            /* room */
-  MdTime declared;        /* run time that the caller stated */
-  MdTime placed_at;       /* when it was ordered */
-  MdTime wait;            /* expected then */
-  double work;            /* run time expected at speed 1 */
-  MdTime expected;        /* run time expected there */
-  MdTime start_within;    /* slack then */
-  bool sent;              /* on its way */
-  bool started;           /* the guard has handed it to the worker */
-  bool withdrawn;         /* the guard was asked to give it back */
-  bool cancelled;         /* the guard was asked to end it */
+  MdEntryOrder *next;           /* at the guard */
+  MdEntryOrder *previous;       /* at the guard */
+  MdEntryOrder *unsent;         /* next to be sent */
+  uint64_t id;                  /* unique in this process */
+  MdEntryGuard *guard;          /* where */
+  MdEntryJob *job;              /* whose; NULL: nobody waits for it any more */
+  uint32_t step;                /* of the job */
+  uint32_t task;                /* of the step */
+  uint32_t run;                 /* number of the start */
+  MdRoom need;                  /* room */
+  MdTime declared;              /* run time that the caller stated */
+  MdTime placed_at;             /* when it was ordered */
+  MdTime wait;                  /* expected then */
+  double work;                  /* run time expected at speed 1 */
+  MdTime expected;              /* run time expected there */
+  MdTime start_within;          /* slack then */
+  char permit[MD_PERMIT_BYTES]; /* of the advisory service, empty none */
+  bool sent;                    /* on its way */
+  bool started;                 /* the guard has handed it to the worker */
+  bool withdrawn;               /* the guard was asked to give it back */
+  bool cancelled;               /* the guard was asked to end it */
 };
 
 /* ------------------------------------------------------------------ */
@@ -133,6 +135,7 @@
   char name[MD_NAME_BYTES];                /* of the queue */
   MdCorrection correction;                 /* of declared run times */
   MdDemand demand;                         /* of its jobs */
+  double allowed_share;                    /* of workers, by its advisor; learned */
   _Atomic int64_t counts[MD_QUEUE_COUNTS]; /* by answer, also read by other threads */
 } MdQueueStats;
 
@@ -146,6 +149,8 @@
   MdRoute route;            /* queue */
   MdQueueStats *stats;      /* of the queue */
   MdRunJob job;             /* tasks */
+  MdAdvice *advice;         /* per step; NULL: the queue has no advisor */
+  bool advice_wanted;       /* a step waits for a call to the advisor */
   MdRunTicket *tickets;     /* callers that wait */
   MdTime arrived;           /* first ticket */
   MdTime goal;              /* answered later, it is late */
@@ -177,6 +182,10 @@
   MdQueueStats *stats[MD_MAX_QUEUES];  /* n_stats entries */
   _Atomic uint32_t n_stats;            /* queues seen */
   MdCorrection typical;                /* of all queues together */
+  MdHttp *advisor;                     /* calls to the advisory service, NULL none */
+  struct MdEntryAdviceCall *asking;    /* call under way, NULL none */
+  MdTime ask_after;                    /* no call before, after one failed */
+  bool *barred;                        /* cap_workers entries, for placements by advice */
   MdTime now;                          /* at the start of the pass */
   MdTime next_tick;                    /* next look at waiting runs */
   MdTime register_due;                 /* next attempt to write our address */
@@ -210,13 +219,25 @@
 void md_entry_need (const MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
                     MdTaskNeed *need);
 /* md_entry_set_times: goal, limit and deadline of a new job; returns its longest chain of
-   work, microseconds. */
+   work and calls for advice, microseconds. */
 double md_entry_set_times (MdEntryJob *job, const MdRunTicket *ticket);
 /* md_entry_admit: place the job or reject it. */
 void md_entry_admit (MdRunEntry *entry, MdEntryJob *job, double chain);
 /* md_entry_place_ready: order what is ready; what no worker can take stays ready. */
 void md_entry_place_ready (MdRunEntry *entry, MdEntryJob *job);
 
+/* entry-advice.c */
+#define MD_ALLOWED_SHARE 0.5 /* of workers, until an advisor has said more */
+/* md_entry_advised: bar the workers that may not run the step; false when none may yet, in
+   which case the advisor is asked. */
+bool md_entry_advised (MdRunEntry *entry, MdEntryJob *job, uint32_t step, MdTaskNeed *need);
+/* md_entry_advice_wait: until the calls for more urgent jobs are answered. */
+MdTime md_entry_advice_wait (const MdRunEntry *entry, const MdEntryJob *job);
+/* md_entry_advice_poll: make the next call; returns when to call again. */
+MdTime md_entry_advice_poll (MdRunEntry *entry);
+/* md_entry_forget_advice: the job ends. */
+void md_entry_forget_advice (MdRunEntry *entry, MdEntryJob *job);
+
 /* entry-jobs.c */
 /* md_entry_finish_job: answer the callers, end what is left of the job, and free it. */
 void md_entry_finish_job (MdRunEntry *entry, MdEntryJob *job, int status, const char *state,
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -8,6 +8,7 @@
 #ifndef MD_RUN_GUARD_H
 #define MD_RUN_GUARD_H
 
+#include "advice.h"
 #include "daemon.h"
 #include "inbox.h"
 
@@ -34,7 +35,7 @@
   uint32_t run;                         /* number of the start */
   MdRunText *spec;                      /* what it runs */
   char checkpoint[MD_CHECKPOINT_BYTES]; /* to resume from, empty none */
-  char ticket[MD_CHECKPOINT_BYTES];     /* of the advisory service, empty none */
+  char permit[MD_PERMIT_BYTES];         /* of the advisory service, empty none */
   bool confirmed;                       /* the worker has it */
   MdTime confirmed_at;                  /* since when */
   bool calling;                         /* a start is under way */
--- a/net/wire.pb-c.c
+++ b/net/wire.pb-c.c
@@ -4057,12 +4057,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ticket",
+    "permit",
     11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Md__RunOrder, ticket),
+    offsetof(Md__RunOrder, permit),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -4075,11 +4075,11 @@
   4,   /* field[4] = cpu */
   0,   /* field[0] = id */
   5,   /* field[5] = memory_mb */
+  10,   /* field[10] = permit */
   2,   /* field[2] = run */
   3,   /* field[3] = spec */
   8,   /* field[8] = start_within_us */
   1,   /* field[1] = task */
-  10,   /* field[10] = ticket */
   7,   /* field[7] = work_us */
 };
 static const ProtobufCIntRange md__run_order__number_ranges[1 + 1] =
--- a/net/wire.pb-c.h
+++ b/net/wire.pb-c.h
@@ -607,7 +607,10 @@
    */
   int64_t start_within_us;
   char *checkpoint;
-  char *ticket;
+  /*
+   * of the advisory service, empty none
+   */
+  char *permit;
 };
 #define MD__RUN_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_order__descriptor) \
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -47,8 +47,8 @@
   return false;
 }
 
-static bool
-can_run (const MdWorker *worker, const MdTaskNeed *need)
+bool
+md_worker_can_run (const MdWorker *worker, const MdTaskNeed *need)
 {
   return worker->state == MD_WORKER_READY && worker->connected
          && strcmp (worker->service, need->service) == 0
@@ -153,7 +153,7 @@
       MdPlacement placement;
       MdPlacement *kept;
 
-      if (!can_run (worker, need))
+      if (!md_worker_can_run (worker, need) || (need->barred != NULL && need->barred[i]))
         continue;
       if (need->per_worker > 0 && taken != NULL && taken[i] >= need->per_worker)
         continue;
@@ -174,7 +174,8 @@
     {
       MdWorker *worker = workers->workers[i];
 
-      if (can_run (worker, need) && !is_avoided (worker, now))
+      if (md_worker_can_run (worker, need) && !is_avoided (worker, now)
+          && (need->barred == NULL || !need->barred[i]))
         {
           MdTime wait = place_on (workers, worker, need, now).wait;
 
@@ -255,7 +256,7 @@
 md_place_possible (const MdWorkers *workers, const MdTaskNeed *need)
 {
   for (uint32_t i = 0; i < workers->n; i++)
-    if (can_run (workers->workers[i], need))
+    if (md_worker_can_run (workers->workers[i], need))
       return true;
   return false;
 }
--- a/sched/routes.h
+++ b/sched/routes.h
@@ -3,7 +3,7 @@
 #ifndef MD_ROUTES_H
 #define MD_ROUTES_H
 
-#include "md-base.h"
+#include "advice.h"
 
 #define MD_HOST_BYTES 128   /* host name, with terminator */
 #define MD_PREFIX_BYTES 128 /* path prefix, with terminator */
@@ -19,8 +19,7 @@
   MdTime target_latency;        /* response-time goal beyond the work */
   double slack_factor;          /* response-time goal, as a multiple of the work */
   uint32_t max_attempts;        /* failed runs of a task that fail its job */
-  bool advised;                 /* an advisory service has to allow workers; such
-                                   queues are not served yet */
+  MdAdvisor advisor;            /* has to allow the workers of each step */
 } MdRoute;
 
 /* An immutable table, published through RCU at each change. */
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -181,6 +181,7 @@
 typedef struct
 {
   uint64_t guard;       /* incarnation of its guard */
+  uint64_t lifetime;    /* tells lives of workers apart, 0 not reported */
   MdWorkerState state;  /* as reported */
   MdRoom capacity;      /* as reported */
   MdRoom free;          /* as reported, less what was ordered since */
@@ -216,6 +217,7 @@
   MdTime goal;             /* an end within this time meets the goal of the job */
   MdTime limit;            /* an end after this time is worth nothing */
   uint32_t per_worker;     /* most tasks of the step on one worker, 0 any */
+  const bool *barred;      /* by worker: must not run the step; NULL none */
 } MdTaskNeed;
 
 typedef struct
@@ -260,6 +262,9 @@
 void md_workers_save (const MdWorkers *workers, MdSavedRoom *saved);
 void md_workers_restore (const MdWorkers *workers, const MdSavedRoom *saved);
 
+/* md_worker_can_run: busy or not, it has the room and the labels. */
+bool md_worker_can_run (const MdWorker *worker, const MdTaskNeed *need);
+
 /* md_place_possible: some worker, busy or not, has the room and the labels. */
 bool md_place_possible (const MdWorkers *workers, const MdTaskNeed *need);
 
--- a/tests/platform-store.c
+++ b/tests/platform-store.c
@@ -3,12 +3,17 @@
    Keyed topics with one partition, in memory: append, read with a wait, newest record
    of each key. POST /control?mode=M: normal, silent (no answer), busy (503), slow (200
    ms more an answer), lost (appends are done and not answered), forget (the oldest
-   records go, so that reads of them are answered 410). */
+   records go, so that reads of them are answered 410).
+
+   It is the advisory service as well: POST /v1/advise allows the one worker that
+   /control?allow=ID has named, with the permit "WORKER/STEP". */
 
 #include "http-client.h"
+#include "http-server.h"
 #include "md-private.h"
 #include "server.h"
 
+#include <jansson.h>
 #include <openssl/evp.h>
 #include <popt.h>
 #include <pthread.h>
@@ -41,6 +46,7 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 static atomic_int mode;
+static char allowed[64]; /* worker; under the lock */
 static atomic_bool stopping;
 
 static Topic *
@@ -220,6 +226,30 @@
     }
 }
 
+static int
+advise (struct mg_connection *conn)
+{
+  MD_AUTO_BUF body = { 0 };
+  MD_AUTO_BUF out = { 0 };
+  json_t *root;
+  const json_t *workers;
+
+  if (md_http_read_body (conn, 65536, &body) != 0)
+    return respond (conn, 400, MD_STR ("{}"));
+  root = json_loadb (body.data, body.len, 0, NULL);
+  workers = json_object_get (root, "workers");
+  md_buf_append (&out, MD_STR ("{\"allowed\":["));
+  pthread_mutex_lock (&lock);
+  for (size_t i = 0; i < json_array_size (workers); i++)
+    if (strcmp (json_string_value (json_array_get (workers, i)), allowed) == 0)
+      md_buf_printf (&out, "[\"%s\",\"%s/%s\"]", allowed, allowed,
+                     json_string_value (json_object_get (root, "step")));
+  pthread_mutex_unlock (&lock);
+  md_buf_append (&out, MD_STR ("],\"valid_ms\":3000}"));
+  json_decref (root);
+  return respond (conn, 200, md_buf_str (&out));
+}
+
 static int
 handle (struct mg_connection *conn, void *data MD_UNUSED)
 {
@@ -229,9 +259,11 @@
   int64_t wait = variable (info, "wait_ms", text, sizeof text);
   Topic *topic;
 
-  variable (info, "topic", text, sizeof text);
   if (misbehave (conn))
     return 200;
+  if (strcmp (info->local_uri, "/v1/advise") == 0)
+    return advise (conn);
+  variable (info, "topic", text, sizeof text);
   pthread_mutex_lock (&lock);
   topic = topic_of (text);
   pthread_mutex_unlock (&lock);
@@ -250,6 +282,11 @@
   static const char *const names[] = { "normal", "silent", "busy", "slow", "lost" };
   char text[32];
 
+  pthread_mutex_lock (&lock);
+  variable (mg_get_request_info (conn), "allow", text, sizeof text);
+  if (text[0] != '\0')
+    snprintf (allowed, sizeof allowed, "%s", text);
+  pthread_mutex_unlock (&lock);
   variable (mg_get_request_info (conn), "mode", text, sizeof text);
   if (strcmp (text, "forget") == 0)
     {
--- a/tests/platform-worker.c
+++ b/tests/platform-worker.c
@@ -1,7 +1,8 @@
 /* platform-worker.c -- stand-in for a worker of the users' platform
 
    It registers at a guard, takes starts, stops and holds, and keeps leases. A run
-   lasts as long as its spec says ("ms=120", with " fail" to fail), divided by --speed.
+   lasts as long as its spec says ("ms=120", with " fail" to fail), divided by --speed. A
+   spec with " advised" needs the permit "WORKER/STEP" of the advisory service.
 
    The journal is the judge of double runs: lines "start TASK RUN MS ID",
    "end TASK RUN HOW MS", "drain - 0 MS ID" and "undrain - 0 MS ID", with the wall
@@ -217,6 +218,17 @@
 /* ------------------------------------------------------------------ */
 /* Orders; the lock is held                                           */
 
+/* The name of a step is that of its tasks without the last number. */
+static bool
+is_permitted (const json_t *body, const char *task)
+{
+  const char *permit = json_string_value (json_object_get (body, "ticket"));
+  char expected[192];
+
+  snprintf (expected, sizeof expected, "%s/%.*s", w.id, (int)(strrchr (task, '.') - task), task);
+  return permit != NULL && strcmp (permit, expected) == 0;
+}
+
 static const char *
 start (const json_t *body)
 {
@@ -240,6 +252,8 @@
   extend_lease (body);
   if (run <= highest_of (task)->run)
     return "old";
+  if (strstr (spec, " advised") != NULL && !is_permitted (body, task))
+    return "ticket";
   slot->cpu = cpu != NULL ? atoi (cpu + 4) : 1000;
   if (w.n_runs == MAX_RUNS || w.used_cpu + slot->cpu > w.cpu)
     return "room";
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -39,6 +39,7 @@
 pid_of () { cat "$RUN/$1.pid"; }
 
 start_store () { launch store "$BIN/tests/platform-store" --listen "$STORE"; }
+advisor_allows () { curl -sS -m 3 -X POST "http://$STORE/control?allow=$1" > /dev/null; }
 store_mode () { curl -sS -m 3 -X POST "http://$STORE/control?mode=$1" > /dev/null; }
 
 start_worker () { # n [speed]
@@ -65,6 +66,7 @@
 entry_port: $INNER
 caller_address: $ip:$CALLERS
 ready_address: $ip:$READY
+advisor_address: $STORE
 advertised_address: ${ADVERTISED:-$ip:$INNER}
 seeds: "$SEEDS"
 caller_threads: 64
@@ -98,7 +100,9 @@
   local version=$1 routes= prefix
   shift
   for prefix in "$@"; do
-    routes="$routes${routes:+,}{\"name\":\"q$prefix\",\"host\":\"jobs.example\",\"path_prefix\":\"$prefix\",\"timeout_ms\":1500,\"target_latency_ms\":60,\"priority\":1,\"service\":\"calc\",\"max_attempts\":2,\"slack_factor\":4}"
+    local advisor=
+    [ "$prefix" = /advised/ ] && advisor='"advisor":{"decision_ms":5,"period_ms":1,"valid_ms":3000},'
+    routes="$routes${routes:+,}{$advisor\"name\":\"q$prefix\",\"host\":\"jobs.example\",\"path_prefix\":\"$prefix\",\"timeout_ms\":1500,\"target_latency_ms\":60,\"priority\":1,\"service\":\"calc\",\"max_attempts\":2,\"slack_factor\":4}"
   done
   printf '{"version":%s,"routes":[%s],"services":[],"limits":{}}' "$version" "$routes" \
     > "$RUN/config.json"
@@ -129,7 +133,7 @@
 # post JOB BODY [entry]: prints the status and the body.
 post () {
   curl -s -m 5 -w ' %{http_code}\n' -H 'Host: jobs.example' -H 'Content-Type: application/json' \
-    -d "$2" "http://127.0.0.$((10 + ${3:-1})):$CALLERS/calc/$1"
+    -d "$2" "http://127.0.0.$((10 + ${3:-1})):$CALLERS${QUEUE:-/calc/}$1"
 }
 
 start_platform () {
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -36,17 +36,27 @@
   echo "its state after that: $(ask GET)"
   echo "not a job: $(post 00000000000000a5 'nonsense')"
 
+  put_config 4 /calc/ /advised/
+  wait_for 5 seen entry-1 'config-applied version=4' || fail "version 4 is not applied"
+  advisor_allows i-2
+  local advised=${JOB/cpu=1000/cpu=1000 advised}
+  echo "a queue with an advisor: $(QUEUE=/advised/ post 00000000000000aa "$advised")"
+  echo "its starts: $(sed -n 's/^start 00000000000000aa.* //p' "$RUN/journal" | sort | uniq -c | xargs), rejected $(cat "$RUN"/guard-*.log | grep -c start-rejected)"
+  advisor_allows nobody
+  echo "its advisor allows no worker: $(QUEUE=/advised/ post 00000000000000ab "$advised")"
+
   store_mode forget
   put_config 8 /calc/ /added/
   wait_for 5 seen entry-1 'config-applied version=8' || fail "version 8 is not applied"
   put_config 5 /calc/
-  put_config 9 /calc/ /added/ /more/
+  put_config 9 /calc/ /added/ /more/ /advised/
   wait_for 5 seen entry-1 'config-applied version=9' || fail "version 9 is not applied"
   seen entry-1 'config-applied version=5' && fail "an older version was applied"
   echo "an added queue: $(curl -s -m 5 -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' "http://127.0.0.11:$CALLERS/more/")"
 
   store_mode silent
   echo "while the store is silent: $(post 00000000000000b1 "$JOB")"
+  echo "while its advisor is silent: $(QUEUE=/advised/ post 00000000000000ac "$advised")"
   store_mode normal
 
   worker_mode 1 drain
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -230,7 +230,7 @@
   ck_assert_str_eq (route->name, "a");
   ck_assert_int_eq (route->target_latency, 60 * MD_MS);
   ck_assert_str_eq (md_routes_find (routes, MD_STR ("h.example"), MD_STR ("/p/q/0a"))->name, "b");
-  ck_assert (md_routes_find (routes, MD_STR ("h.example"), MD_STR ("/p/q/0a"))->advised);
+  ck_assert (md_routes_find (routes, MD_STR ("h.example"), MD_STR ("/p/q/0a"))->advisor.present);
   ck_assert_ptr_null (md_routes_find (routes, MD_STR ("g.example"), MD_STR ("/p/0a")));
   ck_assert_ptr_null (md_routes_find (routes, MD_STR ("h.example"), MD_STR ("/p")));
   md_routes_free (routes);
