Read changed settings while a run-entry or run-guard runs

Cause: SIGHUP was ignored and a changed settings file had no effect before the next start, although the platform changes these files with and without a signal; before its handlers were installed a daemon would have ended on SIGHUP. Change: on SIGHUP, and when a look once a second finds the file changed, it is read and checked as at the start; settings that can change while the process runs are taken over, others are named in the log. A file with faults, or none, changes nothing. SIGHUP is ignored until it is caught. A list of tokens that cannot be allocated is a fault now. Ruled out: inotify, which the platform does not offer; a restart of the listeners for new addresses, because the platform changes addresses with a new process only. Tests: test-settings (test_update; it found that drain_timeout_ms, an alias of grace_s, was not taken over), run-platform (signal, file, faults): without the change SIGHUP shows no line.

--- a/common/log.c
+++ b/common/log.c
@@ -26,7 +26,7 @@
 {
   int fd;            /* descriptor, -1 closed */
   char node[64];     /* node name */
-  MdLogLevel lowest; /* lowest level written */
+  atomic_int lowest; /* MdLogLevel: lowest level written */
 } logger = { .fd = -1 };
 
 /* Lines of a daemon on their way to the writer. */
@@ -49,14 +49,21 @@
 md_log_open (int fd, const char *node, MdLogLevel lowest)
 {
   logger.fd = fd;
-  logger.lowest = lowest;
+  md_log_set_level (lowest);
   md_str_copy (logger.node, sizeof logger.node, md_str (node));
 }
 
 bool
 md_log_enabled (MdLogLevel level)
 {
-  return logger.fd >= 0 && level >= logger.lowest;
+  return logger.fd >= 0
+         && (int)level >= atomic_load_explicit (&logger.lowest, memory_order_relaxed);
+}
+
+void
+md_log_set_level (MdLogLevel lowest)
+{
+  atomic_store_explicit (&logger.lowest, (int)lowest, memory_order_relaxed);
 }
 
 static size_t
--- a/common/md-private.h
+++ b/common/md-private.h
@@ -25,6 +25,8 @@
    one write per line. */
 void md_log_open (int fd, const char *node, MdLogLevel lowest);
 bool md_log_enabled (MdLogLevel level);
+/* md_log_set_level: from any thread. */
+void md_log_set_level (MdLogLevel lowest);
 
 /* md_log_start_writer: from now on no caller of md_log waits for the reader of the
    log; a thread writes the lines, and lines are left out when they come too fast.
@@ -162,6 +164,12 @@
 int md_settings_parse (MdSettings *settings, const char *path, MdStr text, MdBuf *faults);
 void md_settings_clear (MdSettings *settings);
 
+/* md_settings_update: take over from fresh what a run-entry or run-guard can change while
+   it runs. The names of these settings are appended to applied, those of others that
+   differ to deferred, separated by commas. */
+void md_settings_update (MdSettings *settings, const MdSettings *fresh, MdBuf *applied,
+                         MdBuf *deferred);
+
 /* md_settings_token: the token that matches, NULL when none does. Compares with
    every token in constant time. */
 const MdToken *md_settings_token (const MdSettings *settings, MdStr presented);
--- a/common/settings.c
+++ b/common/settings.c
@@ -37,6 +37,7 @@
   FOR_RUN_GUARD = 16,
   FOR_RUNS = FOR_RUN_ENTRY | FOR_RUN_GUARD,
   FOR_ALL = FOR_BOTH | FOR_RUNS,
+  LIVE = 32, /* a run-entry or run-guard takes it over while it runs */
 };
 
 typedef struct
@@ -44,7 +45,7 @@
   const char *name; /* key in the file */
   SettingType type; /* how it is read */
   size_t offset;    /* in the structure */
-  unsigned flags;   /* FOR_ and REQUIRED */
+  unsigned flags;   /* FOR_, REQUIRED and LIVE */
   double min;       /* lowest value of numbers */
   double max;       /* highest value of numbers */
 } Setting;
@@ -73,20 +74,20 @@
   { "cores", SETTING_U32, AT (cores), FOR_GUARD, 1, 4096 },
   { "memory_mb", SETTING_U32, AT (memory_mb), FOR_GUARD, 1, 1 << 26 },
   { "accelerators", SETTING_U32, AT (accelerators), FOR_GUARD, 0, 64 },
-  { "drain_timeout_ms", SETTING_MS, AT (drain_timeout), FOR_ALL, 0, 3600e3 },
-  { "grace_s", SETTING_SECONDS, AT (drain_timeout), FOR_RUNS, 0, 3600 },
-  { "log_level", SETTING_LEVEL, AT (log_level), FOR_ALL, 0, 0 },
+  { "grace_s", SETTING_SECONDS, AT (drain_timeout), FOR_RUNS | LIVE, 0, 3600 },
+  { "drain_timeout_ms", SETTING_MS, AT (drain_timeout), FOR_ALL | LIVE, 0, 3600e3 },
+  { "log_level", SETTING_LEVEL, AT (log_level), FOR_ALL | LIVE, 0, 0 },
   { "store_address", SETTING_ADDRESS, AT (store_address), FOR_RUNS | REQUIRED, 0, 0 },
   { "advisor_address", SETTING_ADDRESS, AT (advisor_address), FOR_RUN_ENTRY, 0, 0 },
   { "ready_address", SETTING_ADDRESS, AT (ready_address), FOR_RUN_ENTRY | REQUIRED, 0, 0 },
   { "metrics_address", SETTING_ADDRESS, AT (metrics_address), FOR_RUNS, 0, 0 },
-  { "seeds", SETTING_LIST, AT (seeds), FOR_RUNS, 0, 0 },
+  { "seeds", SETTING_LIST, AT (seeds), FOR_RUNS | LIVE, 0, 0 },
   { "entry_port", SETTING_U32, AT (entry_port), FOR_RUNS | REQUIRED, 1, 65535 },
   { "worker_address", SETTING_ADDRESS, AT (worker_address), FOR_RUN_GUARD | REQUIRED, 0, 0 },
   { "register_address", SETTING_ADDRESS, AT (register_address), FOR_RUN_GUARD | REQUIRED, 0, 0 },
-  { "worker_lease_max_ms", SETTING_MS, AT (worker_lease_max), FOR_RUN_GUARD, 100, 60e3 },
-  { "resend_after_ms", SETTING_MS, AT (resend_after), FOR_RUNS, 100, 600e3 },
-  { "remote_factor", SETTING_DOUBLE, AT (remote_factor), FOR_RUN_ENTRY, 1, 100 },
+  { "worker_lease_max_ms", SETTING_MS, AT (worker_lease_max), FOR_RUN_GUARD | LIVE, 100, 60e3 },
+  { "resend_after_ms", SETTING_MS, AT (resend_after), FOR_RUNS | LIVE, 100, 600e3 },
+  { "remote_factor", SETTING_DOUBLE, AT (remote_factor), FOR_RUN_ENTRY | LIVE, 1, 100 },
 };
 
 #define TUNE(field) offsetof (MdTuning, field)
@@ -400,7 +401,10 @@
   n = (size_t)(list->data.sequence.items.top - list->data.sequence.items.start);
   settings->tokens = calloc (n ? n : 1, sizeof *settings->tokens);
   if (settings->tokens == NULL)
-    return;
+    {
+      add_fault (reader, list, "tokens: out of memory");
+      return;
+    }
   for (size_t i = 0; i < n; i++)
     {
       const yaml_node_t *map = node_at (reader, list->data.sequence.items.start[i]);
@@ -631,3 +635,81 @@
       found = &settings->tokens[i];
   return found;
 }
+
+/* ------------------------------------------------------------------ */
+/* Changes while the process runs                                      */
+
+static bool
+same_value (const Setting *setting, const void *a, const void *b)
+{
+  switch (setting->type)
+    {
+    case SETTING_NAME:
+    case SETTING_ADDRESS:
+    case SETTING_LIST:
+      return strcmp (a, b) == 0;
+    case SETTING_U32:
+      return *(const uint32_t *)a == *(const uint32_t *)b;
+    case SETTING_U64:
+      return *(const uint64_t *)a == *(const uint64_t *)b;
+    case SETTING_MS:
+    case SETTING_SECONDS:
+      return *(const MdTime *)a == *(const MdTime *)b;
+    case SETTING_DOUBLE:
+      return memcmp (a, b, sizeof (double)) == 0;
+    case SETTING_LEVEL:
+      return *(const MdLogLevel *)a == *(const MdLogLevel *)b;
+    }
+  return true;
+}
+
+static void
+copy_value (const Setting *setting, void *to, const void *from)
+{
+  switch (setting->type)
+    {
+    case SETTING_NAME:
+      memcpy (to, from, MD_NAME_BYTES);
+      break;
+    case SETTING_ADDRESS:
+      memcpy (to, from, MD_ADDRESS_BYTES);
+      break;
+    case SETTING_LIST:
+      memcpy (to, from, MD_LIST_BYTES);
+      break;
+    case SETTING_U32:
+      *(uint32_t *)to = *(const uint32_t *)from;
+      break;
+    case SETTING_U64:
+      *(uint64_t *)to = *(const uint64_t *)from;
+      break;
+    case SETTING_MS:
+    case SETTING_SECONDS:
+      *(MdTime *)to = *(const MdTime *)from;
+      break;
+    case SETTING_DOUBLE:
+      *(double *)to = *(const double *)from;
+      break;
+    case SETTING_LEVEL:
+      *(MdLogLevel *)to = *(const MdLogLevel *)from;
+      break;
+    }
+}
+
+void
+md_settings_update (MdSettings *settings, const MdSettings *fresh, MdBuf *applied, MdBuf *deferred)
+{
+  for (size_t i = 0; i < MD_ARRAY_SIZE (settings_table); i++)
+    {
+      const Setting *setting = &settings_table[i];
+      void *old = (char *)settings + setting->offset;
+      const void *new = (const char *)fresh + setting->offset;
+      MdBuf *names = setting->flags & LIVE ? applied : deferred;
+
+      if (same_value (setting, old, new))
+        continue;
+      md_buf_printf (names, "%s%s", names->len > 0 ? "," : "", setting->name);
+      if (setting->flags & LIVE)
+        copy_value (setting, old, new);
+    }
+}
--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -2,6 +2,7 @@
 
 #include "daemon.h"
 
+#include <errno.h>
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
@@ -9,6 +10,10 @@
 
 static MdLinks *signal_links;       /* woken by signals */
 static atomic_bool signal_stopping; /* SIGTERM or SIGINT has arrived */
+static atomic_bool signal_reload;   /* SIGHUP has arrived */
+
+/* A changed file has to take effect within the two seconds that configurations have. */
+#define FILE_INTERVAL MD_SECOND
 
 static int
 parse_options (int argc, const char **argv, char **config)
@@ -31,12 +36,15 @@
 md_daemon_open (MdDaemon *daemon, int argc, const char **argv)
 {
   MD_AUTO_BUF faults = { 0 };
-  md_autofree char *config = NULL;
-  int rc = parse_options (argc, argv, &config);
+  int rc = parse_options (argc, argv, &daemon->path);
 
+  /* Until it is caught, it must not end the process; a change shows in the file. */
+  signal (SIGHUP, SIG_IGN);
   if (rc != MD_EXIT_OK)
     return rc;
-  if (md_settings_load (&daemon->settings, config, &faults) != MD_OK)
+  if (stat (daemon->path, &daemon->file) != 0)
+    fprintf (stderr, "%s: %s\n", daemon->path, strerror (errno));
+  if (md_settings_load (&daemon->settings, daemon->path, &faults) != MD_OK)
     {
       fputs (faults.data != NULL ? faults.data : "settings cannot be read\n", stderr);
       md_settings_clear (&daemon->settings);
@@ -57,9 +65,63 @@
   md_http_free (daemon->store);
   md_links_free (daemon->links);
   md_settings_clear (&daemon->settings);
+  free (daemon->path);
   md_log_stop_writer ();
 }
 
+static bool
+is_same_file (const struct stat *a, const struct stat *b)
+{
+  return a->st_ino == b->st_ino && a->st_size == b->st_size
+         && a->st_mtim.tv_sec == b->st_mtim.tv_sec && a->st_mtim.tv_nsec == b->st_mtim.tv_nsec;
+}
+
+static bool
+reload (MdDaemon *daemon, const char *trigger)
+{
+  MD_AUTO_BUF faults = { 0 };
+  MD_AUTO_BUF applied = { 0 };
+  MD_AUTO_BUF deferred = { 0 };
+  MdSettings fresh = { 0 };
+  char reason[256];
+
+  if (md_settings_load (&fresh, daemon->path, &faults) != MD_OK)
+    md_log (MD_LOG_ERROR, "settings-rejected", "trigger=%s reason=%s", trigger,
+            md_log_quote (md_buf_str (&faults), reason, sizeof reason));
+  else
+    {
+      md_settings_update (&daemon->settings, &fresh, &applied, &deferred);
+      md_log_set_level (daemon->settings.log_level);
+      md_log (deferred.len > 0 ? MD_LOG_WARN : MD_LOG_INFO, "settings-read",
+              "trigger=%s applied=%s deferred=%s", trigger, applied.len > 0 ? applied.data : "-",
+              deferred.len > 0 ? deferred.data : "-");
+    }
+  md_settings_clear (&fresh);
+  return applied.len > 0;
+}
+
+bool
+md_daemon_reload (MdDaemon *daemon, MdTime now)
+{
+  bool asked = atomic_exchange (&signal_reload, false);
+  struct stat file;
+  bool changed;
+
+  if (!asked && now < daemon->file_due)
+    return false;
+  daemon->file_due = now + FILE_INTERVAL;
+  /* While the file is replaced there may be none for a moment. */
+  if (stat (daemon->path, &file) != 0)
+    {
+      md_log (MD_LOG_WARN, "settings-missing", "path=%s reason=\"%s\"", daemon->path,
+              strerror (errno));
+      return false;
+    }
+  changed = !is_same_file (&file, &daemon->file);
+  daemon->file = file;
+  return (asked || changed) && reload (daemon, asked ? "signal" : "file");
+}
+
 int
 md_daemon_call (MdHttp *http, const char *address, const MdPlatformCall *call, MdTime timeout,
                 MdHttpDone done, void *user)
@@ -75,9 +137,9 @@
 }
 
 static void
-on_signal (int number MD_UNUSED)
+on_signal (int number)
 {
-  atomic_store (&signal_stopping, true);
+  atomic_store (number == SIGHUP ? &signal_reload : &signal_stopping, true);
   md_links_wake (signal_links);
 }
 
@@ -89,8 +151,7 @@
   signal_links = links;
   sigaction (SIGTERM, &action, NULL);
   sigaction (SIGINT, &action, NULL);
-  /* Settings are read at the start only; a changed file takes effect at the next. */
-  signal (SIGHUP, SIG_IGN);
+  sigaction (SIGHUP, &action, NULL);
 }
 
 bool
--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -6,6 +6,8 @@
 #include "http-async.h"
 #include "platform.h"
 
+#include <sys/stat.h>
+
 /* ------------------------------------------------------------------ */
 /* Times that entries and guards must agree on                        */
 
@@ -39,6 +41,9 @@
 typedef struct
 {
   MdSettings settings; /* from the file */
+  char *path;          /* of the file, owned */
+  struct stat file;    /* as it was read last */
+  MdTime file_due;     /* next look at the file */
   MdLinks *links;      /* the engine's poll */
   MdHttp *store;       /* calls to the platform's store */
 } MdDaemon;
@@ -48,6 +53,10 @@
 int md_daemon_open (MdDaemon *daemon, int argc, const char **argv);
 void md_daemon_close (MdDaemon *daemon);
 
+/* md_daemon_reload: read the settings file again when SIGHUP has arrived or the file has
+   changed. True when settings were taken over; a file with faults changes nothing. */
+bool md_daemon_reload (MdDaemon *daemon, MdTime now);
+
 static inline MdTime
 md_earlier (MdTime a, MdTime b)
 {
@@ -58,7 +67,9 @@
 int md_daemon_call (MdHttp *http, const char *address, const MdPlatformCall *call, MdTime timeout,
                     MdHttpDone done, void *user);
 
-/* md_daemon_stopping: SIGTERM or SIGINT has arrived; the poll of links wakes then. */
+/* md_daemon_catch_signals: SIGTERM and SIGINT stop the daemon, SIGHUP makes it read its
+   settings again.
+   md_daemon_stopping: SIGTERM or SIGINT has arrived; the poll of links wakes then. */
 void md_daemon_catch_signals (MdLinks *links);
 bool md_daemon_stopping (void);
 
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -149,7 +149,7 @@
 }
 
 void
-md_guard_cancel_all (MdRunGuard *guard)
+md_guard_free_runs (MdRunGuard *guard)
 {
   MdRunList *lists[] = { &guard->queue.waiting, &guard->queue.running };
 
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -108,6 +108,14 @@
   return entry->register_due;
 }
 
+/* What is not read from the settings at each use. */
+static void
+take_settings (MdRunEntry *entry)
+{
+  entry->workers.remote_factor = entry->daemon.settings.remote_factor;
+  md_directory_add_seeds (&entry->directory, &entry->daemon.settings);
+}
+
 /* ------------------------------------------------------------------ */
 /* Life cycle                                                         */
 
@@ -211,6 +219,8 @@
 
       entry->now = md_now ();
       begin_leaving (entry);
+      if (md_daemon_reload (&entry->daemon, entry->now))
+        take_settings (entry);
       take_tickets (entry);
       md_entry_jobs_tick (entry);
       update_ready (entry);
@@ -265,7 +275,7 @@
   if (rc != MD_OK)
     return rc;
   md_directory_add (&entry->directory, md_str (own_address (settings)));
-  md_directory_add_seeds (&entry->directory, settings);
+  take_settings (entry);
   entry->daemon.store = md_http_new (entry->daemon.links, MD_STORE_CONNECTIONS);
   if (settings->advisor_address[0] != '\0')
     entry->advisor = md_http_new (entry->daemon.links, 1);
@@ -328,7 +338,6 @@
   entry.incarnation = md_new_incarnation ();
   entry.now = md_now ();
   entry.next_order = 1;
-  entry.workers.remote_factor = entry.daemon.settings.remote_factor;
   rc = run_entry (&entry);
   md_entry_free_guards (&entry);
   md_routes_free (entry.routes);
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -48,7 +48,7 @@
 /* Entries are dialled once the worker is free of runs that nobody here ordered, so
    that a hello means that nothing of an earlier process runs. */
 static void
-add_first_peers (MdRunGuard *guard)
+add_seeds (MdRunGuard *guard)
 {
   MdDirectory seeds = { 0 };
 
@@ -107,8 +107,10 @@
       if (!dialled && guard->worker.clean)
         {
           dialled = true;
-          add_first_peers (guard);
+          add_seeds (guard);
         }
+      if (md_daemon_reload (&guard->daemon, guard->now) && dialled)
+        add_seeds (guard);
       if (dialled)
         due = md_earlier (due, md_keyed_poll (guard->entries, guard->now));
       due = md_earlier (due, md_guard_orders_poll (guard));
@@ -191,7 +193,7 @@
   /* Above the tokens of earlier processes as long as the clock was not set back. */
   guard.worker.token = (uint64_t)md_wall_ms ();
   rc = run_guard (&guard);
-  md_guard_cancel_all (&guard);
+  md_guard_free_runs (&guard);
   md_guard_free_peers (&guard);
   md_daemon_close (&guard.daemon);
   return rc;
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -45,6 +45,15 @@
   advisor_allows nobody
   echo "its advisor allows no worker: $(QUEUE=/advised/ post 00000000000000ab "$advised")"
 
+  sed -i 's/^caller_threads: 64/caller_threads: 65/; $a remote_factor: 2' "$RUN/entry-1.yaml"
+  kill -HUP "$(pid_of entry-1)"
+  wait_for 5 seen entry-1 'settings-read trigger=signal applied=remote_factor deferred=caller_threads' \
+    || fail "SIGHUP does not make it read its settings"
+  echo 'remote_factor: none' >> "$RUN/guard-1.yaml"
+  wait_for 5 seen guard-1 'settings-rejected trigger=file' || fail "the changed file is not seen"
+  sed -i '$d' "$RUN/guard-1.yaml"
+  echo "after settings that are not valid: $(post 00000000000000ad "$JOB")"
+
   store_mode forget
   put_config 8 /calc/ /added/
   wait_for 5 seen entry-1 'config-applied version=8' || fail "version 8 is not applied"
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -102,6 +102,42 @@
 }
 END_TEST
 
+#define RUN_GUARD_HEAD                                                                             \
+  "role: run-guard\nname: g1\nregion: r\nfailure_domain: r-a\nstore_address: 127.0.0.1:9000\n"     \
+  "entry_port: 7000\nworker_address: 127.0.0.1:8000\nregister_address: 127.0.0.1:8001\n"
+
+/* Guards against a changed file that has no effect, and against an address that changes
+   under a process that listens on the former one. */
+START_TEST (test_update)
+{
+  MD_AUTO_BUF faults = { 0 };
+  MD_AUTO_BUF applied = { 0 };
+  MD_AUTO_BUF deferred = { 0 };
+  MdSettings s;
+  MdSettings fresh;
+
+  ck_assert_int_eq (parse (&s, RUN_GUARD_HEAD "grace_s: 6\n", &faults), MD_OK);
+  ck_assert_int_eq (parse (&fresh, RUN_GUARD_HEAD "grace_s: 6\n", &faults), MD_OK);
+  md_settings_update (&s, &fresh, &applied, &deferred);
+  ck_assert_uint_eq (applied.len + deferred.len, 0);
+  md_settings_clear (&fresh);
+  ck_assert_int_eq (parse (&fresh,
+                           RUN_GUARD_HEAD "grace_s: 4\nlog_level: error\nseeds: 127.0.0.2:1\n"
+                                          "metrics_address: 127.0.0.1:9464\n",
+                           &faults),
+                    MD_OK);
+  md_settings_update (&s, &fresh, &applied, &deferred);
+  ck_assert_str_eq (applied.data, "grace_s,log_level,seeds");
+  ck_assert_str_eq (deferred.data, "metrics_address");
+  ck_assert_int_eq (s.drain_timeout, 4 * MD_SECOND);
+  ck_assert_int_eq (s.log_level, MD_LOG_ERROR);
+  ck_assert_str_eq (s.seeds, "127.0.0.2:1");
+  ck_assert_str_eq (s.metrics_address, "");
+  md_settings_clear (&fresh);
+  md_settings_clear (&s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -111,5 +147,6 @@
   tcase_add_loop_test (tc, test_faults, 0, MD_ARRAY_SIZE (bad_files));
   tcase_add_test (tc, test_missing);
   tcase_add_test (tc, test_tokens);
+  tcase_add_test (tc, test_update);
   return run_suite ("settings", tc);
 }
