Forget guards and entries that have been replaced

Its directory of entries took the first 64 addresses and no more, so after as many replacements new entries were not passed on to guards. Change: a guard without a link and orders is forgotten after ten minutes; a full directory drops its oldest address. Ruled out: forgetting by the records in the store, because a guard writes none of its own; deleting the store's records of entries on leaving, because a delete that is carried out late would hide an entry that has come back at the same address. Those records stay, one for each name of an entry that ever was; open. Tests: test-entry-guards, replaced_worker_is_forgotten and directory_keeps_the_newest, both failed before; run-platform.

--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -100,7 +100,8 @@
   unsigned n;
 } MdDirectory;
 
-/* md_directory_add: true when the address was not known. */
+/* md_directory_add: true when the address was not known; the oldest one is dropped when
+   the directory is full. */
 bool md_directory_add (MdDirectory *directory, MdStr address);
 void md_directory_remove (MdDirectory *directory, MdStr address);
 /* md_directory_add_seeds: the machines named in the settings, at the internal port. */
--- a/fleet/directory.c
+++ b/fleet/directory.c
@@ -2,7 +2,8 @@
 
    They come from the seeds in the settings, from the store and from peers. An address
    that answers nobody costs a dial now and then and is dropped after a while by the
-   guards that dial it. */
+   guards that dial it. The oldest one makes room when there are too many: entries are
+   replaced, and one that lives is named again by the next guard that connects. */
 
 #include "daemon.h"
 
@@ -17,15 +18,25 @@
   return -1;
 }
 
+/* Keeps the order of age. */
+static void
+remove_at (MdDirectory *directory, unsigned i)
+{
+  directory->n--;
+  memmove (directory->address[i], directory->address[i + 1],
+           (directory->n - i) * sizeof directory->address[0]);
+}
+
 bool
 md_directory_add (MdDirectory *directory, MdStr address)
 {
   char host[MD_ADDRESS_BYTES];
   int port;
 
-  if (md_address_split (address, host, &port) != MD_OK || find (directory, address) >= 0
-      || directory->n == MD_MAX_ENTRIES)
+  if (md_address_split (address, host, &port) != MD_OK || find (directory, address) >= 0)
     return false;
+  if (directory->n == MD_MAX_ENTRIES)
+    remove_at (directory, 0);
   md_str_copy (directory->address[directory->n++], MD_ADDRESS_BYTES, address);
   return true;
 }
@@ -36,7 +47,7 @@
   int i = find (directory, address);
 
   if (i >= 0)
-    memcpy (directory->address[i], directory->address[--directory->n], MD_ADDRESS_BYTES);
+    remove_at (directory, (unsigned)i);
 }
 
 void
--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -10,7 +10,10 @@
 #include <stdio.h>
 #include <xxhash.h>
 
-#define BIAS_MAX (12 * MD_MS)     /* small against the run times, more than the age of a report */
+#define BIAS_MAX (12 * MD_MS) /* small against the run times, more than the age of a report */
+/* Guards keep their names over restarts, which take seconds; one that is away for so long
+   has been replaced. */
+#define FORGET_AFTER (600 * MD_SECOND)
 #define SILENCE_MAX (350 * MD_MS) /* a guard reports every MD_RUN_HEARTBEAT */
 
 /* ------------------------------------------------------------------ */
@@ -573,11 +576,40 @@
   return INT64_MAX;
 }
 
+static bool
+is_replaced (const MdRunEntry *entry, const MdEntryGuard *guard)
+{
+  return guard->link == NULL && guard->orders == NULL
+         && entry->now >= guard->lost_at + FORGET_AFTER;
+}
+
+static void
+forget_replaced (MdRunEntry *entry)
+{
+  for (uint32_t i = 0; i < entry->workers.n;)
+    {
+      MdEntryGuard *guard = guard_at (entry, i);
+
+      if (!is_replaced (entry, guard))
+        {
+          i++;
+          continue;
+        }
+      md_log (MD_LOG_INFO, "guard-forgotten", "guard=%s away_ms=%lld", guard->name,
+              (long long)((entry->now - guard->lost_at) / MD_MS));
+      md_entry_forget_worker (entry, &guard->worker);
+      entry->workers.workers[i] = entry->workers.workers[--entry->workers.n];
+      free_guard (guard);
+    }
+}
+
 MdTime
 md_entry_guards_poll (MdRunEntry *entry)
 {
   MdTime due = entry->now + MD_RUN_HEARTBEAT;
 
+  forget_replaced (entry);
+
   for (uint32_t i = 0; i < entry->workers.n; i++)
     {
       MdEntryGuard *guard = guard_at (entry, i);
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -527,6 +527,16 @@
     advance_job (entry, job);
 }
 
+void
+md_entry_forget_worker (MdRunEntry *entry, const MdWorker *worker)
+{
+  for (MdEntryJob *job = entry->jobs; job != NULL; job = job->next)
+    for (uint32_t i = 0; i < job->job.spec.n_steps; i++)
+      for (uint32_t k = 0; k < job->job.spec.steps[i].count; k++)
+        if (job->job.tasks[i][k].last == worker)
+          job->job.tasks[i][k].last = NULL;
+}
+
 /* ------------------------------------------------------------------ */
 /* Tick                                                               */
 
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -250,6 +250,8 @@
 void md_entry_order_started (MdRunEntry *entry, MdEntryOrder *order);
 void md_entry_order_ended (MdRunEntry *entry, MdEntryOrder *order, MdRunHow how, MdTime run,
                            const char *checkpoint);
+/* md_entry_forget_worker: jobs must not refer to it any more. */
+void md_entry_forget_worker (MdRunEntry *entry, const MdWorker *worker);
 /* md_entry_jobs_tick: deadlines, runs that wait too long, tasks without a worker. */
 void md_entry_jobs_tick (MdRunEntry *entry);
 /* md_entry_fail_all: answer every job, at the end of the process. */
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -6,6 +6,8 @@
 #include "run-entry.h"
 #include "suite.h"
 
+#include <stdio.h>
+
 #define PASSES 20000 /* only ends a broken run */
 #define INCARNATION 77
 
@@ -126,6 +128,47 @@
 }
 END_TEST
 
+/* Guards against an entry that runs for weeks and still looks at every worker that was
+   replaced meanwhile, and against one that forgets a worker which is away for a moment. */
+START_TEST (replaced_worker_is_forgotten)
+{
+  send_hello (0);
+  for (int i = 0; i < PASSES && known_guard () == NULL; i++)
+    poll_both ();
+  ck_assert_ptr_nonnull (known_guard ());
+  md_link_close (connections[0]);
+  for (int i = 0; i < PASSES && known_guard ()->link != NULL; i++)
+    poll_both ();
+  ck_assert_ptr_null (known_guard ()->link);
+  entry.now = known_guard ()->lost_at + 540 * MD_SECOND;
+  md_entry_guards_poll (&entry);
+  ck_assert_uint_eq (entry.workers.n, 1);
+  entry.now += 60 * MD_SECOND;
+  md_entry_guards_poll (&entry);
+  ck_assert_uint_eq (entry.workers.n, 0);
+}
+END_TEST
+
+/* Guards against new entries that nobody hears of after 64 have come and gone. */
+START_TEST (directory_keeps_the_newest)
+{
+  MdDirectory directory = { 0 };
+  char address[MD_ADDRESS_BYTES];
+
+  for (int i = 0; i <= MD_MAX_ENTRIES; i++)
+    {
+      snprintf (address, sizeof address, "127.0.0.1:%d", 1000 + i);
+      ck_assert (md_directory_add (&directory, md_str (address)));
+    }
+  ck_assert_uint_eq (directory.n, MD_MAX_ENTRIES);
+  ck_assert_str_eq (directory.address[0], "127.0.0.1:1001");
+  ck_assert (!md_directory_add (&directory, md_str (address)));
+  md_directory_remove (&directory, MD_STR ("127.0.0.1:1001"));
+  ck_assert_str_eq (directory.address[0], "127.0.0.1:1002");
+  ck_assert_uint_eq (directory.n, MD_MAX_ENTRIES - 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -135,5 +178,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, late_hello_is_refused);
   tcase_add_test (tc, later_hello_replaces);
+  tcase_add_test (tc, replaced_worker_is_forgotten);
+  tcase_add_test (tc, directory_keeps_the_newest);
   return run_suite ("entry-guards", tc);
 }
