Keep the tasks of a same_rack step on one rack

Cause: the field was decoded and not used; such tasks take remote_factor times as long when they run on more than one rack. Change: the rack on which the whole step would end first is tried out and chosen (md_place_rack); when some of the step runs already, its rack. Other racks are reckoned with the factor, as for data that lies elsewhere, so a step does not wait for its rack at any price. Ruled out: forbidding other racks, because a rack that loses a worker could leave a step without any.

--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -122,6 +122,25 @@
   return fits;
 }
 
+/* The tasks of such a step take longer when they are spread over racks. What runs of it
+   already decides where the rest goes. */
+static const char *
+rack_of (MdRunEntry *entry, const MdEntryJob *job, uint32_t step, const MdTaskNeed *need)
+{
+  const MdRunStep *spec = &job->job.spec.steps[step];
+
+  if (!spec->same_rack || spec->affinity[0] != '\0')
+    return spec->affinity;
+  for (uint32_t k = 0; k < spec->count; k++)
+    {
+      const MdEntryOrder *order = job->job.tasks[step][k].order;
+
+      if (order != NULL)
+        return md_labels_rack (&order->guard->worker.labels);
+    }
+  return md_place_rack (&entry->workers, need, spec->count, entry->saved_rooms, entry->now);
+}
+
 /* Orders what is ready of a step; what no worker can take now stays ready. */
 static void
 place_step (MdRunEntry *entry, MdEntryJob *job, uint32_t step)
@@ -132,6 +151,7 @@
   md_entry_need (entry, job, step, &need);
   if (!md_entry_advised (entry, job, step, &need))
     return;
+  need.affinity = rack_of (entry, job, step, &need);
   if (job->job.spec.steps[step].gang
       && !gang_fits (entry, &need, job->job.spec.steps[step].count, taken))
     return;
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -47,6 +47,12 @@
   return false;
 }
 
+const char *
+md_labels_rack (const MdLabels *labels)
+{
+  return labels->n > MD_LABEL_RACK ? labels->label[MD_LABEL_RACK] : "";
+}
+
 bool
 md_worker_can_run (const MdWorker *worker, const MdTaskNeed *need)
 {
@@ -252,6 +258,45 @@
     }
 }
 
+/* One of the first i workers that could run it has the same rack. */
+static bool
+is_rack_before (const MdWorkers *workers, const MdTaskNeed *need, uint32_t i, const char *rack)
+{
+  for (uint32_t k = 0; k < i; k++)
+    if (md_worker_can_run (workers->workers[k], need)
+        && strcmp (md_labels_rack (&workers->workers[k]->labels), rack) == 0)
+      return true;
+  return false;
+}
+
+const char *
+md_place_rack (const MdWorkers *workers, const MdTaskNeed *need, uint32_t count, MdSavedRoom *saved,
+               MdTime now)
+{
+  MdTaskNeed trial = *need;
+  const char *best = "";
+  MdTime soonest = INT64_MAX;
+
+  md_workers_save (workers, saved);
+  for (uint32_t i = 0; i < workers->n; i++)
+    {
+      const char *rack = md_labels_rack (&workers->workers[i]->labels);
+      MdTime finish = 0;
+
+      if (rack[0] == '\0' || !md_worker_can_run (workers->workers[i], need)
+          || is_rack_before (workers, need, i, rack))
+        continue;
+      trial.affinity = rack;
+      if (md_place_all (workers, &trial, count, NULL, &finish, now) && finish < soonest)
+        {
+          best = rack;
+          soonest = finish;
+        }
+      md_workers_restore (workers, saved);
+    }
+  return best;
+}
+
 bool
 md_place_possible (const MdWorkers *workers, const MdTaskNeed *need)
 {
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -178,6 +178,12 @@
 
 bool md_labels_have (const MdLabels *labels, const char *label);
 
+/* A worker names its kind first and its rack second. */
+#define MD_LABEL_RACK 1
+
+/* md_labels_rack: empty when it names none. */
+const char *md_labels_rack (const MdLabels *labels);
+
 typedef struct
 {
   uint64_t guard;       /* incarnation of its guard */
@@ -265,6 +271,12 @@
 /* md_worker_can_run: busy or not, it has the room and the labels. */
 bool md_worker_can_run (const MdWorker *worker, const MdTaskNeed *need);
 
+/* md_place_rack: the rack on which count tasks of a step would end first, if a task takes
+   remote_factor times as long elsewhere; empty when no worker that can run them names one.
+   saved as for md_workers_save. */
+const char *md_place_rack (const MdWorkers *workers, const MdTaskNeed *need, uint32_t count,
+                           MdSavedRoom *saved, MdTime now);
+
 /* md_place_possible: some worker, busy or not, has the room and the labels. */
 bool md_place_possible (const MdWorkers *workers, const MdTaskNeed *need);
 
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -398,6 +398,37 @@
 }
 END_TEST
 
+/* Load pattern: a step whose tasks slow each other down when they are spread, on racks of
+   which the one with the fastest worker has no room for all. Guards against tasks that go
+   one by one to the best worker of any rack. */
+START_TEST (tasks_of_one_rack_stay_together)
+{
+  Fleet fleet;
+  MdSavedRoom saved[N];
+  MdTaskNeed need = need_of (900 * MD_MS);
+
+  fleet_init (&fleet);
+  for (unsigned i = 0; i < N; i++)
+    {
+      MdWorker *worker = &fleet.worker[i];
+
+      worker->labels.n = 2;
+      md_str_copy (worker->labels.label[0], MD_LABEL_BYTES, MD_STR ("a"));
+      md_str_copy (worker->labels.label[1], MD_LABEL_BYTES, i < 2 ? MD_STR ("r0") : MD_STR ("r1"));
+      worker->capacity = worker->free = (MdRoom){ 12400, 262144, 0 }; /* two tasks */
+    }
+  fleet.worker[0].speed = 1.3;
+  fleet.worker[1].free.cpu = 0;
+  fleet.worker[1].wait = MD_SECOND;
+  ck_assert_str_eq (md_place_rack (&fleet.all, &need, 2, saved, 0), "r0");
+  ck_assert_str_eq (md_place_rack (&fleet.all, &need, 4, saved, 0), "r1");
+  ck_assert_uint_eq (fleet.worker[2].free.cpu, 12400); /* a trial reserves nothing */
+  fleet.worker[2].labels.n = fleet.worker[3].labels.n = 1;
+  need.service = "other";
+  ck_assert_str_eq (md_place_rack (&fleet.all, &need, 4, saved, 0), "");
+}
+END_TEST
+
 int
 main (void)
 {
@@ -420,5 +451,6 @@
   tcase_add_test (tc, gang_goes_together);
   tcase_add_test (tc, gang_ends_as_one);
   tcase_add_test (tc, unsupported_jobs_are_told_apart);
+  tcase_add_test (tc, tasks_of_one_rack_stay_together);
   return run_suite ("placement", tc);
 }
