Derive the leases from the time after which callers repeat a job

Cause: the leases were constants that fit callers who repeat a lost job after 1.3 s and workers that stop a run within 50 ms. On a deployment with a shorter time or slower stops the daemons logged a warning and went on: a repeated job could run beside the lost one. Change: sched/leases.c sets both leases, the heartbeat and the time after which a run is gone from resend_after_ms and the new setting stop_timeout_ms; with 1.3 s and 50 ms they are what they were (500, 650, 100 and 1,223 ms). Both settings take effect with a start, because entries and guards must agree. Ruled out: leases sent along in hello and orders; processes of one deployment have the same settings, and a guard would have to keep one lease for each entry. Tests: test-leases; with the former constants lost_run_has_ended_before_the_job_is_repeated fails for every time below 1,223 ms by arithmetic (the function is new, so it was not run on the former code). run-platform, test-entry-guards, test-settings pass; the users' four sites state 1,300 and 50, so nothing changes there.

--- a/common/md-private.h
+++ b/common/md-private.h
@@ -151,6 +151,7 @@
   uint32_t entry_port;                       /* runs: internal port of all entries */
   MdTime worker_lease_max;                   /* run-guard: longest lease of a worker */
   MdTime resend_after;                       /* runs: callers repeat a lost job after this */
+  MdTime stop_timeout;                       /* runs: a stop takes this long at a worker */
   double remote_factor;                      /* run-entry: run time away from the data */
   MdToken *tokens;                           /* n_tokens entries, owned */
   size_t n_tokens;                           /* tokens */
--- a/common/settings.c
+++ b/common/settings.c
@@ -86,7 +86,8 @@
   { "worker_address", SETTING_ADDRESS, AT (worker_address), FOR_RUN_GUARD | REQUIRED, 0, 0 },
   { "register_address", SETTING_ADDRESS, AT (register_address), FOR_RUN_GUARD | REQUIRED, 0, 0 },
   { "worker_lease_max_ms", SETTING_MS, AT (worker_lease_max), FOR_RUN_GUARD | LIVE, 100, 60e3 },
-  { "resend_after_ms", SETTING_MS, AT (resend_after), FOR_RUNS | LIVE, 100, 600e3 },
+  { "resend_after_ms", SETTING_MS, AT (resend_after), FOR_RUNS, 100, 600e3 },
+  { "stop_timeout_ms", SETTING_MS, AT (stop_timeout), FOR_RUNS, 0, 60e3 },
   { "remote_factor", SETTING_DOUBLE, AT (remote_factor), FOR_RUN_ENTRY | LIVE, 1, 100 },
 };
 
@@ -559,6 +560,7 @@
   settings->drain_timeout = 30 * MD_SECOND;
   settings->worker_lease_max = 1 * MD_SECOND;
   settings->resend_after = 1300 * MD_MS;
+  settings->stop_timeout = 50 * MD_MS;
   settings->remote_factor = 1.5;
   settings->log_level = MD_LOG_INFO;
 }
--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -52,9 +52,10 @@
     }
   md_log_open (STDOUT_FILENO, daemon->settings.name, daemon->settings.log_level);
   md_log_start_writer ();
-  if (daemon->settings.resend_after < MD_RUN_GONE_AFTER)
+  if (md_leases_set (&daemon->leases, daemon->settings.resend_after, daemon->settings.stop_timeout)
+      != MD_OK)
     md_log (MD_LOG_WARN, "leases-too-long", "leases_ms=%lld resend_after_ms=%lld",
-            (long long)(MD_RUN_GONE_AFTER / MD_MS),
+            (long long)(daemon->leases.gone_after / MD_MS),
             (long long)(daemon->settings.resend_after / MD_MS));
   return MD_EXIT_OK;
 }
--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -4,32 +4,11 @@
 #define MD_DAEMON_H
 
 #include "http-async.h"
+#include "leases.h"
 #include "platform.h"
 
 #include <sys/stat.h>
 
-/* ------------------------------------------------------------------ */
-/* Times that entries and guards must agree on                        */
-
-/* A guard ends the runs of an entry when the latest of its reports that the entry
-   has echoed is older than this. Together with MD_WORKER_LEASE, the 2% by which a
-   worker's clock may be slow and the time of a stop, it stays below the time after
-   which a caller repeats a job that got no answer (resend_after, 1,300 ms), so that
-   the repeated job never runs beside the lost one. */
-#define MD_ENTRY_LEASE (500 * MD_MS)
-
-/* A guard extends the lease of all runs at its worker to this long ahead. */
-#define MD_WORKER_LEASE (650 * MD_MS)
-
-/* Longest time between two messages of an entry to a guard, and between two reports
-   of a guard to an entry: five fit into MD_ENTRY_LEASE. */
-#define MD_RUN_HEARTBEAT (100 * MD_MS)
-
-/* A run at a guard that is not heard any more has ended when this has passed since
-   the entry received the last report that it echoed: both leases, 2% for the worker's
-   clock, and the time of a stop. */
-#define MD_RUN_GONE_AFTER ((MD_ENTRY_LEASE + MD_WORKER_LEASE) * 102 / 100 + 50 * MD_MS)
-
 #define MD_METRICS_PATH "/metrics" /* on the metrics address of the settings */
 
 /* Connections to the store: one for a read that waits, one for the rest. */
@@ -41,6 +20,7 @@
 typedef struct
 {
   MdSettings settings; /* from the file */
+  MdLeases leases;     /* by the settings at the start */
   char *path;          /* of the file, owned */
   struct stat file;    /* as it was read last */
   MdTime file_due;     /* next look at the file */
--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -2,7 +2,7 @@
 
    Guards dial. A guard is known by its name; a new incarnation means that nothing of
    the former process runs any more. While a guard is not heard, its runs may go on
-   until both leases have run out (MD_RUN_GONE_AFTER); they are ordered elsewhere only
+   until both leases have run out (MdLeases); they are ordered elsewhere only
    after that, or when the guard is back and says how they ended. */
 
 #include "run-entry.h"
@@ -14,7 +14,7 @@
 /* Guards keep their names over restarts, which take seconds; one that is away for so long
    has been replaced. */
 #define FORGET_AFTER (600 * MD_SECOND)
-#define SILENCE_MAX (350 * MD_MS) /* a guard reports every MD_RUN_HEARTBEAT */
+#define SILENCE_MAX (350 * MD_MS) /* a guard reports with each heartbeat, 100 ms or less */
 
 /* ------------------------------------------------------------------ */
 /* Guards                                                             */
@@ -559,7 +559,7 @@
 static MdTime
 poll_lost (MdRunEntry *entry, MdEntryGuard *guard)
 {
-  MdTime gone = guard->echoed_at + MD_RUN_GONE_AFTER;
+  MdTime gone = guard->echoed_at + entry->daemon.leases.gone_after;
 
   for (MdEntryOrder *order; (order = guard->unsent) != NULL;)
     {
@@ -606,14 +606,14 @@
 MdTime
 md_entry_guards_poll (MdRunEntry *entry)
 {
-  MdTime due = entry->now + MD_RUN_HEARTBEAT;
+  MdTime due = entry->now + entry->daemon.leases.heartbeat;
 
   forget_replaced (entry);
 
   for (uint32_t i = 0; i < entry->workers.n; i++)
     {
       MdEntryGuard *guard = guard_at (entry, i);
-      MdTime next = guard->sent_at + MD_RUN_HEARTBEAT;
+      MdTime next = guard->sent_at + entry->daemon.leases.heartbeat;
 
       if (guard->link == NULL)
         next = poll_lost (entry, guard);
@@ -622,7 +622,7 @@
                    || entry->now >= next))
         {
           send_message (entry, guard);
-          next = entry->now + MD_RUN_HEARTBEAT;
+          next = entry->now + entry->daemon.leases.heartbeat;
         }
       due = next < due && next > entry->now ? next : due;
     }
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -562,7 +562,7 @@
   other = md_place (&entry->workers, &need, NULL, here, entry->now);
   if (other.worker == NULL || other.worker == here)
     return;
-  stay = (here->connected ? here->wait : MD_RUN_GONE_AFTER) + order->expected;
+  stay = (here->connected ? here->wait : entry->daemon.leases.gone_after) + order->expected;
   if (other.wait > 0 || other.run + MOVE_GAIN >= stay)
     return;
   md_log (MD_LOG_INFO, "run-moved",
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -371,7 +371,7 @@
   peer->n_started = 0;
   for (MdGuardEnd *end = peer->ends; end != NULL; end = end->next)
     end->sent = false;
-  md_link_expect (link, MD_ENTRY_LEASE);
+  md_link_expect (link, guard->daemon.leases.entry);
   send_hello (guard, peer);
   send_report (guard, peer);
 }
@@ -473,7 +473,7 @@
   guard->change++;
   peer->last_order = order->id;
   /* An echo that is too old means that the entry may already count the run as gone. */
-  if (!guard->queue.open || guard->now >= peer->echo + MD_ENTRY_LEASE)
+  if (!guard->queue.open || guard->now >= peer->echo + guard->daemon.leases.entry)
     md_guard_end_run (guard, run, MD_RUN_REJECTED, "");
 }
 
@@ -572,7 +572,7 @@
 static void
 check_lease (MdRunGuard *guard, MdGuardPeer *peer)
 {
-  if (guard->now < peer->echo + MD_ENTRY_LEASE || !has_runs (guard, peer->incarnation))
+  if (guard->now < peer->echo + guard->daemon.leases.entry || !has_runs (guard, peer->incarnation))
     return;
   md_log (MD_LOG_WARN, "entry-silent", "entry=%s echo_age_ms=%lld action=\"ending its runs\"",
           peer->name, (long long)((guard->now - peer->echo) / MD_MS));
@@ -606,13 +606,14 @@
 md_guard_orders_poll (MdRunGuard *guard)
 {
   MdTime interval = REPORT_INTERVAL + REPORT_INTERVAL_PEER * count_peers (guard);
-  MdTime due = guard->now + MD_RUN_HEARTBEAT;
+  MdTime due = guard->now + guard->daemon.leases.heartbeat;
 
   drop_silent_peers (guard);
   for (MdGuardPeer *peer = guard->peers; peer != NULL; peer = peer->next)
     {
       MdTime next
-          = peer->reported_at + (peer->told_change != guard->change ? interval : MD_RUN_HEARTBEAT);
+          = peer->reported_at
+            + (peer->told_change != guard->change ? interval : guard->daemon.leases.heartbeat);
 
       check_lease (guard, peer);
       if (!peer->up)
@@ -620,7 +621,7 @@
       if (peer->urgent || guard->now >= next)
         {
           send_report (guard, peer);
-          next = guard->now + MD_RUN_HEARTBEAT;
+          next = guard->now + guard->daemon.leases.heartbeat;
         }
       due = next < due ? next : due;
     }
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -32,9 +32,8 @@
 #define UNREACHABLE_AFTER (600 * MD_MS) /* holds without an answer */
 #define TOKEN_STEP 1                    /* a raise of the token */
 #define TOKEN_JUMP                                                                                 \
-  1000000                          /* after the worker has seen a higher one: the clock was
+  1000000 /* after the worker has seen a higher one: the clock was
                                         set back since */
-#define CLOCK_RATE (102.0 / 100.0) /* the worker's clock may be 2% slow */
 
 typedef struct
 {
@@ -186,7 +185,7 @@
 static int64_t
 lease_ms (const MdRunGuard *guard)
 {
-  MdTime lease = MD_WORKER_LEASE;
+  MdTime lease = guard->daemon.leases.worker;
 
   if (lease > guard->daemon.settings.worker_lease_max)
     lease = guard->daemon.settings.worker_lease_max;
@@ -198,7 +197,8 @@
 static void
 extend_lease (MdRunGuard *guard)
 {
-  MdTime until = guard->now + (MdTime)((double)MD_WORKER_LEASE * CLOCK_RATE) + START_TIMEOUT;
+  MdTime until = guard->now + (MdTime)((double)guard->daemon.leases.worker * MD_WORKER_CLOCK_RATE)
+                 + START_TIMEOUT;
 
   if (until > guard->worker.lease_until)
     guard->worker.lease_until = until;
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -51,6 +51,7 @@
   char address[MD_ADDRESS_BYTES];
 
   md_tuning_default (&tuning);
+  md_leases_set (&entry.daemon.leases, 1300 * MD_MS, 50 * MD_MS);
   entry.daemon.links = md_links_new (&tuning, &md_run_entry_handler, &entry);
   guard = md_links_new (&tuning, &guard_handler, NULL);
   ck_assert_int_eq (md_links_listen (entry.daemon.links, MD_STR ("127.0.0.1:0"), address, &error),
