Tell the orders and ends of an entry's former process apart

A guard that had not had the welcome of the new process yet reported on the former one. The entry took the number of the last of those ends for seen and confirmed it; the guard, welcomed meanwhile, dropped the new ends 1, 2, ... although a cut had held them back; after the cut the entry found the orders neither alive nor ended and settled them as lost. In the same way an order could be taken for one of the former process with the same number. Ruled out: the cut itself (the ends were sent again on every other connection) and the late store, which no run depends on. Change: hello and reports say which process of the entry they refer to, and an entry ignores what refers to another one. Tests: test-entry-guards, state_of_a_former_process_is_ignored, failed before (the former process's order counted as alive).

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -337,7 +337,7 @@
   worker->wait = (MdTime)report->wait_us;
   worker->speed = report->speed;
   for (const MdEntryOrder *order = guard->orders; order != NULL; order = order->next)
-    if (order->id > report->last_order)
+    if (report->entry != entry->incarnation || order->id > report->last_order)
       md_worker_reserve (worker, order->need, order->expected);
   worker->reported_at = entry->now;
   worker->stalled = report->stalled;
@@ -380,15 +380,8 @@
 }
 
 static void
-on_report (MdRunEntry *entry, MdEntryGuard *guard, const Md__RunReport *report)
+take_progress (MdRunEntry *entry, MdEntryGuard *guard, const Md__RunReport *report)
 {
-  if (report->stamp_us > guard->stamp)
-    {
-      guard->stamp = report->stamp_us;
-      guard->stamp_at = entry->now;
-    }
-  if (report->worker != NULL)
-    take_worker (guard, report->worker);
   for (size_t i = 0; i < report->n_started; i++)
     {
       MdEntryOrder *order = find_order (guard, report->started[i]);
@@ -408,6 +401,22 @@
                               end->how < MD_RUN_HOWS ? (MdRunHow)end->how : MD_RUN_LAPSED,
                               (MdTime)end->run_us, end->checkpoint);
     }
+}
+
+static void
+on_report (MdRunEntry *entry, MdEntryGuard *guard, const Md__RunReport *report)
+{
+  if (report->stamp_us > guard->stamp)
+    {
+      guard->stamp = report->stamp_us;
+      guard->stamp_at = entry->now;
+    }
+  if (report->worker != NULL)
+    take_worker (guard, report->worker);
+  /* Before its first welcome a guard reports on a former process of this entry, whose
+     orders and ends had the same numbers. */
+  if (report->entry == entry->incarnation)
+    take_progress (entry, guard, report);
   take_room (entry, guard, report);
   if (guard->settling)
     settle (entry, guard);
@@ -491,7 +500,7 @@
   guard->connection = hello->connection;
   free (guard->alive);
   guard->alive = alive;
-  guard->n_alive = hello->n_alive;
+  guard->n_alive = hello->entry == entry->incarnation ? hello->n_alive : 0;
   if (guard->n_alive > 0)
     memcpy (guard->alive, hello->alive, guard->n_alive * sizeof *guard->alive);
   guard->settling = true;
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -228,6 +228,7 @@
   if (ends == NULL || pointers == NULL)
     return; /* reported with the next heartbeat */
   report.stamp_us = guard->now;
+  report.entry = peer->incarnation;
   report.last_order = peer->last_order;
   report.free_cpu = guard->queue.free.cpu;
   report.free_memory_mb = guard->queue.free.memory_mb;
@@ -348,6 +349,7 @@
   hello.name = guard->daemon.settings.name;
   hello.incarnation = guard->incarnation;
   hello.connection = ++guard->connections;
+  hello.entry = peer->incarnation;
   hello.failure_domain = guard->daemon.settings.failure_domain;
   hello.alive = alive;
   hello.n_alive = list_alive (guard, peer->incarnation, alive);
--- a/net/wire.pb-c.c
+++ b/net/wire.pb-c.c
@@ -3651,7 +3651,7 @@
   (ProtobufCMessageInit) md__snapshot_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_hello__field_descriptors[6] =
+static const ProtobufCFieldDescriptor md__run_hello__field_descriptors[7] =
 {
   {
     "name",
@@ -3725,11 +3725,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entry",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunHello, entry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_hello__field_indices_by_name[] = {
   3,   /* field[3] = alive */
   5,   /* field[5] = connection */
   4,   /* field[4] = entries */
+  6,   /* field[6] = entry */
   2,   /* field[2] = failure_domain */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
@@ -3737,7 +3750,7 @@
 static const ProtobufCIntRange md__run_hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor md__run_hello__descriptor =
 {
@@ -3747,7 +3760,7 @@
   "Md__RunHello",
   "md",
   sizeof(Md__RunHello),
-  6,
+  7,
   md__run_hello__field_descriptors,
   md__run_hello__field_indices_by_name,
   1,  md__run_hello__number_ranges,
@@ -4308,7 +4321,7 @@
   (ProtobufCMessageInit) md__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_report__field_descriptors[14] =
+static const ProtobufCFieldDescriptor md__run_report__field_descriptors[15] =
 {
   {
     "stamp_us",
@@ -4478,9 +4491,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entry",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, entry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_report__field_indices_by_name[] = {
   7,   /* field[7] = ends */
+  14,   /* field[14] = entry */
   13,   /* field[13] = failures */
   4,   /* field[4] = free_accelerators */
   2,   /* field[2] = free_cpu */
@@ -4498,7 +4524,7 @@
 static const ProtobufCIntRange md__run_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor md__run_report__descriptor =
 {
@@ -4508,7 +4534,7 @@
   "Md__RunReport",
   "md",
   sizeof(Md__RunReport),
-  14,
+  15,
   md__run_report__field_descriptors,
   md__run_report__field_indices_by_name,
   1,  md__run_report__number_ranges,
--- a/net/wire.pb-c.h
+++ b/net/wire.pb-c.h
@@ -531,10 +531,14 @@
    * counts those of the guard's process
    */
   uint64_t connection;
+  /*
+   * incarnation that alive refers to, 0 none
+   */
+  uint64_t entry;
 };
 #define MD__RUN_HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Md__RunWelcome
@@ -727,10 +731,14 @@
    * learned, relative to the declared run times
    */
   double speed;
+  /*
+   * incarnation that last_order, started and ends refer to
+   */
+  uint64_t entry;
 };
 #define MD__RUN_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -10,6 +10,7 @@
 
 #define PASSES 20000 /* only ends a broken run */
 #define INCARNATION 77
+#define FORMER 4711 /* incarnation of the entry before its restart */
 
 static MdRunEntry entry;
 static MdLinks *guard;
@@ -188,6 +189,71 @@
 }
 END_TEST
 
+/* Guards against dials of entries that were replaced long ago. */
+START_TEST (address_that_nobody_names_is_dropped)
+{
+  MdDirectory directory = { 0 };
+
+  md_directory_add (&directory, MD_STR ("127.0.0.1:1"), 10);
+  md_directory_add (&directory, MD_STR ("127.0.0.1:2"), 10);
+  md_directory_add (&directory, MD_STR ("127.0.0.1:3"), 20);
+  ck_assert (!md_directory_add (&directory, MD_STR ("127.0.0.1:1"), 30));
+  md_directory_drop_old (&directory, 20);
+  ck_assert_uint_eq (directory.n, 2);
+  ck_assert_str_eq (directory.address[0], "127.0.0.1:1");
+  ck_assert_str_eq (directory.address[1], "127.0.0.1:3");
+}
+END_TEST
+
+/* A guard that has not had the welcome of this process yet: what it has refers to a
+   former process of the entry, whose orders had the same numbers. */
+static void
+send_state_of_former (void)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunHello hello = MD__RUN_HELLO__INIT;
+  Md__RunReport report = MD__RUN_REPORT__INIT;
+  Md__RunEnd end = MD__RUN_END__INIT;
+  Md__RunEnd *ends[] = { &end };
+  uint64_t alive[] = { 1 };
+
+  hello.name = "guard-1";
+  hello.incarnation = INCARNATION;
+  hello.connection = 1;
+  hello.entry = FORMER;
+  hello.alive = alive;
+  hello.n_alive = 1;
+  frame.msg_case = MD__FRAME__MSG_RUN_HELLO;
+  frame.run_hello = &hello;
+  md_link_send (connections[0], &frame);
+  end.number = 57;
+  end.id = 1;
+  report.entry = FORMER;
+  report.ends = ends;
+  report.n_ends = 1;
+  report.stamp_us = 1;
+  frame.msg_case = MD__FRAME__MSG_RUN_REPORT;
+  frame.run_report = &report;
+  md_link_send (connections[0], &frame);
+}
+
+/* Guards against a rejection that says "not run" of a job that ran: the entry confirmed
+   ends up to the highest number of its former process, the guard dropped new ones that had
+   not arrived yet, and the orders were settled as lost (soak seed 1021). Guards as well
+   against an order that is taken for one of the former process with the same number. */
+START_TEST (state_of_a_former_process_is_ignored)
+{
+  entry.incarnation = FORMER + 1;
+  send_state_of_former ();
+  for (int i = 0; i < PASSES && (known_guard () == NULL || known_guard ()->stamp == 0); i++)
+    poll_both ();
+  ck_assert_ptr_nonnull (known_guard ());
+  ck_assert_int_eq (known_guard ()->stamp, 1);
+  ck_assert_uint_eq (known_guard ()->n_alive, 0);
+  ck_assert_uint_eq (known_guard ()->ends_seen, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -198,7 +264,9 @@
   tcase_add_test (tc, late_hello_is_refused);
   tcase_add_test (tc, later_hello_replaces);
   tcase_add_test (tc, replaced_worker_is_forgotten);
-  tcase_add_test (tc, directory_keeps_the_newest);
   tcase_add_test (tc, directory_holds_every_entry);
+  tcase_add_test (tc, directory_keeps_the_newest);
+  tcase_add_test (tc, address_that_nobody_names_is_dropped);
+  tcase_add_test (tc, state_of_a_former_process_is_ignored);
   return run_suite ("entry-guards", tc);
 }
