Check the leases of entries right before starting runs

A guard that was frozen for seconds with a run waiting for room woke, started the run, and only then noticed that its entry had not been heard for longer than its lease; by then the entry has the task run elsewhere. The run was stopped again within a message, but for that time the task ran twice. Change: md_guard_check_leases, called before the starts of each pass. Tests: test-guard-worker, waiting_run_of_a_silent_entry_is_not_started, failed before (one run started); run-platform.

--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -584,6 +584,13 @@
   cancel_runs_of (guard, peer->incarnation);
 }
 
+void
+md_guard_check_leases (MdRunGuard *guard)
+{
+  for (MdGuardPeer *peer = guard->peers; peer != NULL; peer = peer->next)
+    check_lease (guard, peer);
+}
+
 static void
 drop_silent_peers (MdRunGuard *guard)
 {
@@ -620,7 +627,6 @@
           = peer->reported_at
             + (peer->told_change != guard->change ? interval : guard->daemon.leases.heartbeat);
 
-      check_lease (guard, peer);
       if (!peer->up)
         continue;
       if (peer->urgent || guard->now >= next)
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -609,6 +609,8 @@
   due = next < due ? next : due;
   next = poll_reachable (guard);
   due = next < due ? next : due;
+  /* Before the starts: this process may have been frozen since the last pass. */
+  md_guard_check_leases (guard);
   if (guard->now >= guard->start_after)
     for (MdRun *run; (run = md_runqueue_next (&guard->queue, guard->now)) != NULL;)
       send_start (guard, run_of (run));
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -195,6 +195,8 @@
 void md_guard_started (MdRunGuard *guard, const MdGuardRun *run);
 /* md_guard_return_waiting: hand back what has not been started. */
 void md_guard_return_waiting (MdRunGuard *guard);
+/* md_guard_check_leases: end the runs of entries that have not been heard for too long. */
+void md_guard_check_leases (MdRunGuard *guard);
 /* md_guard_free_runs: forget every run without a word, at the end of the process. */
 void md_guard_free_runs (MdRunGuard *guard);
 /* md_guard_orders_poll: reports and leases that are due; returns when to call again. */
