--- a/common/settings.c
+++ b/common/settings.c
@@ -641,61 +641,22 @@
 /* ------------------------------------------------------------------ */
 /* Changes while the process runs                                      */
 
-static bool
-same_value (const Setting *setting, const void *a, const void *b)
-{
-  switch (setting->type)
-    {
-    case SETTING_NAME:
-    case SETTING_ADDRESS:
-    case SETTING_LIST:
-      return strcmp (a, b) == 0;
-    case SETTING_U32:
-      return *(const uint32_t *)a == *(const uint32_t *)b;
-    case SETTING_U64:
-      return *(const uint64_t *)a == *(const uint64_t *)b;
-    case SETTING_MS:
-    case SETTING_SECONDS:
-      return *(const MdTime *)a == *(const MdTime *)b;
-    case SETTING_DOUBLE:
-      return memcmp (a, b, sizeof (double)) == 0;
-    case SETTING_LEVEL:
-      return *(const MdLogLevel *)a == *(const MdLogLevel *)b;
-    }
-  return true;
-}
+/* Bytes of a value in memory. */
+static const size_t value_bytes[] = {
+  [SETTING_NAME] = MD_NAME_BYTES,        [SETTING_ADDRESS] = MD_ADDRESS_BYTES,
+  [SETTING_U32] = sizeof (uint32_t),     [SETTING_U64] = sizeof (uint64_t),
+  [SETTING_MS] = sizeof (MdTime),        [SETTING_SECONDS] = sizeof (MdTime),
+  [SETTING_LIST] = MD_LIST_BYTES,        [SETTING_DOUBLE] = sizeof (double),
+  [SETTING_LEVEL] = sizeof (MdLogLevel),
+};
 
-static void
-copy_value (const Setting *setting, void *to, const void *from)
+/* What follows the end of a text does not count. */
+static bool
+same_value (SettingType type, const void *a, const void *b)
 {
-  switch (setting->type)
-    {
-    case SETTING_NAME:
-      memcpy (to, from, MD_NAME_BYTES);
-      break;
-    case SETTING_ADDRESS:
-      memcpy (to, from, MD_ADDRESS_BYTES);
-      break;
-    case SETTING_LIST:
-      memcpy (to, from, MD_LIST_BYTES);
-      break;
-    case SETTING_U32:
-      *(uint32_t *)to = *(const uint32_t *)from;
-      break;
-    case SETTING_U64:
-      *(uint64_t *)to = *(const uint64_t *)from;
-      break;
-    case SETTING_MS:
-    case SETTING_SECONDS:
-      *(MdTime *)to = *(const MdTime *)from;
-      break;
-    case SETTING_DOUBLE:
-      *(double *)to = *(const double *)from;
-      break;
-    case SETTING_LEVEL:
-      *(MdLogLevel *)to = *(const MdLogLevel *)from;
-      break;
-    }
+  if (type == SETTING_NAME || type == SETTING_ADDRESS || type == SETTING_LIST)
+    return strcmp (a, b) == 0;
+  return memcmp (a, b, value_bytes[type]) == 0;
 }
 
 void
@@ -708,10 +669,10 @@
       const void *new = (const char *)fresh + setting->offset;
       MdBuf *names = setting->flags & LIVE ? applied : deferred;
 
-      if (same_value (setting, old, new))
+      if (same_value (setting->type, old, new))
         continue;
       md_buf_printf (names, "%s%s", names->len > 0 ? "," : "", setting->name);
       if (setting->flags & LIVE)
-        copy_value (setting, old, new);
+        memcpy (old, new, value_bytes[setting->type]);
     }
 }
