Ask the advisor again when its answer cannot be read

Cause, found in review: every worker named in a call was marked as denied before the answer was parsed, so an answer that is not understood denied them for good and the job was rejected as not allowed. Change: workers are denied only after the answer has been read; a failure of either kind is counted, logged and followed by a further call. Ruled out: giving the job up at once, because the next answer may be sound. Tests: run-platform, an advisor that cannot be understood for a moment: 503 before, 200 after.

--- a/fleet/entry-advice.c
+++ b/fleet/entry-advice.c
@@ -18,6 +18,7 @@
   uint32_t allowed;                               /* of them */
   uint64_t lifetime[MD_ADVICE_MAX];               /* of the workers */
   char worker[MD_ADVICE_MAX][MD_WORKER_ID_BYTES]; /* their names */
+  bool may[MD_ADVICE_MAX];                        /* they are allowed */
   MdTime valid;                                   /* of permits */
 };
 
@@ -44,19 +45,36 @@
   for (uint32_t i = 0; i < call->n; i++)
     if (md_str_equal (md_str (call->worker[i]), worker))
       {
-        call->allowed++;
+        call->allowed += !call->may[i];
+        call->may[i] = true;
         keep (call, i, permit);
         return;
       }
 }
 
-/* What was named and is not among the allowed is denied. */
+/* What was named and is not among the allowed is denied. An answer that cannot be read says
+   nothing about anybody. */
 static int
 take_answer (Call *call, MdStr body, MdError *error)
 {
-  for (uint32_t i = 0; i < call->n; i++)
-    keep (call, i, MD_STR (""));
-  return md_platform_advise_answer (body, on_allowed, call, &call->valid, error);
+  int rc = md_platform_advise_answer (body, on_allowed, call, &call->valid, error);
+
+  for (uint32_t i = 0; rc == MD_OK && i < call->n; i++)
+    if (!call->may[i])
+      keep (call, i, MD_STR (""));
+  return rc;
+}
+
+/* The next look at the job asks again. */
+static void
+note_failure (Call *call, const MdHttpAnswer *answer, const char *event, const char *reason)
+{
+  MdRunEntry *entry = call->entry;
+
+  md_count (MD_M_ADVICE_FAILED, 1);
+  entry->ask_after = entry->now + ASK_RETRY;
+  md_log (MD_LOG_WARN, event, "job=%s step=%u workers=%u status=%d reason=\"%s\"",
+          call->job != NULL ? call->job->id : "-", call->step, call->n, answer->status, reason);
 }
 
 static void
@@ -72,17 +90,16 @@
   md_count (MD_M_ADVICE_CALLS, 1);
   if (answer->status != 200)
     {
-      md_count (MD_M_ADVICE_FAILED, 1);
-      entry->ask_after = entry->now + ASK_RETRY;
-      md_log (MD_LOG_WARN, "advice-failed", "job=%s step=%u workers=%u status=%d reason=\"%s\"",
-              job != NULL ? job->id : "-", call->step, call->n, answer->status, error.detail);
+      note_failure (call, answer, "advice-failed", error.detail);
       return;
     }
   if (job == NULL)
     return;
   if (take_answer (call, answer->body, &error) != MD_OK)
-    md_log (MD_LOG_WARN, "advice-ignored", "job=%s step=%u reason=\"%s\"", job->id, call->step,
-            error.detail);
+    {
+      note_failure (call, answer, "advice-ignored", error.detail);
+      return;
+    }
   job->stats->allowed_share = md_advice_learn (job->stats->allowed_share, call->n, call->allowed);
   md_log (MD_LOG_INFO, "advice", "job=%s request=%s step=%u workers=%u allowed=%u elapsed_ms=%lld",
           job->id, job->request, call->step, call->n, call->allowed,
--- a/tests/platform-store.c
+++ b/tests/platform-store.c
@@ -7,7 +7,8 @@
    records go, so that reads of them are answered 410).
 
    It is the advisory service as well: POST /v1/advise allows the one worker that
-   /control?allow=ID has named, with the permit "WORKER/STEP". */
+   /control?allow=ID has named, with the permit "WORKER/STEP"; ID "nonsense": its answers
+   cannot be read. */
 
 #include "http-client.h"
 #include "http-server.h"
@@ -244,6 +245,11 @@
     return respond (conn, 400, MD_STR ("{}"));
   root = json_loadb (body.data, body.len, 0, NULL);
   workers = json_object_get (root, "workers");
+  if (strcmp (allowed, "nonsense") == 0)
+    {
+      json_decref (root);
+      return respond (conn, 200, MD_STR ("nonsense"));
+    }
   md_buf_append (&out, MD_STR ("{\"allowed\":["));
   pthread_mutex_lock (&lock);
   for (size_t i = 0; i < json_array_size (workers); i++)
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -42,6 +42,14 @@
   local advised=${JOB/cpu=1000/cpu=1000 advised}
   echo "a queue with an advisor: $(QUEUE=/advised/ post 00000000000000aa "$advised")"
   echo "its starts: $(sed -n 's/^start 00000000000000aa.* //p' "$RUN/journal" | sort | uniq -c | xargs), rejected $(cat "$RUN"/guard-*.log | grep -c start-rejected)"
+  advisor_allows nonsense
+  # A longer estimate gives the job time for several calls on a busy machine.
+  QUEUE=/advised/ post 00000000000000ae "${advised//_ms\":30/_ms\":300}" > "$RUN/advised" &
+  local asked=$!
+  wait_for 5 seen entry-1 'advice-ignored job=00000000000000ae' || fail "the advisor was not asked"
+  advisor_allows i-2
+  wait "$asked"
+  echo "its advisor cannot be understood for a moment: $(cat "$RUN/advised")"
   advisor_allows nobody
   echo "its advisor allows no worker: $(QUEUE=/advised/ post 00000000000000ab "$advised")"
 
