Tell the thread sanitizer about RCU's grace periods

Ruled out: a reader without registration or outside of its section (view_version reads between lock and unlock); suppressing store_publish, which would hide real races there. Change: builds for the thread sanitizer wrap the unlock and the grace period and state that order. A reader that is still inside is reported as before.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,10 @@
 LDLIBS = -lcivetweb -lcurl -lcrypto -lprotobuf-c -lpopt -lyaml -lurcu-memb -lurcu-cds -lurcu-common -ljansson \
   -lxxhash -lpthread -lm
 
+# See tests/tsan-rcu.c.
+RCU_tsan = -Wl,--wrap=urcu_memb_read_unlock,--wrap=urcu_memb_synchronize_rcu $(B)/tests/tsan-rcu.o
+RCU = $(RCU_$(VARIANT))
+
 # The coordination parts: no I/O, no threads, no clock.
 LIB_SRC = $(wildcard core/*.c sched/*.c)
 GEN_SRC = net/wire.pb-c.c
@@ -27,7 +31,7 @@
 TEST_SRC = $(wildcard tests/test-*.c)
 UTIL_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard tests/*-util.c))
 SHIM_SRC = tests/clock-shim.c
-TOOL_SRC = $(filter-out $(TEST_SRC) $(SHIM_SRC) $(wildcard tests/*-util.c),$(wildcard tests/*.c))
+TOOL_SRC = $(filter-out $(TEST_SRC) $(SHIM_SRC) tests/tsan-rcu.c $(wildcard tests/*-util.c),$(wildcard tests/*.c))
 
 LIB = $(B)/libmulberrydrift.a
 BIN = $(B)/mulberrydrift
@@ -44,8 +48,8 @@
 	@rm -f $@
 	ar rcs $@ $(filter %.o,$^)
 
-$(BIN): $(B)/main.o $(DAEMON_OBJ) $(LIB)
-	$(CC) $(CFLAGS_$(VARIANT)) -pthread -o $@ $^ $(LDLIBS)
+$(BIN): $(B)/main.o $(DAEMON_OBJ) $(LIB) $(filter %.o,$(RCU))
+	$(CC) $(CFLAGS_$(VARIANT)) -pthread -o $@ $(filter-out $(B)/tests/%,$^) $(RCU) $(LDLIBS)
 
 $(B)/net/wire.pb-c.o: net/wire.pb-c.c
 	@mkdir -p $(@D)
@@ -56,9 +60,9 @@
 	$(CC) $(CFLAGS) -c -o $@ $<
 
 # Tests and tools may use every module but main.c, and tests/*-util.c.
-$(B)/tests/%: tests/%.c $(UTIL_OBJ) $(DAEMON_OBJ) $(LIB)
+$(B)/tests/%: tests/%.c $(UTIL_OBJ) $(DAEMON_OBJ) $(LIB) $(filter %.o,$(RCU))
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -o $@ $< $(UTIL_OBJ) $(DAEMON_OBJ) $(LIB) -lcheck -lsubunit -lrt $(LDLIBS)
+	$(CC) $(CFLAGS) -o $@ $< $(UTIL_OBJ) $(DAEMON_OBJ) $(LIB) $(RCU) -lcheck -lsubunit -lrt $(LDLIBS)
 
 # Preloaded by the soak.
 $(B)/tests/%.so: tests/%.c
