Read HTTP bodies and answers with one function each

Cause: http-client.c read bodies with a loop of its own beside md_http_read_body; resource-cli.c and logclient.c had the same function to parse an answer; two stand-ins repeated the loop and one dialled by hand what md_http_call does; each client test set up its server and request anew. Change: md_http_read serves requests and answers, md_http_response_json parses an answer, the stand-ins call both; the client tests share their set-up, every assertion stays. Behaviour is the same but for one error: a client out of memory says so instead of "too long". Ruled out: logd.c, upstreamd.c and jobload.c, whose loops stop in other ways on purpose.

--- a/cli/resource-cli.c
+++ b/cli/resource-cli.c
@@ -57,19 +57,13 @@
   return (uint64_t)json_integer_value (json_object_get (object, key));
 }
 
-static json_t *
-parse_body (const MdHttpResponse *answer)
-{
-  return json_loadb (answer->body.data ? answer->body.data : "", answer->body.len, 0, NULL);
-}
-
 /* ------------------------------------------------------------------ */
 /* Outcomes                                                            */
 
 static void
 print_problem (const char *what, const MdHttpResponse *answer, const MdError *error)
 {
-  json_t *root = parse_body (answer);
+  json_t *root = md_http_response_json (answer);
   const char *detail = text_of (root, "detail");
 
   if (answer->status == 0)
@@ -112,7 +106,7 @@
 static void
 print_items (const Cli *cli, const MdHttpResponse *answer)
 {
-  json_t *root = parse_body (answer);
+  json_t *root = md_http_response_json (answer);
   const json_t *items = json_object_get (root, "items");
   size_t index;
   json_t *item;
@@ -183,7 +177,7 @@
   json_t *root;
 
   get_path (cli, document->kind, document->name, &answer, &error);
-  root = parse_body (&answer);
+  root = md_http_response_json (&answer);
   if (answer.status == 404)
     current = CURRENT_ABSENT;
   else if (answer.status == 200)
@@ -356,7 +350,7 @@
       return MD_EXIT_OK;
     }
   get_path (cli, cli->args[0], NULL, &answer, &error);
-  root = parse_body (&answer);
+  root = md_http_response_json (&answer);
   state->version = number_of (root, "version");
   if (answer.status == 200)
     print_items (cli, &answer);
--- a/net/http-client.c
+++ b/net/http-client.c
@@ -5,8 +5,8 @@
    unknown outcome, and a record must not be appended twice. */
 
 #include "http-client.h"
+#include "http-server.h"
 
-#include <civetweb.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <strings.h>
@@ -96,21 +96,20 @@
 read_body (struct mg_connection *conn, const MdHttpRequest *request, MdHttpResponse *response,
            MdError *error)
 {
-  const struct mg_response_info *info = mg_get_response_info (conn);
-  char chunk[16384];
-  int n;
+  size_t max = request->max_bytes > 0 ? request->max_bytes : SIZE_MAX;
+  int rc = md_http_read (conn, mg_get_response_info (conn)->content_length, max, &response->body);
 
-  while ((n = mg_read (conn, chunk, sizeof chunk)) > 0)
+  switch (rc)
     {
-      md_buf_append (&response->body, md_str_n (chunk, (size_t)n));
-      if (response->body.failed
-          || (request->max_bytes > 0 && response->body.len > request->max_bytes))
-        return md_error_set (error, MD_E_LIMIT, "answer", request->address,
-                             "the answer is too long");
+    case MD_OK:
+      return MD_OK;
+    case MD_E_LIMIT:
+      return md_error_set (error, rc, "answer", request->address, "the answer is too long");
+    case MD_E_MEMORY:
+      return md_error_set (error, rc, "answer", request->address, "out of memory");
+    default:
+      return md_error_set (error, rc, "answer", request->address, "the answer broke off");
     }
-  if (n < 0 || (info->content_length >= 0 && response->body.len != (uint64_t)info->content_length))
-    return md_error_set (error, MD_E_IO, "answer", request->address, "the answer broke off");
-  return MD_OK;
 }
 
 /* Passes on the whole lines in the buffer; false when the caller stops. */
@@ -231,6 +230,12 @@
   return rc;
 }
 
+json_t *
+md_http_response_json (const MdHttpResponse *response)
+{
+  return json_loadb (response->body.data ? response->body.data : "", response->body.len, 0, NULL);
+}
+
 void
 md_http_response_clear (MdHttpResponse *response)
 {
--- a/net/http-client.h
+++ b/net/http-client.h
@@ -8,6 +8,8 @@
 
 #include "md-private.h"
 
+#include <jansson.h>
+
 /* md_http_init: initialize the HTTP library, from any thread, any number of times.
    To be called before any other function of CivetWeb. */
 void md_http_init (void);
@@ -47,8 +49,8 @@
 /* md_http_call: send a request on a connection of its own and read the whole answer.
    Returns MD_OK when an answer of any status arrived. Errors: MD_E_INVALID address;
    MD_E_NOT_FOUND not connected, nothing was sent; MD_E_TIMEOUT no answer in time, MD_E_IO
-   the connection broke, MD_E_LIMIT the answer is over max_bytes: the request may have been
-   carried out. The caller zero-initializes response and clears it in every case. */
+   the connection broke, MD_E_LIMIT the answer is over max_bytes, MD_E_MEMORY: the request may
+   have been carried out. The caller zero-initializes response and clears it in every case. */
 int md_http_call (const MdHttpRequest *request, MdHttpResponse *response, MdError *error);
 
 /* md_http_call_on: the same on a connection that is kept for the next request. A kept
@@ -57,6 +59,9 @@
                      MdHttpResponse *response, MdError *error);
 void md_http_disconnect (MdHttpConnection *connection);
 
+/* md_http_response_json: the body; NULL when it is not JSON. The caller releases it. */
+json_t *md_http_response_json (const MdHttpResponse *response);
+
 void md_http_response_clear (MdHttpResponse *response);
 
 #endif
--- a/net/http-server.c
+++ b/net/http-server.c
@@ -1,27 +1,40 @@
-/* http-server.c -- parts of an HTTP server that CivetWeb leaves out */
+/* http-server.c -- parts of HTTP that CivetWeb leaves out */
 
 #include "http-server.h"
 
 #include <strings.h>
 
 int
-md_http_read_body (struct mg_connection *conn, size_t max, MdBuf *body)
+md_http_read (struct mg_connection *conn, long long stated, size_t max, MdBuf *body)
 {
-  long long stated = mg_get_request_info (conn)->content_length;
   char chunk[8192];
   int n;
 
-  if (stated > (long long)max)
-    return 413;
+  if (stated >= 0 && (unsigned long long)stated > max)
+    return MD_E_LIMIT;
   while ((n = mg_read (conn, chunk, sizeof chunk)) > 0)
     {
       if (body->len + (size_t)n > max)
-        return 413;
+        return MD_E_LIMIT;
       md_buf_append (body, md_str_n (chunk, (size_t)n));
+      if (body->failed)
+        return MD_E_MEMORY;
+    }
+  return n < 0 || (stated >= 0 && body->len != (size_t)stated) ? MD_E_IO : MD_OK;
+}
+
+int
+md_http_read_body (struct mg_connection *conn, size_t max, MdBuf *body)
+{
+  switch (md_http_read (conn, mg_get_request_info (conn)->content_length, max, body))
+    {
+    case MD_OK:
+      return 0;
+    case MD_E_LIMIT:
+      return 413;
+    default:
+      return 400;
     }
-  if (n < 0 || body->failed || (stated >= 0 && body->len != (size_t)stated))
-    return 400;
-  return 0;
 }
 
 int
--- a/net/http-server.h
+++ b/net/http-server.h
@@ -1,4 +1,4 @@
-/* http-server.h -- parts of an HTTP server that CivetWeb leaves out */
+/* http-server.h -- parts of HTTP that CivetWeb leaves out */
 
 #ifndef MD_HTTP_SERVER_H
 #define MD_HTTP_SERVER_H
@@ -8,6 +8,10 @@
 #include <civetweb.h>
 #include <sys/socket.h>
 
+/* md_http_read: append the body of a request or an answer of a stated length, negative when
+   none is stated. MD_E_LIMIT longer than max bytes, MD_E_MEMORY, MD_E_IO it broke off. */
+int md_http_read (struct mg_connection *conn, long long stated, size_t max, MdBuf *body);
+
 /* md_http_read_body: append the body of a request, which must have a stated length or be
    chunked and must arrive whole. Returns 0, or the status of a refusal: 413 when it is
    longer than max bytes, 400 when it broke off. What is left of a refused body must not
--- a/store/logclient.c
+++ b/store/logclient.c
@@ -65,12 +65,6 @@
   return reader;
 }
 
-static json_t *
-parse_body (const MdHttpResponse *response)
-{
-  return json_loadb (response->body.data ? response->body.data : "", response->body.len, 0, NULL);
-}
-
 /* Status codes that mean the same for appends and reads. */
 static int
 check_status (const MdHttpResponse *response, const char *peer, MdError *error)
@@ -88,7 +82,7 @@
 static int
 parse_offset (const MdHttpResponse *response, uint64_t *offset, const char *peer, MdError *error)
 {
-  json_t *root = parse_body (response);
+  json_t *root = md_http_response_json (response);
   const json_t *value = json_object_get (root, "offset");
   int rc = MD_OK;
 
@@ -225,7 +219,7 @@
   request.timeout = wait + reader->margin;
   rc = md_http_call_on (&reader->connection, &request, &response, error);
   adapt_margin (reader, rc, md_now () - start, wait);
-  root = rc == MD_OK ? parse_body (&response) : NULL;
+  root = rc == MD_OK ? md_http_response_json (&response) : NULL;
   if (rc == MD_OK && response.status == 410)
     rc = uint_member (root, "first", first)
              ? MD_E_TOO_OLD
--- a/tests/platform-store.c
+++ b/tests/platform-store.c
@@ -26,6 +26,7 @@
 
 #define MAX_TOPICS 16
 #define MAX_RECORDS 65536
+#define BODY_MAX (4u << 20) /* bytes of a request */
 
 typedef enum
 {
@@ -107,12 +108,10 @@
   MD_AUTO_BUF out = { 0 };
   struct timespec delay = { 2, 0 };
   bool late = atomic_load (&mode) == MODE_LATE;
-  char chunk[4096];
   size_t at = 0;
-  int n;
 
-  while ((n = mg_read (conn, chunk, sizeof chunk)) > 0)
-    md_buf_append (&body, md_str_n (chunk, (size_t)n));
+  if (md_http_read_body (conn, BODY_MAX, &body) != 0)
+    return respond (conn, 400, MD_STR ("{}"));
   if (late)
     nanosleep (&delay, NULL);
   pthread_mutex_lock (&lock);
@@ -241,7 +240,7 @@
   json_t *root;
   const json_t *workers;
 
-  if (md_http_read_body (conn, 65536, &body) != 0)
+  if (md_http_read_body (conn, BODY_MAX, &body) != 0)
     return respond (conn, 400, MD_STR ("{}"));
   root = json_loadb (body.data, body.len, 0, NULL);
   workers = json_object_get (root, "workers");
--- a/tests/platform-worker.c
+++ b/tests/platform-worker.c
@@ -14,6 +14,7 @@
    reports nothing). */
 
 #include "http-client.h"
+#include "http-server.h"
 #include "md-private.h"
 #include "server.h"
 
@@ -26,11 +27,12 @@
 #include <time.h>
 #include <unistd.h>
 
-#define MAX_RUNS 256     /* at a time */
-#define MAX_ENDS 1024    /* not taken note of */
-#define STEP_MS 2        /* between looks at runs and leases */
-#define HOLD_MAX_MS 1000 /* longest lease */
-#define LOST_EVERY 10    /* mode lost: every so many orders */
+#define MAX_RUNS 256        /* at a time */
+#define MAX_ENDS 1024       /* not taken note of */
+#define STEP_MS 2           /* between looks at runs and leases */
+#define HOLD_MAX_MS 1000    /* longest lease */
+#define BODY_MAX (1u << 20) /* bytes of an order */
+#define LOST_EVERY 10       /* mode lost: every so many orders */
 
 typedef enum
 {
@@ -347,11 +349,9 @@
 read_json (struct mg_connection *conn)
 {
   MD_AUTO_BUF body = { 0 };
-  char chunk[4096];
-  int n;
 
-  while ((n = mg_read (conn, chunk, sizeof chunk)) > 0)
-    md_buf_append (&body, md_str_n (chunk, (size_t)n));
+  if (md_http_read_body (conn, BODY_MAX, &body) != 0)
+    return NULL;
   return body.len > 0 ? json_loadb (body.data, body.len, 0, NULL) : json_object ();
 }
 
@@ -446,31 +446,25 @@
 static void
 report (int64_t sequence)
 {
-  char host[MD_ADDRESS_BYTES];
-  char reason[128] = "";
-  struct mg_connection *conn;
-  json_t *body;
-  md_autofree char *text = NULL;
-  int port;
-
-  if (md_address_split (md_str (w.guard), host, &port) != MD_OK)
-    return;
-  conn = mg_connect_client (host, port, 0, reason, sizeof reason);
-  if (conn == NULL)
-    return;
-  body = json_pack ("{s:s,s:s,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}", "service", w.service,
-                    "state", atomic_load (&w.mode) == MODE_DRAIN ? "draining" : "ready", "address",
-                    w.listen, "slots", 8, "capacity", "cpu", w.cpu, "mem_mb", 32768, "gpu", 0,
-                    "labels", "a", "r1-1", "clock_ms", (json_int_t)clock_ms (), "sequence",
-                    (json_int_t)sequence, "born", (json_int_t)w.born_ms);
-  text = json_dumps (body, JSON_COMPACT);
+  json_t *body
+      = json_pack ("{s:s,s:s,s:s,s:i,s:{s:i,s:i,s:i},s:[s,s],s:I,s:I,s:I}", "service", w.service,
+                   "state", atomic_load (&w.mode) == MODE_DRAIN ? "draining" : "ready", "address",
+                   w.listen, "slots", 8, "capacity", "cpu", w.cpu, "mem_mb", 32768, "gpu", 0,
+                   "labels", "a", "r1-1", "clock_ms", (json_int_t)clock_ms (), "sequence",
+                   (json_int_t)sequence, "born", (json_int_t)w.born_ms);
+  md_autofree char *text = json_dumps (body, JSON_COMPACT);
+  MD_AUTO_BUF path = { 0 };
+  MdHttpResponse response = { 0 };
+
+  md_buf_printf (&path, "/v1/instances/%s", w.id);
+  md_http_call (&(MdHttpRequest){ .address = w.guard,
+                                  .method = "PUT",
+                                  .path = path.data,
+                                  .body = md_str (text),
+                                  .timeout = MD_SECOND },
+                &response, NULL);
+  md_http_response_clear (&response);
   json_decref (body);
-  mg_printf (conn,
-             "PUT /v1/instances/%s HTTP/1.1\r\nHost: g\r\nContent-Type: application/json\r\n"
-             "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
-             w.id, strlen (text), text);
-  mg_get_response (conn, reason, sizeof reason, 1000);
-  mg_close_connection (conn);
 }
 
 static void
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -85,25 +85,32 @@
   close (server->listener);
 }
 
-static MdHttpRequest
-get_request (const Server *server)
+static Server server;
+static MdHttpRequest request;
+static MdHttpResponse response;
+
+static void
+begin (int answers)
 {
-  return (MdHttpRequest){
-    .address = server->address, .method = "GET", .path = "/", .timeout = 5 * MD_SECOND
+  start_server (&server, answers);
+  request = (MdHttpRequest){
+    .address = server.address, .method = "GET", .path = "/", .timeout = 5 * MD_SECOND
   };
 }
 
+static void
+teardown (void)
+{
+  md_http_response_clear (&response);
+}
+
 /* Guards against a record that is appended twice: a request whose connection breaks after
    it was sent must not be repeated, and must not be reported as never sent. */
 START_TEST (broken_call_is_not_repeated)
 {
-  Server server;
-  MdHttpRequest request;
-  MdHttpResponse response = { 0 };
   MdError error = { 0 };
 
-  start_server (&server, 0);
-  request = get_request (&server);
+  begin (0);
   ck_assert_int_eq (md_http_call (&request, &response, &error), MD_E_IO);
   ck_assert (response.sent);
   ck_assert_int_eq (response.status, 0);
@@ -111,25 +118,19 @@
   ck_assert_str_eq (error.peer, server.address);
   stop_server (&server);
   ck_assert_int_eq (server.requests, 1);
-  md_http_response_clear (&response);
 }
 END_TEST
 
 /* Guards against an outcome reported as unknown where nothing was sent. */
 START_TEST (unreachable_server_got_nothing)
 {
-  Server server;
-  MdHttpRequest request;
-  MdHttpResponse response = { 0 };
   MdError error = { 0 };
 
-  start_server (&server, 0);
-  request = get_request (&server);
+  begin (0);
   stop_server (&server);
   ck_assert_int_eq (md_http_call (&request, &response, &error), MD_E_NOT_FOUND);
   ck_assert (!response.sent);
   ck_assert_int_eq (error.code, MD_E_NOT_FOUND);
-  md_http_response_clear (&response);
 }
 END_TEST
 
@@ -137,13 +138,9 @@
    idle connection, and against two answers in one body. */
 START_TEST (kept_connection_is_replaced_once)
 {
-  Server server;
   MdHttpConnection connection = { 0 };
-  MdHttpRequest request;
-  MdHttpResponse response = { 0 };
 
-  start_server (&server, 1);
-  request = get_request (&server);
+  begin (1);
   for (int i = 0; i < 3; i++)
     {
       ck_assert_int_eq (md_http_call_on (&connection, &request, &response, NULL), MD_OK);
@@ -153,39 +150,27 @@
   md_http_disconnect (&connection);
   stop_server (&server);
   ck_assert_int_eq (server.requests, 5);
-  md_http_response_clear (&response);
 }
 END_TEST
 
 /* Guards against a second try on a server that is gone for good. */
 START_TEST (new_connection_is_not_replaced)
 {
-  Server server;
   MdHttpConnection connection = { 0 };
-  MdHttpRequest request;
-  MdHttpResponse response = { 0 };
 
-  start_server (&server, 0);
-  request = get_request (&server);
+  begin (0);
   ck_assert_int_eq (md_http_call_on (&connection, &request, &response, NULL), MD_E_IO);
   stop_server (&server);
   ck_assert_int_eq (server.requests, 1);
-  md_http_response_clear (&response);
 }
 END_TEST
 
 START_TEST (answer_has_a_bound)
 {
-  Server server;
-  MdHttpRequest request;
-  MdHttpResponse response = { 0 };
-
-  start_server (&server, 1);
-  request = get_request (&server);
+  begin (1);
   request.max_bytes = 3;
   ck_assert_int_eq (md_http_call (&request, &response, NULL), MD_E_LIMIT);
   stop_server (&server);
-  md_http_response_clear (&response);
 }
 END_TEST
 
@@ -201,13 +186,9 @@
 /* Guards against a watch that goes on after its reader has ended it. */
 START_TEST (lines_end_when_the_reader_stops)
 {
-  Server server;
-  MdHttpRequest request;
-  MdHttpResponse response = { 0 };
   int lines = 0;
 
-  start_server (&server, 1);
-  request = get_request (&server);
+  begin (1);
   request.on_line = count_line;
   request.user = &lines;
   ck_assert_int_eq (md_http_call (&request, &response, NULL), MD_OK);
@@ -215,7 +196,6 @@
   ck_assert_uint_eq (response.version, 7);
   ck_assert_uint_eq (response.body.len, 0);
   stop_server (&server);
-  md_http_response_clear (&response);
 }
 END_TEST
 
@@ -224,6 +204,7 @@
 {
   TCase *tc = tcase_create ("http-client");
 
+  tcase_add_checked_fixture (tc, NULL, teardown);
   tcase_add_test (tc, broken_call_is_not_repeated);
   tcase_add_test (tc, unreachable_server_got_nothing);
   tcase_add_test (tc, kept_connection_is_replaced_once);
