Try placements with one function, and take the model's leases from their source

Cause: save, place and restore stood three times; the model had its own copies of the bound for late answers and of the time after which a lost run is gone, the latter with a reference to a header that does not hold it any more. Change: md_place_try; MD_LATE_LIMIT in run-sched.h; the model calls md_leases_set. Ruled out: md_place_try for forecast_job, which keeps the reservations of several steps.

--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -5,8 +5,7 @@
 
 #include "run-entry.h"
 
-#define LATE_LIMIT 3               /* an answer is worth nothing after this many times the goal */
-#define NETWORK_MARGIN (8 * MD_MS) /* of the goal: the way to the caller and back */
+#define NETWORK_MARGIN (8 * MD_MS)       /* of the goal: the way to the caller and back */
 #define DEFAULT_PATIENCE (2 * MD_SECOND) /* of callers that do not state it */
 #define RETRY_SAFETY 1.25                /* run times scatter by a factor of about exp (0.4) */
 
@@ -110,16 +109,13 @@
   size_t bytes = (entry->workers.n + 1) * sizeof *taken;
   md_autofree uint32_t *counts = taken != NULL ? malloc (bytes) : NULL;
   MdTime finish = 0;
-  bool fits;
 
   if (taken != NULL && counts == NULL)
     return false; /* tried again with the next tick */
   if (taken != NULL)
     memcpy (counts, taken, bytes);
-  md_workers_save (&entry->workers, entry->saved_rooms);
-  fits = md_place_all (&entry->workers, need, count, counts, &finish, entry->now);
-  md_workers_restore (&entry->workers, entry->saved_rooms);
-  return fits;
+  return md_place_try (&entry->workers, need, count, counts, entry->saved_rooms, &finish,
+                       entry->now);
 }
 
 /* The tasks of such a step take longer when they are spread over racks. What runs of it
@@ -248,7 +244,7 @@
   objective = (MdTime)(job->route.slack_factor * chain) + job->route.target_latency;
   job->arrived = ticket->arrived;
   job->goal = ticket->arrived + objective - NETWORK_MARGIN;
-  job->limit = ticket->arrived + LATE_LIMIT * objective - NETWORK_MARGIN;
+  job->limit = ticket->arrived + MD_LATE_LIMIT * objective - NETWORK_MARGIN;
   job->deadline = ticket->arrived + patience;
   if (job->limit > job->deadline)
     job->limit = job->deadline;
--- a/model/play.c
+++ b/model/play.c
@@ -6,20 +6,21 @@
    the entry's have surely ended. Moves of waiting runs and runs that are given up at
    stalled workers are left out, and so are callers that come back after a rejection. */
 
+#include "leases.h"
 #include "model.h"
 
 #include <math.h>
 
-#define STEP (1 * MD_MS)          /* of the model's clock */
-#define HOP (2 * MD_MS)           /* one way between entry and guard */
-#define REPORT_EVERY 4            /* steps between reports of a guard to an entry */
-#define DRAIN (4 * MD_SECOND)     /* after the last arrival, for runs to end */
-#define LOST_AFTER (1223 * MD_MS) /* both leases with 2% of drift, see fleet/daemon.h */
-#define LATE_LIMIT 3              /* an answer is worth nothing after so many objectives */
-#define LATE_SHARE 0.2            /* worth of a late answer, by the users' rules */
-#define BASE_SHARE 0.3            /* of a job's worth that does not depend on its work */
-#define BASELINE_SLACK MD_SECOND  /* the same for all runs: order of arrival */
-#define REMOTE_FACTOR 1.5         /* not used: no job of a day has a place */
+#define STEP (1 * MD_MS)            /* of the model's clock */
+#define HOP (2 * MD_MS)             /* one way between entry and guard */
+#define REPORT_EVERY 4              /* steps between reports of a guard to an entry */
+#define DRAIN (4 * MD_SECOND)       /* after the last arrival, for runs to end */
+#define RESEND_AFTER (1300 * MD_MS) /* the usual time after which callers repeat a job */
+#define STOP_TIMEOUT (50 * MD_MS)   /* of a worker */
+#define LATE_SHARE 0.2              /* worth of a late answer, by the users' rules */
+#define BASE_SHARE 0.3              /* of a job's worth that does not depend on its work */
+#define BASELINE_SLACK MD_SECOND    /* the same for all runs: order of arrival */
+#define REMOTE_FACTOR 1.5           /* not used: no job of a day has a place */
 
 typedef struct PlayTask PlayTask;
 
@@ -73,6 +74,7 @@
   PlayTask *again; /* lost, waiting to be ordered again */
   uint32_t next_job;
   uint32_t next_change;
+  MdLeases leases;
   MdSavedRoom *saved_rooms; /* of one entry's workers, for a forecast */
 } Play;
 
@@ -118,7 +120,7 @@
 static MdTime
 limit_of (const MdModelDay *day, const MdModelJob *job)
 {
-  MdTime limit = LATE_LIMIT * objective_of (day, job);
+  MdTime limit = MD_LATE_LIMIT * objective_of (day, job);
 
   return limit < job->patience ? limit : job->patience;
 }
@@ -249,7 +251,7 @@
 static void
 list_again (Play *play, PlayTask *task)
 {
-  task->sent = play->now + LOST_AFTER;
+  task->sent = play->now + play->leases.gone_after;
   task->next = play->again;
   play->again = task;
 }
@@ -401,7 +403,8 @@
 
   need.work = sqrt ((double)job->declared * queue->mean_work);
   need.goal = (MdTime)(queue->slack * need.work) + queue->target;
-  need.limit = LATE_LIMIT * need.goal < job->patience ? LATE_LIMIT * need.goal : job->patience;
+  need.limit
+      = MD_LATE_LIMIT * need.goal < job->patience ? MD_LATE_LIMIT * need.goal : job->patience;
   need.goal -= past;
   need.limit -= past;
   return need;
@@ -443,15 +446,13 @@
 {
   MdDemand *demand = &entry->demands[job->queue];
   MdForecast forecast = { .goal = need->goal, .limit = need->limit };
-  bool possible;
 
   md_demand_add (demand, need->work * job->count * job->need.cpu / 1000.0, play->now);
   forecast.demand = md_demand_ratio (entry->demand_list, play->day->n_queues, demand, play->now);
   forecast.wait = md_place_backlog (&entry->all, need, play->now);
-  md_workers_save (&entry->all, play->saved_rooms);
-  possible = md_place_all (&entry->all, need, job->count, NULL, &forecast.finish, play->now);
-  md_workers_restore (&entry->all, play->saved_rooms);
-  return possible && md_admit_run (&forecast) != MD_ADMIT_NEVER;
+  return md_place_try (&entry->all, need, job->count, NULL, play->saved_rooms, &forecast.finish,
+                       play->now)
+         && md_admit_run (&forecast) != MD_ADMIT_NEVER;
 }
 
 static int
@@ -579,6 +580,7 @@
   const MdModelDay *day = play->day;
   int rc = MD_OK;
 
+  md_leases_set (&play->leases, RESEND_AFTER, STOP_TIMEOUT);
   play->random = md_model_random (1);
   play->n_entries = play->policy == MD_MODEL_ONE_QUEUE ? 1 : day->n_entries;
   play->hop = play->policy == MD_MODEL_ONE_QUEUE ? 0 : HOP;
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -258,6 +258,18 @@
     }
 }
 
+bool
+md_place_try (const MdWorkers *workers, const MdTaskNeed *need, uint32_t count, uint32_t *taken,
+              MdSavedRoom *saved, MdTime *finish, MdTime now)
+{
+  bool placed;
+
+  md_workers_save (workers, saved);
+  placed = md_place_all (workers, need, count, taken, finish, now);
+  md_workers_restore (workers, saved);
+  return placed;
+}
+
 /* One of the first i workers that could run it has the same rack. */
 static bool
 is_rack_before (const MdWorkers *workers, const MdTaskNeed *need, uint32_t i, const char *rack)
@@ -277,7 +289,6 @@
   const char *best = "";
   MdTime soonest = INT64_MAX;
 
-  md_workers_save (workers, saved);
   for (uint32_t i = 0; i < workers->n; i++)
     {
       const char *rack = md_labels_rack (&workers->workers[i]->labels);
@@ -287,12 +298,11 @@
           || is_rack_before (workers, need, i, rack))
         continue;
       trial.affinity = rack;
-      if (md_place_all (workers, &trial, count, NULL, &finish, now) && finish < soonest)
+      if (md_place_try (workers, &trial, count, NULL, saved, &finish, now) && finish < soonest)
         {
           best = rack;
           soonest = finish;
         }
-      md_workers_restore (workers, saved);
     }
   return best;
 }
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -255,6 +255,9 @@
 bool md_place_all (const MdWorkers *workers, const MdTaskNeed *need, uint32_t count,
                    uint32_t *taken, MdTime *finish, MdTime now);
 
+/* An answer is worth nothing after this many times the response-time goal of its job. */
+#define MD_LATE_LIMIT 3
+
 /* What reservations change. */
 typedef struct
 {
@@ -268,6 +271,10 @@
 void md_workers_save (const MdWorkers *workers, MdSavedRoom *saved);
 void md_workers_restore (const MdWorkers *workers, const MdSavedRoom *saved);
 
+/* md_place_try: md_place_all without a trace of it; saved as for md_workers_save. */
+bool md_place_try (const MdWorkers *workers, const MdTaskNeed *need, uint32_t count,
+                   uint32_t *taken, MdSavedRoom *saved, MdTime *finish, MdTime now);
+
 /* md_worker_can_run: busy or not, it has the room and the labels. */
 bool md_worker_can_run (const MdWorker *worker, const MdTaskNeed *need);
 
