--- a/cli/explain.c
+++ b/cli/explain.c
@@ -179,6 +179,34 @@
 /* ------------------------------------------------------------------ */
 /* Result                                                             */
 
+typedef enum
+{
+  ANSWER_IN_TIME,
+  ANSWER_REJECTED,
+  ANSWER_FAILED,
+  ANSWER_CALLER_LEFT,
+  ANSWER_LOST,
+  ANSWER_LATE,
+} Answer;
+
+/* What the line of a job's answer says. */
+static Answer
+answer_of (MdStr line)
+{
+  MdStr outcome = md_line_value (line, "outcome");
+
+  if (md_str_equal (outcome, MD_STR ("not_run")))
+    return ANSWER_REJECTED;
+  if (md_str_equal (outcome, MD_STR ("failed")))
+    return ANSWER_FAILED;
+  if (md_line_number (line, "status") == 0)
+    return ANSWER_CALLER_LEFT;
+  if (md_line_number (line, "status") != 200)
+    return ANSWER_LOST;
+  return md_line_number (line, "elapsed_ms") > md_line_number (line, "goal_ms") ? ANSWER_LATE
+                                                                                : ANSWER_IN_TIME;
+}
+
 static const Line *
 find_own (const Story *story, const char *event)
 {
@@ -341,19 +369,27 @@
           md_line_value (answered->text, "reason").data,
           (long long)md_line_number (answered->text, "elapsed_ms"),
           (long long)md_line_number (answered->text, "goal_ms"));
-  if (md_str_equal (outcome, MD_STR ("not_run")))
-    print_rejection (story, answered);
-  else if (md_str_equal (outcome, MD_STR ("failed")))
-    print_delay (story, answered, "a task failed as often as its queue allows");
-  else if (md_line_number (answered->text, "status") == 0)
-    puts ("cause: the caller left before the answer");
-  else if (md_line_number (answered->text, "status") != 200)
-    print_delay (story, answered, "given up at its deadline");
-  else if (md_line_number (answered->text, "elapsed_ms")
-           > md_line_number (answered->text, "goal_ms"))
-    print_delay (story, answered, "late");
-  else
-    puts ("cause: none needed, it was answered within its goal");
+  switch (answer_of (answered->text))
+    {
+    case ANSWER_REJECTED:
+      print_rejection (story, answered);
+      break;
+    case ANSWER_FAILED:
+      print_delay (story, answered, "a task failed as often as its queue allows");
+      break;
+    case ANSWER_CALLER_LEFT:
+      puts ("cause: the caller left before the answer");
+      break;
+    case ANSWER_LOST:
+      print_delay (story, answered, "given up at its deadline");
+      break;
+    case ANSWER_LATE:
+      print_delay (story, answered, "late");
+      break;
+    case ANSWER_IN_TIME:
+      puts ("cause: none needed, it was answered within its goal");
+      break;
+    }
 }
 
 static int
@@ -378,49 +414,37 @@
 /* ------------------------------------------------------------------ */
 /* Lists                                                              */
 
-/* What a job's answer was, NULL when it was in time. */
-static const char *
-trouble_of (MdStr line)
-{
-  MdStr outcome = md_line_value (line, "outcome");
-
-  if (md_str_equal (outcome, MD_STR ("not_run")))
-    return "rejected";
-  if (md_str_equal (outcome, MD_STR ("failed")))
-    return "failed";
-  if (md_line_number (line, "status") == 0)
-    return "caller-left";
-  if (md_line_number (line, "status") != 200)
-    return "lost";
-  return md_line_number (line, "elapsed_ms") > md_line_number (line, "goal_ms") ? "late" : NULL;
-}
-
 /* The jobs of a queue that were not answered in time, in the order of the logs. */
 static int
 list_troubles (MdStr logs, const char *queue)
 {
+  static const char *const names[] = { [ANSWER_REJECTED] = "rejected",
+                                       [ANSWER_FAILED] = "failed",
+                                       [ANSWER_CALLER_LEFT] = "caller-left",
+                                       [ANSWER_LOST] = "lost",
+                                       [ANSWER_LATE] = "late" };
   MdStr line;
   unsigned answered = 0;
   unsigned in_time = 0;
 
   while (md_line_next (&logs, &line))
     {
-      const char *trouble;
+      Answer answer;
 
       if (!md_line_is (line, "job-answered")
           || !md_str_equal (md_line_value (line, "queue"), md_str (queue)))
         continue;
       answered++;
-      trouble = trouble_of (line);
-      if (trouble == NULL)
+      answer = answer_of (line);
+      if (answer == ANSWER_IN_TIME)
         {
           in_time++;
           continue;
         }
       printf ("time=%.*s trouble=%s job=%.*s request=%.*s status=%lld reason=%.*s elapsed_ms=%lld "
               "goal_ms=%lld\n",
-              (int)md_line_value (line, "time").len, md_line_value (line, "time").data, trouble,
-              (int)md_line_value (line, "job").len, md_line_value (line, "job").data,
+              (int)md_line_value (line, "time").len, md_line_value (line, "time").data,
+              names[answer], (int)md_line_value (line, "job").len, md_line_value (line, "job").data,
               (int)md_line_value (line, "request").len, md_line_value (line, "request").data,
               (long long)md_line_number (line, "status"), (int)md_line_value (line, "reason").len,
               md_line_value (line, "reason").data, (long long)md_line_number (line, "elapsed_ms"),
