Simplify three places of the entry

Cause: submit freed a job with a copy of free_job, front.c had the same rejection once for each kind of job that is not served, and replaced guards were looked for in a pass of their own over all workers before each poll of the same workers. Change: free_job is used for both, why_not_served names the reason, the poll forgets a replaced guard when it comes to it.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -597,24 +597,17 @@
          && entry->now >= guard->lost_at + FORGET_AFTER;
 }
 
+/* The last guard takes its place. */
 static void
-forget_replaced (MdRunEntry *entry)
+forget_guard (MdRunEntry *entry, uint32_t i)
 {
-  for (uint32_t i = 0; i < entry->workers.n;)
-    {
-      MdEntryGuard *guard = guard_at (entry, i);
+  MdEntryGuard *guard = guard_at (entry, i);
 
-      if (!is_replaced (entry, guard))
-        {
-          i++;
-          continue;
-        }
-      md_log (MD_LOG_INFO, "guard-forgotten", "guard=%s away_ms=%lld", guard->name,
-              (long long)((entry->now - guard->lost_at) / MD_MS));
-      md_entry_forget_worker (entry, &guard->worker);
-      entry->workers.workers[i] = entry->workers.workers[--entry->workers.n];
-      free_guard (guard);
-    }
+  md_log (MD_LOG_INFO, "guard-forgotten", "guard=%s away_ms=%lld", guard->name,
+          (long long)((entry->now - guard->lost_at) / MD_MS));
+  md_entry_forget_worker (entry, &guard->worker);
+  entry->workers.workers[i] = entry->workers.workers[--entry->workers.n];
+  free_guard (guard);
 }
 
 /* Without runs there is no lease to keep, only the link: its guard abandons it after five
@@ -630,13 +623,17 @@
 {
   MdTime due = entry->now + entry->daemon.leases.heartbeat;
 
-  forget_replaced (entry);
-
-  for (uint32_t i = 0; i < entry->workers.n; i++)
+  for (uint32_t i = 0; i < entry->workers.n;)
     {
       MdEntryGuard *guard = guard_at (entry, i);
       MdTime next = guard->sent_at + interval_of (entry, guard);
 
+      if (is_replaced (entry, guard))
+        {
+          forget_guard (entry, i);
+          continue;
+        }
+      i++;
       if (guard->link == NULL)
         next = poll_lost (entry, guard);
       else if (!guard->settling
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -187,7 +187,6 @@
 static void
 free_job (MdRunEntry *entry, MdEntryJob *job)
 {
-  unlink_job (entry, job);
   md_entry_forget_advice (entry, job);
   md_runjob_clear (&job->job);
   free (job);
@@ -226,6 +225,7 @@
       answer_ticket (ticket, status, state, retry_after);
     }
   release_orders (job);
+  unlink_job (entry, job);
   free_job (entry, job);
 }
 
@@ -259,9 +259,7 @@
     {
       md_log (MD_LOG_WARN, "job-rejected", "job=%s queue=%s reason=\"%s\"", ticket->id,
               ticket->route.name, error.detail);
-      md_entry_forget_advice (entry, job);
-      md_runjob_clear (&job->job);
-      free (job);
+      free_job (entry, job);
       answer_ticket (ticket, 503, NULL, 0);
       return;
     }
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -237,11 +237,23 @@
   md_log_quote (text, out, size);
 }
 
+/* NULL when the job can be served. */
+static const char *
+why_not_served (const MdRunEntry *entry, const MdRoute *route, const MdRunSpec *spec)
+{
+  if (!spec->best_effort)
+    return "jobs that must be stored are not served";
+  if (route->advisor.present && entry->advisor == NULL)
+    return "the queue needs an advisor and the settings name none";
+  return NULL;
+}
+
 static int
 submit (const Request *request, const MdRoute *route, const char *id, size_t max_body)
 {
   MdRunTicket ticket = { .kind = MD_TICKET_SUBMIT, .arrived = request->arrived };
   const char *patience = mg_get_header (request->conn, MD_PLATFORM_PATIENCE_HEADER);
+  const char *refusal;
   MD_AUTO_BUF body = { 0 };
   MdError error = { 0 };
   int status = md_http_read_body (request->conn, max_body, &body);
@@ -254,15 +266,11 @@
     }
   if (md_platform_read_job (md_buf_str (&body), &ticket.spec, &error) != MD_OK)
     return reject (request, 400, error.detail, 0);
-  if (!ticket.spec.best_effort)
-    {
-      md_run_spec_clear (&ticket.spec);
-      return reject (request, 503, "jobs that must be stored are not served", 0);
-    }
-  if (route->advisor.present && request->front->entry->advisor == NULL)
+  refusal = why_not_served (request->front->entry, route, &ticket.spec);
+  if (refusal != NULL)
     {
       md_run_spec_clear (&ticket.spec);
-      return reject (request, 503, "the queue needs an advisor and the settings name none", 0);
+      return reject (request, 503, refusal, 0);
     }
   ticket.event = event_of_thread ();
   if (ticket.event < 0)
