Read files with one function

Cause: settings, resource files and logs were each read with a loop of their own. Change: md_stream_read in common/stream.c. Ruled out: submit.c, which ignores read errors today; to report them would change what it does. Before: 3 loops.

--- a/cli/resource-yaml.c
+++ b/cli/resource-yaml.c
@@ -241,15 +241,11 @@
 read_file (const char *path, MdBuf *text)
 {
   FILE *file = fopen (path, "re");
-  char chunk[8192];
-  size_t n;
   bool good;
 
   if (file == NULL)
     return false;
-  while (text->len <= FILE_MAX && (n = fread (chunk, 1, sizeof chunk, file)) > 0)
-    md_buf_append (text, md_str_n (chunk, n));
-  good = !ferror (file) && text->len <= FILE_MAX;
+  good = md_stream_read (file, FILE_MAX, text) && text->len <= FILE_MAX;
   fclose (file);
   return good;
 }
--- a/common/log-line.c
+++ b/common/log-line.c
@@ -93,28 +93,17 @@
   return true;
 }
 
-static bool
-read_stream (MdBuf *out, FILE *file)
-{
-  char chunk[65536];
-  size_t n;
-
-  while ((n = fread (chunk, 1, sizeof chunk, file)) > 0 && out->len < MAX_INPUT)
-    md_buf_append (out, md_str_n (chunk, n));
-  return !ferror (file) && !out->failed;
-}
-
 int
 md_line_read_files (MdBuf *out, const char **files, MdError *error)
 {
   if (files == NULL || *files == NULL)
-    return read_stream (out, stdin)
+    return md_stream_read (stdin, MAX_INPUT, out)
                ? MD_OK
                : md_error_set (error, MD_E_IO, "logs", "", "standard input cannot be read");
   for (; *files != NULL; files++)
     {
       FILE *file = fopen (*files, "rb");
-      bool good = file != NULL && read_stream (out, file);
+      bool good = file != NULL && md_stream_read (file, MAX_INPUT, out);
 
       if (file != NULL)
         fclose (file);
--- a/common/md-private.h
+++ b/common/md-private.h
@@ -9,6 +9,14 @@
 #include "md-base.h"
 
 #include <stdatomic.h>
+#include <stdio.h>
+
+/* ------------------------------------------------------------------ */
+/* Files (stream.c)                                                   */
+
+/* md_stream_read: append the rest of a stream; stops once out is longer than max bytes.
+   False on a read error, or out of memory. */
+bool md_stream_read (FILE *file, size_t max, MdBuf *out);
 
 /* ------------------------------------------------------------------ */
 /* Logger (log.c)                                                     */
--- a/common/settings.c
+++ b/common/settings.c
@@ -569,16 +569,13 @@
 read_file (const char *path, MdBuf *out)
 {
   FILE *file = fopen (path, "rb");
-  char chunk[4096];
-  size_t n;
+  bool good;
 
   if (file == NULL)
     return false;
-  while ((n = fread (chunk, 1, sizeof chunk, file)) > 0 && out->len < MAX_FILE_BYTES)
-    md_buf_append (out, md_str_n (chunk, n));
-  n = (size_t)ferror (file);
+  good = md_stream_read (file, MAX_FILE_BYTES, out);
   fclose (file);
-  return n == 0 && !out->failed;
+  return good;
 }
 
 int
--- /dev/null
+++ b/common/stream.c
@@ -0,0 +1,16 @@
+/* stream.c -- reading files and standard input as a whole */
+
+#include "md-private.h"
+
+#include <stdio.h>
+
+bool
+md_stream_read (FILE *file, size_t max, MdBuf *out)
+{
+  char chunk[65536];
+  size_t n;
+
+  while (out->len <= max && (n = fread (chunk, 1, sizeof chunk, file)) > 0)
+    md_buf_append (out, md_str_n (chunk, n));
+  return !ferror (file) && !out->failed;
+}
