Send a request that is not idempotent only once

Ruled out: closing connections after each call, which costs a new connection to the worker for each start; the blocking client, which makes a new connection for everything but the reads of the log reader.

Change: a call says whether it is idempotent. For all others CURLOPT_PREREQFUNCTION, which libcurl calls before each time it sends a request, lets the first one pass and aborts the second, so that the call ends with MD_E_IO. Reads of the store, holds and stops are idempotent; starts, appends to the store and questions to the advisor are not. mulberrydrift_http_repeats_prevented_total counts the prevented repeats.

--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -133,7 +133,8 @@
                          .target = call->target.data,
                          .headers = call->headers.data,
                          .body = md_buf_str (&call->body),
-                         .timeout = timeout };
+                         .timeout = timeout,
+                         .idempotent = call->idempotent };
 
   return md_http_start (http, &request, done, user);
 }
--- a/net/http-async.c
+++ b/net/http-async.c
@@ -31,6 +31,7 @@
   MdBuf response;             /* body received so far */
   MdHttpDone done;
   void *user;     /* first argument of done */
+  bool sent;      /* the request was sent, at least in part */
   MdTime started; /* time of md_http_start */
   char address[MD_ADDRESS_BYTES];
   char reason[CURL_ERROR_SIZE]; /* error message of libcurl, may be empty */
@@ -269,6 +270,24 @@
     }
 }
 
+/* Called before libcurl sends the request, each time it does. libcurl sends a request again when
+   a reused connection breaks before the first byte of the response, even though the server may
+   have processed it. */
+static int
+on_send (void *user, char *peer_ip MD_UNUSED, char *local_ip MD_UNUSED, int peer_port MD_UNUSED,
+         int local_port MD_UNUSED)
+{
+  Call *call = user;
+
+  if (call->sent)
+    {
+      md_count (MD_M_HTTP_REPEATS_PREVENTED, 1);
+      return CURL_PREREQFUNC_ABORT;
+    }
+  call->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 static void
 set_options (Call *call, const MdHttpCall *request)
 {
@@ -289,6 +308,11 @@
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)(request->timeout / MD_MS));
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)(connect / MD_MS));
+  if (!request->idempotent)
+    {
+      curl_easy_setopt (call->easy, CURLOPT_PREREQFUNCTION, on_send);
+      curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
+    }
   if (strcmp (request->method, "GET") == 0)
     return;
   curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE, (long)call->request.len);
@@ -304,6 +328,7 @@
     return MD_E_MEMORY;
   call->done = done;
   call->user = user;
+  call->sent = false;
   call->started = md_now ();
   call->reason[0] = '\0';
   md_str_copy (call->address, sizeof call->address, md_str (request->address));
--- a/net/http-async.h
+++ b/net/http-async.h
@@ -17,6 +17,7 @@
   const char *headers; /* additional header lines, each ended by CRLF; NULL: none */
   MdStr body;          /* copied; empty: none */
   MdTime timeout;      /* from the start of the call to the end of the response */
+  bool idempotent;     /* may be sent again when a reused connection breaks before a response */
 } MdHttpCall;
 
 typedef struct
@@ -37,9 +38,9 @@
 void md_http_free (MdHttp *http);
 
 /* md_http_start: start a call. done is called exactly once from md_http_poll, also on failure.
-   A call must be idempotent: when the peer has closed an idle connection, the call is sent
-   again on a new one. Returns MD_OK, or MD_E_MEMORY when the call was not started and done
-   will not be called. */
+   Unless the call is idempotent, its request is sent at most once: when the connection breaks
+   after that, the call ends with MD_E_IO. Returns MD_OK, or MD_E_MEMORY when the call was not
+   started and done will not be called. */
 int md_http_start (MdHttp *http, const MdHttpCall *call, MdHttpDone done, void *user);
 
 /* md_http_poll: invoke the callbacks of calls that have ended. Must be called after every
--- /dev/null
+++ b/tests/test-http-async.c
@@ -0,0 +1,140 @@
+/* test-http-async.c -- how often the non-blocking HTTP client sends a request
+
+   The server answers the first request of each connection and breaks the connection when it has
+   read the second one, so that it has received a request to which the client gets no response. */
+
+#include "http-async.h"
+
+#include "scripted-server.h"
+#include "suite.h"
+
+#define PASSES 20000 /* only ends a broken run */
+#define RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+static ScriptedServer server;
+static MdLinks *links;
+static MdHttp *http;
+static const char *broken; /* response to the second request: NULL resets, "" closes */
+static int done;           /* calls that have ended */
+static int status;         /* of the last of them */
+static int code;           /* of its error */
+
+static const char *
+respond_once (void *user MD_UNUSED, int number, const char *request MD_UNUSED)
+{
+  return number == 0 ? RESPONSE : broken;
+}
+
+static void
+on_up (void *user MD_UNUSED, MdLink *link MD_UNUSED)
+{
+}
+
+static void
+on_frame (void *user MD_UNUSED, MdLink *link MD_UNUSED, const Md__Frame *frame MD_UNUSED)
+{
+}
+
+static void
+on_down (void *user MD_UNUSED, MdLink *link MD_UNUSED, const MdError *error MD_UNUSED)
+{
+}
+
+static const MdLinkHandler no_links = { on_up, on_frame, on_down };
+
+static void
+setup (void)
+{
+  MdTuning tuning;
+
+  md_tuning_default (&tuning);
+  links = md_links_new (&tuning, &no_links, NULL);
+  http = md_http_new (links, 4);
+  scripted_server_start (&server, respond_once, NULL);
+}
+
+static void
+teardown (void)
+{
+  md_http_free (http);
+  md_links_free (links);
+}
+
+static void
+on_done (void *user MD_UNUSED, const MdHttpAsyncResponse *response)
+{
+  done++;
+  status = response->status;
+  code = response->error.code;
+}
+
+/* Makes a call and waits for its end. */
+static void
+make_call (const char *method, bool idempotent)
+{
+  int before = done;
+  MdHttpCall call = { .method = method,
+                      .address = server.address,
+                      .target = "/v1/order",
+                      .body = MD_STR ("{}"),
+                      .timeout = 5 * MD_SECOND,
+                      .idempotent = idempotent };
+
+  ck_assert_int_eq (md_http_start (http, &call, on_done, NULL), MD_OK);
+  for (int i = 0; i < PASSES && done == before; i++)
+    {
+      md_links_poll (links, md_now () + MD_MS);
+      md_http_poll (http);
+    }
+  ck_assert_int_eq (done, before + 1);
+}
+
+/* Guards against a run that starts twice: libcurl sends a request again when a reused connection
+   breaks before the response, although the server has received it. */
+START_TEST (call_is_sent_once)
+{
+  broken = _i == 0 ? NULL : "";
+  make_call ("POST", false);
+  ck_assert_int_eq (status, 200);
+  make_call ("POST", false);
+  ck_assert_int_eq (status, 0);
+  ck_assert_int_eq (code, MD_E_IO);
+  scripted_server_stop (&server);
+  ck_assert_int_eq (server.requests, 2);
+}
+END_TEST
+
+/* Guards against a handle that is reused after a call and still counts that call's request. */
+START_TEST (next_call_is_sent)
+{
+  make_call ("POST", false);
+  make_call ("POST", false);
+  make_call ("POST", false);
+  ck_assert_int_eq (status, 200);
+  scripted_server_stop (&server);
+  ck_assert_int_eq (server.requests, 3);
+}
+END_TEST
+
+/* Guards against a read or a hold that fails whenever the peer has closed an idle connection. */
+START_TEST (idempotent_call_is_sent_again)
+{
+  make_call ("GET", true);
+  make_call ("GET", true);
+  ck_assert_int_eq (status, 200);
+  scripted_server_stop (&server);
+  ck_assert_int_eq (server.requests, 3);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tc = tcase_create ("http-async");
+
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_loop_test (tc, call_is_sent_once, 0, 2);
+  tcase_add_test (tc, next_call_is_sent);
+  tcase_add_test (tc, idempotent_call_is_sent_again);
+  return run_suite ("http-async", tc);
+}
--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -5,94 +5,27 @@
 
 #include "http-client.h"
 
+#include "scripted-server.h"
 #include "suite.h"
 
-#include <arpa/inet.h>
-#include <pthread.h>
-#include <stdio.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #define ANSWER "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 4\r\n\r\na\nb\n"
 
-typedef struct
-{
-  int listener;                   /* socket */
-  char address[MD_ADDRESS_BYTES]; /* of it */
-  int answers;                    /* given on each connection */
-  _Atomic int requests;           /* received */
-  pthread_t thread;               /* runs serve */
-} Server;
-
-/* Reads one request without a body; false at the end of the connection. */
-static bool
-read_request (int fd)
-{
-  char last[5] = "";
-  char byte;
-
-  while (recv (fd, &byte, 1, 0) == 1)
-    {
-      memmove (last, last + 1, 3);
-      last[3] = byte;
-      if (memcmp (last, "\r\n\r\n", 4) == 0)
-        return true;
-    }
-  return false;
-}
-
-static void *
-serve (void *data)
-{
-  Server *server = data;
-  int fd;
-
-  while ((fd = accept (server->listener, NULL, NULL)) >= 0)
-    {
-      int left = server->answers;
-
-      while (read_request (fd))
-        {
-          server->requests++;
-          if (left-- == 0 || send (fd, ANSWER, strlen (ANSWER), MSG_NOSIGNAL) < 0)
-            break;
-        }
-      close (fd);
-    }
-  return NULL;
-}
-
-static void
-start_server (Server *server, int answers)
-{
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
-  socklen_t len = sizeof sa;
-
-  *server = (Server){ .answers = answers };
-  server->listener = socket (AF_INET, SOCK_STREAM, 0);
-  ck_assert_int_eq (bind (server->listener, (struct sockaddr *)&sa, sizeof sa), 0);
-  ck_assert_int_eq (listen (server->listener, 16), 0);
-  ck_assert_int_eq (getsockname (server->listener, (struct sockaddr *)&sa, &len), 0);
-  snprintf (server->address, sizeof server->address, "127.0.0.1:%d", ntohs (sa.sin_port));
-  ck_assert_int_eq (pthread_create (&server->thread, NULL, serve, server), 0);
-}
+static ScriptedServer server;
+static int answers_per_connection;
+static MdHttpRequest request;
+static MdHttpResponse response;
 
-static void
-stop_server (Server *server)
+static const char *
+respond (void *user MD_UNUSED, int number, const char *text MD_UNUSED)
 {
-  shutdown (server->listener, SHUT_RDWR);
-  pthread_join (server->thread, NULL);
-  close (server->listener);
+  return number < answers_per_connection ? ANSWER : "";
 }
 
-static Server server;
-static MdHttpRequest request;
-static MdHttpResponse response;
-
 static void
 begin (int answers)
 {
-  start_server (&server, answers);
+  answers_per_connection = answers;
+  scripted_server_start (&server, respond, NULL);
   request = (MdHttpRequest){
     .address = server.address, .method = "GET", .path = "/", .timeout = 5 * MD_SECOND
   };
@@ -116,7 +49,7 @@
   ck_assert_int_eq (response.status, 0);
   ck_assert_str_eq (error.step, "answer");
   ck_assert_str_eq (error.peer, server.address);
-  stop_server (&server);
+  scripted_server_stop (&server);
   ck_assert_int_eq (server.requests, 1);
 }
 END_TEST
@@ -127,7 +60,7 @@
   MdError error = { 0 };
 
   begin (0);
-  stop_server (&server);
+  scripted_server_stop (&server);
   ck_assert_int_eq (md_http_call (&request, &response, &error), MD_E_NOT_FOUND);
   ck_assert (!response.sent);
   ck_assert_int_eq (error.code, MD_E_NOT_FOUND);
@@ -148,7 +81,7 @@
       ck_assert_uint_eq (response.body.len, 4);
     }
   md_http_disconnect (&connection);
-  stop_server (&server);
+  scripted_server_stop (&server);
   ck_assert_int_eq (server.requests, 5);
 }
 END_TEST
@@ -160,7 +93,7 @@
 
   begin (0);
   ck_assert_int_eq (md_http_call_on (&connection, &request, &response, NULL), MD_E_IO);
-  stop_server (&server);
+  scripted_server_stop (&server);
   ck_assert_int_eq (server.requests, 1);
 }
 END_TEST
@@ -170,7 +103,7 @@
   begin (1);
   request.max_bytes = 3;
   ck_assert_int_eq (md_http_call (&request, &response, NULL), MD_E_LIMIT);
-  stop_server (&server);
+  scripted_server_stop (&server);
 }
 END_TEST
 
@@ -195,7 +128,7 @@
   ck_assert_int_eq (lines, 1);
   ck_assert_uint_eq (response.version, 7);
   ck_assert_uint_eq (response.body.len, 0);
-  stop_server (&server);
+  scripted_server_stop (&server);
 }
 END_TEST
 
