Take a rejected run that the worker lists as running

Cause: a run whose start was rejected waits again. When the worker lists it all the same, because a copy of the call had been executed, the guard stopped it as a run of an earlier process; when the worker reported its end, the guard acknowledged the end, dropped it and started the run again.

Ruled out: keeping a rejected run unconfirmed until a hold was answered. Without copies a rejection is conclusive, and every rejection for lack of capacity would cost a round trip.

Change: a run that was sent to the worker is found in both lists. A listed one that waits becomes a running one (md_runqueue_adopt, event run-adopted), and its end is reported as the end of a started run.

Result: test-guard-worker, three new tests against a scripted worker.

--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -233,13 +233,22 @@
 /* ------------------------------------------------------------------ */
 /* Finding runs                                                       */
 
-/* The started run of a task name and run number; NULL when there is none. */
+/* The run of a task name and run number that was sent to the worker, including one that waits
+   again after a rejection; NULL when there is none. */
 static MdGuardRun *
-find_started_run (MdRunGuard *guard, const char *task, uint32_t number)
+find_sent_run (MdRunGuard *guard, const char *task, uint32_t number)
 {
-  for (MdRun *run = guard->queue.running.first; run != NULL; run = run->next)
-    if (guard_run (run)->run_number == number && strcmp (guard_run (run)->task, task) == 0)
-      return guard_run (run);
+  MdRunList *lists[] = { &guard->queue.running, &guard->queue.waiting };
+
+  for (unsigned i = 0; i < MD_ARRAY_SIZE (lists); i++)
+    for (MdRun *queued = lists[i]->first; queued != NULL; queued = queued->next)
+      {
+        MdGuardRun *run = guard_run (queued);
+
+        if (run->run_number == number && strcmp (run->task, task) == 0
+            && (queued->state != MD_RUN_WAITING || run->rejected_starts > 0))
+          return run;
+      }
   return NULL;
 }
 
@@ -309,6 +318,28 @@
 /* ------------------------------------------------------------------ */
 /* Holds                                                              */
 
+static void
+confirm_run (MdRunGuard *guard, MdGuardRun *run)
+{
+  run->confirmed = true;
+  run->confirmed_at = guard->now;
+  run->fenced_by = 0;
+  run->missing_holds = 0;
+  run->queued.state = MD_RUN_RUNNING;
+}
+
+/* Takes a run that waits again as started. The worker has both rejected and executed its start,
+   so more than one copy of the call must have reached it. */
+static void
+adopt_run (MdRunGuard *guard, MdGuardRun *run)
+{
+  md_log (MD_LOG_WARN, "run-adopted", "task=%s run=%u reason=\"executed after a rejection\"",
+          run->task, run->run_number);
+  md_runqueue_adopt (&guard->queue, &run->queued, guard->now);
+  confirm_run (guard, run);
+  guard->state_version++;
+}
+
 /* Processes an end unless an earlier response contained it. */
 static void
 handle_end (MdRunGuard *guard, const MdHoldEnd *end)
@@ -318,9 +349,12 @@
   if (end->number <= guard->worker.acked_end)
     return;
   guard->worker.acked_end = end->number;
-  run = find_started_run (guard, end->task, end->run_number);
-  if (run != NULL)
-    md_guard_end_run (guard, run, end->result, end->checkpoint);
+  run = find_sent_run (guard, end->task, end->run_number);
+  if (run == NULL)
+    return;
+  if (run->queued.state == MD_RUN_WAITING)
+    adopt_run (guard, run);
+  md_guard_end_run (guard, run, end->result, end->checkpoint);
 }
 
 static bool
@@ -333,16 +367,6 @@
   return false;
 }
 
-static void
-confirm_run (MdRunGuard *guard, MdGuardRun *run)
-{
-  run->confirmed = true;
-  run->confirmed_at = guard->now;
-  run->fenced_by = 0;
-  run->missing_holds = 0;
-  run->queued.state = MD_RUN_RUNNING;
-}
-
 /* Compares the runs that the worker lists with those started there. A listed run is confirmed, a
    fenced one that is not listed was never started, and a confirmed one that is missing from
    MAX_MISSING_HOLDS holds in a row has ended. */
@@ -371,6 +395,18 @@
     }
 }
 
+static void
+adopt_rejected_runs (MdRunGuard *guard, const MdHoldResponse *response)
+{
+  for (size_t i = 0; i < response->n_runs; i++)
+    {
+      MdGuardRun *run = find_sent_run (guard, response->runs[i].task, response->runs[i].run_number);
+
+      if (run != NULL && run->queued.state == MD_RUN_WAITING)
+        adopt_run (guard, run);
+    }
+}
+
 /* Stops listed runs that this process did not start: they were left by an earlier one. */
 static void
 stop_unknown_runs (MdRunGuard *guard, const MdHoldResponse *response)
@@ -378,7 +414,7 @@
   size_t unknown = 0;
 
   for (size_t i = 0; i < response->n_runs; i++)
-    if (find_started_run (guard, response->runs[i].task, response->runs[i].run_number) == NULL)
+    if (find_sent_run (guard, response->runs[i].task, response->runs[i].run_number) == NULL)
       {
         unknown++;
         send_stop (guard, md_str (response->runs[i].task), response->runs[i].run_number);
@@ -422,6 +458,7 @@
   guard->hold_due = guard->now;
   for (size_t i = 0; i < response->n_ends; i++)
     handle_end (guard, &response->ends[i]);
+  adopt_rejected_runs (guard, response);
   reconcile (guard, response);
   stop_unknown_runs (guard, response);
   update_accepting (guard);
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -152,6 +152,10 @@
    resources. Returns NULL if no run fits or the worker accepts none. */
 MdRun *md_runqueue_next (MdRunQueue *queue, MdTime now);
 
+/* md_runqueue_adopt: set a WAITING run that turns out to have been started to STARTING and reserve
+   its resources, even if they are not free. */
+void md_runqueue_adopt (MdRunQueue *queue, MdRun *run, MdTime now);
+
 /* md_runqueue_requeue: set a STARTING run that was not started back to WAITING and free its
    resources. */
 void md_runqueue_requeue (MdRunQueue *queue, MdRun *run);
--- a/sched/runqueue.c
+++ b/sched/runqueue.c
@@ -138,18 +138,23 @@
   return late;
 }
 
-MdRun *
-md_runqueue_next (MdRunQueue *queue, MdTime now)
+void
+md_runqueue_adopt (MdRunQueue *queue, MdRun *run, MdTime now)
 {
-  MdRun *run = queue->accepting ? choose_waiting (queue, now) : NULL;
-
-  if (run == NULL)
-    return NULL;
   unlink_run (&queue->waiting, run);
   run->state = MD_RUN_STARTING;
   run->started_at = now;
   insert_before (&queue->running, NULL, run);
   md_resources_subtract (&queue->free, run->resources);
+}
+
+MdRun *
+md_runqueue_next (MdRunQueue *queue, MdTime now)
+{
+  MdRun *run = queue->accepting ? choose_waiting (queue, now) : NULL;
+
+  if (run != NULL)
+    md_runqueue_adopt (queue, run, now);
   return run;
 }
 
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -1,17 +1,32 @@
 /* test-guard-worker.c -- what a guard starts at its worker
 
-   The test fills in a guard as its engine would find it and lets it poll; the worker's
-   address leads nowhere. */
+   The test fills in a guard as its engine would find it and lets it poll. A scripted server takes
+   the place of the worker where its responses matter; otherwise the worker's address leads
+   nowhere. */
 
 #include "run-guard.h"
+#include "scripted-server.h"
 #include "suite.h"
 
+#include <stdio.h>
+
 #define PASSES 20000 /* only ends a broken run */
 #define ENTRY 42     /* incarnation of the entry that ordered the runs */
 
 static MdRunGuard guard;
 static MdGuardPeer *peer;
 
+/* The scripted worker; its server runs only in the tests that start it. */
+static struct
+{
+  ScriptedServer server;
+  const char *first_start; /* body of the rejection of the first start; NULL: resets it */
+  const char *hold;        /* body of the response to a hold */
+  int starts;              /* received */
+  int stops;               /* received */
+  char response[512];      /* the last one sent */
+} worker;
+
 static void
 setup (void)
 {
@@ -33,7 +48,7 @@
   guard.peers = peer;
 }
 
-/* A call under way belongs to its answer. */
+/* A call in progress is freed by its response. */
 static bool
 is_calling (void)
 {
@@ -43,14 +58,20 @@
   return false;
 }
 
+static void
+poll_calls (void)
+{
+  md_links_poll (guard.daemon.links, md_now () + MD_MS);
+  md_http_poll (guard.http);
+}
+
 static void
 teardown (void)
 {
   for (int i = 0; i < PASSES && is_calling (); i++)
-    {
-      md_links_poll (guard.daemon.links, md_now () + MD_MS);
-      md_http_poll (guard.http);
-    }
+    poll_calls ();
+  if (worker.server.respond != NULL)
+    scripted_server_stop (&worker.server);
   md_guard_free_runs (&guard);
   md_guard_free_peers (&guard);
   md_http_free (guard.http);
@@ -74,6 +95,88 @@
   md_runqueue_add (&guard.queue, &run->queued, guard.now);
 }
 
+/* ------------------------------------------------------------------ */
+/* Worker                                                             */
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s"
+#define CONFLICT_HEAD "HTTP/1.1 409 Conflict\r\nContent-Length: %zu\r\n\r\n%s"
+
+static const char *
+write_response (const char *head, const char *body)
+{
+  snprintf (worker.response, sizeof worker.response, head, strlen (body), body);
+  return worker.response;
+}
+
+/* A start after the first one is rejected, as its token is lower than that of a hold. */
+static const char *
+respond (void *user MD_UNUSED, int number MD_UNUSED, const char *request)
+{
+  if (strstr (request, "/v1/hold") != NULL)
+    return write_response (OK_HEAD, worker.hold);
+  if (strstr (request, "/v1/run-stop") != NULL)
+    {
+      worker.stops++;
+      return write_response (OK_HEAD, "{\"clock_ms\":5}");
+    }
+  if (worker.starts++ > 0)
+    return write_response (CONFLICT_HEAD, "{\"clock_ms\":5,\"reason\":\"fence\"}");
+  return worker.first_start != NULL ? write_response (CONFLICT_HEAD, worker.first_start) : NULL;
+}
+
+#define NO_RUNS "{\"clock_ms\":5,\"running\":[],\"finished\":[]}"
+#define LISTED "{\"clock_ms\":5,\"running\":[[\"a1.0.0.0\",1,\"\",10]],\"finished\":[]}"
+#define ENDED "{\"clock_ms\":5,\"running\":[],\"finished\":[[1,\"a1.0.0.0\",1,\"done\",\"\"]]}"
+#define NO_ROOM "{\"clock_ms\":5,\"reason\":\"room\"}"
+
+static void
+start_worker (void)
+{
+  worker.hold = NO_RUNS;
+  scripted_server_start (&worker.server, respond, NULL);
+  md_str_copy (guard.daemon.settings.worker_address, MD_ADDRESS_BYTES,
+               md_str (worker.server.address));
+  guard.worker.has_report = true;
+  guard.worker.report.state = MD_WORKER_READY;
+  guard.worker.report.born_ms = -1;
+  guard.worker.clean = true;
+  guard.worker.reachable = true;
+  guard.worker.last_response_at = guard.now;
+  peer->echo = guard.now + MD_SECOND;
+}
+
+static void
+poll_guard (void)
+{
+  poll_calls ();
+  guard.now = md_now ();
+  md_guard_worker_poll (&guard);
+}
+
+/* Has the guard send a hold as soon as it polls. */
+static void
+request_hold (void)
+{
+  guard.hold_in_progress = false;
+  guard.hold_due = guard.now;
+}
+
+/* Has the worker reject the first start, and leaves the run waiting. */
+static void
+have_start_rejected (void)
+{
+  worker.first_start = NO_ROOM;
+  add_waiting ();
+  md_guard_worker_poll (&guard);
+  for (int i = 0; i < PASSES && guard.queue.waiting.n == 0; i++)
+    poll_calls ();
+  ck_assert_uint_eq (guard.queue.waiting.n, 1);
+  guard.start_after = INT64_MAX;
+}
+
+/* ------------------------------------------------------------------ */
+/* Tests                                                              */
+
 START_TEST (waiting_run_is_started)
 {
   peer->echo = guard.now - 100 * MD_MS;
@@ -98,6 +201,70 @@
 }
 END_TEST
 
+/* Guards against two runs of a task at once: a start is executed and its connection is reset.
+   When the HTTP client sent it again, the rejection of the copy was taken for that of the start,
+   and the entry ordered the run elsewhere (issue 20). */
+START_TEST (executed_start_without_response_is_not_repeated)
+{
+  const MdGuardRun *run;
+
+  start_worker ();
+  request_hold ();
+  md_guard_worker_poll (&guard);
+  for (int i = 0; i < PASSES && guard.hold_in_progress; i++)
+    poll_calls ();
+  guard.hold_due = INT64_MAX; /* the start is to use the connection of the hold */
+  add_waiting ();
+  md_guard_worker_poll (&guard);
+  for (int i = 0; i < PASSES && is_calling (); i++)
+    poll_calls ();
+  ck_assert_int_eq (worker.starts, 1);
+  ck_assert_uint_eq (guard.queue.waiting.n, 0);
+  ck_assert_uint_eq (guard.queue.running.n, 1);
+  run = (const MdGuardRun *)guard.queue.running.first;
+  worker.hold = LISTED;
+  request_hold ();
+  for (int i = 0; i < PASSES && !run->confirmed; i++)
+    poll_guard ();
+  ck_assert (run->confirmed);
+  ck_assert_int_eq (worker.starts, 1);
+  ck_assert_int_eq (worker.stops, 0);
+}
+END_TEST
+
+/* Guards against a run that is stopped as unknown, or started again, although the worker has it:
+   a rejected start turns out to have been executed. */
+START_TEST (rejected_run_that_the_worker_lists_is_running)
+{
+  start_worker ();
+  have_start_rejected ();
+  worker.hold = LISTED;
+  request_hold ();
+  for (int i = 0; i < PASSES && guard.queue.running.n == 0; i++)
+    poll_guard ();
+  ck_assert_uint_eq (guard.queue.running.n, 1);
+  ck_assert_uint_eq (guard.queue.waiting.n, 0);
+  ck_assert_int_eq (worker.stops, 0);
+  ck_assert_int_eq (worker.starts, 1);
+}
+END_TEST
+
+/* Guards against an end that is dropped, after which the run is started again. */
+START_TEST (rejected_run_that_has_ended_is_reported)
+{
+  start_worker ();
+  have_start_rejected ();
+  worker.hold = ENDED;
+  request_hold ();
+  for (int i = 0; i < PASSES && peer->ends == NULL; i++)
+    poll_guard ();
+  ck_assert_ptr_nonnull (peer->ends);
+  ck_assert_int_eq (peer->ends->result, MD_RUN_DONE);
+  ck_assert_uint_eq (guard.queue.waiting.n, 0);
+  ck_assert_int_eq (worker.starts, 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -106,5 +273,8 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, waiting_run_is_started);
   tcase_add_test (tc, waiting_run_of_a_silent_entry_is_not_started);
+  tcase_add_test (tc, executed_start_without_response_is_not_repeated);
+  tcase_add_test (tc, rejected_run_that_the_worker_lists_is_running);
+  tcase_add_test (tc, rejected_run_that_has_ended_is_reported);
   return run_suite ("guard-worker", tc);
 }
