Keep the orders of a guard that has forgotten the entry

A guard that drops an entry's address and learns it again, or learns a second address of it, sends a hello that names no process of the entry and lists no orders. The entry took all orders sent to that guard as not received and placed them elsewhere, while they may run. The guard also numbered the ends for such an entry from 1 again: the entry, which had seen higher numbers, acknowledged the new ends before they were sent.

Ruled out: treating every hello without the entry's incarnation so. A guard whose first connection broke before it read the welcome has received no order, and its orders are placed elsewhere at once (test hello_without_welcome_replaces).

Change: the entry remembers whether a guard process has named it. Such a guard is turned away with a hello that does not, until its orders have ended or their leases have expired (event hello-forgetful). A guard numbers ends across all entries.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -426,7 +426,10 @@
   /* Until a guard receives the welcome of this process, its reports refer to a former process
      of this entry, whose orders and ends had the same numbers. */
   if (report->entry == entry->incarnation)
-    handle_progress (entry, guard, report);
+    {
+      guard->welcomed = true;
+      handle_progress (entry, guard, report);
+    }
   update_resources (entry, guard, report);
   if (guard->awaiting_report)
     reconcile_orders (entry, guard);
@@ -466,6 +469,7 @@
   guard->worker.outstanding = 0;
   guard->stamp = 0;
   guard->ends_seen = 0;
+  guard->welcomed = false;
 }
 
 /* Whether a hello was delayed on a connection that the guard has replaced since. It does not
@@ -477,6 +481,25 @@
          && hello->connection < guard->connection;
 }
 
+static bool
+has_sent_orders (const MdEntryGuard *guard)
+{
+  for (const MdEntryOrder *order = guard->orders; order != NULL; order = order->next)
+    if (order->sent)
+      return true;
+  return false;
+}
+
+/* Whether a guard that knew this process no longer names it: it dials a second address of the
+   entry, or has dropped the address and learned it again. The hello then lists no orders,
+   although the guard may still have some. */
+static bool
+is_forgetful_hello (const MdRunEntry *entry, const MdEntryGuard *guard, const Md__RunHello *hello)
+{
+  return guard != NULL && guard->worker.guard == hello->incarnation && guard->welcomed
+         && hello->entry != entry->incarnation && has_sent_orders (guard);
+}
+
 static void
 on_hello (MdRunEntry *entry, MdLink *link, const Md__RunHello *hello)
 {
@@ -490,6 +513,14 @@
       md_link_disconnect (link);
       return;
     }
+  if (is_forgetful_hello (entry, guard, hello))
+    {
+      /* Accepted once the orders have ended or their leases have expired. */
+      md_log (MD_LOG_WARN, "hello-forgetful", "guard=%s orders=%u entry=%llx", guard->name,
+              guard->worker.outstanding, (unsigned long long)hello->entry);
+      md_link_disconnect (link);
+      return;
+    }
   if (guard == NULL)
     guard = new_guard (entry, hello->name);
   hello_orders = calloc (hello->n_alive + 1, sizeof *hello_orders);
@@ -515,6 +546,7 @@
   if (guard->n_hello_orders > 0)
     memcpy (guard->hello_orders, hello->alive, guard->n_hello_orders * sizeof *guard->hello_orders);
   guard->awaiting_report = true;
+  guard->welcomed |= hello->entry == entry->incarnation;
   guard->link = link;
   guard->worker.connected = true;
   md_link_set_data (link, guard);
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -32,8 +32,8 @@
 }
 
 static void
-add_end (MdGuardPeer *peer, const MdGuardRun *run, MdRunResult result, MdTime time,
-         const char *checkpoint)
+add_end (MdRunGuard *guard, MdGuardPeer *peer, const MdGuardRun *run, MdRunResult result,
+         MdTime time, const char *checkpoint)
 {
   MdGuardEnd *end = calloc (1, sizeof *end);
 
@@ -42,7 +42,7 @@
       md_log (MD_LOG_ERROR, "end-lost", "task=%s reason=\"out of memory\"", run->task);
       return;
     }
-  end->number = ++peer->next_end;
+  end->number = ++guard->ends;
   end->order_id = run->queued.id;
   end->result = result;
   end->duration = time;
@@ -84,7 +84,7 @@
   MdTime time = run->queued.state == MD_RUN_WAITING ? 0 : guard->now - run->queued.started_at;
 
   if (peer != NULL)
-    add_end (peer, run, result, time, checkpoint);
+    add_end (guard, peer, run, result, time, checkpoint);
   if (run->queued.state != MD_RUN_WAITING)
     md_observe (MD_H_RUN, time);
   md_runqueue_record_end (&guard->queue, result, run->queued.job);
@@ -434,7 +434,6 @@
       drop_ends (peer, UINT64_MAX);
       peer->incarnation = welcome->incarnation;
       peer->last_order = 0;
-      peer->next_end = 0;
     }
   md_str_copy (peer->name, sizeof peer->name, md_str (welcome->name));
   md_log (MD_LOG_INFO, "entry-reached", "entry=%s address=%s incarnation=%llx", peer->name,
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -84,6 +84,7 @@
   uint64_t *hello_orders;   /* orders listed in its last hello, owned; unused after a report */
   size_t n_hello_orders;    /* 0 if the hello refers to a former process of the entry */
   bool awaiting_report;     /* a hello has been received and no report since */
+  bool welcomed;            /* has named this process of the entry, so it received a welcome */
   MdEntryOrder *orders;     /* all orders that have not ended, owned */
   MdEntryOrder *unsent;     /* orders for the next message, newest first */
   MdIdList cancels;         /* orders to cancel with the next message */
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -59,7 +59,7 @@
 struct MdGuardEnd
 {
   MdGuardEnd *next;                     /* the next newer one */
-  uint64_t number;                      /* sequence number, from 1 for each entry process */
+  uint64_t number;                      /* increases with each end in the life of the guard */
   uint64_t order_id;                    /* order of the run */
   MdRunResult result;                   /* how the run ended */
   MdTime duration;                      /* time since the start; 0: never started */
@@ -80,7 +80,6 @@
   MdTime last_contact;            /* arrival of the last frame; at first, when it was added */
   MdTime echo;                    /* latest time stamp of a report that the entry has echoed */
   uint64_t last_order;            /* id of the last order received; 0: none */
-  uint64_t next_end;              /* number of the last end added */
   MdGuardEnd *ends;               /* unacknowledged ends, oldest first */
   MdGuardEnd *last_end;           /* the newest of them; NULL: none */
   uint64_t started[256];          /* ids of orders started since the last report */
@@ -144,6 +143,9 @@
   MdGuardWorker worker;              /* the worker beside this guard */
   MdGuardPeer *peers;                /* entries, connected or not */
   uint64_t connections;              /* hellos sent so far; numbers the connections */
+  uint64_t ends;                     /* ends so far. They are numbered across entries, so that an
+                                        entry whose address was dropped and learned again does
+                                        not acknowledge new ends by the numbers of former ones */
   MdTime now;                        /* time of the event being processed */
   uint64_t state_version;            /* incremented with each change of the reported state */
   bool hold_in_progress;             /* a hold call awaits its response */
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -73,7 +73,7 @@
 }
 
 static void
-send_hello (int connection)
+send_hello_to (int connection, uint64_t entry_incarnation)
 {
   Md__Frame frame = MD__FRAME__INIT;
   Md__RunHello hello = MD__RUN_HELLO__INIT;
@@ -82,11 +82,18 @@
   hello.failure_domain = "lusitania-a";
   hello.incarnation = INCARNATION;
   hello.connection = (uint64_t)connection + 1;
+  hello.entry = entry_incarnation;
   frame.msg_case = MD__FRAME__MSG_RUN_HELLO;
   frame.run_hello = &hello;
   md_link_send (connections[connection], &frame);
 }
 
+static void
+send_hello (int connection)
+{
+  send_hello_to (connection, 0);
+}
+
 static const MdEntryGuard *
 known_guard (void)
 {
@@ -284,6 +291,54 @@
 }
 END_TEST
 
+/* Guards against a task that runs twice: a guard dials a second address of the entry, or one that
+   it dropped and learned again. Its hello then names no process of the entry and lists no orders,
+   so that those sent before were taken for lost and ordered elsewhere. */
+START_TEST (forgetful_hello_does_not_end_orders)
+{
+  MdEntryGuard *known;
+  MdEntryOrder order = { .id = 1, .sent = true };
+
+  entry.incarnation = FORMER;
+  send_hello_to (0, FORMER);
+  for (int i = 0; i < PASSES && known_guard () == NULL; i++)
+    poll_both ();
+  known = (MdEntryGuard *)entry.workers.workers[0];
+  order.guard = known;
+  known->orders = &order;
+  send_hello_to (1, 0);
+  for (int i = 0; i < PASSES && downs[0] + downs[1] == 0; i++)
+    poll_both ();
+  ck_assert_int_eq (downs[0], 0);
+  ck_assert_int_eq (downs[1], 1);
+  ck_assert_ptr_eq (known->orders, &order);
+  known->orders = NULL;
+}
+END_TEST
+
+/* Guards against a guard that is shut out after its first connection broke before it had read the
+   welcome: the orders sent there did not reach it. */
+START_TEST (hello_without_welcome_replaces)
+{
+  MdEntryGuard *known;
+  MdEntryOrder order = { .id = 1, .sent = true };
+
+  entry.incarnation = FORMER;
+  send_hello_to (0, 0);
+  for (int i = 0; i < PASSES && known_guard () == NULL; i++)
+    poll_both ();
+  known = (MdEntryGuard *)entry.workers.workers[0];
+  order.guard = known;
+  known->orders = &order;
+  send_hello_to (1, 0);
+  for (int i = 0; i < PASSES && downs[0] + downs[1] == 0; i++)
+    poll_both ();
+  ck_assert_int_eq (downs[0], 1);
+  ck_assert_int_eq (downs[1], 0);
+  known->orders = NULL;
+}
+END_TEST
+
 int
 main (void)
 {
@@ -293,6 +348,8 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, late_hello_is_refused);
   tcase_add_test (tc, later_hello_replaces);
+  tcase_add_test (tc, forgetful_hello_does_not_end_orders);
+  tcase_add_test (tc, hello_without_welcome_replaces);
   tcase_add_test (tc, replaced_worker_is_forgotten);
   tcase_add_test (tc, directory_holds_every_entry);
   tcase_add_test (tc, directory_keeps_the_newest);
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -265,6 +265,25 @@
 }
 END_TEST
 
+/* Guards against an end that the entry acknowledges before it was sent: when the guard drops an
+   entry and learns its address again, the ends must not be numbered from 1 again, as the entry
+   has seen higher numbers. */
+START_TEST (ends_of_an_entry_learned_again_have_higher_numbers)
+{
+  uint64_t former;
+
+  add_waiting ();
+  md_guard_reject_waiting (&guard);
+  former = peer->ends->number;
+  md_guard_free_peers (&guard);
+  guard.peers = peer = calloc (1, sizeof *peer);
+  peer->incarnation = ENTRY;
+  add_waiting ();
+  md_guard_reject_waiting (&guard);
+  ck_assert_uint_gt (peer->ends->number, former);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -273,6 +292,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, waiting_run_is_started);
   tcase_add_test (tc, waiting_run_of_a_silent_entry_is_not_started);
+  tcase_add_test (tc, ends_of_an_entry_learned_again_have_higher_numbers);
   tcase_add_test (tc, executed_start_without_response_is_not_repeated);
   tcase_add_test (tc, rejected_run_that_the_worker_lists_is_running);
   tcase_add_test (tc, rejected_run_that_has_ended_is_reported);
