Have the soak lose responses and reset connections of paused guards

Ruled out: 'truncate' for the lost response; it cuts the request itself short unless the number of bytes happens to fit.

Change: the fault proxy gets 'unanswered ROUTE N': N requests pass on connections that were answered before, and each of these is then closed. A soak run uses it on the routes of workers, and pauses a guard right before all connections are closed. A run without a verdict prints a line with its status and its last errors, and counts as broken; its logs stay.

--- a/tests/faultproxy-command-util.c
+++ b/tests/faultproxy-command-util.c
@@ -159,6 +159,20 @@
   return change_faults (proxy, command, set_truncate);
 }
 
+static const char *
+run_unanswered (Proxy *proxy, const Command *command, MdBuf *answer MD_UNUSED)
+{
+  const char *error = no_route;
+
+  for (size_t i = 0; i < proxy->n_routes; i++)
+    if (names_route (command->words[1], proxy->routes[i]))
+      {
+        proxy->routes[i]->faults[UP].unanswered = (unsigned)strtoul (command->words[2], NULL, 10);
+        error = NULL;
+      }
+  return error;
+}
+
 static const char *
 run_duplicate (Proxy *proxy, const Command *command, MdBuf *answer MD_UNUSED)
 {
@@ -279,7 +293,7 @@
   { "duplicate", 4, 4, run_duplicate }, { "reorder", 4, 4, run_reorder },
   { "refuse", 2, 2, run_refuse },       { "close", 2, 2, run_close },
   { "heal", 2, 2, run_heal },           { "list", 1, 1, run_list },
-  { "quit", 1, 1, run_quit },
+  { "quit", 1, 1, run_quit },           { "unanswered", 3, 3, run_unanswered },
 };
 
 static const char *
--- a/tests/faultproxy.c
+++ b/tests/faultproxy.c
@@ -15,6 +15,8 @@
      silence WHERE                 present connections pass nothing for good but
                                    stay open; new ones work
      truncate ROUTE DIR N          pass N more bytes, then close that connection
+     unanswered ROUTE N            pass the next N segments up on connections that were
+                                   answered before, and close each of these after it
      duplicate ROUTE DIR PERCENT   send this share of the frames twice
      reorder ROUTE DIR PERCENT     send this share of the frames after the next one
      refuse ROUTE                  close new connections at once
@@ -169,6 +171,18 @@
          && flow->first->due <= proxy->now;
 }
 
+/* Closes a connection that has passed a whole request, so that its response is lost. */
+static void
+lose_answer (Conn *conn, int dir)
+{
+  Faults *faults = &conn->route->faults[dir];
+
+  if (faults->unanswered == 0 || conn->flows[1 - dir].passed == 0)
+    return;
+  faults->unanswered--;
+  conn->dead = true;
+}
+
 static void
 deliver (const Proxy *proxy, Conn *conn, int dir)
 {
@@ -187,6 +201,8 @@
         }
       if (segment->kind == SEGMENT_RESET)
         conn->dead = true;
+      if (segment->kind == SEGMENT_DATA)
+        lose_answer (conn, dir);
       flow->first = segment->next;
       flow->queued -= segment->len;
       free (segment);
--- a/tests/faultproxy.h
+++ b/tests/faultproxy.h
@@ -42,12 +42,13 @@
 
 typedef struct
 {
-  MdTime delay;       /* of each byte */
-  MdTime jitter;      /* random addition, per segment */
-  bool cut;           /* nothing is delivered */
-  unsigned duplicate; /* percent of frames */
-  unsigned reorder;   /* percent of frames */
-  int64_t truncate;   /* bytes until the connection is closed, -1 off */
+  MdTime delay;        /* of each byte */
+  MdTime jitter;       /* random addition, per segment */
+  bool cut;            /* nothing is delivered */
+  unsigned duplicate;  /* percent of frames */
+  unsigned reorder;    /* percent of frames */
+  int64_t truncate;    /* bytes until the connection is closed, -1 off */
+  unsigned unanswered; /* segments after each of which its connection is closed */
 } Faults;
 
 typedef struct
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -6,7 +6,9 @@
 # silences connections, and so do guards and workers. Processes are paused, killed,
 # stopped and restarted by signals, and their wall clocks jump; the store is silent, busy,
 # slow, forgetful, loses answers or carries appends out late; workers lose orders, fail,
-# hang or drain; configurations come. Faults overlap.
+# hang or drain; configurations come. Orders reach a worker whose connection then breaks
+# before the response; a guard is paused right before all its connections are reset.
+# Faults overlap.
 # Judged from what callers and workers saw: no two runs of a task at once, no start of a
 # rejected job, no start on a worker that drains, no configuration older than one that the
 # same process had; and after the last fault every entry
@@ -108,6 +110,7 @@
 inject_more () { # seed index
   local names=(entry-1 entry-2 guard-1 guard-2 guard-3)
   local name=${names[($1 + $2) % 5]} ms=$((($1 * 37 + $2 * 911) % 10001 - 5000))
+  local guard=$((($1 + $2 / 3) % GUARDS + 1)) pid
   if [ $((($1 + 3 * $2) % 3)) = 0 ]; then
     echo "clock:$name:$ms" >> "$RUN/faults"
     step_clock "$name" "$ms"; { sleep 2; step_clock "$name" 0; } &
@@ -116,6 +119,19 @@
     echo "store:late" >> "$RUN/faults"
     store_mode late; { sleep 1; store_mode normal; } &
   fi
+  if [ $((($1 + $2) % 3)) = 1 ]; then
+    echo "unanswered:w$guard" >> "$RUN/faults"
+    command_proxy unanswered "w$guard" 6
+  fi
+  if [ $((($1 + 2 * $2) % 5)) = 0 ] && [ ! -e "$RUN/busy-guard-$guard" ]; then
+    echo "paused-resets:guard-$guard" >> "$RUN/faults"
+    : > "$RUN/busy-guard-$guard"
+    { pid=$(pid_of "guard-$guard")
+      kill -STOP "$pid" 2> /dev/null; sleep 0.05
+      command_proxy close '*'
+      sleep "0.$((1 + ($1 + $2) % 4))"; kill -CONT "$pid" 2> /dev/null
+      rm -f "$RUN/busy-guard-$guard"; } &
+  fi
 }
 
 # Configurations that an entry went back to within one lifetime.
@@ -178,7 +194,20 @@
   [ -z "$bad" ]
 }
 
-if [ "${1:-}" = one ]; then one_run "$2" 2> /dev/null; exit; fi
+# A run that gives up before its verdict counts as broken and names the step.
+report_run () { # seed
+  local said
+  said=$(mktemp -d)
+  (one_run "$1") > "$said/out" 2> "$said/err"
+  local status=$?
+  cat "$said/out"
+  grep -q '^seed=' "$said/out" \
+    || echo "seed=$1 BROKEN: ended without a verdict, status $status: $(tail -n 3 "$said/err" | tr '\n' ' ')"
+  rm -rf "$said"
+  return $status
+}
+
+if [ "${1:-}" = one ]; then report_run "$2"; exit; fi
 
 out=$(mktemp)
 seq "$SEED" $((SEED + RUNS - 1)) \
--- a/tests/test-faultproxy.c
+++ b/tests/test-faultproxy.c
@@ -237,6 +237,33 @@
 }
 END_TEST
 
+/* Guards against a request that is cut short instead of left without a response, and against a
+   fault on a connection that libcurl would not use again. */
+START_TEST (test_unanswered)
+{
+  char got[16];
+  int near, far;
+
+  run_command ("unanswered r 1", "ok\n");
+  put (client, "first");
+  expect (server, "first");
+  put (server, "answer");
+  expect (client, "answer");
+  put (client, "second");
+  expect (server, "second");
+  ck_assert_int_eq (recv (client, got, sizeof got, 0), 0);
+  connect_pair (&near, &far);
+  put (near, "first");
+  expect (far, "first");
+  put (far, "answer");
+  expect (near, "answer");
+  put (near, "second");
+  expect (far, "second");
+  put (far, "answer");
+  expect (near, "answer");
+}
+END_TEST
+
 /* Guards against frames that are not duplicated or reordered as a whole. */
 START_TEST (test_frames)
 {
@@ -314,6 +341,7 @@
   tcase_add_test (tc, test_cut);
   tcase_add_test (tc, test_silence);
   tcase_add_test (tc, test_truncate);
+  tcase_add_test (tc, test_unanswered);
   tcase_add_test (tc, test_frames);
   tcase_add_test (tc, test_bounded);
   suite_add_tcase (suite, seeds);
