Drop a request whose caller left before its job was ordered

The caller repeated the job at another entry 12 ms later. The first entry, busy with the reset of all its connections, then read the request from the buffer of the dead connection, ordered 14 runs, and saw 3 ms later that the caller had left. 12 tasks ran twice at the same time.

Change: the engine polls the caller's socket right before it admits a job and drops the request when the connection has ended (event request-dropped). One system call a job.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -4,8 +4,11 @@
    The scheduling decisions are made by the functions of sched/; this file supplies their
    input and carries them out. */
 
+#define _GNU_SOURCE /* POLLRDHUP */
+
 #include "run-entry.h"
 
+#include <poll.h>
 #include <stdio.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -235,6 +238,28 @@
   free_job (entry, job);
 }
 
+/* Whether the caller has closed its connection, or it was reset. */
+static bool
+has_caller_left (const MdCallerRequest *caller_request)
+{
+  struct pollfd fd = { .fd = caller_request->socket, .events = POLLRDHUP };
+
+  return caller_request->socket >= 0 && poll (&fd, 1, 0) > 0;
+}
+
+/* Answers a request whose caller left before anything of it was ordered. */
+static void
+drop_request (MdRunEntry *entry, MdCallerRequest *caller_request)
+{
+  md_log (MD_LOG_INFO, "request-dropped",
+          "job=%s request=%s queue=%s outcome=not_run reason=\"the caller has left\" age_ms=%lld",
+          caller_request->id, caller_request->request_id, caller_request->route.name,
+          (long long)((entry->now - caller_request->arrived) / MD_MS));
+  md_count (MD_M_CALLERS_LEFT, 1);
+  md_run_spec_clear (&caller_request->spec);
+  answer_caller_request (caller_request, 0, NULL, 0);
+}
+
 static void
 submit (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
@@ -242,6 +267,13 @@
   MdError error = { 0 };
 
   md_count (MD_M_JOBS, 1);
+  /* After a pause of this process, requests can be read from connections that were reset long
+     ago. Their callers may have repeated the jobs at other entries. */
+  if (has_caller_left (caller_request))
+    {
+      drop_request (entry, caller_request);
+      return;
+    }
   if (job != NULL)
     {
       /* The job is active already; all its callers get the same answer. */
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -280,6 +280,7 @@
       md_run_spec_clear (&caller_request.spec);
       return reject (request, 503, unsupported, 0);
     }
+  caller_request.socket = caller_socket (request);
   caller_request.event = thread_eventfd ();
   if (caller_request.event < 0)
     {
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -50,6 +50,7 @@
   MdCallerRequest *next;       /* engine only: next request for the same job */
   MdEntryJob *job;             /* engine only: job of the request, NULL once answered */
   int event;                   /* eventfd, borrowed; written when the request is answered */
+  int socket;                  /* SUBMIT: the caller's, borrowed; -1: not known */
   int status;                  /* response: HTTP status, 0: the caller has disconnected */
   MdTime retry_after;          /* response: Retry-After, 0: none */
   MdBuf body;                  /* response; freed by the thread that posted the request */
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -104,6 +104,19 @@
   sleep 3 # orders that are carried out late
   echo "with lost orders: $(judge_runs "$RUN/journal" "$RUN/results" 2>&1 | grep -o 'twice=.* false_not_run=[0-9]*')"
 
+  # The caller of a request that a paused entry has not read gives up and repeats the job.
+  kill -STOP "$(pid_of entry-1)"
+  curl -s -m 0.3 -o /dev/null -H 'Host: jobs.example' -d "${JOB/ms=30/ms=400}" \
+    "http://127.0.0.11:$CALLERS/calc/00000000000000e9"
+  post 00000000000000e9 "${JOB/ms=30/ms=400}" 2 > "$RUN/repeated" &
+  local repeated=$!
+  wait_for 5 grep -q '^start 00000000000000e9' "$RUN/journal" || fail "the repeated job did not start"
+  kill -CONT "$(pid_of entry-1)"
+  wait_for 5 seen entry-1 'request-dropped job=00000000000000e9' || fail "the request is not dropped"
+  seen entry-1 'job-admitted job=00000000000000e9' && fail "a request without a caller is admitted"
+  wait "$repeated"
+  echo "repeated while its entry was paused: $(cat "$RUN/repeated"), starts $(grep -c '^start 00000000000000e9' "$RUN/journal")"
+
   post 00000000000000f1 "${JOB/ms=30/ms=400}" > "$RUN/last" &
   local request=$!
   wait_for 5 grep -q '^start 00000000000000f1' "$RUN/journal" || fail "the last job did not start"
