Do not read a freed response in the load generator

Ruled out: a fault of the daemons; the stack is in the test program alone.

Change: the loop ends after the disconnect; the two arrays are freed.

--- a/tests/jobload.c
+++ b/tests/jobload.c
@@ -140,7 +140,10 @@
   for (int i = 0; i < info->num_headers; i++)
     if (strcasecmp (info->http_headers[i].name, "Connection") == 0
         && strcasecmp (info->http_headers[i].value, "close") == 0)
-      disconnect (caller);
+      {
+        disconnect (caller); /* frees info */
+        break;
+      }
   return status;
 }
 
@@ -274,5 +277,7 @@
   for (int k = 0; k < 5; k++)
     printf ("%s%s=%d", k > 0 ? " " : "", outcomes[k], counts[k]);
   printf ("\n");
+  free (callers);
+  free (threads);
   return 0;
 }
