Limit numbers in messages of callers, workers and operators

Cause: operators' story "one malformed message took a whole process down", looked for in the decoders. A job whose estimated_ms does not fit into microseconds overflowed a signed integer: the process of the sanitizer build ends (test below), the release build went on with a wrapped time, which can be negative and has no logarithm in the estimate. The same held for the deadline header, the clock of a worker, and times in the configuration and in answers of the advisor.

Ruled out: the product's own interface, whose numbers are bounded where they are read (read_integer, query_ms, header_deadline).

--- a/fleet/front.c
+++ b/fleet/front.c
@@ -255,6 +255,17 @@
   return NULL;
 }
 
+/* Reads a number of milliseconds; 0 when it is not positive. */
+static MdTime
+read_timeout (const char *text)
+{
+  long ms = strtol (text, NULL, 10);
+
+  if (ms <= 0)
+    return 0;
+  return ms < MD_JSON_MAX_DURATION / MD_MS ? ms * MD_MS : MD_JSON_MAX_DURATION;
+}
+
 static int
 submit (const Request *request, const MdRoute *route, const char *id, size_t max_body)
 {
@@ -292,7 +303,7 @@
                sizeof caller_request.request_id);
   caller_request.route = *route;
   if (timeout != NULL)
-    caller_request.response_timeout = strtol (timeout, NULL, 10) * MD_MS;
+    caller_request.response_timeout = read_timeout (timeout);
   return post_and_respond (request, &caller_request);
 }
 
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -564,7 +564,9 @@
   if (orders->echo_us > peer->echo && orders->echo_us <= guard->now)
     peer->echo = orders->echo_us;
   if (orders->follow_us > 0)
-    peer->followed_until = guard->now + (MdTime)orders->follow_us;
+    peer->followed_until
+        = guard->now
+          + (orders->follow_us < MD_FOLLOW_TIME ? (MdTime)orders->follow_us : MD_FOLLOW_TIME);
   drop_ends (peer, orders->ends_seen);
   for (size_t i = 0; i < orders->n_specs; i++)
     specs[i] = new_text (&orders->specs[i]);
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -34,6 +34,8 @@
   stopped () { [ "$(grep -c '^end 00000000000000a9.* stopped' "$RUN/journal")" = 3 ]; }
   wait_for 5 stopped && echo "its runs are stopped"
   echo "its state after that: $(ask GET)"
+  echo "a run time out of range: $(post 00000000000000af "${JOB//_ms\":30/_ms\":9223372036854775807}")"
+  echo "a negative one: $(post 00000000000000b0 "${JOB//_ms\":30/_ms\":-9223372036854775808}")"
   echo "not a job: $(post 00000000000000a5 'nonsense')"
 
   put_config 4 /calc/ /advised/
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -319,6 +319,44 @@
 }
 END_TEST
 
+/* Guards against a job of one caller that ends the process for all: numbers that do not fit into
+   microseconds overflowed, and a negative run time has no logarithm. */
+START_TEST (numbers_out_of_range_are_limited)
+{
+  static const char *const numbers[]
+      = { "9223372036854775807", "-9223372036854775808", "-1", "1e300" };
+  MdRunSpec spec;
+
+  for (unsigned i = 0; i < MD_ARRAY_SIZE (numbers); i++)
+    {
+      MD_AUTO_BUF body = { 0 };
+
+      md_buf_printf (&body,
+                     "{\"spec\":\"x\",\"best_effort\":true,\"steps\":[{\"count\":%s,\"cpu\":%s,"
+                     "\"estimated_ms\":%s}]}",
+                     numbers[i], numbers[i], numbers[i]);
+      ck_assert_int_eq (md_platform_parse_job (md_buf_str (&body), &spec, NULL), MD_OK);
+      ck_assert_int_ge (spec.steps[0].declared_time, 0);
+      ck_assert_int_le (spec.steps[0].declared_time, MD_JSON_MAX_DURATION);
+      md_run_spec_clear (&spec);
+    }
+}
+END_TEST
+
+/* Guards against the same from a worker: its clock is scaled to microseconds. */
+START_TEST (clock_out_of_range_is_not_used)
+{
+  int64_t clock_ms;
+
+  md_platform_parse_start_response (200, MD_STR ("{\"clock_ms\":9223372036854775807}"), &clock_ms);
+  ck_assert_int_eq (clock_ms, -1);
+  md_platform_parse_start_response (200, MD_STR ("{\"clock_ms\":-7}"), &clock_ms);
+  ck_assert_int_eq (clock_ms, -1);
+  md_platform_parse_start_response (200, MD_STR ("{\"clock_ms\":482113}"), &clock_ms);
+  ck_assert_int_eq (clock_ms, 482113);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -336,5 +374,7 @@
   tcase_add_test (tc, longest_prefix_wins);
   tcase_add_test (tc, memory_of_a_worker_is_kept_whole);
   tcase_add_test (tc, any_bytes_are_survived);
+  tcase_add_test (tc, numbers_out_of_range_are_limited);
+  tcase_add_test (tc, clock_out_of_range_is_not_used);
   return run_suite ("platform", tc);
 }
