--- a/fleet/guard-memory.c
+++ b/fleet/guard-memory.c
@@ -11,7 +11,7 @@
 
 #include <math.h>
 
-#define WRITE_INTERVAL (5 * MD_SECOND)    /* shortest between two writes */
+#define WRITE_INTERVAL (5 * MD_SECOND)    /* shortest between two writes of the speed */
 #define WRITE_RETRY_DELAY (1 * MD_SECOND) /* after a failed write */
 #define WRITE_TIMEOUT (1500 * MD_MS)      /* the store may be slow */
 #define MIN_LOG_SPEED_CHANGE 0.15         /* of the natural logarithm; less is not written */
@@ -75,21 +75,24 @@
           response->error.detail);
 }
 
-/* Whether a write is possible and due: the last one failed, or what it wrote has changed. */
+/* Whether a write is possible and due. A change of the lifetime or the state is written at once:
+   a guard that is restarted must not use a worker that was leaving. */
 static bool
 should_write (MdRunGuard *guard)
 {
   const MdGuardWorker *worker = &guard->worker;
+  const MdWorkerRecord *written = &guard->worker_record.written;
 
-  if (!worker->has_report || guard->worker_record.write_in_progress
-      || guard->now < guard->worker_record.write_due)
+  if (!worker->has_report || guard->worker_record.write_in_progress)
     return false;
-  if (guard->worker_record.write_failed || strcmp (worker->id, guard->worker_record.written.id) != 0
-      || worker->report.born_ms != guard->worker_record.written.report.born_ms
-      || worker->report.state != guard->worker_record.written.report.state)
+  if (!guard->worker_record.write_failed
+      && (strcmp (worker->id, written->id) != 0 || worker->report.born_ms != written->report.born_ms
+          || worker->report.state != written->report.state))
     return true;
-  return fabs (guard->queue.speed.log_speed - guard->worker_record.written.log_speed)
-         > MIN_LOG_SPEED_CHANGE;
+  if (guard->now < guard->worker_record.write_due)
+    return false;
+  return guard->worker_record.write_failed
+         || fabs (guard->queue.speed.log_speed - written->log_speed) > MIN_LOG_SPEED_CHANGE;
 }
 
 static void
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -24,6 +24,7 @@
   const char *hold;        /* body of the response to a hold */
   int starts;              /* received */
   int stops;               /* received */
+  int writes;              /* of the guard's record, which the server takes as the store */
   char response[512];      /* the last one sent */
 } worker;
 
@@ -119,6 +120,11 @@
       worker.stops++;
       return write_response (OK_HEAD, "{\"clock_ms\":5}");
     }
+  if (strstr (request, "/v1/log-append") != NULL)
+    {
+      worker.writes++;
+      return write_response (OK_HEAD, "{\"offset\":1,\"end_offset\":2}");
+    }
   if (worker.starts++ > 0)
     return write_response (CONFLICT_HEAD, "{\"clock_ms\":5,\"reason\":\"fence\"}");
   return worker.first_start != NULL ? write_response (CONFLICT_HEAD, worker.first_start) : NULL;
@@ -284,6 +290,33 @@
 }
 END_TEST
 
+/* Time does not pass for the guard meanwhile. */
+static void
+wait_for_writes (int n)
+{
+  for (int i = 0; i < PASSES && (worker.writes < n || guard.worker_record.write_in_progress); i++)
+    {
+      poll_calls ();
+      md_guard_worker_record_poll (&guard);
+    }
+  ck_assert_int_eq (worker.writes, n);
+}
+
+/* Guards against a worker that is used again although it was leaving: a guard that is killed within
+   seconds of the worker's report starts again from a record that says "ready". */
+START_TEST (leaving_worker_is_recorded_at_once)
+{
+  start_worker ();
+  guard.daemon.store = guard.http;
+  md_str_copy (guard.daemon.settings.store_address, MD_ADDRESS_BYTES,
+               md_str (worker.server.address));
+  wait_for_writes (1);
+  guard.worker.report.state = MD_WORKER_DRAINING;
+  wait_for_writes (2);
+  ck_assert_int_eq (guard.worker_record.written.report.state, MD_WORKER_DRAINING);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -292,6 +325,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, waiting_run_is_started);
   tcase_add_test (tc, waiting_run_of_a_silent_entry_is_not_started);
+  tcase_add_test (tc, leaving_worker_is_recorded_at_once);
   tcase_add_test (tc, ends_of_an_entry_learned_again_have_higher_numbers);
   tcase_add_test (tc, executed_start_without_response_is_not_repeated);
   tcase_add_test (tc, rejected_run_that_the_worker_lists_is_running);
