Log the coverage of reports only when it changes; share test counters safely

Cause: a guard that reaches 55 entries logged its coverage 55 times. The thread sanitizer ended two tests of test-guard-worker: the server's threads count calls that the test reads, and read responses that the test sets.

Ruled out: a race in the daemons; both reports name the test's own struct.

Change: report-coverage is written when a choice changes; the shared fields of the scripted worker are atomic.

--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -179,6 +179,7 @@
   bool chosen[MD_MAX_ENTRIES];
   uint32_t full = 0;
   uint32_t n = 0;
+  bool changed = false;
 
   for (MdGuardPeer *peer = guard->peers; peer != NULL && n < MD_MAX_ENTRIES; peer = peer->next)
     if (peer->connected && peer->incarnation != 0)
@@ -189,10 +190,12 @@
   md_coverage_choose (weights, n, guard->daemon.settings.full_reports, chosen);
   for (uint32_t i = 0; i < n; i++)
     {
+      changed |= peers[i]->chosen != chosen[i];
       peers[i]->chosen = chosen[i];
       full += chosen[i];
     }
-  md_log (MD_LOG_INFO, "report-coverage", "entries=%u full=%u", n, full);
+  if (changed)
+    md_log (MD_LOG_INFO, "report-coverage", "entries=%u full=%u", n, full);
 }
 
 /* Whether the entry gets no report of each change at present. */
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -20,12 +20,13 @@
 static struct
 {
   ScriptedServer server;
-  const char *first_start; /* body of the rejection of the first start; NULL: resets it */
-  const char *hold;        /* body of the response to a hold */
-  int starts;              /* received */
-  int stops;               /* received */
-  int writes;              /* of the guard's record, which the server takes as the store */
-  char response[512];      /* the last one sent */
+  _Atomic (const char *)
+      first_start;             /* body of the rejection of the first start; NULL: resets it */
+  _Atomic (const char *) hold; /* body of the response to a hold */
+  _Atomic int starts;          /* received */
+  _Atomic int stops;           /* received */
+  _Atomic int writes;          /* of the guard's record, which the server takes as the store */
+  char response[512];          /* the last one sent */
 } worker;
 
 static void
