Shorten the large workloads of test-load

Cause: with the thread sanitizer, beside other load, the three large workloads of 14 s did not end within the 240 s of the test case.

Ruled out: fewer workers or entries, which are the load pattern itself.

Bounds and patterns are as they were.

--- a/model/model.h
+++ b/model/model.h
@@ -97,6 +97,7 @@
   uint32_t workers;    /* 0: 11; the arrival rate grows with them */
   uint32_t entries;    /* 0: 4 */
   uint32_t task_cpu;   /* of each task, thousandths of a core, 0: 6200; the rate falls with it */
+  MdTime length;       /* of the arrivals, 0: 14 s */
   double hot_share;    /* additional share of the jobs that a sixth of the entries receives */
 } MdModelPattern;
 
