Count only the guards that were asked against max_followed

Cause: found in the read-through. An entry counted guards with its own runs as asked for full reports, since each message to them extended the same time; with runs at 35 guards only 29 more could be asked instead of 64.

Ruled out: a bound on all guards with full reports; those that chose the entry by themselves are not asked.

Change: a message to a guard with runs states the time without recording it as asked.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -296,8 +296,8 @@
   orders.withdraws = guard->withdraws.ids;
   orders.n_withdraws = guard->withdraws.n;
   if (guard->orders != NULL)
-    guard->follow_until = entry->now + MD_FOLLOW_TIME;
-  if (guard->follow_until > entry->now)
+    orders.follow_us = MD_FOLLOW_TIME;
+  else if (guard->follow_until > entry->now)
     orders.follow_us = (uint64_t)(guard->follow_until - entry->now);
   /* The list is newest first, but the IDs in a message must increase. */
   orders.n_orders = n;
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -34,8 +34,8 @@
   return n;
 }
 
-/* Asks up to MD_WIDEN_STEP further guards whose workers could run the step for full reports; returns
-   their number. rack_only: only guards on the rack of the step's data. */
+/* Asks up to MD_WIDEN_STEP further guards, whose workers could run the step, for full reports.
+   Returns their number. rack_only: only guards on the rack of the step's data. */
 static uint32_t
 widen_coverage (MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
                 const MdTaskRequirements *need, bool rack_only)
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -91,7 +91,7 @@
   MdIdList cancels;         /* orders to cancel with the next message */
   MdIdList withdraws;       /* orders to withdraw with the next message */
   MdTime sent_at;           /* when the last message was sent */
-  MdTime follow_until;      /* the guard is to report each change until then; 0: as it chooses */
+  MdTime follow_until;      /* it was asked to report each change until then; 0: never */
 } MdEntryGuard;
 
 /* A run that a guard was ordered to start and that has not ended. */
--- a/sched/coverage.c
+++ b/sched/coverage.c
@@ -7,10 +7,12 @@
    Each guard therefore reports changes to a few entries only, and once a second to the others
    (sparse reports). An entry places runs by full reports alone. With 8 of 55 entries for each
    guard, an entry has full reports from about 35 guards, several times the capacity that its own
-   jobs use, and fewer entries send to the same free worker between two reports. The choice is by rendezvous hashing (D. Thaler, C. Ravishankar, "Using name-based
-   mappings to increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998) and made by
-   the guard, so that every guard serves the same number of entries: none is idle while others
-   queue, and when an entry comes or goes, each guard replaces at most one.
+   jobs use, and fewer entries send to the same free worker between two reports.
+
+   The choice is by rendezvous hashing (D. Thaler, C. Ravishankar, "Using name-based mappings to
+   increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998) and made by the guard, so
+   that every guard serves the same number of entries: none is idle while others queue, and when
+   an entry comes or goes, each guard replaces at most one.
 
    An entry whose jobs need more, because its guards are busy or lack a label or a rack, asks
    further guards for full reports for a while. */
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -246,11 +246,11 @@
   MdTime run_time;  /* expected, on this worker */
 } MdPlacement;
 
-/* md_place: choose a worker for a task, among those without sparse reports. Workers that can start it at once and meet the goal
-   come first, of these the faster and less busy one; otherwise the worker on which the
-   task is expected to end first. counts[i] is the number of tasks of the step on worker i,
-   for max_per_worker; NULL if there is no such limit. The worker avoid, if not NULL, is
-   used only if there is no other. The result's worker is NULL if none can run the task. */
+/* md_place: choose a worker for a task, among those without sparse reports. Workers that can start
+   it at once and meet the goal come first, of these the faster and less busy one; otherwise the
+   worker on which the task is expected to end first. counts[i] is the number of tasks of the step
+   on worker i, for max_per_worker; NULL if there is no such limit. The worker avoid, if not NULL,
+   is used only if there is no other. The result's worker is NULL if none can run the task. */
 MdPlacement md_place (const MdWorkers *workers, const MdTaskRequirements *need,
                       const uint32_t *counts, const MdWorker *avoid, MdTime now);
 
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -355,6 +355,29 @@
   md_link_send (connections[0], &frame);
 }
 
+/* Guards against an entry that may ask no further guards because those with its runs use up the
+   number that it may ask. */
+START_TEST (guard_with_runs_does_not_count_as_asked)
+{
+  MdEntryGuard *known;
+  MdEntryOrder order = { .sent = true };
+
+  send_hello (0);
+  send_sparse_report ();
+  for (int i = 0; i < PASSES && (known_guard () == NULL || known_guard ()->awaiting_report); i++)
+    poll_both ();
+  known = (MdEntryGuard *)entry.workers.workers[0];
+  known->orders = &order;
+  entry.now = md_now () + MD_SECOND;
+  md_entry_guards_poll (&entry);
+  for (int i = 0; i < PASSES && follow_us == 0; i++)
+    poll_both ();
+  ck_assert_uint_gt (follow_us, 0);
+  ck_assert_int_eq (known->follow_until, 0);
+  known->orders = NULL;
+}
+END_TEST
+
 /* Guards against an entry that gives up a guard with sparse reports as silent, one that sends it
    messages for nothing, and a request for full reports that waits for the next message. */
 START_TEST (sparse_guard_hears_little_until_it_is_followed)
@@ -402,6 +425,7 @@
   tcase_add_test (tc, address_that_nobody_names_is_dropped);
   tcase_add_test (tc, state_of_a_former_process_is_ignored);
   tcase_add_test (tc, idle_guard_hears_less);
+  tcase_add_test (tc, guard_with_runs_does_not_count_as_asked);
   tcase_add_test (tc, sparse_guard_hears_little_until_it_is_followed);
   return run_suite ("entry-guards", tc);
 }
