Free the HTTP calls in progress with their client

The daemons free the client when the process ends, so that nothing grew there.

Ruled out: waiting for the calls in the test; the header says that md_http_free aborts all calls.

Change: calls in progress are linked and freed.

--- a/net/http-async.c
+++ b/net/http-async.c
@@ -23,7 +23,8 @@
 
 struct Call
 {
-  Call *next;                 /* in MdHttp.idle */
+  Call *next;                 /* in MdHttp.idle or MdHttp.active */
+  Call *previous;             /* in MdHttp.active */
   MdHttp *http;               /* owner of the call */
   CURL *easy;                 /* owned */
   struct curl_slist *headers; /* of the request, owned */
@@ -41,6 +42,7 @@
 {
   MdLinks *links;                /* polls the sockets; not owned */
   CURLM *multi;                  /* owned */
+  Call *active;                  /* calls in progress, owned */
   Call *idle;                    /* ended calls for reuse, owned */
   unsigned n_idle;               /* at most MAX_IDLE_CALLS */
   MdTime due;                    /* time-out of libcurl, INT64_MAX none */
@@ -171,6 +173,12 @@
 {
   if (http == NULL)
     return;
+  for (Call *call = http->active, *next; call != NULL; call = next)
+    {
+      next = call->next;
+      curl_multi_remove_handle (http->multi, call->easy);
+      free_call (call);
+    }
   for (Call *call = http->idle, *next; call != NULL; call = next)
     {
       next = call->next;
@@ -319,6 +327,27 @@
   curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, call->request.data ? call->request.data : "");
 }
 
+static void
+link_active (Call *call)
+{
+  call->previous = NULL;
+  call->next = call->http->active;
+  if (call->next != NULL)
+    call->next->previous = call;
+  call->http->active = call;
+}
+
+static void
+unlink_active (Call *call)
+{
+  if (call->previous != NULL)
+    call->previous->next = call->next;
+  else
+    call->http->active = call->next;
+  if (call->next != NULL)
+    call->next->previous = call->previous;
+}
+
 int
 md_http_start (MdHttp *http, const MdHttpCall *request, MdHttpDone done, void *user)
 {
@@ -334,10 +363,13 @@
   md_str_copy (call->address, sizeof call->address, md_str (request->address));
   md_buf_append (&call->request, request->body);
   set_options (call, request);
-  if (curl_multi_add_handle (http->multi, call->easy) == CURLM_OK)
-    return MD_OK;
-  free_call (call);
-  return MD_E_MEMORY;
+  if (curl_multi_add_handle (http->multi, call->easy) != CURLM_OK)
+    {
+      free_call (call);
+      return MD_E_MEMORY;
+    }
+  link_active (call);
+  return MD_OK;
 }
 
 static void
@@ -357,6 +389,7 @@
                   "call", call->address, "%s",
                   call->reason[0] != '\0' ? call->reason : curl_easy_strerror (code));
   curl_multi_remove_handle (call->http->multi, call->easy);
+  unlink_active (call);
   call->done (call->user, &response);
   recycle_call (call);
 }
