--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -514,7 +514,8 @@
    entry, or has dropped the address and learned it again. The hello then lists no orders,
    although the guard may still have some. */
 static bool
-is_forgetful_hello (const MdRunEntry *entry, const MdEntryGuard *guard, const Md__RunHello *hello)
+is_hello_without_entry (const MdRunEntry *entry, const MdEntryGuard *guard,
+                        const Md__RunHello *hello)
 {
   return guard != NULL && guard->worker.guard == hello->incarnation && guard->welcomed
          && hello->entry != entry->incarnation && has_sent_orders (guard);
@@ -533,10 +534,10 @@
       md_link_disconnect (link);
       return;
     }
-  if (is_forgetful_hello (entry, guard, hello))
+  if (is_hello_without_entry (entry, guard, hello))
     {
       /* Accepted once the orders have ended or their leases have expired. */
-      md_log (MD_LOG_WARN, "hello-forgetful", "guard=%s orders=%u entry=%llx", guard->name,
+      md_log (MD_LOG_WARN, "hello-without-entry", "guard=%s orders=%u entry=%llx", guard->name,
               guard->worker.outstanding, (unsigned long long)hello->entry);
       md_link_disconnect (link);
       return;
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -395,6 +395,7 @@
     }
 }
 
+/* Adopts the runs that wait after a rejection although the worker lists them. */
 static void
 adopt_rejected_runs (MdRunGuard *guard, const MdHoldResponse *response)
 {
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -297,7 +297,7 @@
 /* Guards against a task that runs twice: a guard dials a second address of the entry, or one that
    it dropped and learned again. Its hello then names no process of the entry and lists no orders,
    so that those sent before were taken for lost and ordered elsewhere. */
-START_TEST (forgetful_hello_does_not_end_orders)
+START_TEST (hello_without_entry_does_not_end_orders)
 {
   MdEntryGuard *known;
   MdEntryOrder order = { .id = 1, .sent = true };
@@ -417,7 +417,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, late_hello_is_refused);
   tcase_add_test (tc, later_hello_replaces);
-  tcase_add_test (tc, forgetful_hello_does_not_end_orders);
+  tcase_add_test (tc, hello_without_entry_does_not_end_orders);
   tcase_add_test (tc, hello_without_welcome_replaces);
   tcase_add_test (tc, replaced_worker_is_forgotten);
   tcase_add_test (tc, directory_holds_every_entry);
