Log how late an entry is and what its processor time goes into

The logs show late jobs and guards that go down together, but not whether the entry itself was late, so the hypotheses of docs/incidents/2026-12-05-short-small-entries.md cannot be told apart.

An entry now writes a line every five seconds, and at once when its engine is more than 50 ms behind: jobs, connections of callers, frames of guards, passes of the engine, processor time, the longest wait of a job and the largest lag. Two histograms show lag and wait; job-admitted and job-rejected carry queued_ms. No decision changes.

--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -360,7 +360,7 @@
   md_log (MD_LOG_INFO, event,
           "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f "
           "wait_bound_ms=%lld patience_ms=%lld steps=%u tasks=%llu cpu=%u memory_mb=%u "
-          "declared_ms=%lld slack_percent=%.0f target_ms=%lld workers_full=%u",
+          "declared_ms=%lld slack_percent=%.0f target_ms=%lld workers_full=%u queued_ms=%lld",
           job->id, job->request_id, job->route.name, (long long)(forecast->finish / MD_MS),
           (long long)(forecast->wait / MD_MS), (long long)(forecast->goal / MD_MS),
           forecast->demand, (long long)(md_admit_wait_bound (forecast->demand) / MD_MS),
@@ -368,7 +368,7 @@
           (unsigned long long)tasks, spec->steps[0].resources.cpu,
           spec->steps[0].resources.memory_mb, (long long)(spec->steps[0].declared_time / MD_MS),
           job->route.slack_factor * 100, (long long)(job->route.target_latency / MD_MS),
-          count_full (entry));
+          count_full (entry), (long long)((entry->now - job->arrived) / MD_MS));
 }
 
 /* Asks further guards for full reports on behalf of the job's ready steps; returns whether there
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -442,6 +442,7 @@
 {
   *data = NULL;
   atomic_fetch_add (&connection_front (conn)->connections, 1);
+  md_count (MD_M_CALLER_CONNECTIONS, 1);
   return 0;
 }
 
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -243,6 +243,7 @@
       md_observe (MD_H_LOOP, md_now () - entry->now);
       md_links_poll (entry->daemon.links, due);
       entry->now = md_now ();
+      md_entry_load_pass (&entry->load, due, entry->now);
       md_http_poll (entry->daemon.store);
     }
 }
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -172,6 +172,30 @@
 
 #define MD_JOB_BUCKETS 4096u
 
+/* ------------------------------------------------------------------ */
+/* Load                                                               */
+
+/* Totals since the start of the process. */
+typedef struct
+{
+  int64_t jobs;        /* received */
+  int64_t connections; /* of callers, accepted */
+  int64_t frames;      /* received from guards */
+  MdTime processor;    /* processor time of all threads */
+  MdTime engine;       /* processor time of the engine thread */
+} MdEntryLoadCounts;
+
+/* What the entry did since the last line of the log about it, and how late it was. */
+typedef struct
+{
+  MdEntryLoadCounts logged; /* totals at the last line */
+  MdTime logged_at;         /* when it was written */
+  MdTime log_due;           /* when the next one is due, 0: before the first pass */
+  int64_t passes;           /* of the engine since then */
+  MdTime max_wait;          /* longest time from the arrival of a job to its handling */
+  MdTime max_lag;           /* most that the engine was behind the time of its next pass */
+} MdEntryLoad;
+
 typedef struct
 {
   MdDaemon daemon;                       /* settings, links, connections to the store */
@@ -200,6 +224,7 @@
   MdTime register_due;                   /* next attempt to write the address to the store */
   bool registering;                      /* a write is in progress */
   bool registered;                       /* the address is in the store */
+  MdEntryLoad load;                      /* whether the engine keeps up */
   MdTime gauges_due;                     /* next update of the gauges */
   bool leaving;                          /* SIGTERM or SIGINT has been received */
   MdTime reject_after;                   /* leaving: new requests are rejected from this time on */
@@ -285,6 +310,13 @@
 /* md_entry_fail_all: answer and free every job when the process ends. */
 void md_entry_fail_all (MdRunEntry *entry);
 
+/* entry-load.c */
+/* md_entry_load_pass: record a pass of the engine that was due at the given time, and log the
+   load when that is due. To be called by the engine thread. */
+void md_entry_load_pass (MdEntryLoad *load, MdTime due, MdTime now);
+/* md_entry_load_request: record the time from the arrival of a job to its handling. */
+void md_entry_load_request (MdEntryLoad *load, MdTime wait);
+
 /* entry-metrics.c */
 /* md_entry_write_metrics: append all metrics in the Prometheus text format. Can be called from
    any thread. */
