Find the socket of a caller without looking at every descriptor

Cause: CivetWeb does not expose its sockets, so the entry compares the peer of each descriptor, links of guards included, for every new connection: some 200 system calls. With more than 120 connections the entry closes each one with its response, so that under load every request pays for that search. The load lines show it: 97 jobs, 124 new connections and 8 passes of the engine in 1.2 s.

The search now starts at the lowest descriptor that a caller ever had and skips those of open connections.

Test: test-caller-sockets, 120 idle connections, 80 links and 50 connections one after the other. With the former search churn_looks_at_few_descriptors fails with 10,400 calls, 208 a connection; it allows four.

--- a/fleet/front.c
+++ b/fleet/front.c
@@ -7,6 +7,7 @@
 
 #define _GNU_SOURCE /* POLLRDHUP */
 
+#include "caller-sockets.h"
 #include "http-server.h"
 #include "run-entry.h"
 
@@ -24,7 +25,6 @@
 #include <urcu/urcu-memb.h>
 
 #define RETRY_AFTER_NO_CONFIG (1 * MD_SECOND) /* Retry-After before the configuration is read */
-#define MAX_SOCKET_DESCRIPTOR 8192            /* the search for a caller's socket ends here */
 #define DEFAULT_MAX_BODY (256u << 10)         /* bytes, if the configuration states no limit */
 
 struct MdFront
@@ -35,6 +35,7 @@
   atomic_bool keep_alive_disabled; /* each response closes its connection */
   atomic_int connections;          /* open connections of both servers */
   int threads;                     /* threads of the server for callers */
+  MdCallerSockets sockets;         /* of callers whose requests have been read */
 };
 
 /* HTTP request being handled by the current thread. */
@@ -102,13 +103,14 @@
 /* Detection of disconnected callers                                  */
 
 static int
-find_socket (const struct mg_request_info *info)
+find_socket (const Request *request)
 {
-  struct sockaddr_in peer = { .sin_family = AF_INET, .sin_port = htons (info->remote_port) };
+  struct sockaddr_in peer
+      = { .sin_family = AF_INET, .sin_port = htons (request->info->remote_port) };
 
-  if (inet_pton (AF_INET, info->remote_addr, &peer.sin_addr) != 1)
+  if (inet_pton (AF_INET, request->info->remote_addr, &peer.sin_addr) != 1)
     return -1;
-  return md_socket_find (&peer, sizeof peer, 0, MAX_SOCKET_DESCRIPTOR);
+  return md_caller_sockets_find (&request->front->sockets, &peer);
 }
 
 /* Returns the descriptor of the caller's socket, -1 if it is not found. The descriptor is
@@ -121,7 +123,7 @@
 
   if (stored > 0)
     return (int)stored - 1;
-  fd = find_socket (request->info);
+  fd = find_socket (request);
   if (fd >= 0)
     mg_set_user_connection_data (request->conn, (void *)(intptr_t)(fd + 1));
   return fd;
@@ -446,6 +448,16 @@
   return 0;
 }
 
+/* Called before the socket is closed. */
+static void
+connection_closing (const struct mg_connection *conn)
+{
+  intptr_t stored = (intptr_t)mg_get_user_connection_data (conn);
+
+  if (stored > 0)
+    md_caller_sockets_release (&connection_front (conn)->sockets, (int)stored - 1);
+}
+
 static void
 connection_closed (const struct mg_connection *conn)
 {
@@ -476,6 +488,7 @@
   struct mg_callbacks callbacks = { .init_thread = init_thread,
                                     .exit_thread = exit_thread,
                                     .init_connection = init_connection,
+                                    .connection_close = connection_closing,
                                     .connection_closed = connection_closed };
   struct mg_context *server = mg_start (&callbacks, front, options);
 
