Judge a run overdue by its guard's report, not by the entry's clock

Cause: an entry that is 300 to 700 ms late has not read that its runs have started or ended. By its own clock nearly all of them waited longer than predicted, so at each tick it searched all workers for a better one for each of them, withdrew runs, and cancelled runs of workers that had been stalled. That is work for nothing at the moment when there is no time for it.

A run now counts as overdue, or as stalled, up to the latest report of its guard. Ruled out as a loss: a guard that is silent and connected; a withdrawal would not reach it either, and after 350 ms the link is closed, from when the entry's clock counts as before.

Test: test-entry-late, an engine that is 390 ms late.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -14,7 +14,6 @@
 #include <unistd.h>
 #include <xxhash.h>
 
-#define OVERDUE_MARGIN (15 * MD_MS) /* a run that waits this much longer than predicted may move */
 /* A run on a stalled worker is cancelled after this multiple of its expected run time. */
 #define STALLED_FACTOR 2
 #define MIN_MOVE_GAIN (15 * MD_MS) /* a run is not moved to end less than this much sooner */
@@ -582,11 +581,21 @@
 /* ------------------------------------------------------------------ */
 /* Periodic checks                                                    */
 
+/* Until when the state of an order is known: the latest report of its guard. A guard that is not
+   connected has not reported that the run has started or ended. */
+static MdTime
+known_at (const MdRunEntry *entry, const MdEntryOrder *order)
+{
+  const MdWorker *worker = &order->guard->worker;
+
+  return worker->connected ? worker->reported_at : entry->now;
+}
+
 static bool
 is_overdue (const MdRunEntry *entry, const MdEntryOrder *order)
 {
   return order != NULL && order->sent && !order->started && !order->withdrawn
-         && entry->now > order->placed_at + order->expected_wait + OVERDUE_MARGIN;
+         && md_run_is_overdue (order->placed_at, order->expected_wait, known_at (entry, order));
 }
 
 /* Withdraws an overdue run if another worker can start it at once and is expected to end it at
@@ -624,7 +633,7 @@
 static void
 abandon_if_stalled (MdRunEntry *entry, MdEntryJob *job, MdEntryOrder *order)
 {
-  MdTime elapsed = entry->now - order->placed_at - order->expected_wait;
+  MdTime elapsed = known_at (entry, order) - order->placed_at - order->expected_wait;
 
   /* Only a first attempt, because the cause may be a wrong estimate of the run time. */
   if (!order->started || order->cancelled || !order->guard->worker.stalled
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -36,6 +36,7 @@
 #define BUSY_WEIGHT 6.0
 #define STALL_PENALTY (2 * MD_SECOND) /* added to the wait at a stalled worker */
 #define MAX_REPORT_AGE (600 * MD_MS)  /* an older one says little about capacity */
+#define OVERDUE_MARGIN (15 * MD_MS) /* a run that waits this much longer than predicted may move */
 
 bool
 md_labels_have (const MdLabels *labels, const char *label)
@@ -192,6 +193,15 @@
   return shortest;
 }
 
+/* Load pattern: an entry that is short of processor time reads reports hundreds of milliseconds
+   late. By its own clock, nearly all of its runs then seem to wait, and looking for a better
+   worker for each of them costs the time that reading the reports needs. */
+bool
+md_run_is_overdue (MdTime placed_at, MdTime expected_wait, MdTime known_at)
+{
+  return known_at > placed_at + expected_wait + OVERDUE_MARGIN;
+}
+
 /* Without free capacity, the run adds its share of the worker's time to the wait of the next. */
 void
 md_worker_reserve (MdWorker *worker, MdResources resources, MdTime run_time)
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -258,6 +258,10 @@
    avoided for its failures, INT64_MAX if there is none. */
 MdTime md_place_backlog (const MdWorkers *workers, const MdTaskRequirements *need, MdTime now);
 
+/* md_run_is_overdue: whether a run that was placed at placed_at, with this expected wait, still
+   waits longer than predicted. known_at: when its guard was last known not to have started it. */
+bool md_run_is_overdue (MdTime placed_at, MdTime expected_wait, MdTime known_at);
+
 /* md_worker_reserve: account for a run that was ordered after the worker's last report, by
    its resources and its expected run time. */
 void md_worker_reserve (MdWorker *worker, MdResources resources, MdTime run_time);
--- /dev/null
+++ b/tests/test-entry-late.c
@@ -0,0 +1,139 @@
+/* test-entry-late.c -- decisions of an entry that is short of processor time
+
+   The entry has two guards and a job, without links. Its engine is late: reports wait in the
+   sockets, unread, while its clock goes on. */
+
+#include "run-entry.h"
+#include "suite.h"
+
+#include <sys/eventfd.h>
+
+#define NOW (1000 * MD_SECOND)
+#define LAG (390 * MD_MS) /* of the engine, as seen on a day of the grown sites */
+#define RUN_TIME (900 * MD_MS)
+
+static MdRunEntry entry;
+static MdEntryGuard guards[2];
+static MdWorker *workers[2];
+static MdSavedResources saved[2];
+static bool excluded[2];
+static MdCallerRequest request;
+static MdRunTask *task; /* of the job */
+
+static void
+init_guard (MdEntryGuard *guard, const char *name, double speed)
+{
+  *guard = (MdEntryGuard){ .worker = { .speed = speed,
+                                       .connected = true,
+                                       .state = MD_WORKER_READY,
+                                       .capacity = { 16000, 32768, 0 },
+                                       .free = { 16000, 32768, 0 },
+                                       .reported_at = NOW } };
+  md_str_copy (guard->name, sizeof guard->name, md_str (name));
+  md_str_copy (guard->worker.pool, sizeof guard->worker.pool, MD_STR ("calc"));
+}
+
+static void
+submit_job (void)
+{
+  MdRunStep *step = calloc (1, sizeof *step);
+
+  step->n_tasks = 1;
+  step->resources = (MdResources){ 1600, 64, 0 };
+  step->declared_time = RUN_TIME;
+  request = (MdCallerRequest){ .kind = MD_CALLER_REQUEST_SUBMIT,
+                               .arrived = entry.now,
+                               .event = eventfd (0, EFD_NONBLOCK),
+                               .socket = -1 };
+  md_str_copy (request.id, sizeof request.id, MD_STR ("1"));
+  request.spec.steps = step;
+  request.spec.n_steps = 1;
+  request.spec.best_effort = true;
+  request.response_timeout = 60 * MD_SECOND;
+  md_str_copy (request.route.name, sizeof request.route.name, MD_STR ("queue"));
+  md_str_copy (request.route.pool, sizeof request.route.pool, MD_STR ("calc"));
+  request.route.max_attempts = 2;
+  request.route.slack_factor = 4;
+  request.route.target_latency = 60 * MD_MS;
+  md_entry_handle_request (&entry, &request);
+}
+
+static void
+setup (void)
+{
+  entry = (MdRunEntry){ .now = NOW, .next_order_id = 1, .saved_resources = saved };
+  md_leases_set (&entry.daemon.leases, 1300 * MD_MS, 50 * MD_MS);
+  md_tuning_default (&entry.daemon.settings.tuning);
+  init_guard (&guards[0], "guard-1", 2);
+  init_guard (&guards[1], "guard-2", 1);
+  workers[0] = &guards[0].worker;
+  workers[1] = &guards[1].worker;
+  entry.workers = (MdWorkers){ .workers = workers, .n = 2, .remote_factor = 1.5 };
+  entry.excluded = excluded;
+}
+
+/* The order that the job was placed with, as if its guard had received it. */
+static MdEntryOrder *
+sent_order (void)
+{
+  MdEntryOrder *order = guards[0].orders;
+
+  ck_assert_ptr_nonnull (order);
+  ck_assert_ptr_null (guards[1].orders);
+  order->sent = true;
+  guards[0].unsent = NULL;
+  task = &entry.jobs->runjob.tasks[0][0];
+  ck_assert_ptr_eq (task->order, order);
+  return order;
+}
+
+/* Guards against an entry that moves runs whose start it has not read yet: each of them costs a
+   search among all workers, and the withdrawal a message, when there is least time for it. */
+START_TEST (unread_reports_move_no_runs)
+{
+  MdEntryOrder *order;
+
+  submit_job ();
+  order = sent_order ();
+  entry.now += LAG;
+  guards[1].worker.speed = 8;
+  md_entry_jobs_tick (&entry);
+  ck_assert (!order->withdrawn);
+  guards[0].worker.reported_at = guards[1].worker.reported_at = entry.now;
+  entry.now += 20 * MD_MS;
+  md_entry_jobs_tick (&entry);
+  ck_assert (order->withdrawn);
+}
+END_TEST
+
+/* Guards against the same for runs at a worker that was stalled when last heard of. */
+START_TEST (unread_reports_abandon_no_runs)
+{
+  MdEntryOrder *order;
+
+  submit_job ();
+  order = sent_order ();
+  order->started = true;
+  guards[0].worker.stalled = true;
+  guards[0].worker.reported_at = NOW + order->expected_run / 2;
+  entry.now += 2 * order->expected_run + LAG;
+  ck_assert_int_lt (entry.now + order->expected_run / 2, entry.jobs->limit);
+  md_entry_jobs_tick (&entry);
+  ck_assert (!order->cancelled);
+  guards[0].worker.reported_at = entry.now;
+  entry.now += 20 * MD_MS;
+  md_entry_jobs_tick (&entry);
+  ck_assert (order->cancelled);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tc = tcase_create ("entry-late");
+
+  tcase_add_checked_fixture (tc, setup, NULL);
+  tcase_add_test (tc, unread_reports_move_no_runs);
+  tcase_add_test (tc, unread_reports_abandon_no_runs);
+  return run_suite ("entry-late", tc);
+}
