Let an entry that is late ask its guards for fewer reports

Cause: guards report up to 62 changes a second to each of eight entries, small or large, most of them of other entries' runs. The load lines show 2,600 frames a second at an entry of 0.12 of a core, which costs a third of its share; the number does not fall when the entry is short of time.

An entry now keeps a lag, the largest recent delay of its engine with a half-life of 100 ms. While that is above 8 ms it asks guards, with the messages that it sends them anyway, for a longer time between two reports of changes, 100 ms at most (that of heartbeats); below 4 ms it takes that back. Starts and ends of its own runs are reported at once, as before. Older guards ignore the new field.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -299,6 +299,7 @@
     orders.follow_us = MD_FOLLOW_TIME;
   else if (guard->follow_until > entry->now)
     orders.follow_us = (uint64_t)(guard->follow_until - entry->now);
+  orders.report_interval_us = (uint64_t)entry->report_interval;
   /* The list is newest first, but the IDs in a message must increase. */
   orders.n_orders = n;
   for (MdEntryOrder *order = guard->unsent; order != NULL; order = order->next_unsent)
@@ -689,11 +690,26 @@
          * (guard->orders != NULL ? 1 : IDLE_INTERVAL_HEARTBEATS);
 }
 
+/* Adjusts how often guards report changes to how late the entry is. They hear of it with the next
+   message. */
+static void
+adjust_report_interval (MdRunEntry *entry)
+{
+  if (entry->now < entry->report_interval_due)
+    return;
+  entry->report_interval_due = entry->now + MD_LAG_STEP;
+  entry->report_interval
+      = md_lag_report_interval (entry->report_interval, md_lag_now (&entry->load.lag, entry->now));
+  md_gauge (MD_M_REPORT_INTERVAL, entry->report_interval / MD_MS);
+}
+
 MdTime
 md_entry_guards_poll (MdRunEntry *entry)
 {
   MdTime due = entry->now + entry->daemon.leases.heartbeat_interval;
 
+  adjust_report_interval (entry);
+
   for (uint32_t i = 0; i < entry->workers.n;)
     {
       MdEntryGuard *guard = guard_at (entry, i);
--- a/fleet/entry-load.c
+++ b/fleet/entry-load.c
@@ -69,6 +69,7 @@
   MdTime lag = now > due ? now - due : 0;
 
   load->passes++;
+  md_lag_add (&load->lag, lag, now);
   if (lag > 0)
     md_observe (MD_H_ENGINE_LAG, lag);
   if (lag > load->max_lag)
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -448,6 +448,7 @@
     md_log (MD_LOG_WARN, "entry-lost", "entry=%s address=%s reason=\"%s\"", peer->name,
             peer->address, error->detail);
   peer->connected = false;
+  peer->report_interval = 0;
   peer->reads_sparse = false;
   choose_entries (guard);
 }
@@ -570,6 +571,10 @@
     peer->followed_until
         = guard->now
           + (orders->follow_us < MD_FOLLOW_TIME ? (MdTime)orders->follow_us : MD_FOLLOW_TIME);
+  peer->report_interval
+      = orders->report_interval_us < (uint64_t)guard->daemon.leases.heartbeat_interval
+            ? (MdTime)orders->report_interval_us
+            : guard->daemon.leases.heartbeat_interval;
   drop_ends (peer, orders->ends_seen);
   for (size_t i = 0; i < orders->n_specs; i++)
     specs[i] = new_text (&orders->specs[i]);
@@ -691,6 +696,8 @@
     return guard->now;
   if (sparse)
     return peer->reported_at + MD_SPARSE_INTERVAL;
+  if (change_interval < peer->report_interval)
+    change_interval = peer->report_interval;
   return peer->reported_at
          + (peer->reported_version != guard->state_version
                 ? change_interval
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -194,6 +194,7 @@
   int64_t passes;           /* of the engine since then */
   MdTime max_wait;          /* longest time from the arrival of a job to its handling */
   MdTime max_lag;           /* most that the engine was behind the time of its next pass */
+  MdLag lag;                /* of the engine, at present */
 } MdEntryLoad;
 
 typedef struct
@@ -225,6 +226,8 @@
   bool registering;                      /* a write is in progress */
   bool registered;                       /* the address is in the store */
   MdEntryLoad load;                      /* whether the engine keeps up */
+  MdTime report_interval;                /* asked of guards, 0: their own */
+  MdTime report_interval_due;            /* next adjustment of report_interval */
   MdTime gauges_due;                     /* next update of the gauges */
   bool leaving;                          /* SIGTERM or SIGINT has been received */
   MdTime reject_after;                   /* leaving: new requests are rejected from this time on */
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -86,6 +86,8 @@
   unsigned n_started;             /* used elements of started */
   bool urgent;                    /* report without delay: a run has started or ended */
   uint64_t reported_version;      /* state_version of the guard at the last report */
+  MdTime report_interval;         /* shortest time between reports of changes that the entry asks
+                                     for; 0: none */
   bool reads_sparse;              /* the entry accepts sparse reports, from its welcome */
   bool chosen;                    /* it is to receive a report of each change */
   MdTime followed_until;          /* it has asked for a report of each change until then */
--- a/net/wire.pb-c.c
+++ b/net/wire.pb-c.c
@@ -4128,7 +4128,7 @@
   (ProtobufCMessageInit) md__run_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_orders__field_descriptors[8] =
+static const ProtobufCFieldDescriptor md__run_orders__field_descriptors[9] =
 {
   {
     "guard",
@@ -4226,6 +4226,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "report_interval_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrders, report_interval_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_orders__field_indices_by_name[] = {
   5,   /* field[5] = cancels */
@@ -4234,13 +4246,14 @@
   7,   /* field[7] = follow_us */
   0,   /* field[0] = guard */
   4,   /* field[4] = orders */
+  8,   /* field[8] = report_interval_us */
   3,   /* field[3] = specs */
   6,   /* field[6] = withdraws */
 };
 static const ProtobufCIntRange md__run_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor md__run_orders__descriptor =
 {
@@ -4250,7 +4263,7 @@
   "Md__RunOrders",
   "md",
   sizeof(Md__RunOrders),
-  8,
+  9,
   md__run_orders__field_descriptors,
   md__run_orders__field_indices_by_name,
   1,  md__run_orders__number_ranges,
--- a/net/wire.pb-c.h
+++ b/net/wire.pb-c.h
@@ -658,10 +658,14 @@
    * for this long the entry needs a report of each change
    */
   uint64_t follow_us;
+  /*
+   * shortest time between two reports of changes, 0: the guard's own
+   */
+  uint64_t report_interval_us;
 };
 #define MD__RUN_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_orders__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Md__RunEnd
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -355,6 +355,26 @@
 double md_demand_ratio (const MdDemand *const *demands, uint32_t n, const MdDemand *one,
                         MdTime now);
 
+/* ------------------------------------------------------------------ */
+/* How late an entry is (lag.c)                                       */
+
+/* The lag of an engine: how much later than due it does something. */
+typedef struct
+{
+  MdTime value;      /* at updated_at */
+  MdTime updated_at; /* time of the last sample */
+} MdLag;
+
+/* md_lag_add: add a sample. Can be called for each timer that the engine handles. */
+void md_lag_add (MdLag *lag, MdTime sample, MdTime now);
+/* md_lag_now: the lag to reckon with. */
+MdTime md_lag_now (const MdLag *lag, MdTime now);
+/* md_lag_report_interval: the shortest time between two reports of changes that an entry with this
+   lag asks of its guards, 0 for none. current: what it asks at present. To be called once per
+   MD_LAG_STEP. */
+#define MD_LAG_STEP (100 * MD_MS)
+MdTime md_lag_report_interval (MdTime current, MdTime lag);
+
 /* ------------------------------------------------------------------ */
 /* Admission (admission.c)                                            */
 
--- a/tests/test-guard-orders.c
+++ b/tests/test-guard-orders.c
@@ -62,6 +62,19 @@
   md_link_send (entry->link, &frame);
 }
 
+static void
+send_report_interval (StandIn *entry, MdTime interval)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunOrders orders = MD__RUN_ORDERS__INIT;
+
+  orders.guard = guard.incarnation;
+  orders.report_interval_us = (uint64_t)interval;
+  frame.msg_case = MD__FRAME__MSG_RUN_ORDERS;
+  frame.run_orders = &orders;
+  md_link_send (entry->link, &frame);
+}
+
 static void
 on_frame (void *user, MdLink *link, const Md__Frame *frame)
 {
@@ -170,6 +183,45 @@
 }
 END_TEST
 
+/* Makes a change and lets the time since the last report be this long; returns the number of reports
+   that the entry then gets. */
+static int
+reports_of_change (const StandIn *entry, MdTime since_report)
+{
+  int before = entry->reports;
+
+  for (MdGuardPeer *peer = guard.peers; peer != NULL; peer = peer->next)
+    peer->reported_at = md_now () - since_report;
+  guard.state_version++;
+  for (int i = 0; i < 4; i++)
+    poll_all ();
+  return entry->reports - before;
+}
+
+/* Load pattern: an entry that is late and asks for fewer reports, see sched/lag.c. Guards against
+   a guard that reports each change to it nevertheless, and against fewer reports to the others. */
+START_TEST (late_entry_gets_fewer_reports)
+{
+  const MdTime heartbeat = 100 * MD_MS;
+  StandIn *entry = &entries[0];
+
+  connect_guard ();
+  guard.daemon.settings.full_reports = ENTRIES;
+  for (int i = 0; i < PASSES && (entry->link == NULL || entry->reports < 2); i++)
+    poll_all ();
+  ck_assert_int_ge (reports_of_change (entry, heartbeat / 2), 1);
+  send_report_interval (entry, 10 * heartbeat);
+  for (int i = 0;
+       i < PASSES && guard.peers->report_interval == 0 && guard.peers->next->report_interval == 0
+       && guard.peers->next->next->report_interval == 0;
+       i++)
+    poll_all ();
+  ck_assert_int_eq (reports_of_change (entry, heartbeat / 2), 0);
+  ck_assert_int_ge (reports_of_change (entry, heartbeat), 1);
+  ck_assert_int_ge (reports_of_change (&entries[1], heartbeat / 2), 1);
+}
+END_TEST
+
 /* Guards against an entry whose request for full reports has no effect, or one that lasts. */
 START_TEST (entry_gets_full_reports_for_a_while)
 {
@@ -221,6 +273,7 @@
   tcase_set_timeout (tc, 120); /* for the thread sanitizer */
   tcase_add_checked_fixture (tc, NULL, teardown);
   tcase_add_test (tc, one_entry_gets_each_change);
+  tcase_add_test (tc, late_entry_gets_fewer_reports);
   tcase_add_test (tc, entry_gets_full_reports_for_a_while);
   tcase_add_test (tc, old_entries_get_full_reports);
   return run_suite ("guard-orders", tc);
