Reject jobs on arrival while the entry itself is late

Callers gave up and came again, so that it spent its time on jobs for which nobody waited any more.

Cause: admission looks at the backlog of the workers only. The entry is a queue as well, and its length was unbounded.

The forecast of a job now has the lag of the entry, from its timers and from the time that requests wait for the engine. The bound is that of the backlog, so that the queue that asks for most is cut back first; what cannot meet its goal with the lag is rejected as well, at once, with a Retry-After of at least the lag. No trial placement is made and no further guards are asked for reports. A lag of up to 20 ms does not count: small entries have it without a shortage. Logs, metrics and explain tell such a rejection (entry-late) from one for want of workers.

--- a/cli/explain.c
+++ b/cli/explain.c
@@ -59,7 +59,7 @@
       = { "guard-down",   "guard-lost",  "entry-lost",       "entry-silent", "worker-unreachable",
           "worker-left",  "hold-failed", "start-unanswered", "lease-lapsed", "store-lost",
           "worker-state", "leaving",     "stopped",          "started",      "config-applied",
-          "log-dropped",  "readiness",   "upstream-state" };
+          "log-dropped",  "readiness",   "upstream-state",   "load" };
 
   for (size_t i = 0; i < MD_ARRAY_SIZE (events); i++)
     if (md_line_has_event (line, events[i]))
@@ -247,6 +247,7 @@
   const Line *line = find_own (story, "job-rejected");
   int64_t wait = line != NULL ? md_line_number (line->text, "wait_ms") : 0;
   int64_t bound = line != NULL ? md_line_number (line->text, "wait_bound_ms") : 0;
+  int64_t lag = line != NULL ? md_line_number (line->text, "lag_ms") : 0;
 
   if (line == NULL)
     printf ("cause: rejected, %.*s\n", (int)md_line_value (answered->text, "reason").len,
@@ -254,6 +255,11 @@
   else if (md_line_value (line->text, "reason").len > 0)
     printf ("cause: rejected, %.*s\n", (int)md_line_value (line->text, "reason").len,
             md_line_value (line->text, "reason").data);
+  else if (lag > bound)
+    printf (
+        "cause: rejected on arrival, the entry was %lld ms late, over the bound of %lld ms for its "
+        "queue\n",
+        (long long)lag, (long long)bound);
   else if (wait > bound)
     printf ("cause: rejected on arrival, the backlog of %lld ms was over the bound of %lld ms for "
             "its queue\n",
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -266,7 +266,7 @@
   MdError error = { 0 };
 
   md_count (MD_M_JOBS, 1);
-  md_entry_load_request (&entry->load, entry->now - caller_request->arrived);
+  md_entry_load_request (&entry->load, entry->now - caller_request->arrived, entry->now);
   /* After a pause of this process, requests can be read from connections that were reset long
      ago. Their callers may have repeated the jobs at other entries. */
   if (has_caller_left (caller_request))
--- a/fleet/entry-load.c
+++ b/fleet/entry-load.c
@@ -79,8 +79,9 @@
 }
 
 void
-md_entry_load_request (MdEntryLoad *load, MdTime wait)
+md_entry_load_request (MdEntryLoad *load, MdTime wait, MdTime now)
 {
+  md_lag_add (&load->lag, wait, now);
   md_observe (MD_H_REQUEST_WAIT, wait);
   if (wait > load->max_wait)
     load->max_wait = wait;
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -360,7 +360,8 @@
   md_log (MD_LOG_INFO, event,
           "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f "
           "wait_bound_ms=%lld patience_ms=%lld steps=%u tasks=%llu cpu=%u memory_mb=%u "
-          "declared_ms=%lld slack_percent=%.0f target_ms=%lld workers_full=%u queued_ms=%lld",
+          "declared_ms=%lld slack_percent=%.0f target_ms=%lld workers_full=%u queued_ms=%lld "
+          "lag_ms=%lld",
           job->id, job->request_id, job->route.name, (long long)(forecast->finish / MD_MS),
           (long long)(forecast->wait / MD_MS), (long long)(forecast->goal / MD_MS),
           forecast->demand, (long long)(md_admit_wait_bound (forecast->demand) / MD_MS),
@@ -368,7 +369,8 @@
           (unsigned long long)tasks, spec->steps[0].resources.cpu,
           spec->steps[0].resources.memory_mb, (long long)(spec->steps[0].declared_time / MD_MS),
           job->route.slack_factor * 100, (long long)(job->route.target_latency / MD_MS),
-          count_full (entry), (long long)((entry->now - job->arrived) / MD_MS));
+          count_full (entry), (long long)((entry->now - job->arrived) / MD_MS),
+          (long long)(forecast->lag / MD_MS));
 }
 
 /* Asks further guards for full reports on behalf of the job's ready steps; returns whether there
@@ -403,31 +405,47 @@
 }
 
 static void
-reject_job (MdRunEntry *entry, MdEntryJob *job, const MdForecast *forecast)
+reject_job (MdRunEntry *entry, MdEntryJob *job, const MdForecast *forecast, const char *reason)
 {
   MdTime retry_after = md_admit_retry_after (forecast, md_random ());
 
   log_forecast (entry, job, "job-rejected", forecast);
-  md_entry_finish_job (entry, job, 429, NULL, "overload", retry_after);
+  md_entry_finish_job (entry, job, 429, NULL, reason, retry_after);
 }
 
-void
-md_entry_admit (MdRunEntry *entry, MdEntryJob *job)
+/* Decides on a job that the entry has time for. */
+static void
+admit_job (MdRunEntry *entry, MdEntryJob *job, MdForecast *forecast)
 {
-  MdForecast forecast = { .demand = demand_ratio (entry, job) };
   bool possible = is_possible (entry, job);
-  bool placeable = possible && forecast_job (entry, job, &forecast);
+  bool placeable = possible && forecast_job (entry, job, forecast);
 
-  if (placeable && md_admit_run (&forecast) != MD_ADMIT_REJECT)
+  if (placeable && md_admit_run (forecast) != MD_ADMIT_REJECT)
     {
       job->admit_until = 0;
-      log_forecast (entry, job, "job-admitted", &forecast);
+      log_forecast (entry, job, "job-admitted", forecast);
       md_entry_place_ready (entry, job);
     }
-  else if (possible && defer_admission (entry, job))
+  /* An entry that is late has no time for further reports. */
+  else if (possible && md_admit_lag (forecast) == 0 && defer_admission (entry, job))
     return; /* called again by the next tick */
   else if (placeable)
-    reject_job (entry, job, &forecast);
+    reject_job (entry, job, forecast, "overload");
   else
     md_entry_finish_job (entry, job, 503, NULL, "no-upstream", MD_RETRY_AFTER_NO_WORKER);
 }
+
+void
+md_entry_admit (MdRunEntry *entry, MdEntryJob *job)
+{
+  MdForecast forecast
+      = { .demand = demand_ratio (entry, job), .lag = md_lag_now (&entry->load.lag, entry->now) };
+
+  if (md_admit_is_too_late (&forecast))
+    {
+      md_count (MD_M_LATE_REJECTIONS, 1);
+      reject_job (entry, job, &forecast, "entry-late");
+    }
+  else
+    admit_job (entry, job, &forecast);
+}
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -318,7 +318,7 @@
    load when that is due. To be called by the engine thread. */
 void md_entry_load_pass (MdEntryLoad *load, MdTime due, MdTime now);
 /* md_entry_load_request: record the time from the arrival of a job to its handling. */
-void md_entry_load_request (MdEntryLoad *load, MdTime wait);
+void md_entry_load_request (MdEntryLoad *load, MdTime wait, MdTime now);
 
 /* entry-metrics.c */
 /* md_entry_write_metrics: append all metrics in the Prometheus text format. Can be called from
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -11,7 +11,11 @@
    others are free, does not count as backlog. The bound is lower for a queue that requests
    more than its share, so that it is limited first and the queues that request less are
    hardly affected. A job that is late without waiting, because no fast worker is free,
-   delays no other job and is admitted. */
+   delays no other job and is admitted.
+
+   An entry that is short of processor time is a queue like the workers: what it admits waits for
+   it to read the ends of the runs, and makes all of its other jobs late. Its lag is bounded in the
+   same way as the backlog. */
 
 #include "run-sched.h"
 
@@ -23,6 +27,7 @@
 #define MAX_WAIT_BOUND (120 * MD_MS)  /* for a queue that requests little */
 #define DEMAND_EXPONENT 2.0           /* the bound falls with this power of md_demand_ratio */
 #define NEGLIGIBLE_WAIT (6 * MD_MS)   /* reports are a few milliseconds old */
+#define NEGLIGIBLE_LAG (20 * MD_MS)   /* two ticks; small entries are as late without a shortage */
 #define MIN_RETRY_AFTER (200 * MD_MS) /* a backlog takes this long to clear */
 #define MAX_RETRY_AFTER (5 * MD_SECOND)
 
@@ -35,14 +40,28 @@
   return (MdTime)fmax (bound, (double)NEGLIGIBLE_WAIT);
 }
 
+MdTime
+md_admit_lag (const MdForecast *forecast)
+{
+  return forecast->lag > NEGLIGIBLE_LAG ? forecast->lag : 0;
+}
+
+bool
+md_admit_is_too_late (const MdForecast *forecast)
+{
+  return md_admit_lag (forecast) > md_admit_wait_bound (forecast->demand);
+}
+
 MdRunAdmission
 md_admit_run (const MdForecast *forecast)
 {
-  if (forecast->wait > md_admit_wait_bound (forecast->demand))
+  MdTime lag = md_admit_lag (forecast);
+
+  if (md_admit_is_too_late (forecast) || forecast->wait > md_admit_wait_bound (forecast->demand))
     return MD_ADMIT_REJECT;
-  if (forecast->finish <= forecast->goal)
+  if (forecast->finish + lag <= forecast->goal)
     return MD_ADMIT_NOW;
-  if (forecast->wait > NEGLIGIBLE_WAIT || forecast->finish > forecast->limit)
+  if (forecast->wait > NEGLIGIBLE_WAIT || lag > 0 || forecast->finish > forecast->limit)
     return MD_ADMIT_REJECT;
   return MD_ADMIT_LATE;
 }
@@ -50,8 +69,12 @@
 MdTime
 md_admit_retry_after (const MdForecast *forecast, uint64_t random)
 {
-  MdTime delay = forecast->wait > MIN_RETRY_AFTER ? forecast->wait : MIN_RETRY_AFTER;
+  MdTime delay = MIN_RETRY_AFTER;
 
+  if (delay < forecast->wait)
+    delay = forecast->wait;
+  if (delay < forecast->lag)
+    delay = forecast->lag;
   delay += (MdTime)(random % (uint64_t)delay);
   return delay < MAX_RETRY_AFTER ? delay : MAX_RETRY_AFTER;
 }
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -385,6 +385,7 @@
   MdTime goal;   /* response-time goal, from now */
   MdTime limit;  /* a later answer is worth nothing, from now */
   double demand; /* demand of its queue, see md_demand_ratio */
+  MdTime lag;    /* how late the entry itself is, see lag.c */
 } MdForecast;
 
 typedef enum
@@ -394,6 +395,11 @@
   MD_ADMIT_REJECT,
 } MdRunAdmission;
 
+/* md_admit_lag: the lag of the entry as far as it counts; 0 for what is usual at small entries. */
+MdTime md_admit_lag (const MdForecast *forecast);
+/* md_admit_is_too_late: whether the entry is so late that the job is rejected whatever the workers
+   have free. Only demand and lag of the forecast are used. */
+bool md_admit_is_too_late (const MdForecast *forecast);
 /* md_admit_run: decide on a job when it arrives. */
 MdRunAdmission md_admit_run (const MdForecast *forecast);
 
--- a/tests/test-entry-late.c
+++ b/tests/test-entry-late.c
@@ -34,7 +34,7 @@
 }
 
 static void
-submit_job (void)
+submit_job (MdTime arrived)
 {
   MdRunStep *step = calloc (1, sizeof *step);
 
@@ -42,7 +42,7 @@
   step->resources = (MdResources){ 1600, 64, 0 };
   step->declared_time = RUN_TIME;
   request = (MdCallerRequest){ .kind = MD_CALLER_REQUEST_SUBMIT,
-                               .arrived = entry.now,
+                               .arrived = arrived,
                                .event = eventfd (0, EFD_NONBLOCK),
                                .socket = -1 };
   md_str_copy (request.id, sizeof request.id, MD_STR ("1"));
@@ -93,7 +93,7 @@
 {
   MdEntryOrder *order;
 
-  submit_job ();
+  submit_job (entry.now);
   order = sent_order ();
   entry.now += LAG;
   guards[1].worker.speed = 8;
@@ -111,7 +111,7 @@
 {
   MdEntryOrder *order;
 
-  submit_job ();
+  submit_job (entry.now);
   order = sent_order ();
   order->started = true;
   guards[0].worker.stalled = true;
@@ -127,6 +127,34 @@
 }
 END_TEST
 
+/* Guards against an entry that admits jobs which it has no time for: they are answered late or
+   never, and so are those that it has (issue 26). */
+START_TEST (late_entry_admits_nothing)
+{
+  md_lag_add (&entry.load.lag, LAG, entry.now);
+  submit_job (entry.now);
+  ck_assert_int_eq (request.status, 429);
+  ck_assert_int_gt (request.retry_after, 0);
+  ck_assert_ptr_null (entry.jobs);
+  ck_assert_ptr_null (guards[0].orders);
+  /* It has caught up. */
+  entry.now += MD_SECOND;
+  guards[0].worker.reported_at = guards[1].worker.reported_at = entry.now;
+  submit_job (entry.now);
+  ck_assert_ptr_nonnull (guards[0].orders);
+}
+END_TEST
+
+/* Guards against the same when only requests wait: the engine handles some in each pass and is in
+   time with everything else. */
+START_TEST (request_that_waited_is_rejected)
+{
+  submit_job (entry.now - LAG);
+  ck_assert_int_eq (request.status, 429);
+  ck_assert_ptr_null (entry.jobs);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -135,5 +163,7 @@
   tcase_add_checked_fixture (tc, setup, NULL);
   tcase_add_test (tc, unread_reports_move_no_runs);
   tcase_add_test (tc, unread_reports_abandon_no_runs);
+  tcase_add_test (tc, late_entry_admits_nothing);
+  tcase_add_test (tc, request_that_waited_is_rejected);
   return run_suite ("entry-late", tc);
 }
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -240,6 +240,37 @@
 }
 END_TEST
 
+/* Load pattern: an entry whose processor share is used up, beside workers that are free. Guards
+   against an entry that admits what it cannot answer in time (issue 26), and against one that
+   rejects jobs because it was paused for a moment. */
+START_TEST (late_entry_rejects_at_once)
+{
+  MdForecast idle
+      = { .finish = 100 * MD_MS, .goal = 150 * MD_MS, .limit = 450 * MD_MS, .demand = 1 };
+  MdForecast late = idle;
+  MdForecast modest;
+
+  late.lag = 15 * MD_MS;
+  ck_assert (!md_admit_is_too_late (&late));
+  ck_assert_int_eq (md_admit_run (&late), MD_ADMIT_NOW);
+  /* The answer would come after the goal. */
+  late.lag = 60 * MD_MS;
+  ck_assert (!md_admit_is_too_late (&late));
+  ck_assert_int_eq (md_admit_run (&late), MD_ADMIT_REJECT);
+  /* In time, but behind the jobs that are late already. */
+  late.goal = 1000 * MD_MS;
+  ck_assert_int_eq (md_admit_run (&late), MD_ADMIT_NOW);
+  late.lag = 90 * MD_MS;
+  ck_assert (md_admit_is_too_late (&late));
+  ck_assert_int_eq (md_admit_run (&late), MD_ADMIT_REJECT);
+  ck_assert_int_ge (md_admit_retry_after (&late, 0), late.lag);
+  /* A queue that asks for less than its share is served longer. */
+  modest = late;
+  modest.demand = 0.5;
+  ck_assert_int_eq (md_admit_run (&modest), MD_ADMIT_NOW);
+}
+END_TEST
+
 START_TEST (retries_are_spread)
 {
   MdForecast forecast = { .wait = 400 * MD_MS };
@@ -445,6 +476,7 @@
   tcase_add_test (tc, stalled_worker_is_left_alone);
   tcase_add_test (tc, busy_queue_yields_first);
   tcase_add_test (tc, late_job_is_rejected_only_behind_others);
+  tcase_add_test (tc, late_entry_rejects_at_once);
   tcase_add_test (tc, retries_are_spread);
   tcase_add_test (tc, steps_wait_for_those_before);
   tcase_add_test (tc, only_failures_use_up_attempts);
