Bound the time that one pass of the engine spends on requests

Cause: a pass handled every request in the inbox before it sent heartbeats and read reports.

A pass now handles requests for about 20 ms; the rest waits for the next one, in order.

Test: requests_are_handled_in_several_passes (test-entry-late); without the return all three requests are answered by the first call.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -259,6 +259,14 @@
   answer_caller_request (caller_request, 0, NULL, 0);
 }
 
+/* Answers a request of which nothing has been ordered. */
+static void
+reject_unhandled (MdCallerRequest *caller_request)
+{
+  md_run_spec_clear (&caller_request->spec);
+  answer_caller_request (caller_request, 503, NULL, MD_RETRY_AFTER_NO_WORKER);
+}
+
 static void
 submit (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
@@ -289,7 +297,7 @@
   if (job == NULL || (caller_request->route.advisor.present && job->advice == NULL))
     {
       free (job);
-      md_entry_reject_request (caller_request);
+      reject_unhandled (caller_request);
       return;
     }
   if (md_runjob_init (&job->runjob, &caller_request->spec, caller_request->route.max_attempts,
@@ -391,8 +399,8 @@
   answer_caller_request (caller_request, 200, MD_PLATFORM_CANCELLED, 0);
 }
 
-void
-md_entry_handle_request (MdRunEntry *entry, MdCallerRequest *caller_request)
+static void
+handle_request (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
   switch (caller_request->kind)
     {
@@ -415,16 +423,49 @@
     }
 }
 
-void
-md_entry_reject_request (MdCallerRequest *caller_request)
+/* Load pattern: callers of a neighbour that is away come all at once. Guards hear the entry, and
+   its reports are read, between two passes only; a pass that handled all requests took so long that
+   guards ended its runs. */
+bool
+md_entry_handle_requests (MdRunEntry *entry, MdTime budget)
 {
-  if (caller_request->kind == MD_CALLER_REQUEST_ABANDON)
+  MdTime end = md_now () + budget;
+
+  if (entry->backlog == NULL)
+    entry->backlog = md_inbox_take (&entry->inbox);
+  while (entry->backlog != NULL)
     {
-      acknowledge_abandon (caller_request);
-      return;
+      MdInboxNode *node = entry->backlog;
+
+      entry->backlog = node->next;
+      handle_request (entry, (MdCallerRequest *)node);
+      if (entry->backlog != NULL && md_now () >= end)
+        return false;
     }
-  md_run_spec_clear (&caller_request->spec);
-  answer_caller_request (caller_request, 503, NULL, MD_RETRY_AFTER_NO_WORKER);
+  return true;
+}
+
+static void
+reject_all (MdInboxNode *list)
+{
+  for (MdInboxNode *node = list, *next; node != NULL; node = next)
+    {
+      MdCallerRequest *caller_request = (MdCallerRequest *)node;
+
+      next = node->next;
+      if (caller_request->kind == MD_CALLER_REQUEST_ABANDON)
+        acknowledge_abandon (caller_request);
+      else
+        reject_unhandled (caller_request);
+    }
+}
+
+void
+md_entry_reject_requests (MdRunEntry *entry)
+{
+  reject_all (entry->backlog);
+  entry->backlog = NULL;
+  reject_all (md_inbox_take (&entry->inbox));
 }
 
 /* ------------------------------------------------------------------ */
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -22,6 +22,7 @@
 /* The balancer needs two failed probes, one second apart, to stop sending new connections.
    Requests that arrive after this delay on connections opened earlier are rejected. */
 #define BALANCER_DELAY (3000 * MD_MS)
+#define REQUEST_BUDGET (20 * MD_MS)          /* for requests of callers in one pass; two ticks */
 #define RESPONSE_FLUSH_TIMEOUT (300 * MD_MS) /* time to write the last responses */
 #define KILL_MARGIN (900 * MD_MS)            /* drain ends this long before the platform's kill */
 
@@ -195,16 +196,6 @@
              && atomic_load (&entry->active_requests) == 0);
 }
 
-static void
-handle_caller_requests (MdRunEntry *entry)
-{
-  for (MdInboxNode *node = md_inbox_take (&entry->inbox), *next; node != NULL; node = next)
-    {
-      next = node->next;
-      md_entry_handle_request (entry, (MdCallerRequest *)node);
-    }
-}
-
 static MdTime
 poll_advisor (MdRunEntry *entry)
 {
@@ -221,12 +212,13 @@
   while (!is_finished (entry))
     {
       MdTime due;
+      bool handled;
 
       entry->now = md_now ();
       start_leaving (entry);
       if (md_daemon_reload (&entry->daemon, entry->now))
         apply_settings (entry);
-      handle_caller_requests (entry);
+      handled = md_entry_handle_requests (entry, REQUEST_BUDGET);
       md_entry_jobs_tick (entry);
       update_ready (entry);
       update_gauges (entry);
@@ -240,6 +232,8 @@
         due = md_time_min (due, poll_advisor (entry));
       if (entry->n_jobs > 0)
         due = md_time_min (due, entry->next_tick);
+      if (!handled)
+        due = entry->now;
       md_observe (MD_H_LOOP, md_now () - entry->now);
       md_links_poll (entry->daemon.links, due);
       entry->now = md_now ();
@@ -260,11 +254,7 @@
     {
       struct timespec pause = { 0, 5 * 1000 * 1000 };
 
-      for (MdInboxNode *node = md_inbox_take (&entry->inbox), *next; node != NULL; node = next)
-        {
-          next = node->next;
-          md_entry_reject_request ((MdCallerRequest *)node);
-        }
+      md_entry_reject_requests (entry);
       nanosleep (&pause, NULL);
     }
   if (atomic_load (&entry->active_requests) > 0)
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -204,6 +204,7 @@
   MdKeyedReader *config_reader;          /* follows the operator's configuration */
   MdDirectory directory;                 /* addresses of entries */
   MdInbox inbox;                         /* requests of callers */
+  MdInboxNode *backlog;                  /* taken from the inbox, not handled yet, oldest first */
   MdRoutes *routes;                      /* RCU: configuration in force, NULL: none yet */
   struct MdFront *front;                 /* HTTP front end, owned */
   MdWorkers workers;                     /* workers of all known guards */
@@ -295,10 +296,11 @@
    the response body, or NULL. reason is for the log. */
 void md_entry_finish_job (MdRunEntry *entry, MdEntryJob *job, int status, const char *state,
                           const char *reason, MdTime retry_after);
-/* md_entry_handle_request: handle a request from the inbox. */
-void md_entry_handle_request (MdRunEntry *entry, MdCallerRequest *caller_request);
-/* md_entry_reject_request: answer a request from the inbox with 503 without handling it. */
-void md_entry_reject_request (MdCallerRequest *caller_request);
+/* md_entry_handle_requests: handle requests from the inbox, oldest first, for about this time; at
+   least one. Returns false if some are left, which the next call handles first. */
+bool md_entry_handle_requests (MdRunEntry *entry, MdTime budget);
+/* md_entry_reject_requests: answer all requests in the inbox with 503 without handling them. */
+void md_entry_reject_requests (MdRunEntry *entry);
 /* md_entry_order_started, md_entry_order_ended: record that a run has started or ended.
    md_entry_order_ended frees the order and may finish the job. run is the time at the worker,
    0 if unknown. checkpoint is empty if none was saved. */
--- a/tests/test-entry-late.c
+++ b/tests/test-entry-late.c
@@ -55,7 +55,8 @@
   request.route.max_attempts = 2;
   request.route.slack_factor = 4;
   request.route.target_latency = 60 * MD_MS;
-  md_entry_handle_request (&entry, &request);
+  md_inbox_push (&entry.inbox, &request.node);
+  md_entry_handle_requests (&entry, MD_SECOND);
 }
 
 static void
@@ -155,6 +156,28 @@
 }
 END_TEST
 
+/* Guards against a pass of the engine that handles requests for as long as there are any, while
+   guards do not hear the entry. */
+START_TEST (requests_are_handled_in_several_passes)
+{
+  MdCallerRequest queries[3];
+
+  for (int i = 0; i < 3; i++)
+    {
+      queries[i] = (MdCallerRequest){ .kind = MD_CALLER_REQUEST_STATE,
+                                      .event = eventfd (0, EFD_NONBLOCK) };
+      md_inbox_push (&entry.inbox, &queries[i].node);
+    }
+  ck_assert (!md_entry_handle_requests (&entry, 0));
+  ck_assert (queries[0].answered && !queries[1].answered);
+  ck_assert (!md_entry_handle_requests (&entry, 0));
+  ck_assert (queries[1].answered && !queries[2].answered);
+  ck_assert (md_entry_handle_requests (&entry, 0));
+  ck_assert (queries[2].answered);
+  ck_assert (md_entry_handle_requests (&entry, 0));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -165,5 +188,6 @@
   tcase_add_test (tc, unread_reports_abandon_no_runs);
   tcase_add_test (tc, late_entry_admits_nothing);
   tcase_add_test (tc, request_that_waited_is_rejected);
+  tcase_add_test (tc, requests_are_handled_in_several_passes);
   return run_suite ("entry-late", tc);
 }
