Tell guards with the welcome how often to report

The welcome now says it, as messages with orders do. Older guards ignore the field. The number of frames after a reconnect was not measured by itself.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -469,6 +469,7 @@
   welcome.name = entry->daemon.settings.name;
   welcome.incarnation = entry->incarnation;
   welcome.sparse_reports = true;
+  welcome.report_interval_us = (uint64_t)entry->report_interval;
   for (unsigned i = 0; i < entry->directory.n; i++)
     entries[i] = entry->directory.address[i];
   welcome.entries = entries;
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -467,6 +467,15 @@
   return false;
 }
 
+/* A heartbeat is sent whether there is a change or not, so that a longer interval has no effect. */
+static void
+set_report_interval (const MdRunGuard *guard, MdGuardPeer *peer, uint64_t interval_us)
+{
+  MdTime heartbeat = guard->daemon.leases.heartbeat_interval;
+
+  peer->report_interval = interval_us < (uint64_t)heartbeat ? (MdTime)interval_us : heartbeat;
+}
+
 static void
 on_welcome (MdRunGuard *guard, MdGuardPeer *peer, const Md__RunWelcome *welcome)
 {
@@ -489,6 +498,7 @@
   md_log (MD_LOG_INFO, "entry-reached", "entry=%s address=%s incarnation=%llx", peer->name,
           peer->address, (unsigned long long)peer->incarnation);
   peer->reads_sparse = welcome->sparse_reports;
+  set_report_interval (guard, peer, welcome->report_interval_us);
   choose_entries (guard);
   for (size_t i = 0; i < welcome->n_entries; i++)
     md_guard_add_peer (guard, md_str (welcome->entries[i]), true);
@@ -571,10 +581,7 @@
     peer->followed_until
         = guard->now
           + (orders->follow_us < MD_FOLLOW_TIME ? (MdTime)orders->follow_us : MD_FOLLOW_TIME);
-  peer->report_interval
-      = orders->report_interval_us < (uint64_t)guard->daemon.leases.heartbeat_interval
-            ? (MdTime)orders->report_interval_us
-            : guard->daemon.leases.heartbeat_interval;
+  set_report_interval (guard, peer, orders->report_interval_us);
   drop_ends (peer, orders->ends_seen);
   for (size_t i = 0; i < orders->n_specs; i++)
     specs[i] = new_text (&orders->specs[i]);
--- a/net/wire.pb-c.c
+++ b/net/wire.pb-c.c
@@ -3767,7 +3767,7 @@
   (ProtobufCMessageInit) md__run_hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_welcome__field_descriptors[4] =
+static const ProtobufCFieldDescriptor md__run_welcome__field_descriptors[5] =
 {
   {
     "name",
@@ -3817,17 +3817,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "report_interval_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunWelcome, report_interval_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_welcome__field_indices_by_name[] = {
   2,   /* field[2] = entries */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
+  4,   /* field[4] = report_interval_us */
   3,   /* field[3] = sparse_reports */
 };
 static const ProtobufCIntRange md__run_welcome__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor md__run_welcome__descriptor =
 {
@@ -3837,7 +3850,7 @@
   "Md__RunWelcome",
   "md",
   sizeof(Md__RunWelcome),
-  4,
+  5,
   md__run_welcome__field_descriptors,
   md__run_welcome__field_indices_by_name,
   1,  md__run_welcome__number_ranges,
--- a/net/wire.pb-c.h
+++ b/net/wire.pb-c.h
@@ -555,10 +555,14 @@
    * the entry reads RunReport.interval_us
    */
   protobuf_c_boolean sparse_reports;
+  /*
+   * as in RunOrders
+   */
+  uint64_t report_interval_us;
 };
 #define MD__RUN_WELCOME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_welcome__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0 }
 
 
 struct  Md__WorkerInfo
