Reject jobs before they reach the engine while the entry is overloaded

Cause: a job that the engine rejects costs it a wake-up, a parsed body and two lines of the log. In the log of edge-za-south-c-2 requests waited 1.5 to 2.9 s; the engine rejected 6 and dropped 53 of 60 in a second, because their callers had left and were coming again on new connections.

While the lag is above the largest bound of any queue (120 ms), the thread that has read the request rejects the job: 429, "not run", one line in the log, the connection stays. The lag falls within some 100 ms when nothing reaches the engine, so that jobs are admitted again as soon as it has caught up.

Tests: test-front, which ends with a time-out without the check, because the request goes to the engine; overload_ends_with_the_lag (test-entry-late).

--- a/fleet/entry-load.c
+++ b/fleet/entry-load.c
@@ -63,6 +63,20 @@
   load->log_due = now + LOAD_LOG_INTERVAL;
 }
 
+/* The engine spends as much on a job that it rejects as on half a report of each guard. When it
+   rejects every job, those threads do it that read the requests. */
+static void
+update_overloaded (MdEntryLoad *load, MdTime now)
+{
+  bool overloaded = md_admit_rejects_all (md_lag_now (&load->lag, now));
+
+  if (overloaded == atomic_load (&load->overloaded))
+    return;
+  atomic_store (&load->overloaded, overloaded);
+  md_log (MD_LOG_WARN, "overloaded", "overloaded=%d lag_ms=%lld", overloaded,
+          (long long)(md_lag_now (&load->lag, now) / MD_MS));
+}
+
 void
 md_entry_load_pass (MdEntryLoad *load, MdTime due, MdTime now)
 {
@@ -70,6 +84,7 @@
 
   load->passes++;
   md_lag_add (&load->lag, lag, now);
+  update_overloaded (load, now);
   if (lag > 0)
     md_observe (MD_H_ENGINE_LAG, lag);
   if (lag > load->max_lag)
@@ -82,6 +97,7 @@
 md_entry_load_request (MdEntryLoad *load, MdTime wait, MdTime now)
 {
   md_lag_add (&load->lag, wait, now);
+  update_overloaded (load, now);
   md_observe (MD_H_REQUEST_WAIT, wait);
   if (wait > load->max_wait)
     load->max_wait = wait;
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -25,6 +25,7 @@
 #include <urcu/urcu-memb.h>
 
 #define RETRY_AFTER_NO_CONFIG (1 * MD_SECOND) /* Retry-After before the configuration is read */
+#define RETRY_AFTER_LATE (1 * MD_SECOND)      /* Retry-After while the entry is late */
 #define DEFAULT_MAX_BODY (256u << 10)         /* bytes, if the configuration states no limit */
 
 struct MdFront
@@ -268,6 +269,24 @@
   return ms < MD_JSON_MAX_DURATION / MD_MS ? ms * MD_MS : MD_JSON_MAX_DURATION;
 }
 
+/* Rejects a job that the engine would reject for being late. */
+static int
+reject_job (const Request *request, const MdRoute *route, const char *id)
+{
+  char request_id[64];
+
+  copy_header (request, MD_PLATFORM_REQUEST_HEADER, request_id, sizeof request_id);
+  md_count (MD_M_JOBS, 1);
+  md_count (MD_M_REFUSED, 1);
+  md_count (MD_M_LATE_REJECTIONS, 1);
+  md_log (MD_LOG_INFO, "job-answered",
+          "job=%s request=%s queue=%s status=429 outcome=not_run reason=entry-late elapsed_ms=%lld "
+          "retry_after_ms=%lld",
+          id, request_id, route->name, (long long)((md_now () - request->arrived) / MD_MS),
+          (long long)(RETRY_AFTER_LATE / MD_MS));
+  return respond (request, 429, MD_STR (MD_BODY_NOT_RUN), RETRY_AFTER_LATE);
+}
+
 static int
 submit (const Request *request, const MdRoute *route, const char *id, size_t max_body)
 {
@@ -285,6 +304,8 @@
       mg_disable_connection_keep_alive (request->conn);
       return reject (request, status, "the request body is too large or incomplete", 0);
     }
+  if (atomic_load (&request->front->entry->load.overloaded))
+    return reject_job (request, route, id);
   if (md_platform_parse_job (md_buf_str (&body), &caller_request.spec, &error) != MD_OK)
     return reject (request, 400, error.detail, 0);
   unsupported = unsupported_reason (request->front->entry, route, &caller_request.spec);
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -46,6 +46,12 @@
   return forecast->lag > NEGLIGIBLE_LAG ? forecast->lag : 0;
 }
 
+bool
+md_admit_rejects_all (MdTime lag)
+{
+  return lag > MAX_WAIT_BOUND;
+}
+
 bool
 md_admit_is_too_late (const MdForecast *forecast)
 {
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -397,6 +397,8 @@
 
 /* md_admit_lag: the lag of the entry as far as it counts; 0 for what is usual at small entries. */
 MdTime md_admit_lag (const MdForecast *forecast);
+/* md_admit_rejects_all: whether an entry with this lag rejects the jobs of every queue. */
+bool md_admit_rejects_all (MdTime lag);
 /* md_admit_is_too_late: whether the entry is so late that the job is rejected whatever the workers
    have free. Only demand and lag of the forecast are used. */
 bool md_admit_is_too_late (const MdForecast *forecast);
--- a/tests/test-entry-late.c
+++ b/tests/test-entry-late.c
@@ -146,6 +146,21 @@
 }
 END_TEST
 
+/* Guards against an entry that rejects all jobs for longer than it is late. */
+START_TEST (overload_ends_with_the_lag)
+{
+  MdEntryLoad load = { 0 };
+
+  md_entry_load_pass (&load, NOW, NOW + 30 * MD_MS);
+  ck_assert (!load.overloaded);
+  md_entry_load_pass (&load, NOW, NOW + LAG);
+  ck_assert (load.overloaded);
+  for (MdTime now = NOW + LAG; now < NOW + 2 * LAG; now += 10 * MD_MS)
+    md_entry_load_pass (&load, now, now);
+  ck_assert (!load.overloaded);
+}
+END_TEST
+
 /* Guards against the same when only requests wait: the engine handles some in each pass and is in
    time with everything else. */
 START_TEST (request_that_waited_is_rejected)
@@ -187,6 +202,7 @@
   tcase_add_test (tc, unread_reports_move_no_runs);
   tcase_add_test (tc, unread_reports_abandon_no_runs);
   tcase_add_test (tc, late_entry_admits_nothing);
+  tcase_add_test (tc, overload_ends_with_the_lag);
   tcase_add_test (tc, request_that_waited_is_rejected);
   tcase_add_test (tc, requests_are_handled_in_several_passes);
   return run_suite ("entry-late", tc);
--- /dev/null
+++ b/tests/test-front.c
@@ -0,0 +1,143 @@
+/* test-front.c -- HTTP front end of an entry, over the loopback interface, without its engine */
+
+#include "http-client.h"
+#include "run-entry.h"
+#include "suite.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <urcu/urcu-memb.h>
+
+#define JOB                                                                                        \
+  "{\"best_effort\":true,\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64,"       \
+  "\"estimated_ms\":30}]}"
+#define CONFIG                                                                                     \
+  "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"jobs.example\",\"path_prefix\":\"/calc/"  \
+  "\","                                                                                            \
+  "\"timeout_ms\":1500,\"target_latency_ms\":60,\"priority\":1,\"service\":\"calc\","              \
+  "\"max_attempts\":2,\"slack_factor\":4}],\"services\":[],\"limits\":{}}"
+
+static MdRunEntry entry;
+
+/* Sets address to a port of the loopback interface that is free. */
+static void
+choose_address (char address[MD_ADDRESS_BYTES])
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t len = sizeof sa;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&sa, len), 0);
+  ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&sa, &len), 0);
+  close (fd);
+  snprintf (address, MD_ADDRESS_BYTES, "127.0.0.1:%d", ntohs (sa.sin_port));
+}
+
+static int
+connect_caller (void)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  int port = atoi (strchr (entry.daemon.settings.caller_address, ':') + 1);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  sa.sin_port = htons ((uint16_t)port);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&sa, sizeof sa), 0);
+  return fd;
+}
+
+static void
+post_job (int fd)
+{
+  char request[1024];
+  int len = snprintf (request, sizeof request,
+                      "POST /calc/00000000000000a1 HTTP/1.1\r\nHost: jobs.example\r\n"
+                      "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
+                      strlen (JOB), JOB);
+
+  ck_assert_int_eq (write (fd, request, (size_t)len), len);
+}
+
+/* Reads a response whose body is MD_BODY_NOT_RUN; returns its status. */
+static int
+read_rejection (int fd)
+{
+  char response[1024] = "";
+  size_t len = 0;
+
+  while (strstr (response, MD_BODY_NOT_RUN) == NULL)
+    {
+      ssize_t n = read (fd, response + len, sizeof response - 1 - len);
+
+      ck_assert_int_gt (n, 0);
+      len += (size_t)n;
+      response[len] = '\0';
+    }
+  ck_assert_ptr_nonnull (strstr (response, "Retry-After: "));
+  return atoi (response + strlen ("HTTP/1.1 "));
+}
+
+static void
+setup (void)
+{
+  MdSettings *settings = &entry.daemon.settings;
+  MdError error = { 0 };
+  MdTuning tuning;
+  MdLinkHandler handler = { 0 };
+
+  md_tuning_default (&tuning);
+  urcu_memb_register_thread ();
+  entry.daemon.links = md_links_new (&tuning, &handler, &entry);
+  settings->caller_threads = 8;
+  choose_address (settings->caller_address);
+  choose_address (settings->ready_address);
+  entry.routes = md_platform_parse_config (MD_STR (CONFIG), &error);
+  ck_assert_ptr_nonnull (entry.routes);
+  entry.front = md_front_start (&entry, &error);
+  ck_assert_ptr_nonnull (entry.front);
+}
+
+static void
+teardown (void)
+{
+  md_front_stop (entry.front);
+  md_links_free (entry.daemon.links);
+  md_routes_free (entry.routes);
+  urcu_memb_unregister_thread ();
+}
+
+/* Guards against an entry whose engine, late as it is, has to reject each job itself: it did nothing
+   else any more, and its callers had left when it came to them (issue 26). */
+START_TEST (overloaded_entry_rejects_before_the_engine)
+{
+  int fd = connect_caller ();
+  MdTime end;
+
+  atomic_store (&entry.load.overloaded, true);
+  post_job (fd);
+  ck_assert_int_eq (read_rejection (fd), 429);
+  ck_assert_ptr_null (md_inbox_take (&entry.inbox));
+  /* The next job on the connection, after the entry has caught up. */
+  atomic_store (&entry.load.overloaded, false);
+  post_job (fd);
+  end = md_now () + 60 * MD_SECOND;
+  while (atomic_load (&entry.inbox.newest) == NULL && md_now () < end)
+    md_links_poll (entry.daemon.links, end);
+  ck_assert_ptr_nonnull (atomic_load (&entry.inbox.newest));
+  md_entry_reject_requests (&entry);
+  ck_assert_int_eq (read_rejection (fd), 503);
+  close (fd);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tc = tcase_create ("front");
+
+  tcase_set_timeout (tc, 120); /* for the thread sanitizer */
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, overloaded_entry_rejects_before_the_engine);
+  return run_suite ("front", tc);
+}
