Look at the entries of a guard only when one is due

The guard keeps the time of its next report; a change of its state, a connection that comes or goes and a request for full reports bring it forward. Leases are not looked at while there are no runs.

Test: entries_are_looked_at_when_due (test-guard-orders); with a look in each pass its second check fails.

--- a/fleet/entry-load.c
+++ b/fleet/entry-load.c
@@ -63,8 +63,8 @@
   load->log_due = now + LOAD_LOG_INTERVAL;
 }
 
-/* The engine spends as much on a job that it rejects as on half a report of each guard. When it
-   rejects every job, those threads do it that read the requests. */
+/* Rejecting a job costs the engine a wake-up and the log lines of a forecast. When it would reject
+   every job, the threads that read the requests do that. */
 static void
 update_overloaded (MdEntryLoad *load, MdTime now)
 {
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -425,6 +425,7 @@
   MdGuardPeer *peer = md_link_data (link);
 
   guard->now = md_now ();
+  guard->entries_due = 0;
   peer->connected = true;
   peer->worker_reported = false;
   peer->n_started = 0;
@@ -447,6 +448,7 @@
   if (peer->connected && peer->incarnation != 0)
     md_log (MD_LOG_WARN, "entry-lost", "entry=%s address=%s reason=\"%s\"", peer->name,
             peer->address, error->detail);
+  guard->entries_due = 0;
   peer->connected = false;
   peer->report_interval = 0;
   peer->reads_sparse = false;
@@ -498,6 +500,7 @@
   md_log (MD_LOG_INFO, "entry-reached", "entry=%s address=%s incarnation=%llx", peer->name,
           peer->address, (unsigned long long)peer->incarnation);
   peer->reads_sparse = welcome->sparse_reports;
+  guard->entries_due = 0;
   set_report_interval (guard, peer, welcome->report_interval_us);
   choose_entries (guard);
   for (size_t i = 0; i < welcome->n_entries; i++)
@@ -581,6 +584,8 @@
     peer->followed_until
         = guard->now
           + (orders->follow_us < MD_FOLLOW_TIME ? (MdTime)orders->follow_us : MD_FOLLOW_TIME);
+  if (is_sparse (guard, peer) != peer->sparse)
+    guard->entries_due = 0;
   set_report_interval (guard, peer, orders->report_interval_us);
   drop_ends (peer, orders->ends_seen);
   for (size_t i = 0; i < orders->n_specs; i++)
@@ -665,6 +670,8 @@
 void
 md_guard_check_leases (MdRunGuard *guard)
 {
+  if (guard->queue.waiting.n == 0 && guard->queue.running.n == 0)
+    return;
   for (MdGuardPeer *peer = guard->peers; peer != NULL; peer = peer->next)
     check_lease (guard, peer);
 }
@@ -711,15 +718,15 @@
                 : guard->daemon.leases.heartbeat_interval);
 }
 
-MdTime
-md_guard_orders_poll (MdRunGuard *guard)
+/* Sends the reports that are due. Returns when the next one is. */
+static MdTime
+send_reports (MdRunGuard *guard)
 {
   MdTime interval
       = md_time_min (REPORT_INTERVAL + REPORT_INTERVAL_PER_PEER * count_connected_peers (guard),
                      MAX_REPORT_INTERVAL);
   MdTime due = guard->now + guard->daemon.leases.heartbeat_interval;
 
-  drop_silent_peers (guard);
   for (MdGuardPeer *peer = guard->peers; peer != NULL; peer = peer->next)
     {
       MdTime next = next_report (guard, peer, interval);
@@ -735,3 +742,15 @@
     }
   return due;
 }
+
+/* Load pattern: 55 entries, most messages of which have no orders. */
+MdTime
+md_guard_orders_poll (MdRunGuard *guard)
+{
+  if (guard->now < guard->entries_due && guard->checked_version == guard->state_version)
+    return guard->entries_due;
+  drop_silent_peers (guard);
+  guard->checked_version = guard->state_version;
+  guard->entries_due = send_reports (guard);
+  return guard->entries_due;
+}
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -154,6 +154,9 @@
                                         not acknowledge new ends by the numbers of former ones */
   MdTime now;                        /* time of the event being processed */
   uint64_t state_version;            /* incremented with each change of the reported state */
+  uint64_t checked_version;          /* state_version when the entries were looked at last */
+  MdTime entries_due;                /* an entry needs a report at this time if the state stays as
+                                        it is; 0: at the next pass */
   bool hold_in_progress;             /* a hold call awaits its response */
   MdTime hold_due;       /* when to send the next hold; valid when none is in progress */
   MdTime hold_sent;      /* when the last hold was sent */
--- a/tests/test-guard-orders.c
+++ b/tests/test-guard-orders.c
@@ -198,6 +198,29 @@
   return entry->reports - before;
 }
 
+/* Load pattern: many entries, most messages of which have no orders. Guards against a look at every
+   entry in each pass of the engine, and against a change that waits until an entry is due. */
+START_TEST (entries_are_looked_at_when_due)
+{
+  connect_guard ();
+  for (int i = 0; i < PASSES && count_sparse () < ENTRIES - 1; i++)
+    poll_all ();
+  guard.now = md_now ();
+  md_guard_orders_poll (&guard);
+  ck_assert_int_gt (guard.entries_due, guard.now);
+  /* Nothing is due, whatever the state of the entries says. */
+  for (MdGuardPeer *peer = guard.peers; peer != NULL; peer = peer->next)
+    peer->reported_at = 0;
+  md_guard_orders_poll (&guard);
+  for (MdGuardPeer *peer = guard.peers; peer != NULL; peer = peer->next)
+    ck_assert_int_eq (peer->reported_at, 0);
+  guard.state_version++;
+  md_guard_orders_poll (&guard);
+  for (MdGuardPeer *peer = guard.peers; peer != NULL; peer = peer->next)
+    ck_assert_int_eq (peer->reported_at, guard.now);
+}
+END_TEST
+
 /* Load pattern: an entry that is late and asks for fewer reports, see sched/lag.c. Guards against
    a guard that reports each change to it nevertheless, and against fewer reports to the others. */
 START_TEST (late_entry_gets_fewer_reports)
@@ -273,6 +296,7 @@
   tcase_set_timeout (tc, 120); /* for the thread sanitizer */
   tcase_add_checked_fixture (tc, NULL, teardown);
   tcase_add_test (tc, one_entry_gets_each_change);
+  tcase_add_test (tc, entries_are_looked_at_when_due);
   tcase_add_test (tc, late_entry_gets_fewer_reports);
   tcase_add_test (tc, entry_gets_full_reports_for_a_while);
   tcase_add_test (tc, old_entries_get_full_reports);
