Reject for lag in a lasting shortage only

Cause: the lag of an entry is 200 to 300 ms while its guards and callers connect after a start, and the bound of a backlog was applied to it at once.

A shortage now begins when the entry has been more than 50 ms late for a second, and ends when it has been in time for a second. Only then the lag counts at admission and before the engine. A pause of the process is no shortage either.

--- a/fleet/entry-load.c
+++ b/fleet/entry-load.c
@@ -68,7 +68,7 @@
 static void
 update_overloaded (MdEntryLoad *load, MdTime now)
 {
-  bool overloaded = md_admit_rejects_all (md_lag_now (&load->lag, now));
+  bool overloaded = md_admit_rejects_all (md_lag_shortage (&load->lag, now));
 
   if (overloaded == atomic_load (&load->overloaded))
     return;
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -438,8 +438,8 @@
 void
 md_entry_admit (MdRunEntry *entry, MdEntryJob *job)
 {
-  MdForecast forecast
-      = { .demand = demand_ratio (entry, job), .lag = md_lag_now (&entry->load.lag, entry->now) };
+  MdForecast forecast = { .demand = demand_ratio (entry, job),
+                          .lag = md_lag_shortage (&entry->load.lag, entry->now) };
 
   if (md_admit_is_too_late (&forecast))
     {
--- a/sched/lag.c
+++ b/sched/lag.c
@@ -12,15 +12,21 @@
    reported at once, as before.
 
    The lag is the largest recent sample, which decays fast: after a pause of the process there is
-   one large sample, and the entry has caught up after the next pass. */
+   one large sample, and the entry has caught up after the next pass. Jobs are rejected only while
+   there is a shortage: the entry has been late for a second. When all entries start at the same
+   time, their guards and callers connect within half a second, and the jobs that come meanwhile can
+   still be served. A shortage has ended when the entry was in time for a second, so that it is not
+   discovered anew with each job that is admitted. */
 
 #include "run-sched.h"
 
 #include <math.h>
 
 #define HALF_LIFE (100 * MD_MS)
-#define MAX_SAMPLE (500 * MD_MS) /* a longer pause says no more */
-#define LATE (8 * MD_MS)         /* most of the interval between two ticks */
+#define MAX_SAMPLE (500 * MD_MS)  /* a longer pause says no more */
+#define SHORTAGE_LAG (50 * MD_MS) /* half of a heartbeat */
+#define SHORTAGE_TIME (1 * MD_SECOND)
+#define LATE (8 * MD_MS) /* most of the interval between two ticks */
 #define IN_TIME (4 * MD_MS)
 #define MIN_INTERVAL (16 * MD_MS)  /* about a guard's own interval */
 #define MAX_INTERVAL (100 * MD_MS) /* a heartbeat, which comes without a change */
@@ -35,6 +41,23 @@
   return (MdTime)((double)lag->value * exp2 (-(double)(now - lag->updated_at) / (double)HALF_LIFE));
 }
 
+static void
+update_shortage (MdLag *lag, MdTime now)
+{
+  if (lag->value <= SHORTAGE_LAG)
+    {
+      lag->late_since = 0;
+      if (lag->shortage && now >= lag->late_at + SHORTAGE_TIME)
+        lag->shortage = false;
+      return;
+    }
+  if (lag->late_since == 0)
+    lag->late_since = now;
+  lag->late_at = now;
+  if (now >= lag->late_since + SHORTAGE_TIME)
+    lag->shortage = true;
+}
+
 void
 md_lag_add (MdLag *lag, MdTime sample, MdTime now)
 {
@@ -44,6 +67,13 @@
     sample = MAX_SAMPLE;
   lag->value = sample > value ? sample : value;
   lag->updated_at = now;
+  update_shortage (lag, now);
+}
+
+MdTime
+md_lag_shortage (const MdLag *lag, MdTime now)
+{
+  return lag->shortage ? md_lag_now (lag, now) : 0;
 }
 
 MdTime
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -363,12 +363,18 @@
 {
   MdTime value;      /* at updated_at */
   MdTime updated_at; /* time of the last sample */
+  MdTime late_since; /* it has been late without a break since then, 0: it is not */
+  MdTime late_at;    /* when it was late last; valid with shortage */
+  bool shortage;     /* it is late because it has too little processor time */
 } MdLag;
 
 /* md_lag_add: add a sample. Can be called for each timer that the engine handles. */
 void md_lag_add (MdLag *lag, MdTime sample, MdTime now);
-/* md_lag_now: the lag to reckon with. */
+/* md_lag_now: the lag at present. */
 MdTime md_lag_now (const MdLag *lag, MdTime now);
+/* md_lag_shortage: the lag at present if it lasts, which only fewer jobs can change; 0 if the
+   engine is late for a moment only, after a pause or a start. */
+MdTime md_lag_shortage (const MdLag *lag, MdTime now);
 /* md_lag_report_interval: the shortest time between two reports of changes that an entry with this
    lag asks of its guards, 0 for none. current: what it asks at present. To be called once per
    MD_LAG_STEP. */
@@ -385,7 +391,7 @@
   MdTime goal;   /* response-time goal, from now */
   MdTime limit;  /* a later answer is worth nothing, from now */
   double demand; /* demand of its queue, see md_demand_ratio */
-  MdTime lag;    /* how late the entry itself is, see lag.c */
+  MdTime lag;    /* how late the entry itself is, md_lag_shortage */
 } MdForecast;
 
 typedef enum
--- a/tests/test-lag.c
+++ b/tests/test-lag.c
@@ -16,6 +16,41 @@
 }
 END_TEST
 
+/* Adds the same sample every 10 ms for this long. */
+static MdTime
+add_samples (MdLag *lag, MdTime sample, MdTime now, MdTime time)
+{
+  for (MdTime end = now + time; now < end; now += 10 * MD_MS)
+    md_lag_add (lag, sample, now);
+  return now;
+}
+
+/* Guards against jobs that are rejected in the first second after a start or a pause, which entries
+   of 0.12 of a core can serve half a second later, and against a shortage that is discovered anew
+   with each job. */
+START_TEST (shortage_lasts)
+{
+  MdLag lag = { 0 };
+  MdTime now = 10 * MD_SECOND;
+
+  now = add_samples (&lag, 300 * MD_MS, now, 700 * MD_MS);
+  ck_assert_int_eq (md_lag_shortage (&lag, now), 0);
+  now = add_samples (&lag, MD_MS, now, 500 * MD_MS);
+  ck_assert_int_eq (md_lag_shortage (&lag, now), 0);
+  now = add_samples (&lag, 80 * MD_MS, now, 1100 * MD_MS);
+  ck_assert_int_gt (md_lag_shortage (&lag, now), 70 * MD_MS);
+  /* In time for a moment. */
+  now = add_samples (&lag, MD_MS, now, 400 * MD_MS);
+  ck_assert_int_lt (md_lag_shortage (&lag, now), 10 * MD_MS);
+  now = add_samples (&lag, 80 * MD_MS, now, 20 * MD_MS);
+  ck_assert_int_gt (md_lag_shortage (&lag, now), 70 * MD_MS);
+  /* It has ended. */
+  now = add_samples (&lag, MD_MS, now, 1300 * MD_MS);
+  now = add_samples (&lag, 80 * MD_MS, now, 20 * MD_MS);
+  ck_assert_int_eq (md_lag_shortage (&lag, now), 0);
+}
+END_TEST
+
 START_TEST (entry_in_time_asks_for_nothing)
 {
   MdTime interval = 0;
@@ -81,6 +116,7 @@
   TCase *tc = tcase_create ("lag");
 
   tcase_add_test (tc, pause_is_forgotten);
+  tcase_add_test (tc, shortage_lasts);
   tcase_add_test (tc, entry_in_time_asks_for_nothing);
   tcase_add_test (tc, late_entry_has_time_for_jobs);
   return run_suite ("lag", tc);
