--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -18,7 +18,7 @@
 /* Added for each connected entry, so that the guard's cost does not grow with the square of the
    number of entries. */
 #define REPORT_INTERVAL_PER_PEER (1 * MD_MS)
-#define MAX_REPORT_INTERVAL (20 * MD_MS) /* with many entries */
+#define MAX_REPORT_INTERVAL (32 * MD_MS) /* with many entries */
 
 /* ------------------------------------------------------------------ */
 /* Ends                                                               */
