List overloaded entries beside a request in explain

An entry that rejects jobs before its engine says so in a line of its own (overloaded), which explain left out of what happened meanwhile.

--- a/cli/explain.c
+++ b/cli/explain.c
@@ -59,7 +59,7 @@
       = { "guard-down",   "guard-lost",  "entry-lost",       "entry-silent", "worker-unreachable",
           "worker-left",  "hold-failed", "start-unanswered", "lease-lapsed", "store-lost",
           "worker-state", "leaving",     "stopped",          "started",      "config-applied",
-          "log-dropped",  "readiness",   "upstream-state",   "load" };
+          "log-dropped",  "readiness",   "upstream-state",   "load",         "overloaded" };
 
   for (size_t i = 0; i < MD_ARRAY_SIZE (events); i++)
     if (md_line_has_event (line, events[i]))
