Do not reject a repeated job before the engine

What callers would see: "not run" of a job whose first attempt runs.

Cause: while an entry is overloaded, the threads that read requests reject jobs without asking the engine. A caller that had no answer, on a connection that went silent, repeats its job after 1.3 s, at any entry; only the engine knows that the first attempt is still running there.

The front end now counts submissions that the engine has not answered, by a hash of the ID; a job whose slot is in use goes to the engine, which attaches it to the running one. The count is raised before the check, so that of two attempts at the same time at most one is rejected here.

Test: repeated_job_reaches_the_engine (test-front); without the check the second attempt does not arrive.

--- a/fleet/front.c
+++ b/fleet/front.c
@@ -23,11 +23,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include <urcu/urcu-memb.h>
+#include <xxhash.h>
 
 #define RETRY_AFTER_NO_CONFIG (1 * MD_SECOND) /* Retry-After before the configuration is read */
 #define RETRY_AFTER_LATE (1 * MD_SECOND)      /* Retry-After while the entry is late */
 #define DEFAULT_MAX_BODY (256u << 10)         /* bytes, if the configuration states no limit */
 
+#define SUBMISSION_SLOTS 4096u /* many more than there are threads */
+
 struct MdFront
 {
   MdRunEntry *entry;               /* the engine, borrowed */
@@ -37,6 +40,8 @@
   atomic_int connections;          /* open connections of both servers */
   int threads;                     /* threads of the server for callers */
   MdCallerSockets sockets;         /* of callers whose requests have been read */
+  /* Jobs that have been posted to the engine and not answered, by a hash of the ID. */
+  atomic_uint submissions[SUBMISSION_SLOTS];
 };
 
 /* HTTP request being handled by the current thread. */
@@ -287,26 +292,17 @@
   return respond (request, 429, MD_STR (MD_BODY_NOT_RUN), RETRY_AFTER_LATE);
 }
 
+/* Parses a job, posts it to the engine and writes the response. */
 static int
-submit (const Request *request, const MdRoute *route, const char *id, size_t max_body)
+post_job (const Request *request, const MdRoute *route, const char *id, MdStr body)
 {
   MdCallerRequest caller_request
       = { .kind = MD_CALLER_REQUEST_SUBMIT, .arrived = request->arrived };
   const char *timeout = mg_get_header (request->conn, MD_PLATFORM_DEADLINE_HEADER);
   const char *unsupported;
-  MD_AUTO_BUF body = { 0 };
   MdError error = { 0 };
-  int status = md_http_read_body (request->conn, max_body, &body);
 
-  if (status != 0)
-    {
-      /* The unread rest of the body must not be parsed as the next request. */
-      mg_disable_connection_keep_alive (request->conn);
-      return reject (request, status, "the request body is too large or incomplete", 0);
-    }
-  if (atomic_load (&request->front->entry->load.overloaded))
-    return reject_job (request, route, id);
-  if (md_platform_parse_job (md_buf_str (&body), &caller_request.spec, &error) != MD_OK)
+  if (md_platform_parse_job (body, &caller_request.spec, &error) != MD_OK)
     return reject (request, 400, error.detail, 0);
   unsupported = unsupported_reason (request->front->entry, route, &caller_request.spec);
   if (unsupported != NULL)
@@ -330,6 +326,36 @@
   return post_and_respond (request, &caller_request);
 }
 
+/* Whether the job is rejected without the engine. A repeated job may be running for its first
+   attempt; only the engine can tell, so that the answer "not run" is true. */
+static bool
+rejects_job (MdFront *front, unsigned in_progress)
+{
+  return in_progress == 0 && atomic_load (&front->entry->load.overloaded);
+}
+
+static int
+submit (const Request *request, const MdRoute *route, const char *id, size_t max_body)
+{
+  MdFront *front = request->front;
+  atomic_uint *submissions = &front->submissions[XXH64 (id, strlen (id), 0) % SUBMISSION_SLOTS];
+  MD_AUTO_BUF body = { 0 };
+  int status = md_http_read_body (request->conn, max_body, &body);
+
+  if (status != 0)
+    {
+      /* The unread rest of the body must not be parsed as the next request. */
+      mg_disable_connection_keep_alive (request->conn);
+      return reject (request, status, "the request body is too large or incomplete", 0);
+    }
+  if (rejects_job (front, atomic_fetch_add (submissions, 1)))
+    status = reject_job (request, route, id);
+  else
+    status = post_job (request, route, id, md_buf_str (&body));
+  atomic_fetch_sub (submissions, 1);
+  return status;
+}
+
 /* Handles a request without a body. id is the job ID, empty for PENDING. */
 static int
 query (const Request *request, MdCallerRequestKind kind, const MdRoute *route, const char *id)
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -107,12 +107,28 @@
   urcu_memb_unregister_thread ();
 }
 
+/* Waits until so many requests are in the inbox, which keeps them. */
+static void
+wait_for_requests (int n)
+{
+  MdTime end = md_now () + 60 * MD_SECOND;
+  int found = 0;
+
+  while (found < n && md_now () < end)
+    {
+      found = 0;
+      md_links_poll (entry.daemon.links, md_now () + 10 * MD_MS);
+      for (MdInboxNode *node = atomic_load (&entry.inbox.newest); node != NULL; node = node->next)
+        found++;
+    }
+  ck_assert_int_eq (found, n);
+}
+
 /* Guards against an entry whose engine, late as it is, has to reject each job itself: it did nothing
    else any more, and its callers had left when it came to them (issue 26). */
 START_TEST (overloaded_entry_rejects_before_the_engine)
 {
   int fd = connect_caller ();
-  MdTime end;
 
   atomic_store (&entry.load.overloaded, true);
   post_job (fd);
@@ -121,16 +137,33 @@
   /* The next job on the connection, after the entry has caught up. */
   atomic_store (&entry.load.overloaded, false);
   post_job (fd);
-  end = md_now () + 60 * MD_SECOND;
-  while (atomic_load (&entry.inbox.newest) == NULL && md_now () < end)
-    md_links_poll (entry.daemon.links, end);
-  ck_assert_ptr_nonnull (atomic_load (&entry.inbox.newest));
+  wait_for_requests (1);
   md_entry_reject_requests (&entry);
   ck_assert_int_eq (read_rejection (fd), 503);
   close (fd);
 }
 END_TEST
 
+/* Guards against a caller that is told "not run" of a job whose first attempt runs: it had no answer
+   to that and repeats the job at the same entry, which is overloaded by now. */
+START_TEST (repeated_job_reaches_the_engine)
+{
+  int first = connect_caller ();
+  int second = connect_caller ();
+
+  post_job (first);
+  wait_for_requests (1);
+  atomic_store (&entry.load.overloaded, true);
+  post_job (second);
+  wait_for_requests (2);
+  md_entry_reject_requests (&entry);
+  ck_assert_int_eq (read_rejection (first), 503);
+  ck_assert_int_eq (read_rejection (second), 503);
+  close (first);
+  close (second);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -139,5 +172,6 @@
   tcase_set_timeout (tc, 120); /* for the thread sanitizer */
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, overloaded_entry_rejects_before_the_engine);
+  tcase_add_test (tc, repeated_job_reaches_the_engine);
   return run_suite ("front", tc);
 }
