--- a/sched/coverage.c
+++ b/sched/coverage.c
@@ -5,8 +5,8 @@
    and the smallest entries spend half of their processor time on reports.
 
    Each guard therefore reports changes to a few entries only, and once a second to the others
-   (sparse reports). An entry places runs by full reports alone. With 6 of 55 entries for each
-   guard, an entry has full reports from about 26 guards, several times the capacity that its own
+   (sparse reports). An entry places runs by full reports alone. With 7 of 55 entries for each
+   guard, an entry has full reports from about 30 guards, several times the capacity that its own
    jobs use, and fewer entries send to the same free worker between two reports.
 
    The choice is by rendezvous hashing (D. Thaler, C. Ravishankar, "Using name-based mappings to
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -317,7 +317,7 @@
 /* ------------------------------------------------------------------ */
 /* Full and sparse reports (coverage.c)                                */
 
-#define MD_FULL_REPORTS 6              /* default: entries to which a guard reports each change */
+#define MD_FULL_REPORTS 7              /* default: entries to which a guard reports each change */
 #define MD_MAX_FOLLOWED 64             /* default: further guards that an entry asks at a time */
 #define MD_WIDEN_STEP 8                /* guards that are asked at once */
 #define MD_FOLLOW_TIME (2 * MD_SECOND) /* for which a guard then reports each change */
--- a/tests/test-entry-late.c
+++ b/tests/test-entry-late.c
@@ -20,6 +20,13 @@
 static MdCallerRequest request;
 static MdRunTask *task; /* of the job */
 
+/* Frees what the last request was answered with. */
+static void
+teardown (void)
+{
+  md_buf_clear (&request.body);
+}
+
 static void
 init_guard (MdEntryGuard *guard, const char *name, double speed)
 {
@@ -149,6 +156,7 @@
   ck_assert_int_gt (request.retry_after, 0);
   ck_assert_ptr_null (entry.jobs);
   ck_assert_ptr_null (guards[0].orders);
+  md_buf_clear (&request.body);
   /* It has caught up. */
   entry.now += 2 * MD_SECOND;
   guards[0].worker.reported_at = guards[1].worker.reported_at = entry.now;
@@ -216,6 +224,8 @@
   ck_assert (md_entry_handle_requests (&entry, 0));
   ck_assert (queries[2].answered);
   ck_assert (md_entry_handle_requests (&entry, 0));
+  for (int i = 0; i < 3; i++)
+    md_buf_clear (&queries[i].body);
 }
 END_TEST
 
@@ -224,7 +234,7 @@
 {
   TCase *tc = tcase_create ("entry-late");
 
-  tcase_add_checked_fixture (tc, setup, NULL);
+  tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, unread_reports_move_no_runs);
   tcase_add_test (tc, unread_reports_abandon_no_runs);
   tcase_add_test (tc, late_entry_admits_nothing);
