Signal only processes that a test started and that still run

Scripts now signal only jobs that the shell knows to run; where processes are disowned, the start time in /proc is compared with that of the launch. The soak no longer takes a reused id for a process that is overdue.

--- a/tests/cluster.sh
+++ b/tests/cluster.sh
@@ -3,7 +3,8 @@
 # Sourced by the scripted runs and the demonstration. Every process writes its
 # log below $RUN; ports are chosen by the system: a process that must be known
 # by address gets a port that tests/freeport found just before. All processes
-# that were started here are ended, by id, when the script ends.
+# that were started here are ended, by id, when the script ends; the id of one that has
+# ended before may belong to another program's process or thread by then.
 
 set -u
 BIN=${MD_BIN:-build/release}
@@ -12,7 +13,9 @@
 
 cleanup () {
   local status=$?
-  for pid in $PIDS; do kill -KILL "$pid" 2>/dev/null; done
+  for pid in $(jobs -pr); do
+    case " $PIDS " in *" $pid "*) kill -KILL "$pid" 2>/dev/null ;; esac
+  done
   wait 2>/dev/null
   [ "${KEEP_RUN:-}" = 1 ] && echo "logs kept in $RUN" >&2 || rm -rf "$RUN"
   exit $status
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -7,8 +7,24 @@
 ENTRIES=2
 GUARDS=3
 
+# start_time PID: when it started, in clock ticks since boot; empty when there is none.
+start_time () {
+  local stat
+  stat=$(cat "/proc/$1/stat" 2>/dev/null) || return 0
+  set -- ${stat##*) }
+  echo "${20}"
+}
+# Whether the process NAME still runs. The id of one that has ended may belong to another
+# program's process or thread by now, so that its start time is compared as well.
+running () { # name
+  local pid start
+  [ -f "$RUN/$1.pid" ] && read -r pid start < "$RUN/$1.pid" && [ "$(start_time "$pid")" = "$start" ]
+}
+send_signal () { ! running "$2" || kill "-$1" "$(pid_of "$2")" 2>/dev/null; } # signal name
+
 finish_platform () {
-  for f in "$RUN"/*.pid; do [ -f "$f" ] && kill -KILL "$(cat "$f")" 2>/dev/null; done
+  local f
+  for f in "$RUN"/*.pid; do [ -f "$f" ] && send_signal KILL "$(basename "$f" .pid)"; done
   wait 2>/dev/null
   [ -n "${KEEP:-}" ] && echo "logs: $RUN" >&2 || rm -rf "$RUN"
 }
@@ -33,7 +49,7 @@
 launch () { # name command...
   local name=$1; shift
   "$@" >> "$RUN/$name.log" 2>&1 &
-  echo $! > "$RUN/$name.pid"
+  echo "$! $(start_time $!)" > "$RUN/$name.pid"
   disown $!
 }
 # A sanitizer's runtime does not stand beside a preloaded library.
@@ -46,7 +62,7 @@
 step_clock () { # name milliseconds
   [ ! -e "$RUN/clock-$1" ] || printf '%-16d' "$2" 1<> "$RUN/clock-$1"
 }
-pid_of () { cat "$RUN/$1.pid"; }
+pid_of () { local pid; read -r pid _ < "$RUN/$1.pid"; echo "$pid"; }
 
 start_store () { launch store "$BIN/tests/platform-store" --listen "$STORE"; }
 advisor_allows () { curl -sS -m 3 -X POST "http://$STORE/control?allow=$1" > /dev/null; }
--- a/tests/run-config.sh
+++ b/tests/run-config.sh
@@ -9,8 +9,11 @@
 pids=()
 export MULBERRYDRIFT_TOKEN=ann-secret
 
+# Only what still runs: an id may have been given to another program's thread since.
 cleanup () {
-  for p in "${pids[@]}"; do kill -CONT "$p" 2>/dev/null; kill "$p" 2>/dev/null; done
+  for p in $(jobs -pr); do
+    case " ${pids[*]} " in *" $p "*) kill -CONT "$p" 2>/dev/null; kill "$p" 2>/dev/null ;; esac
+  done
   wait 2>/dev/null
   rm -rf "$dir"
 }
--- a/tests/run-guard.sh
+++ b/tests/run-guard.sh
@@ -9,8 +9,11 @@
 pids=()
 failed=0
 
+# Only what still runs: an id may have been given to another program's thread since.
 cleanup () {
-  [ ${#pids[@]} -eq 0 ] || kill "${pids[@]}" 2> /dev/null
+  for p in $(jobs -pr); do
+    case " ${pids[*]} " in *" $p "*) kill "$p" 2> /dev/null ;; esac
+  done
   rm -rf "$tmp"
 }
 trap cleanup EXIT
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -132,7 +132,7 @@
   local load=$!
   wait_for 5 seen entry-2 'job-answered job=0000004e' || fail "the load does not run"
   kill -TERM "$(pid_of entry-2)"
-  gone () { ! kill -0 "$(pid_of entry-2)" 2> /dev/null; }
+  gone () { ! running entry-2; }
   wait_for 60 gone || fail "entry-2 does not leave"
   wait_for 5 seen entry-2 event=stopped && echo "an entry leaves under load"
   echo "requests that it cut off: $(grep -c ' unknown 0 ' "$RUN/leaving")"
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -62,15 +62,13 @@
 
 # Faults run beside one another; each undoes itself.
 one_fault () { # kind name duration
-  local pid
-  pid=$(pid_of "$2")
   case $1 in
-    kill) kill -KILL "$pid" 2> /dev/null; sleep "$3"; restart "$2" ;;
-    pause) kill -STOP "$pid" 2> /dev/null; sleep "$3"; kill -CONT "$pid" 2> /dev/null ;;
-    term) kill -TERM "$pid" 2> /dev/null
+    kill) send_signal KILL "$2"; sleep "$3"; restart "$2" ;;
+    pause) send_signal STOP "$2"; sleep "$3"; send_signal CONT "$2" ;;
+    term) send_signal TERM "$2"
       local left=140
-      while kill -0 "$pid" 2> /dev/null && [ $left -gt 0 ]; do left=$((left - 1)); sleep 0.05; done
-      kill -KILL "$pid" 2> /dev/null && echo "overdue $2" >> "$RUN/overdue"
+      while running "$2" && [ $left -gt 0 ]; do left=$((left - 1)); sleep 0.05; done
+      ! running "$2" || { send_signal KILL "$2"; echo "overdue $2" >> "$RUN/overdue"; }
       restart "$2" ;;
   esac
 }
@@ -126,10 +124,9 @@
   if [ $((($1 + 2 * $2) % 5)) = 0 ] && [ ! -e "$RUN/busy-guard-$guard" ]; then
     echo "paused-resets:guard-$guard" >> "$RUN/faults"
     : > "$RUN/busy-guard-$guard"
-    { pid=$(pid_of "guard-$guard")
-      kill -STOP "$pid" 2> /dev/null; sleep 0.05
+    { send_signal STOP "guard-$guard"; sleep 0.05
       command_proxy close '*'
-      sleep "0.$((1 + ($1 + $2) % 4))"; kill -CONT "$pid" 2> /dev/null
+      sleep "0.$((1 + ($1 + $2) % 4))"; send_signal CONT "guard-$guard"
       rm -f "$RUN/busy-guard-$guard"; } &
   fi
 }
