Draw ports of tests below those of outgoing connections

Cause: tests/freeport had the kernel choose ports, from the range that outgoing connections use as well (32768 to 60999). Between the choice and the listen of the process that gets the port, a connection of another test had taken it.

Ports are now drawn from 10000 to 29999; test-front uses the same function.

--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -1,6 +1,7 @@
 /* test-front.c -- HTTP front end of an entry, over the loopback interface, without its engine */
 
 #include "http-client.h"
+#include "port.h"
 #include "run-entry.h"
 #include "suite.h"
 
@@ -25,14 +26,12 @@
 static void
 choose_address (char address[MD_ADDRESS_BYTES])
 {
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
-  socklen_t len = sizeof sa;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int fd;
+  unsigned port = hold_port (&fd);
 
-  ck_assert_int_eq (bind (fd, (struct sockaddr *)&sa, len), 0);
-  ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&sa, &len), 0);
+  ck_assert_uint_gt (port, 0);
   close (fd);
-  snprintf (address, MD_ADDRESS_BYTES, "127.0.0.1:%d", ntohs (sa.sin_port));
+  snprintf (address, MD_ADDRESS_BYTES, "127.0.0.1:%u", port);
 }
 
 static int
