Order the end of HTTP threads after the last wake of the engine

Cause: the engine writes after it has set the answer, so that the thread may have gone on by then. The thread ends only after md_front_stop, which the engine's thread calls, but nothing that the sanitizer sees orders the two: CivetWeb's stop flag is not instrumented. run-entry ends without stopping the servers, so that no process of an installation closes such a descriptor.

--- a/fleet/front.c
+++ b/fleet/front.c
@@ -37,6 +37,7 @@
   struct mg_context *callers;      /* server for callers */
   struct mg_context *probes;       /* server for readiness probes and metrics */
   atomic_bool keep_alive_disabled; /* each response closes its connection */
+  atomic_bool stopping;            /* the engine answers no more requests */
   atomic_int connections;          /* open connections of both servers */
   int threads;                     /* threads of the server for callers */
   MdCallerSockets sockets;         /* of callers whose requests have been read */
@@ -472,9 +473,12 @@
 }
 
 static void
-exit_thread (const struct mg_context *context MD_UNUSED, int type MD_UNUSED, void *data MD_UNUSED)
+exit_thread (const struct mg_context *context, int type MD_UNUSED, void *data MD_UNUSED)
 {
-  if (thread_event >= 0)
+  MdFront *front = mg_get_user_data (context);
+
+  /* The engine writes to the eventfd of a thread until it has stopped the front end. */
+  if (thread_event >= 0 && atomic_load (&front->stopping))
     close (thread_event);
   thread_event = -1;
   urcu_memb_unregister_thread ();
@@ -581,6 +585,7 @@
 {
   if (front == NULL)
     return;
+  atomic_store (&front->stopping, true);
   if (front->callers != NULL)
     mg_stop (front->callers);
   if (front->probes != NULL)
