--- a/fleet/caller-sockets.c
+++ b/fleet/caller-sockets.c
@@ -10,7 +10,6 @@
 
 #include "caller-sockets.h"
 
-#include <string.h>
 #include <sys/socket.h>
 
 static bool
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -187,7 +187,7 @@
   MdTime engine;       /* processor time of the engine thread */
 } MdEntryLoadCounts;
 
-/* What the entry did since the last line of the log about it, and how late it was. */
+/* How late the entry is, and what it did since the last line of the log about that. */
 typedef struct
 {
   MdEntryLoadCounts logged; /* totals at the last line */
--- a/tests/test-guard-orders.c
+++ b/tests/test-guard-orders.c
@@ -49,27 +49,17 @@
   md_link_send (entry->link, &frame);
 }
 
+/* Sends a message without orders that asks for full reports for this time, and for reports of
+   changes at most once in this interval. */
 static void
-send_follow (StandIn *entry, MdTime time)
+send_message (StandIn *entry, MdTime follow, MdTime report_interval)
 {
   Md__Frame frame = MD__FRAME__INIT;
   Md__RunOrders orders = MD__RUN_ORDERS__INIT;
 
   orders.guard = guard.incarnation;
-  orders.follow_us = (uint64_t)time;
-  frame.msg_case = MD__FRAME__MSG_RUN_ORDERS;
-  frame.run_orders = &orders;
-  md_link_send (entry->link, &frame);
-}
-
-static void
-send_report_interval (StandIn *entry, MdTime interval)
-{
-  Md__Frame frame = MD__FRAME__INIT;
-  Md__RunOrders orders = MD__RUN_ORDERS__INIT;
-
-  orders.guard = guard.incarnation;
-  orders.report_interval_us = (uint64_t)interval;
+  orders.follow_us = (uint64_t)follow;
+  orders.report_interval_us = (uint64_t)report_interval;
   frame.msg_case = MD__FRAME__MSG_RUN_ORDERS;
   frame.run_orders = &orders;
   md_link_send (entry->link, &frame);
@@ -235,7 +225,7 @@
   for (int i = 0; i < PASSES && (entry->link == NULL || entry->reports < 2); i++)
     poll_all ();
   ck_assert (reports_change (entry, heartbeat / 2));
-  send_report_interval (entry, 10 * heartbeat);
+  send_message (entry, 0, 10 * heartbeat);
   for (int i = 0;
        i < PASSES && guard.peers->report_interval == 0 && guard.peers->next->report_interval == 0
        && guard.peers->next->next->report_interval == 0;
@@ -257,7 +247,7 @@
     poll_all ();
   entry = first_sparse_entry ();
   ck_assert_ptr_nonnull (entry);
-  send_follow (entry, 200 * MD_MS);
+  send_message (entry, 200 * MD_MS, 0);
   for (int i = 0; i < PASSES && entry->sparse; i++)
     poll_all ();
   ck_assert (!entry->sparse);
