Log how old the configuration of an entry is

A caller got 404 for a queue that a configuration confirmed 3.1 s before had; the logs could not say how old the configuration of that entry was, nor how many reads of the store had failed and how long each took.

No decision changes.

--- a/fleet/front.c
+++ b/fleet/front.c
@@ -200,27 +200,59 @@
 /* ------------------------------------------------------------------ */
 /* Requests                                                           */
 
-/* Copies the route that matches the request, and sets the limit of the request body. Returns
-   false if there is no such route or no configuration yet. */
-static bool
-find_route (const Request *request, MdRoute *route, size_t *max_body, bool *configured)
+/* What the configuration in force says of a request. */
+typedef struct
+{
+  bool configured;         /* there is a configuration */
+  uint64_t config_version; /* of it */
+  MdTime config_age;       /* at most, see md_entry_config_age */
+  size_t max_body;         /* limit of the request body, bytes */
+  bool found;              /* the request has a route */
+  MdRoute route;           /* valid if found */
+} Lookup;
+
+static void
+look_up (const Request *request, Lookup *lookup)
 {
   const char *host = mg_get_header (request->conn, "Host");
   const MdRoutes *routes;
   const MdRoute *found = NULL;
 
+  lookup->config_age = md_entry_config_age (request->front->entry);
+  lookup->max_body = DEFAULT_MAX_BODY;
   urcu_memb_read_lock ();
   routes = rcu_dereference (request->front->entry->routes);
-  *configured = routes != NULL;
+  lookup->configured = routes != NULL;
   if (routes != NULL)
     {
       found = md_routes_find (routes, md_str (host), md_str (request->info->local_uri));
-      *max_body = routes->max_body_bytes > 0 ? routes->max_body_bytes : DEFAULT_MAX_BODY;
+      lookup->config_version = routes->version;
+      if (routes->max_body_bytes > 0)
+        lookup->max_body = routes->max_body_bytes;
     }
-  if (found != NULL)
-    *route = *found;
+  lookup->found = found != NULL;
+  if (lookup->found)
+    lookup->route = *found;
   urcu_memb_read_unlock ();
-  return found != NULL;
+}
+
+/* Rejects a request that the configuration in force has no route for. */
+static int
+reject_unknown_route (const Request *request, const Lookup *lookup)
+{
+  MD_AUTO_BUF body = { 0 };
+  char path[160];
+
+  if (md_http_read_body (request->conn, lookup->max_body, &body) != 0)
+    mg_disable_connection_keep_alive (request->conn);
+  if (!lookup->configured)
+    return reject (request, 503, "no configuration has been read yet", RETRY_AFTER_NO_CONFIG);
+  md_log (MD_LOG_INFO, "request-rejected",
+          "path=%s status=404 outcome=not_run reason=\"no such queue\" version=%llu "
+          "config_age_ms=%lld",
+          md_log_quote (md_str (request->info->local_uri), path, sizeof path),
+          (unsigned long long)lookup->config_version, (long long)(lookup->config_age / MD_MS));
+  return respond (request, 404, MD_STR (MD_BODY_NOT_RUN), 0);
 }
 
 /* Posts the request to the engine and writes the response. Returns the status for CivetWeb. */
@@ -399,26 +431,17 @@
 static int
 handle_request (const Request *request)
 {
-  MdRoute route;
-  size_t max_body = DEFAULT_MAX_BODY;
-  bool configured;
+  Lookup lookup = { 0 };
 
   if (atomic_load (&request->front->entry->closed))
     {
       mg_disable_connection_keep_alive (request->conn);
       return reject (request, 503, "the entry is shutting down", MD_SECOND);
     }
-  if (!find_route (request, &route, &max_body, &configured))
-    {
-      MD_AUTO_BUF body = { 0 };
-
-      if (md_http_read_body (request->conn, max_body, &body) != 0)
-        mg_disable_connection_keep_alive (request->conn);
-      if (!configured)
-        return reject (request, 503, "no configuration has been read yet", RETRY_AFTER_NO_CONFIG);
-      return reject (request, 404, "no such queue", 0);
-    }
-  return handle_routed (request, &route, max_body);
+  look_up (request, &lookup);
+  if (!lookup.found)
+    return reject_unknown_route (request, &lookup);
+  return handle_routed (request, &lookup.route, lookup.max_body);
 }
 
 static int
--- a/fleet/keyed.c
+++ b/fleet/keyed.c
@@ -34,8 +34,12 @@
   uint64_t next_offset;           /* first offset not yet delivered; 0 before the first page */
   uint64_t read_offset;           /* FOLLOW: offset requested by the call in progress */
   char after_key[256];            /* NEWEST: last key received, empty: start with the first page */
+  MdTime sent_at;                 /* start of the call in progress */
+  MdTime pages_since;             /* NEWEST: start of the call for the first page; 0: no page yet */
+  MdTime confirmed_at;            /* all records of that time have been delivered; 0: never */
   bool reachable;                 /* no call has failed since the last success */
   MdTime lost_at;                 /* when the first call of a series of failures ended */
+  unsigned failures;              /* calls of that series */
 };
 
 MdKeyedReader *
@@ -69,6 +73,12 @@
   return keyed->state == KEYED_FOLLOW;
 }
 
+MdTime
+md_keyed_reader_confirmed_at (const MdKeyedReader *keyed)
+{
+  return keyed->confirmed_at;
+}
+
 static void
 record_failure (MdKeyedReader *keyed, const MdHttpAsyncResponse *response, const MdError *error)
 {
@@ -77,12 +87,15 @@
   md_count (MD_M_LOG_ERRORS, 1);
   keyed->due = now + keyed->delay;
   keyed->delay = keyed->delay * 2 < RETRY_DELAY_MAX ? keyed->delay * 2 : RETRY_DELAY_MAX;
+  keyed->failures++;
   if (!keyed->reachable)
     return;
   keyed->reachable = false;
   keyed->lost_at = now;
-  md_log (MD_LOG_WARN, "store-lost", "topic=%s status=%d reason=\"%s\"", keyed->topic,
-          response->status, response->status == 0 ? response->error.detail : error->detail);
+  md_log (MD_LOG_WARN, "store-lost", "topic=%s status=%d reason=\"%s\" elapsed_ms=%lld",
+          keyed->topic, response->status,
+          response->status == 0 ? response->error.detail : error->detail,
+          (long long)(response->elapsed / MD_MS));
 }
 
 static void
@@ -95,8 +108,9 @@
   if (keyed->reachable)
     return;
   keyed->reachable = true;
-  md_log (MD_LOG_INFO, "store-back", "topic=%s away_ms=%lld", keyed->topic,
-          (long long)((now - keyed->lost_at) / MD_MS));
+  md_log (MD_LOG_INFO, "store-back", "topic=%s away_ms=%lld failures=%u", keyed->topic,
+          (long long)((now - keyed->lost_at) / MD_MS), keyed->failures);
+  keyed->failures = 0;
 }
 
 /* Delivers a record of a page and keeps its key as the start of the next page. */
@@ -130,10 +144,14 @@
      records appended while paging are read again. */
   if (keyed->next_offset == 0 || next < keyed->next_offset)
     keyed->next_offset = next;
+  if (keyed->pages_since == 0)
+    keyed->pages_since = keyed->sent_at;
   if (!more)
     {
       keyed->state = KEYED_FOLLOW;
       keyed->after_key[0] = '\0';
+      keyed->confirmed_at = keyed->pages_since;
+      keyed->pages_since = 0;
     }
   record_success (keyed);
 }
@@ -142,6 +160,7 @@
 on_read_response (MdKeyedReader *keyed, const MdHttpAsyncResponse *response)
 {
   MdError error = { 0 };
+  uint64_t end = 0;
 
   if (response->status == MD_PLATFORM_STATUS_TOO_OLD)
     {
@@ -154,11 +173,15 @@
     md_error_set (&error, MD_E_IO, "read", keyed->address, "refused");
   else
     md_platform_parse_read_response (response->body, keyed->read_offset, keyed->on_record,
-                                     keyed->user, &keyed->next_offset, &error);
+                                     keyed->user, &keyed->next_offset, &end, &error);
   if (error.code != MD_OK)
-    record_failure (keyed, response, &error);
-  else
-    record_success (keyed);
+    {
+      record_failure (keyed, response, &error);
+      return;
+    }
+  if (keyed->next_offset >= end)
+    keyed->confirmed_at = keyed->sent_at;
+  record_success (keyed);
 }
 
 static void
@@ -201,6 +224,7 @@
       break;
     }
   md_count (MD_M_LOG_READS, 1);
+  keyed->sent_at = md_now ();
   keyed->busy
       = md_daemon_call (keyed->http, keyed->address, &call, timeout, on_response, keyed) == MD_OK;
   keyed->due = now + RETRY_DELAY_MAX;
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -52,16 +52,25 @@
       md_routes_free (routes);
       return;
     }
-  md_log (MD_LOG_INFO, "config-applied", "version=%llu former=%llu routes=%zu offset=%llu",
+  md_log (MD_LOG_INFO, "config-applied",
+          "version=%llu former=%llu routes=%zu offset=%llu former_age_ms=%lld",
           (unsigned long long)routes->version,
           (unsigned long long)(previous != NULL ? previous->version : 0), routes->n,
-          (unsigned long long)record->offset);
+          (unsigned long long)record->offset, (long long)(md_entry_config_age (entry) / MD_MS));
   md_gauge (MD_M_CONFIG_VERSION, (int64_t)routes->version);
   rcu_assign_pointer (entry->routes, routes);
   urcu_memb_synchronize_rcu ();
   md_routes_free (previous);
 }
 
+MdTime
+md_entry_config_age (const MdRunEntry *entry)
+{
+  MdTime confirmed_at = atomic_load (&entry->config_confirmed_at);
+
+  return confirmed_at > 0 ? md_now () - confirmed_at : -MD_MS;
+}
+
 /* ------------------------------------------------------------------ */
 /* Registration                                                       */
 
@@ -239,6 +248,8 @@
       entry->now = md_now ();
       md_entry_load_pass (&entry->load, due, entry->now);
       md_http_poll (entry->daemon.store);
+      atomic_store (&entry->config_confirmed_at,
+                    md_keyed_reader_confirmed_at (entry->config_reader));
     }
 }
 
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -209,6 +209,7 @@
   MdInbox inbox;                         /* requests of callers */
   MdInboxNode *backlog;                  /* taken from the inbox, not handled yet, oldest first */
   MdRoutes *routes;                      /* RCU: configuration in force, NULL: none yet */
+  _Atomic MdTime config_confirmed_at;    /* routes were the newest at this time, 0: never */
   struct MdFront *front;                 /* HTTP front end, owned */
   MdWorkers workers;                     /* workers of all known guards */
   uint32_t allocated_workers;            /* capacity of workers, saved_resources and excluded */
@@ -246,6 +247,11 @@
 /* Response body for a job of which nothing has run. */
 #define MD_BODY_NOT_RUN "{\"outcome\":\"not_run\"}"
 
+/* md_entry_config_age: time since the configuration in force was last known to be the newest, -MD_MS
+   if it never was. A thread that uses the routes reads the age first: a table that it looks up later is
+   at most this old. */
+MdTime md_entry_config_age (const MdRunEntry *entry);
+
 /* front.c */
 typedef struct MdFront MdFront;
 /* md_front_start: start the HTTP servers for callers, probes and metrics on the addresses in
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -184,17 +184,21 @@
   MdStr body = md_str_n (read_text, sizeof read_text - 1);
   Records records = { 0 };
   uint64_t next = 0;
+  uint64_t end = 0;
 
-  ck_assert_int_eq (md_platform_parse_read_response (body, 2, keep_record, &records, &next, NULL),
+  ck_assert_int_eq (md_platform_parse_read_response (body, 2, keep_record, &records, &next, &end,
+                                                     NULL),
                     MD_OK);
   ck_assert_uint_eq (next, 5);
+  ck_assert_uint_eq (end, 5);
   ck_assert_uint_eq (records.n, 2); /* the second has no key */
   ck_assert_str_eq (records.keys[0], "ab");
   ck_assert_str_eq (records.values[0], "xyz");
   ck_assert_uint_eq (records.offsets[1], 4);
   ck_assert_str_eq (records.values[1], "");
   body.len--;
-  ck_assert_int_eq (md_platform_parse_read_response (body, 2, keep_record, &records, &next, NULL),
+  ck_assert_int_eq (md_platform_parse_read_response (body, 2, keep_record, &records, &next, &end,
+                                                     NULL),
                     MD_E_INVALID);
 }
 END_TEST
@@ -272,6 +276,7 @@
   MdWorkerRecord memory;
   char address[MD_ADDRESS_BYTES];
   uint64_t next;
+  uint64_t end;
   int64_t clock_ms;
   MdHoldResponse held = { 0 };
   MdRunSpec spec;
@@ -284,7 +289,7 @@
   md_platform_parse_hold_response (text, &held, NULL);
   md_hold_response_clear (&held);
   md_platform_parse_start_response (409, text, &clock_ms);
-  md_platform_parse_read_response (text, 0, keep_record, &records, &next, NULL);
+  md_platform_parse_read_response (text, 0, keep_record, &records, &next, &end, NULL);
   md_platform_parse_newest_response (text, keep_record, &records, &next, &more, NULL);
   md_routes_free (md_platform_parse_config (text, NULL));
   md_platform_parse_entry (text, address, NULL);
