Close idle connections after a call has timed out on a silent one

When open connections go silent, the long poll for the configuration ended after 2.0 s by its time-out; libcurl sent the next call over the other pooled connection, idle since the start and silent as well, and it took another 2.0 s. Nothing new was read for more than four seconds, although a new connection would have worked at once.

After a time-out of a second or more, connections that have been idle since before it are closed (CURLOPT_MAXAGE_CONN). Ruled out: a new connection after each time-out only, since the silent one stays in the pool for a later call; shorter time-outs, which are those of orders to slow workers, where new connections are dear and say nothing about silence.

--- a/net/http-async.c
+++ b/net/http-async.c
@@ -5,7 +5,12 @@
    thread must not block on them. These calls therefore use libcurl, whose sockets are
    polled by the epoll set of the links.
 
-   A libcurl handle is expensive to create, so the handles of ended calls are reused. */
+   A libcurl handle is expensive to create, so the handles of ended calls are reused.
+
+   A connection can go silent without an end, and others to the same peer at the same time: a
+   device between them has lost its state, or the machine was suspended. After a time-out of a
+   second or more, connections that have been idle since before it are therefore closed instead of
+   reused. */
 
 #include "http-async.h"
 
@@ -18,6 +23,8 @@
 #define MAX_IDLE_CALLS 16                      /* handles kept for reuse */
 #define MAX_RESPONSE_BYTES (64u * 1024 * 1024) /* largest body of a response */
 #define MAX_CONNECT_TIMEOUT (400 * MD_MS)      /* then a silent peer is dialled again */
+#define MAX_IDLE_TIME (60 * MD_SECOND)         /* idle connections are reused for this long */
+#define MIN_SILENCE (1 * MD_SECOND)            /* shorter time-outs are those of a slow peer */
 
 typedef struct Call Call;
 
@@ -46,6 +53,7 @@
   Call *idle;                    /* ended calls for reuse, owned */
   unsigned n_idle;               /* at most MAX_IDLE_CALLS */
   MdTime due;                    /* time-out of libcurl, INT64_MAX none */
+  MdTime silent_at;              /* when a call last timed out after MIN_SILENCE, 0: never */
   MdWatch *watches[MAX_WATCHES]; /* by descriptor, owned; NULL: never used */
 };
 
@@ -296,6 +304,17 @@
   return CURL_PREREQFUNC_OK;
 }
 
+/* How long a connection may have been idle to be reused. libcurl counts whole seconds. */
+static long
+max_idle_seconds (const MdHttp *http)
+{
+  MdTime idle = MAX_IDLE_TIME;
+
+  if (http->silent_at > 0 && md_now () - http->silent_at < idle)
+    idle = md_now () - http->silent_at;
+  return (long)(idle / MD_SECOND);
+}
+
 static void
 set_options (Call *call, const MdHttpCall *request)
 {
@@ -316,6 +335,7 @@
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)(request->timeout / MD_MS));
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)(connect / MD_MS));
+  curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN, max_idle_seconds (call->http));
   if (!request->idempotent)
     {
       curl_easy_setopt (call->easy, CURLOPT_PREREQFUNCTION, on_send);
@@ -388,6 +408,8 @@
     md_error_set (&response.error, code == CURLE_OPERATION_TIMEDOUT ? MD_E_TIMEOUT : MD_E_IO,
                   "call", call->address, "%s",
                   call->reason[0] != '\0' ? call->reason : curl_easy_strerror (code));
+  if (code == CURLE_OPERATION_TIMEDOUT && response.elapsed >= MIN_SILENCE)
+    call->http->silent_at = md_now ();
   curl_multi_remove_handle (call->http->multi, call->easy);
   unlink_active (call);
   call->done (call->user, &response);
--- a/tests/scripted-server-util.c
+++ b/tests/scripted-server-util.c
@@ -14,6 +14,8 @@
 
 #define REQUEST_BYTES 8192
 
+const char scripted_silence[] = "silence";
+
 typedef struct
 {
   ScriptedServer *server;
@@ -83,6 +85,8 @@
   for (int number = 0; read_request (connection->fd, request); number++)
     {
       response = choose_response (connection->server, number, request);
+      if (response == scripted_silence)
+        continue;
       if (response == NULL || *response == '\0'
           || send (connection->fd, response, strlen (response), MSG_NOSIGNAL) < 0)
         break;
--- a/tests/scripted-server.h
+++ b/tests/scripted-server.h
@@ -13,8 +13,10 @@
 #define SCRIPTED_MAX_CONNECTIONS 64 /* in the life of a server */
 
 /* Chooses the response to a request by its number on its connection, from 0, and its text, head
-   and body. Returns the whole response, "" to close the connection, or NULL to reset it. Calls are
+   and body. Returns the whole response, "" to close the connection, NULL to reset it, or
+   scripted_silence to leave the request without an answer on an open connection. Calls are
    serialized, but do not come from the thread of the test. */
+extern const char scripted_silence[];
 typedef const char *ScriptedRespond (void *user, int number, const char *request);
 
 typedef struct
--- a/tests/test-http-async.c
+++ b/tests/test-http-async.c
@@ -8,13 +8,15 @@
 #include "scripted-server.h"
 #include "suite.h"
 
-#define PASSES 20000 /* only ends a broken run */
+#define PASSES 20000             /* only ends a broken run */
+#define IDLE_TIME (1500 * MD_MS) /* longer than the second after which connections are distrusted */
 #define RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 static ScriptedServer server;
 static MdLinks *links;
 static MdHttp *http;
 static const char *broken; /* response to the second request: NULL resets, "" closes */
+static MdTime timeout;     /* of a call */
 static int done;           /* calls that have ended */
 static int status;         /* of the last of them */
 static int code;           /* of its error */
@@ -50,6 +52,7 @@
   md_tuning_default (&tuning);
   links = md_links_new (&tuning, &no_links, NULL);
   http = md_http_new (links, 4);
+  timeout = 5 * MD_SECOND;
   scripted_server_start (&server, respond_once, NULL);
 }
 
@@ -68,25 +71,32 @@
   code = response->error.code;
 }
 
-/* Makes a call and waits for its end. */
+/* Makes calls at the same time and waits for their ends. */
 static void
-make_call (const char *method, bool idempotent)
+make_calls (int n, const char *method, bool idempotent)
 {
-  int before = done;
+  int end = done + n;
   MdHttpCall call = { .method = method,
                       .address = server.address,
                       .target = "/v1/order",
                       .body = MD_STR ("{}"),
-                      .timeout = 5 * MD_SECOND,
+                      .timeout = timeout,
                       .idempotent = idempotent };
 
-  ck_assert_int_eq (md_http_start (http, &call, on_done, NULL), MD_OK);
-  for (int i = 0; i < PASSES && done == before; i++)
+  for (int i = 0; i < n; i++)
+    ck_assert_int_eq (md_http_start (http, &call, on_done, NULL), MD_OK);
+  for (int i = 0; i < PASSES && done < end; i++)
     {
       md_links_poll (links, md_now () + MD_MS);
       md_http_poll (http);
     }
-  ck_assert_int_eq (done, before + 1);
+  ck_assert_int_eq (done, end);
+}
+
+static void
+make_call (const char *method, bool idempotent)
+{
+  make_calls (1, method, idempotent);
 }
 
 /* Guards against a run that starts twice: libcurl sends a request again when a reused connection
@@ -127,6 +137,22 @@
 }
 END_TEST
 
+/* Guards against a configuration that is late because each pooled connection to the store has gone
+   silent and the calls wait for a time-out on one after the other. */
+START_TEST (one_timeout_is_enough_for_silent_connections)
+{
+  broken = scripted_silence;
+  make_calls (2, "GET", true);
+  timeout = IDLE_TIME;
+  make_call ("GET", true);
+  ck_assert_int_eq (code, MD_E_TIMEOUT);
+  make_call ("GET", true);
+  ck_assert_int_eq (status, 200);
+  scripted_server_stop (&server);
+  ck_assert_int_eq (server.n, 3);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -136,5 +162,6 @@
   tcase_add_loop_test (tc, call_is_sent_once, 0, 2);
   tcase_add_test (tc, next_call_is_sent);
   tcase_add_test (tc, idempotent_call_is_sent_again);
+  tcase_add_test (tc, one_timeout_is_enough_for_silent_connections);
   return run_suite ("http-async", tc);
 }
