Skip superseded configurations when a reader is behind

An entry that had missed several versions read up to 1 MB of them at once and applied each in turn: 100 to 300 ms for each version of 1,450 routes at 0.12 of a core, with the newest one last (edge-za-south-e-1: 12, 16 and 18 at 9.586, 9.884 and 9.959).

A read asks for 320 KB, a record of the largest size and some small ones, and a reader that finds more than that after it fetches the newest record of each key instead. Ruled out: the newest records after each failed call, 350 KB for each entry although mostly nothing has changed.

The stand-in of the store honours max_kb.

--- a/fleet/keyed.c
+++ b/fleet/keyed.c
@@ -1,9 +1,10 @@
 /* keyed.c -- reader of the newest record of each key of a topic
 
    The reader fetches the newest records page by page and then follows the topic with
-   long-polling reads. When the store no longer has the requested offset, it fetches the
-   newest records again. The long-polling time is short, so that a connection that has
-   become silent is detected. */
+   long-polling reads. It fetches the newest records again when the store no longer has the
+   requested offset, and when it is behind by more than one response: of a key that changes
+   often, superseded records would have to be read one after the other. The long-polling time
+   is short, so that a connection that has become silent is detected. */
 
 #include "daemon.h"
 
@@ -156,6 +157,13 @@
   record_success (keyed);
 }
 
+static void
+start_over (MdKeyedReader *keyed)
+{
+  keyed->state = KEYED_NEWEST;
+  keyed->next_offset = 0;
+}
+
 static void
 on_read_response (MdKeyedReader *keyed, const MdHttpAsyncResponse *response)
 {
@@ -164,8 +172,7 @@
 
   if (response->status == MD_PLATFORM_STATUS_TOO_OLD)
     {
-      keyed->state = KEYED_NEWEST;
-      keyed->next_offset = 0;
+      start_over (keyed);
       keyed->due = md_now ();
       return;
     }
@@ -181,6 +188,8 @@
     }
   if (keyed->next_offset >= end)
     keyed->confirmed_at = keyed->sent_at;
+  else
+    start_over (keyed);
   record_success (keyed);
 }
 
--- a/tests/platform-store.c
+++ b/tests/platform-store.c
@@ -138,7 +138,7 @@
 }
 
 static int
-read_records (struct mg_connection *conn, Topic *topic, size_t from, int64_t wait)
+read_records (struct mg_connection *conn, Topic *topic, size_t from, int64_t wait, size_t max)
 {
   MD_AUTO_BUF out = { 0 };
   struct timespec until;
@@ -159,7 +159,8 @@
     }
   put_number (&out, topic->end, 8);
   put_number (&out, topic->first, 8);
-  for (size_t i = from; i < topic->end; i++)
+  for (size_t i = from; i < topic->end && (i == from || out.len + topic->records[i].len <= max);
+       i++)
     {
       put_number (&out, topic->records[i].len, 4);
       md_buf_append (&out, md_buf_str (&topic->records[i]));
@@ -268,6 +269,7 @@
   char text[64];
   int64_t from = variable (info, "from", text, sizeof text);
   int64_t wait = variable (info, "wait_ms", text, sizeof text);
+  int64_t max_kb = variable (info, "max_kb", text, sizeof text);
   Topic *topic;
 
   if (misbehave (conn))
@@ -281,7 +283,7 @@
   if (strcmp (info->local_uri, "/v1/log-append") == 0)
     return append (conn, topic);
   if (strcmp (info->local_uri, "/v1/log-read") == 0)
-    return read_records (conn, topic, (size_t)from, wait);
+    return read_records (conn, topic, (size_t)from, wait, (size_t)max_kb * 1024);
   if (strcmp (info->local_uri, "/v1/log-newest") == 0)
     return newest (conn, topic);
   return respond (conn, 404, MD_STR ("{}"));
