Ask for another pass when an HTTP call has ended

A call that md_http_poll drives can end in the same call, when the response arrives right after the request has been written. The caller had asked for the time of its next call while that one was still in progress, and waited for ever. On the engine's loop the same delays the next read by up to a heartbeat, 100 ms, until something else is due.

md_http_poll returns the present time when a call has ended. Ruled out by a trace with a line around each wait: RCU grace periods (they ended) and lost events of the socket (the loop waited without a deadline right after the call).

--- a/net/http-async.c
+++ b/net/http-async.c
@@ -420,6 +420,7 @@
 md_http_poll (MdHttp *http)
 {
   CURLMsg *message;
+  bool ended = false;
   int remaining;
   int running;
 
@@ -436,6 +437,7 @@
 
         curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
         finish_call ((Call *)call, code);
+        ended = true;
       }
-  return http->due;
+  return ended ? md_now () : http->due;
 }
--- a/net/http-async.h
+++ b/net/http-async.h
@@ -44,7 +44,8 @@
 int md_http_start (MdHttp *http, const MdHttpCall *call, MdHttpDone done, void *user);
 
 /* md_http_poll: invoke the callbacks of calls that have ended. Must be called after every
-   md_links_poll. Returns the time at which it must be called again at the latest. */
+   md_links_poll. Returns the time at which it must be called again at the latest: at once when a
+   call has ended, because that may have made another one due. */
 MdTime md_http_poll (MdHttp *http);
 
 #endif
--- a/tests/test-http-async.c
+++ b/tests/test-http-async.c
@@ -137,6 +137,32 @@
 }
 END_TEST
 
+/* Guards against a caller of md_http_poll that waits for the next event although the end of a call
+   has made another one due, for ever if nothing else wakes it. */
+START_TEST (end_of_a_call_asks_for_another_pass)
+{
+  MdHttpCall call = { .method = "GET",
+                      .address = server.address,
+                      .target = "/v1/order",
+                      .timeout = timeout,
+                      .idempotent = true };
+  MdTime due = 0;
+  int before = done;
+
+  broken = RESPONSE;
+  ck_assert_int_eq (md_http_start (http, &call, on_done, NULL), MD_OK);
+  for (int i = 0; i < PASSES && done == before; i++)
+    {
+      md_links_poll (links, md_now () + MD_MS);
+      due = md_http_poll (http);
+    }
+  ck_assert_int_eq (done, before + 1);
+  ck_assert_int_le (due, md_now ());
+  ck_assert_int_gt (md_http_poll (http), md_now ());
+  scripted_server_stop (&server);
+}
+END_TEST
+
 /* Guards against a configuration that is late because each pooled connection to the store has gone
    silent and the calls wait for a time-out on one after the other. */
 START_TEST (one_timeout_is_enough_for_silent_connections)
@@ -162,6 +188,7 @@
   tcase_add_loop_test (tc, call_is_sent_once, 0, 2);
   tcase_add_test (tc, next_call_is_sent);
   tcase_add_test (tc, idempotent_call_is_sent_again);
+  tcase_add_test (tc, end_of_a_call_asks_for_another_pass);
   tcase_add_test (tc, one_timeout_is_enough_for_silent_connections);
   return run_suite ("http-async", tc);
 }
