Answer 503 instead of 404 while the configuration may be outdated

Whatever keeps an entry from reading the store, it answered 404 as if its configuration were the newest: at an age of up to 5.7 s after connections had gone silent.

Every version that an entry does not know was confirmed after its configuration was last known to be the newest, so it need not be in force before config_apply_ms after that. Past this age an unknown queue is answered 503 with Retry-After and 'not run'. Known queues are served as before, because an outage of the store must not end the service. config_apply_ms comes from the platform's bounds. Ruled out: holding the request until the configuration has been read, since it may take as long as the outage.

test-front outdated_configuration_denies_no_queue fails before: status == 404.

--- a/common/md-private.h
+++ b/common/md-private.h
@@ -172,6 +172,8 @@
   MdTime worker_lease_max;                 /* run-guard: upper bound of a worker lease */
   MdTime resend_after;                     /* runs: time after which callers resend a lost job */
   MdTime stop_timeout;                     /* runs: time that a worker needs to stop a run */
+  MdTime config_apply;                     /* run-entry: a confirmed configuration has to be in
+                                                force within this time */
   double remote_factor;                    /* run-entry: factor on the run time of a worker
                                                 away from the data */
   MdToken *tokens;                         /* n_tokens elements, owned */
--- a/common/settings.c
+++ b/common/settings.c
@@ -93,6 +93,7 @@
   { "stop_timeout_ms", SETTING_MS, AT (stop_timeout), FOR_RUNS, 0, 60e3 },
   { "full_reports", SETTING_U32, AT (full_reports), FOR_RUN_GUARD | RELOADABLE, 1, 512 },
   { "max_followed", SETTING_U32, AT (max_followed), FOR_RUN_ENTRY | RELOADABLE, 0, 4096 },
+  { "config_apply_ms", SETTING_MS, AT (config_apply), FOR_RUN_ENTRY, 100, 600e3 },
   { "remote_factor", SETTING_DOUBLE, AT (remote_factor), FOR_RUN_ENTRY | RELOADABLE, 1, 100 },
 };
 
@@ -568,6 +569,7 @@
   settings->worker_lease_max = 1 * MD_SECOND;
   settings->resend_after = 1300 * MD_MS;
   settings->stop_timeout = 50 * MD_MS;
+  settings->config_apply = 2 * MD_SECOND;
   settings->remote_factor = 1.5;
   settings->log_level = MD_LOG_INFO;
 }
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -25,7 +25,7 @@
 #include <urcu/urcu-memb.h>
 #include <xxhash.h>
 
-#define RETRY_AFTER_NO_CONFIG (1 * MD_SECOND) /* Retry-After before the configuration is read */
+#define RETRY_AFTER_NO_CONFIG (1 * MD_SECOND) /* Retry-After while the configuration is not known */
 #define RETRY_AFTER_LATE (1 * MD_SECOND)      /* Retry-After while the entry is late */
 #define DEFAULT_MAX_BODY (256u << 10)         /* bytes, if the configuration states no limit */
 
@@ -236,10 +236,13 @@
   urcu_memb_read_unlock ();
 }
 
-/* Rejects a request that the configuration in force has no route for. */
+/* Rejects a request that the configuration in force has no route for. Whether there is no such
+   queue is not known while a newer configuration, with that queue, may have to be in force. */
 static int
 reject_unknown_route (const Request *request, const Lookup *lookup)
 {
+  bool outdated = lookup->config_age > request->front->entry->daemon.settings.config_apply;
+  int status = outdated ? 503 : 404;
   MD_AUTO_BUF body = { 0 };
   char path[160];
 
@@ -248,11 +251,11 @@
   if (!lookup->configured)
     return reject (request, 503, "no configuration has been read yet", RETRY_AFTER_NO_CONFIG);
   md_log (MD_LOG_INFO, "request-rejected",
-          "path=%s status=404 outcome=not_run reason=\"no such queue\" version=%llu "
-          "config_age_ms=%lld",
-          md_log_quote (md_str (request->info->local_uri), path, sizeof path),
+          "path=%s status=%d outcome=not_run reason=\"%s\" version=%llu config_age_ms=%lld",
+          md_log_quote (md_str (request->info->local_uri), path, sizeof path), status,
+          outdated ? "no such queue, and the configuration may be outdated" : "no such queue",
           (unsigned long long)lookup->config_version, (long long)(lookup->config_age / MD_MS));
-  return respond (request, 404, MD_STR (MD_BODY_NOT_RUN), 0);
+  return respond (request, status, MD_STR (MD_BODY_NOT_RUN), outdated ? RETRY_AFTER_NO_CONFIG : 0);
 }
 
 /* Posts the request to the engine and writes the response. Returns the status for CivetWeb. */
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -146,6 +146,7 @@
   urcu_memb_register_thread ();
   entry.daemon.links = md_links_new (&settings->tuning, &handler, &entry);
   settings->caller_threads = 8;
+  settings->config_apply = 60 * MD_SECOND;
   choose_address (settings->caller_address);
   choose_address (settings->ready_address);
   atomic_store (&config_changed, false);
@@ -242,6 +243,23 @@
 }
 END_TEST
 
+/* Guards against an entry that says "no such queue" although it has not read the store for longer
+   than a new configuration may take to be in force (issue 29). */
+START_TEST (outdated_configuration_denies_no_queue)
+{
+  MdTime end = md_now () + 60 * MD_SECOND;
+  int status;
+
+  entry.daemon.settings.config_apply = 500 * MD_MS;
+  do
+    status = put_job ("/added/");
+  while (status == 404 && md_now () < end);
+  ck_assert_int_eq (status, 503);
+  ck_assert_int_gt (md_config_reader_age (entry.config), entry.daemon.settings.config_apply);
+  ck_assert_int_eq (put_job ("/calc/"), 405);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -252,5 +270,6 @@
   tcase_add_test (tc, overloaded_entry_rejects_before_the_engine);
   tcase_add_test (tc, repeated_job_reaches_the_engine);
   tcase_add_test (tc, configuration_does_not_wait_for_the_engine);
+  tcase_add_test (tc, outdated_configuration_denies_no_queue);
   return run_suite ("front", tc);
 }
