Tell runs that end with a crash of their worker from others

A run that is lost with its worker was reported as lapsed, like one of a silent worker; nothing told whether it was there alone.

A guard reports crashed, or crashed-alone, when the worker comes back as another lifetime without having said that it leaves, or when its lease ends while holds are refused. MdHttpAsyncResponse tells a refused connection from others. No decision changes.

Checked: test-runqueue, test-guard-worker, test-http-async, test-entry-guards.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -579,7 +579,7 @@
 
   unlink_order (order);
   learn_run_time (entry, order, result, run);
-  if (result == MD_RUN_LEASE_EXPIRED)
+  if (result == MD_RUN_LEASE_EXPIRED || md_run_is_crash (result))
     md_count (MD_M_RUNS_LOST, 1);
   if (job != NULL)
     {
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -88,6 +88,15 @@
     }
 }
 
+/* How the started runs ended with the worker's process. */
+static MdRunResult
+crash_result (const MdRunGuard *guard)
+{
+  if (guard->worker.report.state != MD_WORKER_READY)
+    return MD_RUN_LEASE_EXPIRED; /* it had said that it leaves */
+  return guard->queue.running.n == 1 ? MD_RUN_CRASHED_ALONE : MD_RUN_CRASHED;
+}
+
 /* Switches to a new lifetime of the worker. All runs of the former lifetime have ended. */
 static void
 begin_lifetime (MdRunGuard *guard, const char *id, int64_t born_ms)
@@ -96,7 +105,7 @@
 
   md_log (MD_LOG_INFO, "worker-lifetime", "worker=%s born_ms=%lld former=%s former_born_ms=%lld",
           id, (long long)born_ms, worker->id, (long long)worker->report.born_ms);
-  end_started_runs (guard, MD_RUN_LEASE_EXPIRED);
+  end_started_runs (guard, crash_result (guard));
   md_str_copy (worker->id, sizeof worker->id, md_str (id));
   worker->report = (MdWorkerReport){ .born_ms = born_ms };
   worker->has_report = false;
@@ -473,6 +482,7 @@
   MdHoldResponse hold = { 0 };
 
   guard->hold_in_progress = false;
+  guard->worker.refused = response->refused;
   guard->now = md_now ();
   guard->hold_due
       = guard->now + (guard->worker.reachable ? HOLD_RETRY_DELAY : HOLD_RETRY_UNREACHABLE);
@@ -654,8 +664,9 @@
     }
   if (guard->queue.running.n > 0 && guard->now >= worker->lease_until)
     {
-      md_log (MD_LOG_WARN, "lease-lapsed", "worker=%s runs=%u", worker->id, guard->queue.running.n);
-      end_started_runs (guard, MD_RUN_LEASE_EXPIRED);
+      md_log (MD_LOG_WARN, "lease-lapsed", "worker=%s runs=%u refused=%d", worker->id,
+              guard->queue.running.n, worker->refused);
+      end_started_runs (guard, worker->refused ? crash_result (guard) : MD_RUN_LEASE_EXPIRED);
     }
   if (guard->queue.running.n > 0)
     return worker->lease_until;
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -117,6 +117,7 @@
                                   extended */
   MdTime last_response_at;     /* when a hold was last answered */
   bool reachable;              /* holds are being answered */
+  bool refused;                /* the last hold found nobody listening */
 } MdGuardWorker;
 
 /* The record of the worker in the store. It is read once after the start of the process, and
--- a/net/http-async.c
+++ b/net/http-async.c
@@ -15,6 +15,7 @@
 #include "http-async.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <sys/epoll.h>
@@ -392,6 +393,15 @@
   return MD_OK;
 }
 
+static bool
+was_refused (const Call *call)
+{
+  long number = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_OS_ERRNO, &number);
+  return number == ECONNREFUSED;
+}
+
 static void
 finish_call (Call *call, CURLcode code)
 {
@@ -410,6 +420,7 @@
                   call->reason[0] != '\0' ? call->reason : curl_easy_strerror (code));
   if (code == CURLE_OPERATION_TIMEDOUT && response.elapsed >= MIN_SILENCE)
     call->http->silent_at = md_now ();
+  response.refused = code == CURLE_COULDNT_CONNECT && was_refused (call);
   curl_multi_remove_handle (call->http->multi, call->easy);
   unlink_active (call);
   call->done (call->user, &response);
--- a/net/http-async.h
+++ b/net/http-async.h
@@ -26,7 +26,8 @@
   MdStr body;     /* of the response; valid during the callback */
   MdTime elapsed; /* since md_http_start */
   MdError error;  /* set when status is 0; after MD_E_TIMEOUT and MD_E_IO it is unknown
-                     whether the server has processed the call */
+                     whether the server has processed the call, unless it was refused */
+  bool refused;   /* nobody listens at the address: the request was not sent */
 } MdHttpAsyncResponse;
 
 typedef void (*MdHttpDone) (void *user, const MdHttpAsyncResponse *response);
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -72,9 +72,17 @@
   MD_RUN_GANG_INCOMPLETE, /* the other runs of its gang did not arrive at the guards */
   MD_RUN_REJECTED,        /* not started by this guard, and never will be */
   MD_RUN_STALE,           /* rejected: the worker has seen a higher run number of the task */
+  MD_RUN_CRASHED,         /* the worker ended without notice while it and others ran there */
+  MD_RUN_CRASHED_ALONE,   /* the same, and nothing else ran there */
   MD_RUN_RESULT_COUNT
 } MdRunResult;
 
+static inline bool
+md_run_is_crash (MdRunResult result)
+{
+  return result == MD_RUN_CRASHED || result == MD_RUN_CRASHED_ALONE;
+}
+
 /* md_run_result_name: the name of the result in log lines, "unknown" for other values. */
 const char *md_run_result_name (MdRunResult result);
 
--- a/sched/runqueue.c
+++ b/sched/runqueue.c
@@ -33,7 +33,8 @@
 #define DEFAULT_RUN_TIME (200 * MD_MS)   /* of a run without an estimate */
 
 static const char *const run_result_names[MD_RUN_RESULT_COUNT]
-    = { "done", "failed", "stopped", "lapsed", "broken", "alone", "rejected", "stale" };
+    = { "done",  "failed",   "stopped", "lapsed",  "broken",
+        "alone", "rejected", "stale",   "crashed", "crashed-alone" };
 
 const char *
 md_run_result_name (MdRunResult result)
