Let a hold that was refused extend no lease

A refused connection means that the hold was not sent; the lease is what it was before. Ruled out: ending the runs at the first refusal, since a worker that is cut off with refusals runs on until its lease ends.

test-guard-worker run_of_a_crashed_worker_ends_with_its_lease fails before: test timeout, the run never ends.

--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -474,6 +474,14 @@
   update_accepting (guard);
 }
 
+/* A hold that was refused has not reached the worker, so that it extends no lease. */
+static void
+undo_extension (MdRunGuard *guard)
+{
+  if (guard->worker.lease_until == guard->lease_after)
+    guard->worker.lease_until = guard->lease_before;
+}
+
 static void
 on_hold_response (void *user, const MdHttpAsyncResponse *response)
 {
@@ -483,6 +491,8 @@
 
   guard->hold_in_progress = false;
   guard->worker.refused = response->refused;
+  if (response->refused)
+    undo_extension (guard);
   guard->now = md_now ();
   guard->hold_due
       = guard->now + (guard->worker.reachable ? HOLD_RETRY_DELAY : HOLD_RETRY_UNREACHABLE);
@@ -528,8 +538,10 @@
                                             &order, wait + margin, on_hold_response, guard)
                             == MD_OK;
   guard->hold_due = guard->now + HOLD_RETRY_DELAY;
+  guard->lease_before = guard->worker.lease_until;
   if (lease_deadline_ms (guard) > 0)
     extend_lease (guard);
+  guard->lease_after = guard->worker.lease_until;
 }
 
 /* ------------------------------------------------------------------ */
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -162,6 +162,8 @@
   MdTime hold_due;       /* when to send the next hold; valid when none is in progress */
   MdTime hold_sent;      /* when the last hold was sent */
   uint64_t hold_token;   /* fencing token of the last hold */
+  MdTime lease_before;   /* worker.lease_until before the last hold */
+  MdTime lease_after;    /* worker.lease_until after it, if the worker receives it */
   bool last_hold_failed; /* the last hold was not answered */
   MdTime lossy_until;    /* calls to the worker get lost; hold with short timeouts */
   MdTime start_after;    /* no starts before this time, after a rejection for lack of
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -4,17 +4,20 @@
    the place of the worker where its responses matter; otherwise the worker's address leads
    nowhere. */
 
+#include "port.h"
 #include "run-guard.h"
 #include "scripted-server.h"
 #include "suite.h"
 
 #include <stdio.h>
+#include <unistd.h>
 
 #define PASSES 20000 /* only ends a broken run */
 #define ENTRY 42     /* incarnation of the entry that ordered the runs */
 
 static MdRunGuard guard;
 static MdGuardPeer *peer;
+static int held_port; /* bound and not listening, so that connections are refused */
 
 /* The scripted worker; its server runs only in the tests that start it. */
 static struct
@@ -303,6 +306,40 @@
   ck_assert_int_eq (worker.writes, n);
 }
 
+/* Sets a worker whose process has ended: nobody listens at its address. */
+static void
+crash_worker (void)
+{
+  MdGuardWorker *state = &guard.worker;
+  unsigned port = hold_port (&held_port);
+
+  ck_assert_uint_gt (port, 0);
+  snprintf (guard.daemon.settings.worker_address, MD_ADDRESS_BYTES, "127.0.0.1:%u", port);
+  state->reachable = true;
+  state->clean = true;
+  state->has_report = true;
+  state->report.state = MD_WORKER_READY;
+  state->last_response_at = guard.now;
+  peer->echo = guard.now + 3600 * MD_SECOND; /* its entry is always heard */
+}
+
+/* Guards against runs that are not known to be lost until the worker is back after seconds, because
+   each hold counts as an extension of its lease although nobody received it (issue 29). */
+START_TEST (run_of_a_crashed_worker_ends_with_its_lease)
+{
+  crash_worker ();
+  add_waiting ();
+  ck_assert_ptr_nonnull (md_runqueue_next (&guard.queue, guard.now));
+  guard.worker.lease_until = guard.now + 100 * MD_MS;
+  guard.hold_in_progress = false;
+  for (int i = 0; i < PASSES && guard.queue.running.n > 0; i++)
+    poll_guard ();
+  ck_assert_uint_eq (guard.queue.running.n, 0);
+  ck_assert_int_eq (peer->ends->result, MD_RUN_CRASHED_ALONE);
+  close (held_port);
+}
+END_TEST
+
 /* Guards against a worker that is used again although it was leaving: a guard that is killed within
    seconds of the worker's report starts again from a record that says "ready". */
 START_TEST (leaving_worker_is_recorded_at_once)
@@ -326,6 +363,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, waiting_run_is_started);
   tcase_add_test (tc, waiting_run_of_a_silent_entry_is_not_started);
+  tcase_add_test (tc, run_of_a_crashed_worker_ends_with_its_lease);
   tcase_add_test (tc, leaving_worker_is_recorded_at_once);
   tcase_add_test (tc, ends_of_an_entry_learned_again_have_higher_numbers);
   tcase_add_test (tc, executed_start_without_response_is_not_repeated);
