Reject starts at once when the worker refuses the connection

A start whose connection is refused was not sent, so the run is rejected and its entry places it elsewhere. The first refusal, of a start or a hold, closes the queue as six unanswered holds did before. Ruled out: doing so after any failed call, since a reset may follow a start that was carried out.

test-guard-worker refused_start_is_rejected_at_once fails before: test timeout, the run stays.

--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -482,6 +482,28 @@
     guard->worker.lease_until = guard->lease_before;
 }
 
+static void
+mark_unreachable (MdRunGuard *guard)
+{
+  MdGuardWorker *worker = &guard->worker;
+
+  worker->reachable = false;
+  guard->state_version++;
+  md_log (MD_LOG_WARN, "worker-unreachable", "worker=%s silent_ms=%lld refused=%d", worker->id,
+          (long long)((guard->now - worker->last_response_at) / MD_MS), worker->refused);
+  update_accepting (guard);
+}
+
+/* Nobody listens at the worker's address: its process has ended, or it is cut off. Runs that wait
+   here are better off at other workers. */
+static void
+handle_refusal (MdRunGuard *guard)
+{
+  guard->worker.refused = true;
+  if (guard->worker.reachable)
+    mark_unreachable (guard);
+}
+
 static void
 on_hold_response (void *user, const MdHttpAsyncResponse *response)
 {
@@ -491,9 +513,12 @@
 
   guard->hold_in_progress = false;
   guard->worker.refused = response->refused;
-  if (response->refused)
-    undo_extension (guard);
   guard->now = md_now ();
+  if (response->refused)
+    {
+      undo_extension (guard);
+      handle_refusal (guard);
+    }
   guard->hold_due
       = guard->now + (guard->worker.reachable ? HOLD_RETRY_DELAY : HOLD_RETRY_UNREACHABLE);
   if (response->status == 200
@@ -592,6 +617,12 @@
   if (run == NULL || !run->start_in_progress)
     return;
   run->start_in_progress = false;
+  if (response->refused)
+    {
+      handle_refusal (guard);
+      md_guard_end_run (guard, run, MD_RUN_REJECTED, "");
+      return;
+    }
   if (response->status == 0)
     {
       fence_start (guard, run, call, &response->error);
@@ -667,13 +698,7 @@
   MdGuardWorker *worker = &guard->worker;
 
   if (worker->reachable && guard->now >= worker->last_response_at + UNREACHABLE_AFTER)
-    {
-      worker->reachable = false;
-      guard->state_version++;
-      md_log (MD_LOG_WARN, "worker-unreachable", "worker=%s silent_ms=%lld", worker->id,
-              (long long)((guard->now - worker->last_response_at) / MD_MS));
-      update_accepting (guard);
-    }
+    mark_unreachable (guard);
   if (guard->queue.running.n > 0 && guard->now >= worker->lease_until)
     {
       md_log (MD_LOG_WARN, "lease-lapsed", "worker=%s runs=%u refused=%d", worker->id,
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -323,6 +323,23 @@
   peer->echo = guard.now + 3600 * MD_SECOND; /* its entry is always heard */
 }
 
+/* Guards against starts that are sent to a worker whose process has ended, and wait for the end of its
+   lease although they were never received (issue 29). */
+START_TEST (refused_start_is_rejected_at_once)
+{
+  crash_worker ();
+  guard.worker.lease_until = guard.now + 3600 * MD_SECOND;
+  guard.worker.last_response_at = guard.worker.lease_until;
+  add_waiting ();
+  for (int i = 0; i < PASSES && guard.queue.waiting.n + guard.queue.running.n > 0; i++)
+    poll_guard ();
+  ck_assert_uint_eq (guard.queue.waiting.n + guard.queue.running.n, 0);
+  ck_assert_int_eq (peer->ends->result, MD_RUN_REJECTED);
+  ck_assert (!md_guard_accepts_runs (&guard));
+  close (held_port);
+}
+END_TEST
+
 /* Guards against runs that are not known to be lost until the worker is back after seconds, because
    each hold counts as an extension of its lease although nobody received it (issue 29). */
 START_TEST (run_of_a_crashed_worker_ends_with_its_lease)
@@ -363,6 +380,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, waiting_run_is_started);
   tcase_add_test (tc, waiting_run_of_a_silent_entry_is_not_started);
+  tcase_add_test (tc, refused_start_is_rejected_at_once);
   tcase_add_test (tc, run_of_a_crashed_worker_ends_with_its_lease);
   tcase_add_test (tc, leaving_worker_is_recorded_at_once);
   tcase_add_test (tc, ends_of_an_entry_learned_again_have_higher_numbers);
