Give up a task that crashes the workers that run it

Class of the fault: a retry without a bound on the harm that each attempt does to others. Entries count the crashes under each task. Who is to blame is not known after one crash, so a task is blamed for a second one only if nothing else ran on that worker, and for a third in any case; its job is then answered failed. So is a job that is suspect at its deadline: after 504 its caller would repeat it, and another entry would count from nothing. Ruled out: giving up after two crashes in any case (innocent tasks beside a deadly one would fail), and never blaming a task that was not alone.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -534,6 +534,9 @@
     case MD_RUNJOB_FAILED:
       md_entry_finish_job (entry, job, 200, MD_PLATFORM_FAILED, "task-failed", 0);
       break;
+    case MD_RUNJOB_CRASHING:
+      md_entry_finish_job (entry, job, 200, MD_PLATFORM_FAILED, "task-crashes-workers", 0);
+      break;
     case MD_RUNJOB_ACTIVE:
       if (job->giving_up)
         finish_given_up (entry, job);
@@ -599,10 +602,11 @@
         end_gang (job, order->step);
       if (result != MD_RUN_DONE)
         md_log (MD_LOG_INFO, "run-ended",
-                "job=%s request=%s step=%u task=%u run=%u guard=%s how=%s run_ms=%lld left_ms=%lld",
+                "job=%s request=%s step=%u task=%u run=%u guard=%s how=%s run_ms=%lld left_ms=%lld "
+                "crashes=%u",
                 job->id, job->request_id, order->step, order->task, order->run_number,
                 order->guard->name, md_run_result_name (result), (long long)(run / MD_MS),
-                (long long)((job->deadline - entry->now) / MD_MS));
+                (long long)((job->deadline - entry->now) / MD_MS), task->crashes);
     }
   free (order);
   if (job != NULL)
@@ -759,7 +763,10 @@
 {
   if (entry->now >= job->deadline)
     {
-      if (job->runjob.started || job->runjob.ordered > 0)
+      /* Its caller would repeat it, and another entry would begin to count from nothing. */
+      if (md_runjob_is_suspect (&job->runjob))
+        md_entry_finish_job (entry, job, 200, MD_PLATFORM_FAILED, "task-crashes-workers", 0);
+      else if (job->runjob.started || job->runjob.ordered > 0)
         md_entry_finish_job (entry, job, STATUS_GIVEN_UP, NULL, "deadline", 0);
       else
         md_entry_finish_job (entry, job, 503, NULL, "deadline", MD_RETRY_AFTER_NO_WORKER);
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -479,6 +479,7 @@
   MdRunTaskState state;
   uint32_t run_number;   /* number of the last run that was ordered, ascending from 1 */
   uint32_t failures;     /* runs that FAILED */
+  uint32_t crashes;      /* runs whose worker crashed */
   uint32_t rejections;   /* runs that were REJECTED or STALE */
   MdWorker *last_worker; /* on which a run last failed or was rejected, NULL none */
   void *order;           /* of the caller; valid in ORDERED */
@@ -501,6 +502,7 @@
   MD_RUNJOB_ACTIVE,    /* has tasks that have not ended */
   MD_RUNJOB_COMPLETED, /* every task is done */
   MD_RUNJOB_FAILED,    /* a task has failed max_attempts times */
+  MD_RUNJOB_CRASHING,  /* a task crashes the workers that run it */
 } MdRunJobState;
 
 typedef struct
@@ -540,8 +542,12 @@
 /* md_runjob_record_end: record the result of an ORDERED task's run; no effect in another
    state. After DONE the task has ended, and steps that depended only on done steps become
    READY. After FAILED it is READY again unless it has failed max_attempts times, which
-   fails the job. After any other result it is READY again. In a gang, this is decided once
-   all its runs have ended. */
+   fails the job. After any other result it is READY again, unless it is to blame for crashes of
+   workers, which ends the job as CRASHING. In a gang, this is decided once all its runs have
+   ended; the blame for a crash at once. */
 void md_runjob_record_end (MdRunJob *job, uint32_t step, uint32_t task, MdRunResult result);
 
+/* md_runjob_is_suspect: whether two workers or more have crashed under a task of the job. */
+bool md_runjob_is_suspect (const MdRunJob *job);
+
 #endif
--- a/sched/runjob.c
+++ b/sched/runjob.c
@@ -3,13 +3,20 @@
    A step becomes ready when the steps that it depends on are done. A task whose run ended
    without DONE becomes ready again: always if nothing ran or the worker failed, and until it
    has failed max_attempts times if the task itself failed. The runs of a gang count as one:
-   its tasks become ready again together, when the last of them has ended. */
+   its tasks become ready again together, when the last of them has ended.
+
+   Load pattern: a task that crashes each worker that starts it, and each crash takes the runs of
+   others with it. Who is to blame is not known after one crash, only who was there. A task is
+   blamed for a second crash if nothing else ran on that worker, and for a third in any case. */
 
 #include "run-sched.h"
 
 #include <stdlib.h>
 #include <string.h>
 
+#define MIN_CRASHES 2 /* of workers under a task until it is given up */
+#define MAX_CRASHES 3 /* the task is given up even if others ran on the workers */
+
 void
 md_run_spec_clear (MdRunSpec *spec)
 {
@@ -172,6 +179,19 @@
   job->ready += job->spec.steps[step].n_tasks;
 }
 
+/* Counts a crash of the worker under a task; returns whether the task is to blame. */
+static bool
+record_crash (MdRunJob *job, MdRunTask *task, MdRunResult result)
+{
+  task->crashes++;
+  if (task->crashes < MAX_CRASHES
+      && !(task->crashes >= MIN_CRASHES && result == MD_RUN_CRASHED_ALONE))
+    return false;
+  task->state = MD_TASK_ENDED;
+  job->state = MD_RUNJOB_CRASHING;
+  return true;
+}
+
 static void
 record_gang_member_end (MdRunJob *job, uint32_t step, MdRunTask *task, MdRunResult result)
 {
@@ -215,6 +235,8 @@
   job->ordered--;
   job->gangs[step].ordered--;
   task->order = NULL;
+  if (md_run_is_crash (result) && record_crash (job, task, result))
+    return;
   if (job->spec.steps[step].gang)
     {
       record_gang_member_end (job, step, task, result);
@@ -243,3 +265,13 @@
   task->state = MD_TASK_READY;
   job->ready++;
 }
+
+bool
+md_runjob_is_suspect (const MdRunJob *job)
+{
+  for (uint32_t i = 0; i < job->spec.n_steps; i++)
+    for (uint32_t k = 0; k < job->spec.steps[i].n_tasks; k++)
+      if (job->tasks[i][k].crashes >= MIN_CRASHES)
+        return true;
+  return false;
+}
--- a/tests/platform-worker.c
+++ b/tests/platform-worker.c
@@ -2,7 +2,8 @@
 
    It registers at a guard, takes starts, stops and holds, and keeps leases. A run
    lasts as long as its spec says ("ms=120", with " fail" to fail), divided by --speed. A
-   spec with " advised" needs the permit "WORKER/STEP" of the advisory service.
+   spec with " deadly" ends the process, which is back half a second later. A spec with
+   " advised" needs the permit "WORKER/STEP" of the advisory service.
 
    The journal is the judge of double runs: lines "start TASK RUN MS ID",
    "end TASK RUN HOW MS", "drain - 0 MS ID" and "undrain - 0 MS ID", with the wall
@@ -13,6 +14,8 @@
    once), hang (runs stand still), drain (the worker reports that it leaves), quiet (it
    reports nothing). */
 
+#define _GNU_SOURCE /* close_range */
+
 #include "http-client.h"
 #include "http-server.h"
 #include "md-private.h"
@@ -76,6 +79,7 @@
   char *guard;
   char *service;
   char *journal;
+  char **argv; /* of the process */
   double speed;
   int cpu;
   int journal_fd;
@@ -123,6 +127,19 @@
     fprintf (stderr, "journal: not written\n");
 }
 
+/* Starts the program anew after a pause in which nobody listens. */
+static void
+crash (void)
+{
+  struct timespec pause = { 0, 500000000 };
+
+  note ("crash - 0 %lld %s\n", (long long)md_wall_ms (), w.id);
+  close_range (3, ~0U, 0);
+  nanosleep (&pause, NULL);
+  execv ("/proc/self/exe", w.argv);
+  _exit (1);
+}
+
 /* ------------------------------------------------------------------ */
 /* Runs; the lock is held                                             */
 
@@ -270,6 +287,8 @@
   w.used_cpu += slot->cpu;
   w.n_runs++;
   note ("start %s %d %lld %s\n", task, run, (long long)md_wall_ms (), w.id);
+  if (strstr (spec, " deadly") != NULL)
+    crash ();
   return NULL;
 }
 
@@ -489,6 +508,7 @@
   struct mg_context *server;
   pthread_t clock_thread;
 
+  w.argv = (char **)argv;
   if (poptGetNextOpt (context) != -1 || w.listen == NULL || w.guard == NULL)
     {
       poptPrintUsage (context, stderr, 0);
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -322,6 +322,52 @@
     md_runjob_record_order (job, 0, k, NULL);
 }
 
+/* Guards against a task that crashes one worker after another (issue 29). */
+START_TEST (task_that_crashes_workers_is_given_up)
+{
+  MdRunJob job;
+
+  job_init (&job, 1);
+  end_task (&job, 0, 0, MD_RUN_CRASHED);
+  ck_assert_int_eq (job.state, MD_RUNJOB_ACTIVE);
+  ck_assert (!md_runjob_is_suspect (&job));
+  end_task (&job, 0, 0, MD_RUN_CRASHED_ALONE);
+  ck_assert_int_eq (job.state, MD_RUNJOB_CRASHING);
+  md_runjob_clear (&job);
+
+  gang_init (&job);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      order_gang (&job);
+      for (uint32_t k = 0; k < 3 && job.state == MD_RUNJOB_ACTIVE; k++)
+        md_runjob_record_end (&job, 0, k, MD_RUN_CRASHED_ALONE);
+    }
+  ck_assert_int_eq (job.state, MD_RUNJOB_CRASHING);
+  md_runjob_clear (&job);
+}
+END_TEST
+
+/* Guards against a job that fails because a task shared two workers with one that crashed them, and
+   against a task that is never blamed because it never ran alone. */
+START_TEST (task_that_shared_crashed_workers_has_another_chance)
+{
+  MdRunJob job;
+
+  job_init (&job, 1);
+  end_task (&job, 0, 0, MD_RUN_CRASHED_ALONE);
+  end_task (&job, 0, 0, MD_RUN_CRASHED);
+  ck_assert_int_eq (job.state, MD_RUNJOB_ACTIVE);
+  ck_assert (md_runjob_is_suspect (&job));
+  ck_assert_int_eq (job.tasks[0][0].state, MD_TASK_READY);
+  end_task (&job, 0, 1, MD_RUN_CRASHED);
+  end_task (&job, 0, 0, MD_RUN_LEASE_EXPIRED);
+  ck_assert_int_eq (job.state, MD_RUNJOB_ACTIVE);
+  end_task (&job, 0, 0, MD_RUN_CRASHED);
+  ck_assert_int_eq (job.state, MD_RUNJOB_CRASHING);
+  md_runjob_clear (&job);
+}
+END_TEST
+
 /* Guards against a member that is ordered again while the others of its gang still run
    (its run number would differ from theirs), and against a second count of one end. */
 START_TEST (gang_goes_together)
@@ -480,6 +526,8 @@
   tcase_add_test (tc, retries_are_spread);
   tcase_add_test (tc, steps_wait_for_those_before);
   tcase_add_test (tc, only_failures_use_up_attempts);
+  tcase_add_test (tc, task_that_crashes_workers_is_given_up);
+  tcase_add_test (tc, task_that_shared_crashed_workers_has_another_chance);
   tcase_add_test (tc, gang_goes_together);
   tcase_add_test (tc, gang_ends_as_one);
   tcase_add_test (tc, unsupported_jobs_are_told_apart);
