--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -223,6 +223,42 @@
 }
 END_TEST
 
+/* Guards against one odd entry that ends the reading of a whole list (issue 29). */
+START_TEST (odd_entries_leave_the_others)
+{
+  static const char *const odd[] = { "{\"key\":\"x\",\"value\":99999999999999999999999}",
+                                     "{\"key\":\"x\",\"offset\":1e999}",
+                                     "{\"key\":\"a\\u0000b\",\"value\":7}",
+                                     "{\"key\":\"\xff\xfe\",\"value\":7}",
+                                     "{\"key\":\"\1\",\"value\":7}",
+                                     "DEEP",
+                                     "[]",
+                                     "null" };
+  char deep[8192] = "";
+
+  memset (deep, '[', 3000);
+  memset (deep + 3000, ']', 3000);
+  for (size_t i = 0; i < MD_ARRAY_SIZE (odd); i++)
+    {
+      MD_AUTO_BUF text = { 0 };
+      Records records = { 0 };
+      uint64_t next = 0;
+      bool more = true;
+
+      md_buf_printf (&text,
+                     "{\"items\":[%s,{\"key\":\"config\",\"value\":\"eHl6\",\"offset\":4}],"
+                     "\"has_more\":false,\"end_offset\":6}",
+                     strcmp (odd[i], "DEEP") == 0 ? deep : odd[i]);
+      ck_assert_int_eq (md_platform_parse_newest_response (md_buf_str (&text), keep_record,
+                                                           &records, &next, &more, NULL),
+                        MD_OK);
+      ck_assert_uint_eq (records.n, 1);
+      ck_assert_str_eq (records.keys[0], "config");
+      ck_assert_uint_eq (next, 6);
+    }
+}
+END_TEST
+
 static const char config_text[]
     = "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h.example\",\"path_prefix\":\"/p/\","
       "\"service\":\"calc\",\"timeout_ms\":1500,\"target_latency_ms\":60,\"slack_factor\":1.6,"
@@ -376,6 +412,7 @@
   tcase_add_test (tc, rejections_are_told_apart);
   tcase_add_test (tc, records_are_decoded);
   tcase_add_test (tc, newest_records_are_decoded);
+  tcase_add_test (tc, odd_entries_leave_the_others);
   tcase_add_test (tc, longest_prefix_wins);
   tcase_add_test (tc, memory_of_a_worker_is_kept_whole);
   tcase_add_test (tc, any_bytes_are_survived);
