--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -91,15 +91,22 @@
 /* Another writer's report names no worker to use. */
 START_TEST (strange_workers_are_refused)
 {
-  static const char *const texts[]
-      = { "{}",
-          "7",
-          "{\"service\":\"calc\",\"state\":\"resting\",\"capacity\":{\"cpu\":1}}",
-          "{\"service\":7,\"state\":\"ready\",\"capacity\":{\"cpu\":1}}",
-          "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":\"large\"}",
-          "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":-4}}",
-          "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1e30}}",
-          "\xff\xfe" };
+  static const char *const texts[] = {
+    "{}",
+    "7",
+    "{\"service\":\"calc\",\"state\":\"resting\",\"capacity\":{\"cpu\":1}}",
+    "{\"service\":7,\"state\":\"ready\",\"capacity\":{\"cpu\":1}}",
+    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":\"large\"}",
+    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":-4}}",
+    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1e30}}",
+    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"mem_mb\":-1}}",
+    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"mem_mb\":4294967296}}",
+    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"gpu\":\"all\"}}",
+    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1},\"sequence\":-1}",
+    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1},"
+    "\"sequence\":9223372036854775807}",
+    "\xff\xfe"
+  };
   MdWorkerReport report;
 
   for (size_t i = 0; i < MD_ARRAY_SIZE (texts); i++)
@@ -259,6 +266,27 @@
 }
 END_TEST
 
+/* Guards against the same in the lists of a worker, and against a number that is cut to 32 bits and
+   then names another run. */
+START_TEST (odd_rows_leave_the_others)
+{
+  static const char text[]
+      = "{\"clock_ms\":482113,\"running\":[[\"5c.0.1.17\",99999999999999999999],"
+        "[\"5c.0.1.17\",4294967298],[\"5c.0.1.17\",-1],[\"5c.0.1.17\",2]],"
+        "\"finished\":[[-1,\"5c.0.1.9\",1,\"done\",\"\"],[58,\"5c.0.1.9\",4294967297,\"done\",\"\"]"
+        ","
+        "[59,\"5c.0.1.8\",3,\"done\",\"\"]]}";
+  MdHoldResponse held;
+
+  ck_assert_int_eq (md_platform_parse_hold_response (md_str (text), &held, NULL), MD_OK);
+  ck_assert_uint_eq (held.n_runs, 1);
+  ck_assert_uint_eq (held.runs[0].run_number, 2);
+  ck_assert_uint_eq (held.n_ends, 1);
+  ck_assert_uint_eq (held.ends[0].number, 59);
+  md_hold_response_clear (&held);
+}
+END_TEST
+
 static const char config_text[]
     = "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h.example\",\"path_prefix\":\"/p/\","
       "\"service\":\"calc\",\"timeout_ms\":1500,\"target_latency_ms\":60,\"slack_factor\":1.6,"
@@ -413,6 +441,7 @@
   tcase_add_test (tc, records_are_decoded);
   tcase_add_test (tc, newest_records_are_decoded);
   tcase_add_test (tc, odd_entries_leave_the_others);
+  tcase_add_test (tc, odd_rows_leave_the_others);
   tcase_add_test (tc, longest_prefix_wins);
   tcase_add_test (tc, memory_of_a_worker_is_kept_whole);
   tcase_add_test (tc, any_bytes_are_survived);
