--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -287,6 +287,17 @@
 }
 END_TEST
 
+/* Guards against a key that changes the meaning of the query. */
+START_TEST (key_is_escaped_in_the_query)
+{
+  MD_AUTO_CALL call = { 0 };
+
+  md_platform_newest (&call, "keyed.op", MD_STR ("a b&part=1#\xff"));
+  ck_assert_str_eq (call.target.data,
+                    "/v1/log-newest?topic=keyed.op&part=0&depends_on=a%20b%26part%3D1%23%FF");
+}
+END_TEST
+
 static const char config_text[]
     = "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h.example\",\"path_prefix\":\"/p/\","
       "\"service\":\"calc\",\"timeout_ms\":1500,\"target_latency_ms\":60,\"slack_factor\":1.6,"
@@ -442,6 +453,7 @@
   tcase_add_test (tc, newest_records_are_decoded);
   tcase_add_test (tc, odd_entries_leave_the_others);
   tcase_add_test (tc, odd_rows_leave_the_others);
+  tcase_add_test (tc, key_is_escaped_in_the_query);
   tcase_add_test (tc, longest_prefix_wins);
   tcase_add_test (tc, memory_of_a_worker_is_kept_whole);
   tcase_add_test (tc, any_bytes_are_survived);
