Run a task alone after a worker has crashed under it

Since lost runs are noticed when the lease ends, tasks were placed again beside others within the time of their callers: a deadly task crashed two workers instead of one, and the seven that had been beside it were suspects of both.

A suspect task is ordered alone, on an idle worker; the guard starts nothing beside it and reports no free capacity meanwhile. Another worker has to be idle too, so that near a peak the task waits rather than take a worker from others.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -247,6 +247,7 @@
   out->work_us = (uint64_t)order->work;
   out->start_within_us = order->start_within - (now - order->placed_at);
   out->permit = order->permit;
+  out->alone = order->alone;
   out->checkpoint = job->runjob.tasks[order->step][order->task].checkpoint;
   order->sent = true;
 }
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -654,6 +654,7 @@
   MdTime stay;
 
   md_entry_requirements (entry, job, order->step, &need);
+  need.alone = order->alone;
   if (!md_entry_apply_advice (entry, job, order->step, &need))
     return;
   other = md_place (&entry->workers, &need, NULL, current, entry->now);
@@ -669,7 +670,8 @@
           (long long)(stay / MD_MS), (long long)((other.wait + other.run_time) / MD_MS),
           (long long)((entry->now - order->placed_at) / MD_MS));
   md_count (MD_M_RUNS_MOVED, 1);
-  md_worker_reserve (other.worker, need.resources, other.run_time);
+  md_worker_reserve (other.worker, need.alone ? other.worker->capacity : need.resources,
+                     other.run_time);
   md_entry_withdraw (order);
 }
 
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -84,6 +84,7 @@
   need->limit = job->limit - entry->now;
   need->max_per_worker = spec->max_per_worker;
   need->excluded = NULL;
+  need->alone = false;
 }
 
 /* Counts the tasks of a step on each worker, for the limit per worker. Returns an array with an
@@ -122,6 +123,7 @@
   order->task = index;
   order->run_number = ++task->run_number + job->run_number_offset;
   order->need = need->resources;
+  order->alone = need->alone;
   order->declared_run = job->runjob.spec.steps[step].declared_time;
   order->placed_at = entry->now;
   order->expected_wait = placement->wait;
@@ -134,7 +136,8 @@
                                            entry->now)));
   md_runjob_record_order (&job->runjob, step, index, order);
   placement->worker->outstanding++;
-  md_worker_reserve (placement->worker, need->resources, placement->run_time);
+  md_worker_reserve (placement->worker, need->alone ? placement->worker->capacity : need->resources,
+                     placement->run_time);
   md_entry_send_order (entry, order);
   md_log (MD_LOG_INFO, "run-placed",
           "job=%s step=%u task=%u run=%u guard=%s wait_ms=%lld run_ms=%lld slack_ms=%lld "
@@ -217,8 +220,11 @@
       if (task->state != MD_TASK_READY)
         continue;
       need.goal = time_to_goal (entry, job, task);
+      need.alone = task->crashes > 0 && !job->runjob.spec.steps[step].gang;
       placement
           = md_place (&entry->workers, &need, per_worker_count, task->last_worker, entry->now);
+      if (placement.worker == NULL && need.alone)
+        continue; /* until a worker is idle */
       if (placement.worker == NULL)
         {
           widen_coverage (entry, job, step, &need, false);
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -116,6 +116,7 @@
   MdTime expected_run;          /* run time on this worker that was predicted at placement */
   MdTime start_within;          /* slack at placement: a start after this time misses the goal */
   char permit[MD_PERMIT_BYTES]; /* from the advisory service, empty: none */
+  bool alone;                   /* nothing else may run at the worker meanwhile */
   bool sent;                    /* has been sent to the guard */
   bool started;                 /* the guard has reported the start */
   bool withdrawn;               /* the guard was asked to end it unless it has started */
--- a/net/wire.pb-c.c
+++ b/net/wire.pb-c.c
@@ -3973,7 +3973,7 @@
   (ProtobufCMessageInit) md__worker_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_order__field_descriptors[11] =
+static const ProtobufCFieldDescriptor md__run_order__field_descriptors[12] =
 {
   {
     "id",
@@ -4107,9 +4107,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "alone",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, alone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_order__field_indices_by_name[] = {
   6,   /* field[6] = accelerators */
+  11,   /* field[11] = alone */
   9,   /* field[9] = checkpoint */
   4,   /* field[4] = cpu */
   0,   /* field[0] = id */
@@ -4124,7 +4137,7 @@
 static const ProtobufCIntRange md__run_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor md__run_order__descriptor =
 {
@@ -4134,7 +4147,7 @@
   "Md__RunOrder",
   "md",
   sizeof(Md__RunOrder),
-  11,
+  12,
   md__run_order__field_descriptors,
   md__run_order__field_indices_by_name,
   1,  md__run_order__number_ranges,
--- a/net/wire.pb-c.h
+++ b/net/wire.pb-c.h
@@ -623,10 +623,14 @@
    * of the advisory service, empty: none
    */
   char *permit;
+  /*
+   * nothing else may run at the worker meanwhile
+   */
+  protobuf_c_boolean alone;
 };
 #define MD__RUN_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_order__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Md__RunOrders
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -12,7 +12,10 @@
    worker are likewise left to long tasks, which meet their goals nowhere else. If all entries
    ranked the workers alike, they would all send to the same one between two reports. A
    small bias that differs for each pair of entry and worker prevents this: each entry fills
-   other workers first. A worker that failed runs of several jobs in a row, of any entry, is
+   other workers first. A task under which a worker has crashed is placed on an idle worker only,
+   where it runs alone: a second crash takes nothing else with it and tells whether the task is to
+   blame. Another one has to be idle as well: near a peak, where it is not, the loss of the
+   worker would cost others more than the task is worth. A worker that failed runs of several jobs in a row, of any entry, is
    avoided for some time and then tried again with one run at a time. */
 
 #include "run-sched.h"
@@ -36,6 +39,7 @@
 #define BUSY_WEIGHT 6.0
 #define STALL_PENALTY (2 * MD_SECOND) /* added to the wait at a stalled worker */
 #define MAX_REPORT_AGE (600 * MD_MS)  /* an older one says little about capacity */
+#define MIN_IDLE_WORKERS 2 /* that a task needs to run alone, so that one is left to others */
 #define OVERDUE_MARGIN (15 * MD_MS) /* a run that waits this much longer than predicted may move */
 
 bool
@@ -147,12 +151,19 @@
   return cost (a, need, fit != FIT_WAITS) < cost (b, need, fit != FIT_WAITS);
 }
 
+static bool
+is_idle (const MdWorker *worker)
+{
+  return worker->wait == 0 && md_resources_fit (worker->free, worker->capacity);
+}
+
 MdPlacement
 md_place (const MdWorkers *workers, const MdTaskRequirements *need, const uint32_t *counts,
           const MdWorker *avoid, MdTime now)
 {
   MdPlacement best = { 0 };
   MdPlacement fallback = { 0 };
+  uint32_t idle = 0;
 
   for (uint32_t i = 0; i < workers->n; i++)
     {
@@ -163,6 +174,9 @@
       if (worker->sparse || !md_worker_can_run (worker, need)
           || (need->excluded != NULL && need->excluded[i]))
         continue;
+      if (need->alone && !is_idle (worker))
+        continue;
+      idle++;
       if (need->max_per_worker > 0 && counts != NULL && counts[i] >= need->max_per_worker)
         continue;
       current = worker == avoid || is_avoided (worker, now) ? &fallback : &best;
@@ -170,6 +184,8 @@
       if (is_better (&placement, current, need))
         *current = placement;
     }
+  if (need->alone && idle < MIN_IDLE_WORKERS)
+    return (MdPlacement){ 0 };
   return best.worker != NULL ? best : fallback;
 }
 
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -111,6 +111,7 @@
   MdTime start_by;       /* if it starts later, its job misses the goal */
   MdTime sort_key;       /* orders the waiting runs: start_by, at most a fixed time after arrival */
   MdTime started_at;     /* when it left the queue; valid in STARTING and RUNNING */
+  bool alone;            /* nothing else may run at the worker meanwhile */
   void *data;            /* of the caller, not used here */
 };
 
@@ -245,6 +246,7 @@
   MdTime limit;               /* a task that ends after this time from now is worth nothing */
   uint32_t max_per_worker;    /* most tasks of the step on one worker, 0 unlimited */
   const bool *excluded;       /* for each worker: it must not run the step; NULL none */
+  bool alone;                 /* nothing else may run at the worker meanwhile */
 } MdTaskRequirements;
 
 typedef struct
--- a/sched/runqueue.c
+++ b/sched/runqueue.c
@@ -79,6 +79,13 @@
 /* ------------------------------------------------------------------ */
 /* Queue                                                              */
 
+/* What a run takes of the worker's capacity. */
+static MdResources
+reserved (const MdRunQueue *queue, const MdRun *run)
+{
+  return run->alone ? queue->capacity : run->resources;
+}
+
 /* Started runs keep their resources, so a worker whose capacity was reduced has nothing free
    until enough of them have ended. */
 static void
@@ -86,7 +93,7 @@
 {
   queue->free = queue->capacity;
   for (const MdRun *run = queue->running.first; run != NULL; run = run->next)
-    md_resources_subtract (&queue->free, run->resources);
+    md_resources_subtract (&queue->free, reserved (queue, run));
 }
 
 void
@@ -129,7 +136,7 @@
   MdRun *late = NULL;
 
   for (MdRun *run = queue->waiting.first; run != NULL; run = run->next)
-    if (md_resources_fit (queue->free, run->resources))
+    if (md_resources_fit (queue->free, run->resources) && (!run->alone || queue->running.n == 0))
       {
         if (run->start_by >= now)
           return run;
@@ -146,7 +153,7 @@
   run->state = MD_RUN_STARTING;
   run->started_at = now;
   insert_before (&queue->running, NULL, run);
-  md_resources_subtract (&queue->free, run->resources);
+  md_resources_subtract (&queue->free, reserved (queue, run));
 }
 
 MdRun *
@@ -321,12 +328,14 @@
   MdTime start = now;
 
   for (const MdRun *run = queue->running.first; run != NULL; run = run->next)
-    project_end (&p, expected_end (run, speed, now), run->resources.cpu);
+    project_end (&p, expected_end (run, speed, now), reserved (queue, run).cpu);
   for (const MdRun *run = queue->waiting.first; run != NULL; run = run->next)
     {
-      start = project_start (&p, start, run->resources.cpu);
-      p.free = md_saturating_sub (p.free, run->resources.cpu);
-      project_end (&p, start + expected_time (run, speed), run->resources.cpu);
+      uint32_t cpu = reserved (queue, run).cpu;
+
+      start = project_start (&p, start, cpu);
+      p.free = md_saturating_sub (p.free, cpu);
+      project_end (&p, start + expected_time (run, speed), cpu);
     }
   return project_start (&p, start, queue->typical_cpu) - now;
 }
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -282,6 +282,28 @@
 }
 END_TEST
 
+/* Guards against a second crash that takes down the runs of others as well, and does not tell who is
+   to blame (issue 29). */
+START_TEST (suspect_runs_on_an_idle_worker)
+{
+  Fleet fleet;
+  MdTaskRequirements need = need_of (100 * MD_MS);
+
+  fleet_init (&fleet);
+  need.alone = true;
+  for (unsigned i = 1; i < N; i++)
+    if (i != 2)
+      md_resources_subtract (&fleet.worker[i].free, need.resources);
+  fleet.worker[0].speed = 0.5;
+  ck_assert_ptr_eq (md_place (&fleet.all, &need, NULL, NULL, 0).worker, &fleet.worker[2]);
+  md_worker_reserve (&fleet.worker[2], fleet.worker[2].capacity, 100 * MD_MS);
+  /* The last idle worker is left to others. */
+  ck_assert_ptr_null (md_place (&fleet.all, &need, NULL, NULL, 0).worker);
+  need.alone = false;
+  ck_assert_ptr_nonnull (md_place (&fleet.all, &need, NULL, NULL, 0).worker);
+}
+END_TEST
+
 static void
 job_init (MdRunJob *job, uint32_t attempts)
 {
@@ -526,6 +548,7 @@
   tcase_add_test (tc, retries_are_spread);
   tcase_add_test (tc, steps_wait_for_those_before);
   tcase_add_test (tc, only_failures_use_up_attempts);
+  tcase_add_test (tc, suspect_runs_on_an_idle_worker);
   tcase_add_test (tc, task_that_crashes_workers_is_given_up);
   tcase_add_test (tc, task_that_shared_crashed_workers_has_another_chance);
   tcase_add_test (tc, gang_goes_together);
--- a/tests/test-runqueue.c
+++ b/tests/test-runqueue.c
@@ -44,6 +44,33 @@
 }
 END_TEST
 
+/* Guards against runs of others at a worker that a suspect run may crash, and against a reduced capacity
+   that is given out because a run that is alone has ended. */
+START_TEST (nothing_runs_beside_a_run_that_is_alone)
+{
+  MdRunQueue queue = queue_with_capacity (3);
+  MdRun other = run_with_slack (1, 100 * MD_MS, 50 * MD_MS);
+  MdRun alone = run_with_slack (2, 100 * MD_MS, 40 * MD_MS);
+  MdRun next = run_with_slack (3, 100 * MD_MS, 60 * MD_MS);
+
+  alone.alone = true;
+  md_runqueue_add (&queue, &other, 0);
+  ck_assert_ptr_eq (md_runqueue_next (&queue, 0), &other);
+  md_runqueue_add (&queue, &alone, 0);
+  ck_assert_ptr_null (md_runqueue_next (&queue, 0));
+  md_runqueue_remove (&queue, &other, 10 * MD_MS);
+  md_runqueue_add (&queue, &next, 10 * MD_MS);
+  ck_assert_ptr_eq (md_runqueue_next (&queue, 10 * MD_MS), &alone);
+  ck_assert_uint_eq (queue.free.cpu, 0);
+  ck_assert_ptr_null (md_runqueue_next (&queue, 10 * MD_MS));
+  ck_assert_int_ge (md_runqueue_expected_wait (&queue, 10 * MD_MS), 100 * MD_MS);
+  md_runqueue_set_capacity (&queue, (MdResources){ 2 * CPU, 1024, 0 });
+  md_runqueue_remove (&queue, &alone, 20 * MD_MS);
+  ck_assert_uint_eq (queue.free.cpu, 2 * CPU);
+  ck_assert_ptr_eq (md_runqueue_next (&queue, 20 * MD_MS), &next);
+}
+END_TEST
+
 START_TEST (closed_queue_starts_nothing)
 {
   MdRunQueue queue = queue_with_capacity (1);
@@ -250,6 +277,7 @@
   TCase *tc = tcase_create ("runqueue");
 
   tcase_add_test (tc, room_is_given_once);
+  tcase_add_test (tc, nothing_runs_beside_a_run_that_is_alone);
   tcase_add_test (tc, closed_queue_starts_nothing);
   tcase_add_test (tc, urgent_run_goes_first);
   tcase_add_test (tc, patient_run_is_not_overtaken_for_long);
