Record a worker's changed capacity at once

A guard wrote its record of the worker when the lifetime or the state changed, not the capacity: a guard that is killed after its worker has shrunk starts again from the former capacity until the next report, and starts what does not fit.

A change of the capacity is written at once. Looked at and found right: reports out of order are told by their sequence, a smaller capacity leaves nothing free until enough runs have ended (test-runqueue), entries get the new one with the next report.

test-guard-worker shrunk_capacity_is_recorded_at_once fails before.

--- a/fleet/guard-memory.c
+++ b/fleet/guard-memory.c
@@ -75,8 +75,20 @@
           response->error.detail);
 }
 
-/* Whether a write is possible and due. A change of the lifetime or the state is written at once:
-   a guard that is restarted must not use a worker that was leaving. */
+/* Whether the record describes a worker that may be used for what it is not. */
+static bool
+is_misleading (const MdWorkerRecord *written, const MdGuardWorker *worker)
+{
+  const MdResources *capacity = &worker->report.capacity;
+
+  return strcmp (worker->id, written->id) != 0 || worker->report.born_ms != written->report.born_ms
+         || worker->report.state != written->report.state
+         || memcmp (capacity, &written->report.capacity, sizeof *capacity) != 0;
+}
+
+/* Whether a write is possible and due. A change of the lifetime, the state or the capacity is written
+   at once: a guard that is restarted must not use a worker that was leaving, nor start more than
+   fits on one that has shrunk. */
 static bool
 should_write (MdRunGuard *guard)
 {
@@ -85,9 +97,7 @@
 
   if (!worker->has_report || guard->worker_record.write_in_progress)
     return false;
-  if (!guard->worker_record.write_failed
-      && (strcmp (worker->id, written->id) != 0 || worker->report.born_ms != written->report.born_ms
-          || worker->report.state != written->report.state))
+  if (!guard->worker_record.write_failed && is_misleading (written, worker))
     return true;
   if (guard->now < guard->worker_record.write_due)
     return false;
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -357,6 +357,22 @@
 }
 END_TEST
 
+/* Guards against a guard that starts again with the capacity that its worker had before it shrank, and
+   starts more runs than fit (issue 29). */
+START_TEST (shrunk_capacity_is_recorded_at_once)
+{
+  start_worker ();
+  guard.daemon.store = guard.http;
+  md_str_copy (guard.daemon.settings.store_address, MD_ADDRESS_BYTES,
+               md_str (worker.server.address));
+  guard.worker.report.capacity = (MdResources){ 8000, 8000, 0 };
+  wait_for_writes (1);
+  guard.worker.report.capacity.cpu = 4000;
+  wait_for_writes (2);
+  ck_assert_uint_eq (guard.worker_record.written.report.capacity.cpu, 4000);
+}
+END_TEST
+
 /* Guards against a worker that is used again although it was leaving: a guard that is killed within
    seconds of the worker's report starts again from a record that says "ready". */
 START_TEST (leaving_worker_is_recorded_at_once)
@@ -382,6 +398,7 @@
   tcase_add_test (tc, waiting_run_of_a_silent_entry_is_not_started);
   tcase_add_test (tc, refused_start_is_rejected_at_once);
   tcase_add_test (tc, run_of_a_crashed_worker_ends_with_its_lease);
+  tcase_add_test (tc, shrunk_capacity_is_recorded_at_once);
   tcase_add_test (tc, leaving_worker_is_recorded_at_once);
   tcase_add_test (tc, ends_of_an_entry_learned_again_have_higher_numbers);
   tcase_add_test (tc, executed_start_without_response_is_not_repeated);
