Keep a split literal out of a list in the platform test

clang-tidy takes a literal that is split inside a list of literals for a missing comma (bugprone-suspicious-missing-comma), which failed the lint step. The report is the same.

--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -88,6 +88,11 @@
 }
 END_TEST
 
+/* Every later report would seem older. */
+static const char late_report[]
+    = "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1},"
+      "\"sequence\":9223372036854775807}";
+
 /* Another writer's report names no worker to use. */
 START_TEST (strange_workers_are_refused)
 {
@@ -103,8 +108,7 @@
     "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"mem_mb\":4294967296}}",
     "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"gpu\":\"all\"}}",
     "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1},\"sequence\":-1}",
-    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1},"
-    "\"sequence\":9223372036854775807}",
+    late_report,
     "\xff\xfe"
   };
   MdWorkerReport report;
