--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -242,6 +242,12 @@
                                      "{\"key\":\"a\\u0000b\",\"value\":7}",
                                      "{\"key\":\"\xff\xfe\",\"value\":7}",
                                      "{\"key\":\"\1\",\"value\":7}",
+                                     "{\"key\":\"\xed\xa0\x80\",\"value\":7}",
+                                     "{\"key\":\"\xe0\x80\x80\",\"value\":7}",
+                                     "{\"key\":\"\xf4\x90\x80\x80\",\"value\":7}",
+                                     "{\"key\":\"\\ud83d\",\"value\":7}",
+                                     "{\"key\":\"\\udc00\\ud83d\\ude00\",\"value\":7}",
+                                     "{\"key\":\"\\q\",\"value\":7}",
                                      "DEEP",
                                      "[]",
                                      "null" };
