Count idle workers only for tasks that run alone

Read again as a newcomer would: the count of idle workers in md_place counted every worker for other tasks, where it was not used. The header says how such a task is placed. Behaviour as before; test-placement.

--- a/sched/placement.c
+++ b/sched/placement.c
@@ -176,7 +176,7 @@
         continue;
       if (need->alone && !is_idle (worker))
         continue;
-      idle++;
+      idle += need->alone;
       if (need->max_per_worker > 0 && counts != NULL && counts[i] >= need->max_per_worker)
         continue;
       current = worker == avoid || is_avoided (worker, now) ? &fallback : &best;
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -260,7 +260,8 @@
    it at once and meet the goal come first, of these the faster and less busy one; otherwise the
    worker on which the task is expected to end first. counts[i] is the number of tasks of the step
    on worker i, for max_per_worker; NULL if there is no such limit. The worker avoid, if not NULL,
-   is used only if there is no other. The result's worker is NULL if none can run the task. */
+   is used only if there is no other. A task that is to run alone is placed on an idle worker, while
+   another one is idle. The result's worker is NULL if none can run the task. */
 MdPlacement md_place (const MdWorkers *workers, const MdTaskRequirements *need,
                       const uint32_t *counts, const MdWorker *avoid, MdTime now);
 
