Silence connections to the store in the soak

Entries and guards reach the store through the proxy now; the random sequence of a seed is as before.

--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -80,6 +80,7 @@
   curl -sS -m 3 -X POST "http://$orders/control?mode=$2" > /dev/null
 }
 
+# Processes reach the store through STORE_VIA when that is set.
 start_entry () { # n
   local ip=127.0.0.$((10 + $1))
   cat > "$RUN/entry-$1.yaml" <<YAML
@@ -87,7 +88,7 @@
 name: entry-$1
 region: lusitania
 failure_domain: lusitania-a
-store_address: $STORE
+store_address: ${STORE_VIA:-$STORE}
 internal_address: $ip:$INNER
 entry_port: $INNER
 caller_address: $ip:$CALLERS
@@ -110,7 +111,7 @@
 name: guard-$1
 region: lusitania
 failure_domain: lusitania-a
-store_address: $STORE
+store_address: ${STORE_VIA:-$STORE}
 entry_port: $INNER
 seeds: "$SEEDS"
 worker_address: $orders
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -3,7 +3,7 @@
 #   SEED=n RUNS=n bash tests/soak.sh
 #
 # Entries and guards meet through a loopback proxy that delays, resets, cuts one way or
-# silences connections, and so do guards and workers. Processes are paused, killed,
+# silences connections, and so do guards and workers, and all and the store. Processes are paused, killed,
 # stopped and restarted by signals, and their wall clocks jump; the store is silent, busy,
 # slow, forgetful, loses answers or carries appends out late; workers lose orders, fail,
 # hang or drain; configurations come. Orders reach a worker whose connection then breaks
@@ -30,10 +30,11 @@
   local n routes=
   for n in $(seq "$ENTRIES"); do routes="$routes e$n=127.0.0.$((10 + n)):$INNER"; done
   for n in $(seq "$GUARDS"); do eval "routes=\"\$routes w$n=\$ORDERS_$n\""; done
-  launch proxy "$BIN/tests/faultproxy" --seed "$1" $routes
+  launch proxy "$BIN/tests/faultproxy" --seed "$1" $routes "s=$STORE"
   wait_for 5 grep -q '^control listening' "$RUN/proxy.log" || fail "the proxy did not start"
   CONTROL=$(sed -n 's/^control listening //p' "$RUN/proxy.log")
   for n in $(seq "$GUARDS"); do eval "VIA_$n=$(sed -n "s/^route w$n listening //p" "$RUN/proxy.log")"; done
+  STORE_VIA=$(sed -n 's/^route s listening //p' "$RUN/proxy.log")
   PROXIED=1
   start_store
   wait_for 5 curl -s -m 1 -o /dev/null "http://$STORE/control" || fail "the store did not start"
@@ -117,6 +118,10 @@
     echo "store:late" >> "$RUN/faults"
     store_mode late; { sleep 1; store_mode normal; } &
   fi
+  if [ $((($1 + 3 * $2) % 4)) = 2 ]; then
+    echo "silence:s" >> "$RUN/faults"
+    command_proxy silence s
+  fi
   if [ $((($1 + $2) % 3)) = 1 ]; then
     echo "unanswered:w$guard" >> "$RUN/faults"
     command_proxy unanswered "w$guard" 6
