Call a connection refused only if the request was not sent

That is what a task that crashes its worker looks like: its run would have been rejected as never started, without a count, and the extension of a lease taken back that the worker may have received.

Every call notes whether its request went out; a refusal counts only before that. test-http-async broken_call_is_not_refused fails before, for calls of both kinds: '!refused' failed.

--- a/net/http-async.c
+++ b/net/http-async.c
@@ -39,9 +39,10 @@
   MdBuf request;              /* body to send */
   MdBuf response;             /* body received so far */
   MdHttpDone done;
-  void *user;     /* first argument of done */
-  bool sent;      /* the request was sent, at least in part */
-  MdTime started; /* time of md_http_start */
+  void *user;      /* first argument of done */
+  bool sent;       /* the request was sent, at least in part */
+  bool idempotent; /* it may be sent again */
+  MdTime started;  /* time of md_http_start */
   char address[MD_ADDRESS_BYTES];
   char reason[CURL_ERROR_SIZE]; /* error message of libcurl, may be empty */
 };
@@ -289,14 +290,14 @@
 
 /* Called before libcurl sends the request, each time it does. libcurl sends a request again when
    a reused connection breaks before the first byte of the response, even though the server may
-   have processed it. */
+   have processed it; that is for idempotent calls only. */
 static int
 on_send (void *user, char *peer_ip MD_UNUSED, char *local_ip MD_UNUSED, int peer_port MD_UNUSED,
          int local_port MD_UNUSED)
 {
   Call *call = user;
 
-  if (call->sent)
+  if (call->sent && !call->idempotent)
     {
       md_count (MD_M_HTTP_REPEATS_PREVENTED, 1);
       return CURL_PREREQFUNC_ABORT;
@@ -337,11 +338,8 @@
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS, (long)(request->timeout / MD_MS));
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)(connect / MD_MS));
   curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN, max_idle_seconds (call->http));
-  if (!request->idempotent)
-    {
-      curl_easy_setopt (call->easy, CURLOPT_PREREQFUNCTION, on_send);
-      curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
-    }
+  curl_easy_setopt (call->easy, CURLOPT_PREREQFUNCTION, on_send);
+  curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
   if (strcmp (request->method, "GET") == 0)
     return;
   curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE, (long)call->request.len);
@@ -379,6 +377,7 @@
   call->done = done;
   call->user = user;
   call->sent = false;
+  call->idempotent = request->idempotent;
   call->started = md_now ();
   call->reason[0] = '\0';
   md_str_copy (call->address, sizeof call->address, md_str (request->address));
@@ -393,13 +392,15 @@
   return MD_OK;
 }
 
+/* A request that was sent over a reused connection can end so as well: the connection broke, and
+   libcurl found nobody listening when it tried again. */
 static bool
-was_refused (const Call *call)
+was_refused (const Call *call, CURLcode code)
 {
   long number = 0;
 
   curl_easy_getinfo (call->easy, CURLINFO_OS_ERRNO, &number);
-  return number == ECONNREFUSED;
+  return code == CURLE_COULDNT_CONNECT && number == ECONNREFUSED && !call->sent;
 }
 
 static void
@@ -420,7 +421,7 @@
                   call->reason[0] != '\0' ? call->reason : curl_easy_strerror (code));
   if (code == CURLE_OPERATION_TIMEDOUT && response.elapsed >= MIN_SILENCE)
     call->http->silent_at = md_now ();
-  response.refused = code == CURLE_COULDNT_CONNECT && was_refused (call);
+  response.refused = was_refused (call, code);
   curl_multi_remove_handle (call->http->multi, call->easy);
   unlink_active (call);
   call->done (call->user, &response);
--- a/tests/test-http-async.c
+++ b/tests/test-http-async.c
@@ -8,6 +8,8 @@
 #include "scripted-server.h"
 #include "suite.h"
 
+#include <sys/socket.h>
+
 #define PASSES 20000             /* only ends a broken run */
 #define IDLE_TIME (1500 * MD_MS) /* longer than the second after which connections are distrusted */
 #define RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
@@ -20,10 +22,14 @@
 static int done;           /* calls that have ended */
 static int status;         /* of the last of them */
 static int code;           /* of its error */
+static bool refused;       /* whether it was refused */
+static bool ending;        /* the server listens no more after the second request */
 
 static const char *
 respond_once (void *user MD_UNUSED, int number, const char *request MD_UNUSED)
 {
+  if (number > 0 && ending)
+    shutdown (server.listener, SHUT_RDWR);
   return number == 0 ? RESPONSE : broken;
 }
 
@@ -53,6 +59,7 @@
   links = md_links_new (&tuning, &no_links, NULL);
   http = md_http_new (links, 4);
   timeout = 5 * MD_SECOND;
+  ending = false;
   scripted_server_start (&server, respond_once, NULL);
 }
 
@@ -69,6 +76,7 @@
   done++;
   status = response->status;
   code = response->error.code;
+  refused = response->refused;
 }
 
 /* Makes calls at the same time and waits for their ends. */
@@ -137,6 +145,25 @@
 }
 END_TEST
 
+/* Guards against a request that is taken for one that was never sent: it was sent, the server ended, and
+   libcurl found nobody listening when it tried again (issue 29). */
+START_TEST (broken_call_is_not_refused)
+{
+  ending = true;
+  broken = NULL;
+  make_call ("POST", _i == 0);
+  ck_assert_int_eq (status, 200);
+  make_call ("POST", _i == 0);
+  ck_assert_int_eq (status, 0);
+  ck_assert (!refused);
+  make_call ("POST", _i == 0);
+  ck_assert_int_eq (status, 0);
+  ck_assert (refused);
+  scripted_server_stop (&server);
+  ck_assert_int_eq (server.requests, 2);
+}
+END_TEST
+
 /* Guards against a caller of md_http_poll that waits for the next event although the end of a call
    has made another one due, for ever if nothing else wakes it. */
 START_TEST (end_of_a_call_asks_for_another_pass)
@@ -187,6 +214,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_loop_test (tc, call_is_sent_once, 0, 2);
   tcase_add_test (tc, next_call_is_sent);
+  tcase_add_loop_test (tc, broken_call_is_not_refused, 0, 2);
   tcase_add_test (tc, idempotent_call_is_sent_again);
   tcase_add_test (tc, end_of_a_call_asks_for_another_pass);
   tcase_add_test (tc, one_timeout_is_enough_for_silent_connections);
