--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -550,7 +550,7 @@
    ended; the blame for a crash at once. */
 void md_runjob_record_end (MdRunJob *job, uint32_t step, uint32_t task, MdRunResult result);
 
-/* md_runjob_is_suspect: whether two workers or more have crashed under a task of the job. */
+/* md_runjob_is_suspect: whether two workers or more have crashed under a task that has not ended. */
 bool md_runjob_is_suspect (const MdRunJob *job);
 
 #endif
--- a/sched/runjob.c
+++ b/sched/runjob.c
@@ -271,7 +271,7 @@
 {
   for (uint32_t i = 0; i < job->spec.n_steps; i++)
     for (uint32_t k = 0; k < job->spec.steps[i].n_tasks; k++)
-      if (job->tasks[i][k].crashes >= MIN_CRASHES)
+      if (job->tasks[i][k].crashes >= MIN_CRASHES && job->tasks[i][k].state != MD_TASK_ENDED)
         return true;
   return false;
 }
