Publish the configuration with a release, and read it with an acquire

Traced: liburcu publishes a pointer with a barrier and reads it by dependency, which is right on both kinds of machine but is no order that the sanitizer knows; before the reader had a thread, the test set its routes before any other thread began.

--- a/fleet/config-reader.c
+++ b/fleet/config-reader.c
@@ -14,7 +14,7 @@
   MdLinks *links;              /* event loop of the thread, without links; owned */
   MdHttp *http;                /* calls to the store, owned */
   MdKeyedReader *records;      /* of the operator's topic, owned */
-  MdRoutes *routes;            /* RCU: configuration in force, owned; NULL: none yet */
+  _Atomic (MdRoutes *) routes; /* RCU: configuration in force, owned; NULL: none yet */
   _Atomic MdTime confirmed_at; /* routes were the newest at this time, 0: never */
   void (*on_change) (void *user);
   void *user; /* argument of on_change */
@@ -29,7 +29,7 @@
   MdConfigReader *reader = user;
   MdError error = { 0 };
   MdRoutes *routes;
-  MdRoutes *previous = reader->routes;
+  MdRoutes *previous = atomic_load (&reader->routes);
 
   if (!md_str_equal (record->key, MD_STR (MD_KEY_CONFIG)) || record->value.len == 0)
     return;
@@ -52,7 +52,7 @@
           (unsigned long long)(previous != NULL ? previous->version : 0), routes->n,
           (unsigned long long)record->offset, (long long)(md_config_reader_age (reader) / MD_MS));
   md_gauge (MD_M_CONFIG_VERSION, (int64_t)routes->version);
-  rcu_assign_pointer (reader->routes, routes);
+  atomic_store_explicit (&reader->routes, routes, memory_order_release);
   reader->on_change (reader->user);
   urcu_memb_synchronize_rcu ();
   md_routes_free (previous);
@@ -129,20 +129,20 @@
   md_http_free (reader->http);
   md_keyed_reader_free (reader->records);
   md_links_free (reader->links);
-  md_routes_free (reader->routes);
+  md_routes_free (atomic_load (&reader->routes));
   free (reader);
 }
 
 const MdRoutes *
 md_config_reader_routes (const MdConfigReader *reader)
 {
-  return rcu_dereference (reader->routes);
+  return atomic_load_explicit (&reader->routes, memory_order_acquire);
 }
 
 bool
 md_config_reader_loaded (const MdConfigReader *reader)
 {
-  return rcu_dereference (reader->routes) != NULL;
+  return md_config_reader_routes (reader) != NULL;
 }
 
 MdTime
