Wait for the log line in run-deadly

The line is there in the logs that were kept; a thread of its own writes it, after the answer that the test had read. The test waits for the line as run-platform does; what it checks is the same.

--- a/tests/run-deadly.sh
+++ b/tests/run-deadly.sh
@@ -17,7 +17,8 @@
   echo "a deadly task: $(patient_post 00000000000000a1 "${JOB/cpu=1000/cpu=1000 deadly}")"
   local starts=$(grep -c '^start 00000000000000a1' "$RUN/journal")
   [ "$starts" -le 3 ] && echo "workers that crashed under it: at most three" || echo "workers that crashed under it: $starts"
-  seen entry-1 'job=00000000000000a1 .*reason=task-crashes-workers' && echo "the entry says why"
+  # Lines are written by a thread of their own, after the answer.
+  wait_for 10 seen entry-1 'job=00000000000000a1 .*reason=task-crashes-workers' && echo "the entry says why"
   wait_for 20 workers_seen 1 $((GUARDS + starts)) || fail "a worker is not back"
   echo "a job after it: $(patient_post 00000000000000a2 "$JOB")"
 }
