--- a/fleet/config-reader.c
+++ b/fleet/config-reader.c
@@ -11,13 +11,13 @@
 
 struct MdConfigReader
 {
-  MdLinks *links;              /* event loop of the thread, without links; owned */
-  MdHttp *http;                /* calls to the store, owned */
-  MdKeyedReader *records;      /* of the operator's topic, owned */
-  _Atomic (MdRoutes *) routes; /* RCU: configuration in force, owned; NULL: none yet */
-  _Atomic MdTime confirmed_at; /* routes were the newest at this time, 0: never */
-  void (*on_change) (void *user);
-  void *user; /* argument of on_change */
+  MdLinks *links;                 /* event loop of the thread, without links; owned */
+  MdHttp *http;                   /* calls to the store, owned */
+  MdKeyedReader *records;         /* of the operator's topic, owned */
+  _Atomic (MdRoutes *) routes;    /* RCU: configuration in force, owned; NULL: none yet */
+  _Atomic MdTime confirmed_at;    /* routes were the newest at this time, 0: never */
+  void (*on_change) (void *user); /* called after routes has changed */
+  void *user;                     /* argument of on_change */
   pthread_t thread;
   bool started;         /* the thread has been created */
   atomic_bool stopping; /* the thread is to end */
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -670,8 +670,7 @@
           (long long)(stay / MD_MS), (long long)((other.wait + other.run_time) / MD_MS),
           (long long)((entry->now - order->placed_at) / MD_MS));
   md_count (MD_M_RUNS_MOVED, 1);
-  md_worker_reserve (other.worker, need.alone ? other.worker->capacity : need.resources,
-                     other.run_time);
+  md_worker_reserve (other.worker, md_place_reservation (other.worker, &need), other.run_time);
   md_entry_withdraw (order);
 }
 
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -136,7 +136,7 @@
                                            entry->now)));
   md_runjob_record_order (&job->runjob, step, index, order);
   placement->worker->outstanding++;
-  md_worker_reserve (placement->worker, need->alone ? placement->worker->capacity : need->resources,
+  md_worker_reserve (placement->worker, md_place_reservation (placement->worker, need),
                      placement->run_time);
   md_entry_send_order (entry, order);
   md_log (MD_LOG_INFO, "run-placed",
--- a/fleet/guard-memory.c
+++ b/fleet/guard-memory.c
@@ -75,9 +75,9 @@
           response->error.detail);
 }
 
-/* Whether the record describes a worker that may be used for what it is not. */
+/* Whether the record is of another lifetime, state or capacity than the worker has. */
 static bool
-is_misleading (const MdWorkerRecord *written, const MdGuardWorker *worker)
+is_outdated (const MdWorkerRecord *written, const MdGuardWorker *worker)
 {
   const MdResources *capacity = &worker->report.capacity;
 
@@ -97,7 +97,7 @@
 
   if (!worker->has_report || guard->worker_record.write_in_progress)
     return false;
-  if (!guard->worker_record.write_failed && is_misleading (written, worker))
+  if (!guard->worker_record.write_failed && is_outdated (written, worker))
     return true;
   if (guard->now < guard->worker_record.write_due)
     return false;
--- a/net/http-async.c
+++ b/net/http-async.c
@@ -290,7 +290,7 @@
 
 /* Called before libcurl sends the request, each time it does. libcurl sends a request again when
    a reused connection breaks before the first byte of the response, even though the server may
-   have processed it; that is for idempotent calls only. */
+   have processed it. Only idempotent calls permit that. */
 static int
 on_send (void *user, char *peer_ip MD_UNUSED, char *local_ip MD_UNUSED, int peer_port MD_UNUSED,
          int local_port MD_UNUSED)
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -256,6 +256,13 @@
   MdTime run_time;  /* expected, on this worker */
 } MdPlacement;
 
+/* md_place_reservation: what a task takes of the worker's capacity. */
+static inline MdResources
+md_place_reservation (const MdWorker *worker, const MdTaskRequirements *need)
+{
+  return need->alone ? worker->capacity : need->resources;
+}
+
 /* md_place: choose a worker for a task, among those without sparse reports. Workers that can start
    it at once and meet the goal come first, of these the faster and less busy one; otherwise the
    worker on which the task is expected to end first. counts[i] is the number of tasks of the step
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -3,7 +3,7 @@
 #   SEED=n RUNS=n bash tests/soak.sh
 #
 # Entries and guards meet through a loopback proxy that delays, resets, cuts one way or
-# silences connections, and so do guards and workers, and all and the store. Processes are paused, killed,
+# silences connections; so do guards and workers, and both daemons and the store. Processes are paused, killed,
 # stopped and restarted by signals, and their wall clocks jump; the store is silent, busy,
 # slow, forgetful, loses answers or carries appends out late; workers lose orders, fail,
 # hang or drain; configurations come. Orders reach a worker whose connection then breaks
