Order the cases of the review by weight

The case of the frozen entry comes first and has three rounds: in one run of a fresh checkout both entries chose the same workers, which took the second starts for the first.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,28 +1,52 @@
 #!/usr/bin/env bash
-# Case 1: a liveness report of another writer makes a guard report all runs of its sound worker as
-# ended; their tasks start again elsewhere while they still run. TROUBLE=0: no such report comes.
+# Case 1: while an entry is frozen, half of its channels are reset; their clients repeat their jobs
+# at the other entry. The entry wakes, does not see that the channels were reset, and runs the jobs
+# as well. TROUBLE=0: the same jobs without the freeze and the resets.
 . "$(dirname "$0")/../lab.sh"
+RESEND_S=1.3 # resend_ms
+FREEZE_S=2.4
+RESET_AFTER_S=0.4
+CLIENTS=4
 ROUNDS=3
-HEARTBEAT_S=1.5 # heartbeat_ms: the next report of the worker itself comes within this time
 
-start_lab 1 4 4000
-JOB='{"best_effort":true,"spec":"ms=900 cpu=1000","steps":[{"count":3,"cpu":1000,"mem_mb":64,"estimated_ms":900}]}'
-# A service that no configuration names, and fields that are missing.
-STRAY='{"service":"elsewhere","address":"127.0.0.99:8080","version":"v1","slots":8,"state":"ready","capacity":{"cpu":16000,"mem_mb":32768,"gpu":0}}'
+start_lab 2 6 2000
+JOB='{"best_effort":true,"spec":"ms=1200 cpu=1000","steps":[{"count":2,"cpu":1000,"mem_mb":64,"estimated_ms":1200}]}'
+launch forward "$TOOLS/client" forward "$(entry_ip 1):$VIA" "$(entry_ip 1):$FRONT"
+sleep 0.2
+
+# The channel goes to entry 1. Without an answer the job is handed in again, at entry 2.
+client () { # id
+  local answer
+  answer=$("$TOOLS/client" post "$RECORD" "$(entry_ip 1):$VIA" "$1" 1500 "$JOB")
+  case $answer in
+    broken | none | 502* | 504*)
+      sleep $RESEND_S
+      "$TOOLS/client" post "$RECORD" "$(entry_ip 2):$FRONT" "$1" 1500 "$JOB" > /dev/null ;;
+  esac
+}
 
 for round in $(seq $ROUNDS); do
-  id=00000000000000a$round
-  in_background "$TOOLS/client" post "$RECORD" "$(entry_ip 1):$FRONT" $id 1500 "$JOB"
-  wait_for 5 grep -q " start $id" "$RECORD" || unable "the job does not start"
-  sleep 0.3
-  # The VM on whose worker most of the job runs.
-  n=$(grep -o "i-[0-9]* start $id" "$RECORD" | sort | uniq -c | sort -rn \
-    | sed -n '1s/.* i-\([0-9]*\) .*/\1/p')
-  [ "$TROUBLE" = 0 ] \
-    || "$TOOLS/client" call "$RECORD" PUT "$(side_ip "$n"):$CONTROL" /v1/instances/i-0badc0de "$STRAY" > /dev/null
+  if [ "$TROUBLE" != 0 ]; then
+    note "entry-1 freezes"
+    kill -STOP "$(pid_of entry-1)"
+  fi
+  for i in $(seq $CLIENTS); do in_background client 0000000000000b$round$i; done
+  if [ "$TROUBLE" != 0 ]; then
+    sleep $RESET_AFTER_S
+    note "half of the channels of entry-1 are reset"
+    kill -USR1 "$(pid_of forward)"
+    sleep "$(awk "BEGIN { print $FREEZE_S - $RESET_AFTER_S }")"
+    note "entry-1 wakes"
+    kill -CONT "$(pid_of entry-1)"
+  fi
   wait_background
-  sleep $HEARTBEAT_S
-  sleep 0.5
+  sleep 2
+  if ! alive entry-1; then # see case 3; the platform starts a process that has ended again
+    note "entry-1 has ended by itself, signal $(signal_of entry-1)"
+    start_entry 1
+    wait_for 10 ready 1 || unable "entry-1 does not come back"
+    sleep 1
+  fi
 done
 
 "$CASE/../judge.sh" twice "$RECORD"
--- a/review/lab.sh
+++ b/review/lab.sh
@@ -29,7 +29,6 @@
   "$@" >> "$RUN/$name.log" 2>&1 &
   eval "PID_${name//-/_}=$!"
   PIDS="$PIDS $!"
-  disown $!
 }
 # Runs a client beside the script; wait_background waits for all of them.
 in_background () { "$@" > /dev/null & CLIENTS_RUN="$CLIENTS_RUN $!" PIDS="$PIDS $!"; }
@@ -65,6 +64,13 @@
   render deploy/run-guard.yaml "$RUN/guard-$1.yaml" "$(side_ip "$1")" "guard-$1"
   launch "guard-$1" $(role_command guard "$RUN/guard-$1.yaml")
 }
+alive () { kill -0 "$(pid_of "$1")" 2>/dev/null; } # name
+# How a process ended: the number of the signal, 0 if it was none.
+signal_of () { # name
+  local status=0
+  wait "$(pid_of "$1")" 2>/dev/null || status=$?
+  echo $((status > 128 ? status - 128 : 0))
+}
 wait_for () { # seconds command...
   local left=$(($1 * 20))
   shift
--- a/review/tools/client.c
+++ b/review/tools/client.c
@@ -3,6 +3,8 @@
    client post RECORD ADDRESS ID WAIT_MS BODY
        submits a job on a new channel and waits so long for the answer, which it prints: the
        status and the body, or "none" (no answer in time) or "broken" (the channel broke)
+   client many RECORD ADDRESS ID COUNT GAP_MS WAIT_MS BODY
+       so many clients, one every GAP_MS, each with a channel and a job of its own: ID and a number
    client call RECORD METHOD ADDRESS PATH [BODY]
        any other call; prints the status
    client config STORE VERSION PREFIX...
@@ -19,12 +21,13 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define MAX_CHANNELS 64
+#define MAX_CHANNELS 256
 #define HOST "jobs.example"
 
 static int
@@ -126,6 +129,45 @@
   return 0;
 }
 
+typedef struct
+{
+  char **args; /* RECORD ADDRESS ID COUNT GAP_MS WAIT_MS BODY */
+  int number;
+  pthread_t thread;
+} Client;
+
+static void *
+run_client (void *data)
+{
+  Client *client = data;
+  char path[160];
+
+  snprintf (path, sizeof path, "/calc/%s%04x", client->args[2], (unsigned)client->number);
+  call (client->args[0], "POST", client->args[1], path, client->args[6], atoi (client->args[5]));
+  return NULL;
+}
+
+static int
+call_many (char **args)
+{
+  int n = atoi (args[3]);
+  Client *clients = calloc ((size_t)n + 1, sizeof *clients);
+  struct timespec gap = { 0, atoi (args[4]) * 1000000L };
+
+  if (clients == NULL)
+    return 2;
+  for (int i = 0; i < n; i++)
+    {
+      clients[i] = (Client){ .args = args, .number = i };
+      if (pthread_create (&clients[i].thread, NULL, run_client, &clients[i]) != 0)
+        return 2;
+      nanosleep (&gap, NULL);
+    }
+  for (int i = 0; i < n; i++)
+    pthread_join (clients[i].thread, NULL);
+  return 0;
+}
+
 /* ------------------------------------------------------------------ */
 /* Configuration                                                      */
 
@@ -262,6 +304,8 @@
       snprintf (path, sizeof path, "/calc/%s", argv[4]);
       return call (argv[2], "POST", argv[3], path, argv[6], atoi (argv[5]));
     }
+  if (argc == 9 && strcmp (argv[1], "many") == 0)
+    return call_many (argv + 2);
   if ((argc == 6 || argc == 7) && strcmp (argv[1], "call") == 0)
     return call (argv[2], argv[3], argv[4], argv[5], argc == 7 ? argv[6] : "", 1000);
   if (argc >= 5 && strcmp (argv[1], "config") == 0)
--- a/review/tools/workers.c
+++ b/review/tools/workers.c
@@ -25,7 +25,7 @@
 #include <time.h>
 #include <unistd.h>
 
-#define MAX_WORKERS 8
+#define MAX_WORKERS 12
 #define MAX_RUNS 512
 #define MAX_ENDS 4096
 #define MAX_SEEN 8192
