Let only answers of the worker end its runs

Cause: md_guard_worker_event began a new lifetime of the worker for any report with another id, or with another birth. That ended all started runs as crashed, and their entries placed them elsewhere. The stops named the false id, so that the worker refused them (421) and the first runs went on.

Ruled out: an end of the lease or of the hold (the holds went on being answered throughout). A check of the report's fields alone does not do: a report of a former lifetime is well formed.

Change: a lifetime is known by the birth that the worker states in its answers to holds; only that, a listed end or the end of the lease ends runs. The same holds on related paths: a birth in the far future no longer hides the worker's own reports, nor does a sequence number that is too high, as the worker's clock orders them; another id or pool within a lifetime is ignored; reports and lists of runs without a birth are refused.

test-platform's strange reports state a birth now, so that each is refused for its own reason, and the scripted worker of test-guard-worker states one in its lists, as the protocol has it.

--- a/fleet/guard-memory.c
+++ b/fleet/guard-memory.c
@@ -52,9 +52,6 @@
           previous->id, (long long)previous->report.born_ms, previous->log_speed,
           previous->samples);
   md_str_copy (event.id, sizeof event.id, md_str (previous->id));
-  /* Set first, so that the event does not begin a new lifetime, which would count as not clean:
-     only the name of the present one was unknown. */
-  md_str_copy (guard->worker.id, sizeof guard->worker.id, md_str (previous->id));
   md_guard_worker_event (guard, &event);
   guard->queue.speed.log_speed = previous->log_speed;
   guard->queue.speed.samples = previous->samples;
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -55,9 +55,8 @@
          && worker->report.state == MD_WORKER_READY && !guard->leaving;
 }
 
-/* Opens or closes the queue after a change of the worker's state; closing rejects waiting runs. */
-static void
-update_accepting (MdRunGuard *guard)
+void
+md_guard_update_accepting (MdRunGuard *guard)
 {
   bool accepting = md_guard_accepts_runs (guard);
 
@@ -69,17 +68,14 @@
     md_guard_reject_waiting (guard);
 }
 
-/* ------------------------------------------------------------------ */
-/* Lifetimes of the worker                                            */
-
 static MdGuardRun *
 guard_run (MdRun *queued)
 {
   return (MdGuardRun *)queued;
 }
 
-static void
-end_started_runs (MdRunGuard *guard, MdRunResult result)
+void
+md_guard_end_started_runs (MdRunGuard *guard, MdRunResult result)
 {
   for (MdRun *run = guard->queue.running.first, *next; run != NULL; run = next)
     {
@@ -88,104 +84,6 @@
     }
 }
 
-/* How the started runs ended with the worker's process. */
-static MdRunResult
-crash_result (const MdRunGuard *guard)
-{
-  if (guard->worker.report.state != MD_WORKER_READY)
-    return MD_RUN_LEASE_EXPIRED; /* it had said that it leaves */
-  return guard->queue.running.n == 1 ? MD_RUN_CRASHED_ALONE : MD_RUN_CRASHED;
-}
-
-/* Switches to a new lifetime of the worker. All runs of the former lifetime have ended. */
-static void
-begin_lifetime (MdRunGuard *guard, const char *id, int64_t born_ms)
-{
-  MdGuardWorker *worker = &guard->worker;
-
-  md_log (MD_LOG_INFO, "worker-lifetime", "worker=%s born_ms=%lld former=%s former_born_ms=%lld",
-          id, (long long)born_ms, worker->id, (long long)worker->report.born_ms);
-  end_started_runs (guard, crash_result (guard));
-  md_str_copy (worker->id, sizeof worker->id, md_str (id));
-  worker->report = (MdWorkerReport){ .born_ms = born_ms };
-  worker->has_report = false;
-  worker->clean = false;
-  worker->clock_known = false;
-  worker->acked_end = 0;
-  guard->hold_due = guard->now;
-  guard->state_version++;
-  update_accepting (guard);
-}
-
-/* Whether the name or the time of birth differs from the present lifetime's. id: NULL when not
-   stated; born_ms: -1 when not stated, so that the name alone counts. */
-static bool
-is_other_lifetime (const MdGuardWorker *worker, const char *id, int64_t born_ms)
-{
-  if (id != NULL && strcmp (worker->id, id) != 0)
-    return true;
-  return born_ms >= 0 && worker->report.born_ms >= 0 && born_ms != worker->report.born_ms;
-}
-
-static void
-handle_deregistration (MdRunGuard *guard)
-{
-  md_log (MD_LOG_INFO, "worker-left", "worker=%s", guard->worker.id);
-  guard->worker.report.state = MD_WORKER_ABSENT;
-  guard->state_version++;
-  update_accepting (guard);
-}
-
-static bool
-is_same_description (const MdWorkerReport *a, const MdWorkerReport *b)
-{
-  return a->state == b->state && memcmp (&a->capacity, &b->capacity, sizeof a->capacity) == 0
-         && memcmp (&a->labels, &b->labels, sizeof a->labels) == 0
-         && strcmp (a->pool, b->pool) == 0;
-}
-
-/* Adopts the capacity of a new or changed description and has it reported to all entries. */
-static void
-update_worker_description (MdRunGuard *guard, const MdWorkerReport *report)
-{
-  md_runqueue_set_capacity (&guard->queue, report->capacity);
-  for (MdGuardPeer *peer = guard->peers; peer != NULL; peer = peer->next)
-    peer->worker_reported = false;
-  guard->state_version++;
-}
-
-void
-md_guard_worker_event (MdRunGuard *guard, const MdWorkerEvent *event)
-{
-  MdGuardWorker *worker = &guard->worker;
-  bool other_lifetime
-      = is_other_lifetime (worker, event->id, event->deregistered ? -1 : event->report.born_ms);
-
-  if (event->deregistered)
-    {
-      if (!other_lifetime)
-        handle_deregistration (guard);
-      return;
-    }
-  /* A delayed report of a former lifetime. */
-  if (other_lifetime && event->report.born_ms >= 0
-      && event->report.born_ms < worker->report.born_ms)
-    return;
-  if (other_lifetime)
-    begin_lifetime (guard, event->id, event->report.born_ms);
-  if (worker->has_report && event->report.sequence <= worker->report.sequence)
-    return;
-  if (!worker->has_report || worker->report.state != event->report.state)
-    md_log (MD_LOG_INFO, "worker-state", "worker=%s state=%d sequence=%llu cpu=%u memory_mb=%u",
-            event->id, (int)event->report.state, (unsigned long long)event->report.sequence,
-            event->report.capacity.cpu, event->report.capacity.memory_mb);
-  if (!worker->has_report || !is_same_description (&worker->report, &event->report))
-    update_worker_description (guard, &event->report);
-  worker->report = event->report;
-  worker->has_report = true;
-  update_accepting (guard);
-}
-
 /* ------------------------------------------------------------------ */
 /* Clock and token                                                    */
 
@@ -457,10 +355,7 @@
 static void
 handle_hold_response (MdRunGuard *guard, const MdHoldResponse *response)
 {
-  if (is_other_lifetime (&guard->worker, NULL, response->born_ms))
-    begin_lifetime (guard, guard->worker.id, response->born_ms);
-  if (guard->worker.report.born_ms < 0)
-    guard->worker.report.born_ms = response->born_ms;
+  md_guard_check_lifetime (guard, response->born_ms);
   update_clock_offset (guard, response->clock_ms);
   mark_reachable (guard);
   if (guard->hold_token > guard->worker.acked_token)
@@ -471,7 +366,8 @@
   adopt_rejected_runs (guard, response);
   reconcile (guard, response);
   stop_unknown_runs (guard, response);
-  update_accepting (guard);
+  md_guard_settle_report (guard);
+  md_guard_update_accepting (guard);
 }
 
 /* A hold that was refused has not reached the worker, so that it extends no lease. */
@@ -491,7 +387,7 @@
   guard->state_version++;
   md_log (MD_LOG_WARN, "worker-unreachable", "worker=%s silent_ms=%lld refused=%d", worker->id,
           (long long)((guard->now - worker->last_response_at) / MD_MS), worker->refused);
-  update_accepting (guard);
+  md_guard_update_accepting (guard);
 }
 
 /* Nobody listens at the worker's address: its process has ended, or it is cut off. Runs that wait
@@ -550,8 +446,9 @@
   MdTime margin = lossy ? HOLD_MARGIN_LOSSY : HOLD_MARGIN;
   MD_AUTO_CALL order = { 0 };
 
-  if (!guard->worker.clean || guard->worker.acked_token != guard->worker.token)
-    wait = 0; /* the list of runs is needed at once, not with the next end */
+  if (!guard->worker.clean || guard->worker.acked_token != guard->worker.token
+      || guard->worker.has_unproven)
+    wait = 0; /* the response is needed at once, not with the next end */
 
   /* No worker name is given: any lifetime may answer the hold, and states its birth in the
      response. */
@@ -703,7 +600,8 @@
     {
       md_log (MD_LOG_WARN, "lease-lapsed", "worker=%s runs=%u refused=%d", worker->id,
               guard->queue.running.n, worker->refused);
-      end_started_runs (guard, worker->refused ? crash_result (guard) : MD_RUN_LEASE_EXPIRED);
+      md_guard_end_started_runs (guard, worker->refused ? md_guard_crash_result (guard)
+                                                        : MD_RUN_LEASE_EXPIRED);
     }
   if (guard->queue.running.n > 0)
     return worker->lease_until;
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -2,7 +2,7 @@
 
    run-guard.c holds the process life cycle and the event loop, guard-orders.c the links to
    entries and the orders received on them, guard-worker.c the calls to the worker,
-   guard-memory.c the record of the worker in the store, and guard-registrar.c the HTTP server
+   guard-lifetime.c the worker's reports and lifetimes, guard-memory.c the record of the worker in the store, and guard-registrar.c the HTTP server
    to which the worker reports. The handlers of that server run in its own threads; everything
    else runs in the engine thread. */
 
@@ -103,9 +103,9 @@
    incarnation of the worker, identified by its name and its time of birth. */
 typedef struct
 {
-  char id[MD_WORKER_ID_BYTES]; /* name of the worker; empty: not known yet */
+  char id[MD_WORKER_ID_BYTES]; /* name of the worker; empty: no report of this lifetime yet */
   MdWorkerReport report;       /* the last report; valid when has_report, except for born_ms, which
-                                  a hold may set as well and which is -1 when not known */
+                                  holds set and which is -1 before the first one was answered */
   bool has_report;             /* a report of this lifetime has arrived */
   bool clean;                  /* no run of an earlier guard process is left in this lifetime */
   bool clock_known;            /* clock_offset is valid */
@@ -118,6 +118,10 @@
   MdTime last_response_at;     /* when a hold was last answered */
   bool reachable;              /* holds are being answered */
   bool refused;                /* the last hold found nobody listening */
+  bool has_unproven;           /* a report awaits the response to a hold sent after unproven_at */
+  MdTime unproven_at;          /* arrival of that report */
+  MdWorkerReport unproven;     /* that report */
+  char unproven_id[MD_WORKER_ID_BYTES]; /* name of the worker that it describes */
 } MdGuardWorker;
 
 /* The record of the worker in the store. It is read once after the start of the process, and
@@ -204,11 +208,32 @@
 /* md_registrar_server_stop: stop the server's threads and free it. server may be NULL. */
 void md_registrar_server_stop (MdRegistrarServer *server);
 
-/* guard-worker.c */
+/* guard-lifetime.c */
 
 /* md_guard_worker_event: process a report or the deregistration of the worker. */
 void md_guard_worker_event (MdRunGuard *guard, const MdWorkerEvent *event);
 
+/* md_guard_check_lifetime: compare the birth that the worker states in a response to a hold with
+   that of the present lifetime. Another one begins a new lifetime, in which none of the started
+   runs exists. */
+void md_guard_check_lifetime (MdRunGuard *guard, int64_t born_ms);
+
+/* md_guard_settle_report: follow or discard the unproven report, if a response to a hold sent
+   after it has been received. */
+void md_guard_settle_report (MdRunGuard *guard);
+
+/* md_guard_crash_result: how the started runs ended with the worker's process. */
+MdRunResult md_guard_crash_result (const MdRunGuard *guard);
+
+/* guard-worker.c */
+
+/* md_guard_update_accepting: open or close the queue after a change of the worker's state; closing
+   rejects waiting runs. */
+void md_guard_update_accepting (MdRunGuard *guard);
+
+/* md_guard_end_started_runs: end all runs that were sent to the worker. */
+void md_guard_end_started_runs (MdRunGuard *guard, MdRunResult result);
+
 /* md_guard_worker_poll: send the hold, stops and starts that are due, and check the timeouts of
    the worker. Returns the time of the next call. */
 MdTime md_guard_worker_poll (MdRunGuard *guard);
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -28,6 +28,7 @@
   _Atomic (const char *) hold; /* body of the response to a hold */
   _Atomic int starts;          /* received */
   _Atomic int stops;           /* received */
+  _Atomic int holds;           /* received */
   _Atomic int writes;          /* of the guard's record, which the server takes as the store */
   char response[512];          /* the last one sent */
 } worker;
@@ -118,7 +119,10 @@
 respond (void *user MD_UNUSED, int number MD_UNUSED, const char *request)
 {
   if (strstr (request, "/v1/hold") != NULL)
-    return write_response (OK_HEAD, worker.hold);
+    {
+      worker.holds++;
+      return write_response (OK_HEAD, worker.hold);
+    }
   if (strstr (request, "/v1/run-stop") != NULL)
     {
       worker.stops++;
@@ -134,9 +138,14 @@
   return worker.first_start != NULL ? write_response (CONFLICT_HEAD, worker.first_start) : NULL;
 }
 
-#define NO_RUNS "{\"clock_ms\":5,\"running\":[],\"finished\":[]}"
-#define LISTED "{\"clock_ms\":5,\"running\":[[\"a1.0.0.0\",1,\"\",10]],\"finished\":[]}"
-#define ENDED "{\"clock_ms\":5,\"running\":[],\"finished\":[[1,\"a1.0.0.0\",1,\"done\",\"\"]]}"
+#define BORN 1700 /* birth of the worker */
+#define NO_RUNS "{\"clock_ms\":5,\"born\":1700,\"running\":[],\"finished\":[]}"
+#define LISTED                                                                                     \
+  "{\"clock_ms\":5,\"born\":1700,\"running\":[[\"a1.0.0.0\",1,\"\",10]],\"finished\":[]}"
+#define ENDED                                                                                      \
+  "{\"clock_ms\":5,\"born\":1700,\"running\":[],"                                                  \
+  "\"finished\":[[1,\"a1.0.0.0\",1,\"done\",\"\"]]}"
+#define REBORN "{\"clock_ms\":5,\"born\":1800,\"running\":[],\"finished\":[]}"
 #define NO_ROOM "{\"clock_ms\":5,\"reason\":\"room\"}"
 
 static void
@@ -148,7 +157,11 @@
                md_str (worker.server.address));
   guard.worker.has_report = true;
   guard.worker.report.state = MD_WORKER_READY;
-  guard.worker.report.born_ms = -1;
+  guard.worker.report.born_ms = BORN;
+  guard.worker.report.clock_ms = 4;
+  guard.worker.report.sequence = 4;
+  md_str_copy (guard.worker.report.pool, MD_NAME_BYTES, MD_STR ("calc"));
+  md_str_copy (guard.worker.id, sizeof guard.worker.id, MD_STR ("i-1"));
   guard.worker.clean = true;
   guard.worker.reachable = true;
   guard.worker.last_response_at = guard.now;
@@ -184,6 +197,57 @@
   guard.start_after = INT64_MAX;
 }
 
+/* Has the worker start a run and confirm it by a hold. */
+static void
+have_run_confirmed (void)
+{
+  const MdGuardRun *run;
+
+  start_worker ();
+  worker.first_start = NULL; /* executed, and its connection reset */
+  worker.hold = LISTED;
+  add_waiting ();
+  md_guard_worker_poll (&guard);
+  run = (const MdGuardRun *)guard.queue.running.first;
+  request_hold ();
+  for (int i = 0; i < PASSES && !run->confirmed; i++)
+    poll_guard ();
+  ck_assert (run->confirmed);
+}
+
+/* A report that the worker itself sends. */
+static MdWorkerEvent
+true_report (void)
+{
+  MdWorkerEvent event = { .id = "i-1", .report = guard.worker.report };
+
+  event.report.sequence++;
+  event.report.clock_ms++;
+  return event;
+}
+
+/* Passes an event to the guard, and lets it send holds until the worker has answered some. */
+static void
+receive (const MdWorkerEvent *event)
+{
+  int former = worker.holds;
+
+  guard.now = md_now ();
+  md_guard_worker_event (&guard, event);
+  for (int i = 0; i < PASSES && worker.holds < former + 4; i++)
+    poll_guard ();
+  ck_assert_int_ge (worker.holds, former + 4);
+}
+
+static void
+ck_assert_still_running (void)
+{
+  ck_assert_uint_eq (guard.queue.running.n, 1);
+  ck_assert_ptr_null (peer->ends);
+  ck_assert_int_eq (worker.stops, 0);
+  ck_assert (md_guard_accepts_runs (&guard));
+}
+
 /* ------------------------------------------------------------------ */
 /* Tests                                                              */
 
@@ -388,6 +452,105 @@
 }
 END_TEST
 
+/* Guards against two runs of a task at once: a report of another writer was taken for a new lifetime
+   of the worker, whose runs were reported as crashed and started elsewhere while they still ran
+   (review 2). */
+START_TEST (report_of_another_writer_ends_no_run)
+{
+  static const struct
+  {
+    const char *id;
+    int64_t born_ms;
+  } origins[]
+      = { { "i-0badc0de", -1 },  { "i-0badc0de", BORN }, { "i-0badc0de", BORN + 100 },
+          { "i-1", BORN - 100 }, { "i-1", BORN + 100 },  { "i-1", INT64_C (4102444800000) } };
+
+  have_run_confirmed ();
+  for (size_t i = 0; i < MD_ARRAY_SIZE (origins); i++)
+    {
+      MdWorkerEvent event = true_report ();
+
+      md_str_copy (event.id, sizeof event.id, md_str (origins[i].id));
+      event.report.born_ms = origins[i].born_ms;
+      md_str_copy (event.report.pool, MD_NAME_BYTES, MD_STR ("elsewhere"));
+      receive (&event);
+      ck_assert_still_running ();
+      ck_assert_str_eq (guard.worker.id, "i-1");
+      ck_assert_str_eq (guard.worker.report.pool, "calc");
+    }
+}
+END_TEST
+
+/* Guards against a worker that is not followed any more: after a report with a birth in the far
+   future, its own reports were taken for those of a former lifetime. */
+START_TEST (worker_is_followed_after_a_report_with_a_late_birth)
+{
+  MdWorkerEvent event;
+
+  have_run_confirmed ();
+  event = true_report ();
+  event.report.born_ms = INT64_C (4102444800000);
+  receive (&event);
+  event = true_report ();
+  event.report.state = MD_WORKER_DRAINING;
+  receive (&event);
+  ck_assert_int_eq (guard.worker.report.state, MD_WORKER_DRAINING);
+  ck_assert_uint_eq (guard.queue.running.n, 1);
+}
+END_TEST
+
+/* Guards against a worker that is not followed any more: after a report with a sequence number that
+   is too high, its own reports were taken for delayed ones. */
+START_TEST (worker_is_followed_after_a_report_with_a_high_sequence)
+{
+  MdWorkerEvent event;
+
+  have_run_confirmed ();
+  event = true_report ();
+  event.report.sequence = UINT64_C (1) << 50;
+  event.report.clock_ms = -1;
+  receive (&event);
+  event.report.clock_ms = 3600 * 1000;
+  receive (&event);
+  event = true_report ();
+  ck_assert_uint_lt (event.report.sequence, 100);
+  event.report.state = MD_WORKER_DRAINING;
+  receive (&event);
+  ck_assert_int_eq (guard.worker.report.state, MD_WORKER_DRAINING);
+}
+END_TEST
+
+/* Guards against a worker that is taken for one that has left. */
+START_TEST (deregistration_of_another_worker_is_ignored)
+{
+  MdWorkerEvent event = { .id = "i-0badc0de", .deregistered = true };
+
+  have_run_confirmed ();
+  receive (&event);
+  ck_assert_still_running ();
+}
+END_TEST
+
+/* Guards against runs that are taken to go on at a worker that has started again. */
+START_TEST (runs_end_when_the_worker_states_another_birth)
+{
+  MdWorkerEvent event;
+
+  have_run_confirmed ();
+  event = true_report ();
+  md_str_copy (event.id, sizeof event.id, MD_STR ("i-2"));
+  event.report.born_ms = 1800;
+  event.report.sequence = 1;
+  worker.hold = REBORN;
+  receive (&event);
+  ck_assert_uint_eq (guard.queue.running.n, 0);
+  ck_assert_int_eq (peer->ends->result, MD_RUN_CRASHED_ALONE);
+  ck_assert_str_eq (guard.worker.id, "i-2");
+  ck_assert_int_eq (guard.worker.report.born_ms, 1800);
+  ck_assert (md_guard_accepts_runs (&guard));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -404,5 +567,10 @@
   tcase_add_test (tc, executed_start_without_response_is_not_repeated);
   tcase_add_test (tc, rejected_run_that_the_worker_lists_is_running);
   tcase_add_test (tc, rejected_run_that_has_ended_is_reported);
+  tcase_add_test (tc, report_of_another_writer_ends_no_run);
+  tcase_add_test (tc, worker_is_followed_after_a_report_with_a_late_birth);
+  tcase_add_test (tc, worker_is_followed_after_a_report_with_a_high_sequence);
+  tcase_add_test (tc, deregistration_of_another_worker_is_ignored);
+  tcase_add_test (tc, runs_end_when_the_worker_states_another_birth);
   return run_suite ("guard-worker", tc);
 }
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -91,26 +91,33 @@
 /* Every later report would seem older. */
 static const char late_report[]
     = "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1},"
-      "\"sequence\":9223372036854775807}";
+      "\"born\":1700,\"sequence\":9223372036854775807}";
 
 /* Another writer's report names no worker to use. */
 START_TEST (strange_workers_are_refused)
 {
-  static const char *const texts[] = {
-    "{}",
-    "7",
-    "{\"service\":\"calc\",\"state\":\"resting\",\"capacity\":{\"cpu\":1}}",
-    "{\"service\":7,\"state\":\"ready\",\"capacity\":{\"cpu\":1}}",
-    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":\"large\"}",
-    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":-4}}",
-    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1e30}}",
-    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"mem_mb\":-1}}",
-    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"mem_mb\":4294967296}}",
-    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"gpu\":\"all\"}}",
-    "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1},\"sequence\":-1}",
-    late_report,
-    "\xff\xfe"
-  };
+  static const char *const texts[]
+      = { "{}",
+          "7",
+          "{\"service\":\"calc\",\"state\":\"resting\",\"born\":1700,\"capacity\":{\"cpu\":1}}",
+          "{\"service\":7,\"state\":\"ready\",\"born\":1700,\"capacity\":{\"cpu\":1}}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"born\":1700,\"capacity\":\"large\"}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"born\":1700,\"capacity\":{\"cpu\":-4}}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"born\":1700,\"capacity\":{\"cpu\":1e30}}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"born\":1700,\"capacity\":{\"cpu\":1,\"mem_"
+          "mb\":-1}}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"born\":1700,\"capacity\":{\"cpu\":1,\"mem_"
+          "mb\":4294967296}}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"born\":1700,\"capacity\":{\"cpu\":1,\"gpu\":"
+          "\"all\"}}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"born\":1700,\"capacity\":{\"cpu\":1},"
+          "\"sequence\":-1}",
+          late_report,
+          "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":1}}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"born\":1700.5,\"capacity\":{\"cpu\":1}}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"born\":\"1700\",\"capacity\":{\"cpu\":1}}",
+          "{\"service\":\"calc\",\"state\":\"ready\",\"born\":-1,\"capacity\":{\"cpu\":1}}",
+          "\xff\xfe" };
   MdWorkerReport report;
 
   for (size_t i = 0; i < MD_ARRAY_SIZE (texts); i++)
@@ -140,6 +147,13 @@
   md_hold_response_clear (&held);
   ck_assert_int_eq (md_platform_parse_hold_response (MD_STR ("{\"running\":[]}"), &held, NULL),
                     MD_E_INVALID);
+  /* A response that does not say which lifetime it comes from must not end runs. */
+  ck_assert_int_eq (md_platform_parse_hold_response (MD_STR ("{\"running\":[],\"finished\":[]}"),
+                                                     &held, NULL),
+                    MD_E_INVALID);
+  ck_assert_int_eq (md_platform_parse_hold_response (
+                        MD_STR ("{\"born\":\"99\",\"running\":[],\"finished\":[]}"), &held, NULL),
+                    MD_E_INVALID);
 }
 END_TEST
 
@@ -281,7 +295,7 @@
 START_TEST (odd_rows_leave_the_others)
 {
   static const char text[]
-      = "{\"clock_ms\":482113,\"running\":[[\"5c.0.1.17\",99999999999999999999],"
+      = "{\"clock_ms\":482113,\"born\":99,\"running\":[[\"5c.0.1.17\",99999999999999999999],"
         "[\"5c.0.1.17\",4294967298],[\"5c.0.1.17\",-1],[\"5c.0.1.17\",2]],"
         "\"finished\":[[-1,\"5c.0.1.9\",1,\"done\",\"\"],[58,\"5c.0.1.9\",4294967297,\"done\",\"\"]"
         ","
