Have other writers report to guards in the soak

Six forms: without a birth, under the worker's own id with a later birth, a birth in the far future, another service, a deregistration, and numbers of another type. The random sequence of a seed is as before.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -7,7 +7,8 @@
 # stopped and restarted by signals, and their wall clocks jump; the store is silent, busy,
 # slow, forgetful, loses answers or carries appends out late; workers lose orders, fail,
 # hang or drain; configurations come. Orders reach a worker whose connection then breaks
-# before the response; a guard is paused right before all its connections are reset.
+# before the response; a guard is paused right before all its connections are reset;
+# other writers report to guards.
 # Faults overlap.
 # Judged from what callers and workers saw: no two runs of a task at once, no start of a
 # rejected job, no start on a worker that drains, no configuration older than one that the
@@ -105,6 +106,22 @@
   esac
 }
 
+# A report that does not come from the worker of the guard.
+stray_report () { # guard form
+  local register id=i-0badc0de method=PUT fields='"service":"calc","version":"v1","state":"ready"'
+  eval "register=\$REGISTER_$1"
+  case $2 in
+    0) ;; # no birth, no sequence number, no clock
+    1) id=i-$1; fields="$fields,\"born\":$(date +%s%3N),\"sequence\":1,\"clock_ms\":0" ;;
+    2) id=i-$1; fields="$fields,\"born\":4102444800000,\"sequence\":9007199254740991" ;;
+    3) id=i-$1; fields="${fields/calc/elsewhere},\"born\":1,\"sequence\":9007199254740991" ;;
+    4) method=DELETE ;;
+    5) fields="$fields,\"born\":1e30,\"sequence\":\"next\"" ;;
+  esac
+  curl -s -m 1 -o /dev/null -X "$method" "http://$register/v1/instances/$id" \
+    -d "{$fields,\"slots\":8,\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":0}}"
+}
+
 # Does not draw from RANDOM, so that a seed keeps the faults of inject.
 inject_more () { # seed index
   local names=(entry-1 entry-2 guard-1 guard-2 guard-3)
@@ -122,6 +139,10 @@
     echo "silence:s" >> "$RUN/faults"
     command_proxy silence s
   fi
+  if [ $((($1 + 2 * $2) % 3)) = 0 ]; then
+    echo "stray:guard-$guard:$((($1 / 3 + $2) % 6))" >> "$RUN/faults"
+    stray_report "$guard" $((($1 / 3 + $2) % 6)) &
+  fi
   if [ $((($1 + $2) % 3)) = 1 ]; then
     echo "unanswered:w$guard" >> "$RUN/faults"
     command_proxy unanswered "w$guard" 6
