Keep the runs that a worker lists after it started again

A start that was sent to the former lifetime is then executed by the new one, as the name is all that it checks. The next hold stated the new birth and listed the run; the guard ended all started runs as crashed, so that their entries placed them elsewhere, and only then stopped it as unknown: two runs at once until the stop was executed.

Change: with a new birth, runs that the response lists or names as ended are kept; so are those whose start may have been executed after the list was made. A start that can no longer be executed and may have been by the former lifetime ends as crashed, not as never started.

Result: test-guard-worker run_of_the_new_lifetime_is_kept fails before ('running.n == 1' failed: 0). unanswered_start_at_a_former_lifetime_has_crashed passes before as well; it guards the second half.

--- a/fleet/guard-lifetime.c
+++ b/fleet/guard-lifetime.c
@@ -132,16 +132,14 @@
   return guard->queue.running.n == 1 ? MD_RUN_CRASHED_ALONE : MD_RUN_CRASHED;
 }
 
-/* Switches to a new lifetime of the worker. All runs of the former lifetime have ended. */
-static void
-begin_lifetime (MdRunGuard *guard, int64_t born_ms)
+void
+md_guard_begin_lifetime (MdRunGuard *guard, int64_t born_ms)
 {
   MdGuardWorker *worker = &guard->worker;
 
   md_log (guard->queue.running.n > 0 ? MD_LOG_WARN : MD_LOG_INFO, "worker-lifetime",
           "born_ms=%lld former=%s former_born_ms=%lld runs=%u", (long long)born_ms, worker->id,
           (long long)worker->report.born_ms, guard->queue.running.n);
-  md_guard_end_started_runs (guard, md_guard_crash_result (guard));
   worker->id[0] = '\0';
   worker->report = (MdWorkerReport){ .born_ms = born_ms, .clock_ms = -1 };
   worker->has_report = false;
@@ -153,13 +151,6 @@
   md_guard_update_accepting (guard);
 }
 
-void
-md_guard_check_lifetime (MdRunGuard *guard, int64_t born_ms)
-{
-  if (born_ms != guard->worker.report.born_ms)
-    begin_lifetime (guard, born_ms);
-}
-
 void
 md_guard_settle_report (MdRunGuard *guard)
 {
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -274,8 +274,48 @@
   return false;
 }
 
+static bool
+is_ended (const MdHoldResponse *response, const MdGuardRun *run)
+{
+  for (size_t i = 0; i < response->n_ends; i++)
+    if (response->ends[i].run_number == run->run_number
+        && strcmp (response->ends[i].task, run->task) == 0)
+      return true;
+  return false;
+}
+
+/* Whether a start may have been executed by the lifetime that sent the response, after it listed its
+   runs, or may still be. */
+static bool
+may_start_later (const MdRunGuard *guard, const MdGuardRun *run)
+{
+  if (run->confirmed)
+    return run->confirmed_at >= guard->hold_sent;
+  return run->start_in_progress || guard->hold_token < run->fenced_by;
+}
+
+/* Ends the runs that ended with the former lifetime of the worker. A worker may start again under
+   the name that it had, so that the new lifetime can have executed starts that were sent before its
+   birth was known. */
+static void
+end_former_runs (MdRunGuard *guard, const MdHoldResponse *response, MdRunResult crashed)
+{
+  for (MdRun *queued = guard->queue.running.first, *next; queued != NULL; queued = next)
+    {
+      MdGuardRun *run = guard_run (queued);
+
+      next = queued->next;
+      if (is_listed (response, run) || is_ended (response, run))
+        continue;
+      if (may_start_later (guard, run))
+        run->outlived = true;
+      else
+        md_guard_end_run (guard, run, crashed, "");
+    }
+}
+
 /* Compares the runs that the worker lists with those started there. A listed run is confirmed, a
-   fenced one that is not listed was never started, and a confirmed one that is missing from
+   fenced one that is not listed was never started, or by a former lifetime, and a confirmed one that is missing from
    MAX_MISSING_HOLDS holds in a row has ended. */
 static void
 reconcile (MdRunGuard *guard, const MdHoldResponse *response)
@@ -292,7 +332,7 @@
           run->missing_holds = 0;
         }
       else if (!run->confirmed && run->fenced_by != 0 && guard->hold_token >= run->fenced_by)
-        md_guard_end_run (guard, run, MD_RUN_REJECTED, "");
+        md_guard_end_run (guard, run, run->outlived ? MD_RUN_CRASHED : MD_RUN_REJECTED, "");
       else if (run->confirmed && guard->hold_sent > run->confirmed_at
                && ++run->missing_holds >= MAX_MISSING_HOLDS)
         {
@@ -355,7 +395,13 @@
 static void
 handle_hold_response (MdRunGuard *guard, const MdHoldResponse *response)
 {
-  md_guard_check_lifetime (guard, response->born_ms);
+  if (response->born_ms != guard->worker.report.born_ms)
+    {
+      MdRunResult crashed = md_guard_crash_result (guard);
+
+      md_guard_begin_lifetime (guard, response->born_ms);
+      end_former_runs (guard, response, crashed);
+    }
   update_clock_offset (guard, response->clock_ms);
   mark_reachable (guard);
   if (guard->hold_token > guard->worker.acked_token)
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -46,6 +46,8 @@
                                            one. 0: no such start. */
   bool cancelled;                       /* the worker is to stop the run */
   MdTime stop_due;                      /* time of the next stop call; valid when cancelled */
+  bool outlived;                        /* the worker started again while it was not known whether
+                                           the start had been executed */
   unsigned rejected_starts;             /* start calls that the worker rejected */
   unsigned missing_holds;               /* consecutive hold responses without the run */
 } MdGuardRun;
@@ -213,10 +215,9 @@
 /* md_guard_worker_event: process a report or the deregistration of the worker. */
 void md_guard_worker_event (MdRunGuard *guard, const MdWorkerEvent *event);
 
-/* md_guard_check_lifetime: compare the birth that the worker states in a response to a hold with
-   that of the present lifetime. Another one begins a new lifetime, in which none of the started
-   runs exists. */
-void md_guard_check_lifetime (MdRunGuard *guard, int64_t born_ms);
+/* md_guard_begin_lifetime: switch to the lifetime that states this birth in its response to a hold.
+   The caller ends the runs of the former one. */
+void md_guard_begin_lifetime (MdRunGuard *guard, int64_t born_ms);
 
 /* md_guard_settle_report: follow or discard the unproven report, if a response to a hold sent
    after it has been received. */
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -145,6 +145,8 @@
 #define ENDED                                                                                      \
   "{\"clock_ms\":5,\"born\":1700,\"running\":[],"                                                  \
   "\"finished\":[[1,\"a1.0.0.0\",1,\"done\",\"\"]]}"
+#define REBORN_LISTED                                                                              \
+  "{\"clock_ms\":5,\"born\":1800,\"running\":[[\"a1.0.0.0\",1,\"\",10]],\"finished\":[]}"
 #define REBORN "{\"clock_ms\":5,\"born\":1800,\"running\":[],\"finished\":[]}"
 #define NO_ROOM "{\"clock_ms\":5,\"reason\":\"room\"}"
 
@@ -551,6 +553,43 @@
 }
 END_TEST
 
+/* Guards against two runs of a task at once: a worker starts again under the name that it had, and
+   executes a start before the guard knows of its birth. The run was reported as crashed, and
+   started elsewhere while the worker had it. */
+START_TEST (run_of_the_new_lifetime_is_kept)
+{
+  start_worker ();
+  worker.first_start = NULL; /* executed, and its connection reset */
+  worker.hold = REBORN_LISTED;
+  add_waiting ();
+  md_guard_worker_poll (&guard);
+  request_hold ();
+  for (int i = 0; i < PASSES && worker.holds < 4; i++)
+    poll_guard ();
+  ck_assert_int_eq (guard.worker.report.born_ms, 1800);
+  ck_assert_uint_eq (guard.queue.running.n, 1);
+  ck_assert_ptr_null (peer->ends);
+  ck_assert_int_eq (worker.stops, 0);
+}
+END_TEST
+
+/* Guards against a run that is reported as never started: the lifetime that may have executed its
+   start has ended. */
+START_TEST (unanswered_start_at_a_former_lifetime_has_crashed)
+{
+  start_worker ();
+  worker.first_start = NULL;
+  worker.hold = REBORN;
+  add_waiting ();
+  md_guard_worker_poll (&guard);
+  request_hold ();
+  for (int i = 0; i < PASSES && peer->ends == NULL; i++)
+    poll_guard ();
+  ck_assert_ptr_nonnull (peer->ends);
+  ck_assert (md_run_is_crash (peer->ends->result));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -572,5 +611,7 @@
   tcase_add_test (tc, worker_is_followed_after_a_report_with_a_high_sequence);
   tcase_add_test (tc, deregistration_of_another_worker_is_ignored);
   tcase_add_test (tc, runs_end_when_the_worker_states_another_birth);
+  tcase_add_test (tc, run_of_the_new_lifetime_is_kept);
+  tcase_add_test (tc, unanswered_start_at_a_former_lifetime_has_crashed);
   return run_suite ("guard-worker", tc);
 }
