Drop requests that are read from reset connections

Cause: the socket of a caller is found by its peer, and Linux gives no peer for a connection that was reset (ENOTCONN), although the request can still be read from it. A socket that was not found counted as a caller that is present, both before admission and while the answer is awaited.

A descriptor beyond those that are searched: the entry had fewer than 300.

Change: a request whose caller no socket is connected to is dropped before it is posted. The check before admission takes a socket that is not known, and an error of poll, for a caller that has left: it repeats the job, and nothing of it has run here. A caller without an IPv4 address, of which nothing can be told, is rejected with 503. test-entry-late gives its requests a connected socket for that.

--- a/fleet/caller-sockets.h
+++ b/fleet/caller-sockets.h
@@ -19,8 +19,9 @@
                                                   none */
 } MdCallerSockets;
 
-/* md_caller_sockets_find: the descriptor that is connected to the peer, -1 if there is none. It is
-   not considered again until it is released. Thread-safe. */
+/* md_caller_sockets_find: the descriptor that is connected to the peer, -1 if there is none: a
+   connection that was reset has no peer. It is not considered again until it is released.
+   Thread-safe. */
 int md_caller_sockets_find (MdCallerSockets *sockets, const struct sockaddr_in *peer);
 /* md_caller_sockets_release: the descriptor is about to be closed. Must be called before that,
    because the next connection may get the same one. Thread-safe. */
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -8,6 +8,7 @@
 
 #include "run-entry.h"
 
+#include <errno.h>
 #include <poll.h>
 #include <stdio.h>
 #include <sys/eventfd.h>
@@ -237,24 +238,37 @@
   free_job (entry, job);
 }
 
-/* Whether the caller has closed its connection, or it was reset. */
+/* Whether the caller has closed its connection, or it was reset. A caller of which that cannot be
+   told counts as one that has left: it repeats the job, and nothing of it has run here. */
 static bool
 has_caller_left (const MdCallerRequest *caller_request)
 {
   struct pollfd fd = { .fd = caller_request->socket, .events = POLLRDHUP };
+  int n;
 
-  return caller_request->socket >= 0 && poll (&fd, 1, 0) > 0;
+  if (fd.fd < 0)
+    return true; /* poll would skip it */
+  do
+    n = poll (&fd, 1, 0);
+  while (n < 0 && errno == EINTR);
+  return n != 0;
 }
 
-/* Answers a request whose caller left before anything of it was ordered. */
-static void
-drop_request (MdRunEntry *entry, MdCallerRequest *caller_request)
+void
+md_entry_record_dropped (const MdCallerRequest *caller_request, MdTime now)
 {
   md_log (MD_LOG_INFO, "request-dropped",
           "job=%s request=%s queue=%s outcome=not_run reason=\"the caller has left\" age_ms=%lld",
           caller_request->id, caller_request->request_id, caller_request->route.name,
-          (long long)((entry->now - caller_request->arrived) / MD_MS));
+          (long long)((now - caller_request->arrived) / MD_MS));
   md_count (MD_M_CALLERS_LEFT, 1);
+}
+
+/* Answers a request whose caller left before anything of it was ordered. */
+static void
+drop_request (const MdRunEntry *entry, MdCallerRequest *caller_request)
+{
+  md_entry_record_dropped (caller_request, entry->now);
   md_run_spec_clear (&caller_request->spec);
   answer_caller_request (caller_request, 0, NULL, 0);
 }
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -109,28 +109,27 @@
 /* ------------------------------------------------------------------ */
 /* Detection of disconnected callers                                  */
 
-static int
-find_socket (const Request *request)
+/* Sets the address of the caller; false unless it is one of IPv4. */
+static bool
+caller_address (const Request *request, struct sockaddr_in *peer)
 {
-  struct sockaddr_in peer
-      = { .sin_family = AF_INET, .sin_port = htons (request->info->remote_port) };
-
-  if (inet_pton (AF_INET, request->info->remote_addr, &peer.sin_addr) != 1)
-    return -1;
-  return md_caller_sockets_find (&request->front->sockets, &peer);
+  *peer = (struct sockaddr_in){ .sin_family = AF_INET,
+                                .sin_port = htons (request->info->remote_port) };
+  return inet_pton (AF_INET, request->info->remote_addr, &peer->sin_addr) == 1;
 }
 
-/* Returns the descriptor of the caller's socket, -1 if it is not found. The descriptor is
-   cached in the user data of the connection, plus one because 0 means unset. */
+/* Returns the descriptor of the caller's socket, -1 if none is connected to the caller: the
+   connection was reset. The descriptor is cached in the user data of the connection, plus one
+   because 0 means unset. */
 static int
-caller_socket (const Request *request)
+caller_socket (const Request *request, const struct sockaddr_in *peer)
 {
   intptr_t stored = (intptr_t)mg_get_user_connection_data (request->conn);
   int fd;
 
   if (stored > 0)
     return (int)stored - 1;
-  fd = find_socket (request);
+  fd = md_caller_sockets_find (&request->front->sockets, peer);
   if (fd >= 0)
     mg_set_user_connection_data (request->conn, (void *)(intptr_t)(fd + 1));
   return fd;
@@ -174,8 +173,8 @@
 wait_for_answer (const Request *request, MdCallerRequest *caller_request)
 {
   struct pollfd fds[2] = { { .fd = caller_request->event, .events = POLLIN },
-                           { .fd = caller_socket (request), .events = POLLRDHUP } };
-  bool watching = fds[1].fd >= 0;
+                           { .fd = caller_request->socket, .events = POLLRDHUP } };
+  bool watching = caller_request->kind == MD_CALLER_REQUEST_SUBMIT;
   bool reported = false;
   uint64_t count;
 
@@ -258,6 +257,14 @@
   return respond (request, status, MD_STR (MD_BODY_NOT_RUN), outdated ? RETRY_AFTER_NO_CONFIG : 0);
 }
 
+/* Ends the handling of a request whose caller has disconnected, without a response. */
+static int
+abandon_response (const Request *request)
+{
+  mg_disable_connection_keep_alive (request->conn);
+  return 499;
+}
+
 /* Posts the request to the engine and writes the response. Returns the status for CivetWeb. */
 static int
 post_and_respond (const Request *request, MdCallerRequest *caller_request)
@@ -269,10 +276,8 @@
   status = caller_request->status;
   if (status == 0)
     {
-      /* The caller has disconnected. */
-      mg_disable_connection_keep_alive (request->conn);
       md_buf_clear (&caller_request->body);
-      return 499;
+      return abandon_response (request);
     }
   respond (request, status, md_buf_str (&caller_request->body), caller_request->retry_after);
   md_buf_clear (&caller_request->body);
@@ -336,6 +341,7 @@
       = { .kind = MD_CALLER_REQUEST_SUBMIT, .arrived = request->arrived };
   const char *timeout = mg_get_header (request->conn, MD_PLATFORM_DEADLINE_HEADER);
   const char *unsupported;
+  struct sockaddr_in peer;
   MdError error = { 0 };
 
   if (md_platform_parse_job (body, &caller_request.spec, &error) != MD_OK)
@@ -346,19 +352,28 @@
       md_run_spec_clear (&caller_request.spec);
       return reject (request, 503, unsupported, 0);
     }
-  caller_request.socket = caller_socket (request);
   caller_request.event = thread_eventfd ();
-  if (caller_request.event < 0)
+  if (caller_request.event < 0 || !caller_address (request, &peer))
     {
       md_run_spec_clear (&caller_request.spec);
-      return reject (request, 503, "cannot create an eventfd", MD_SECOND);
+      return reject (request, 503,
+                     caller_request.event < 0 ? "cannot create an eventfd"
+                                              : "the caller has no IPv4 address",
+                     MD_SECOND);
     }
+  caller_request.socket = caller_socket (request, &peer);
   md_str_copy (caller_request.id, sizeof caller_request.id, md_str (id));
   copy_header (request, MD_PLATFORM_REQUEST_HEADER, caller_request.request_id,
                sizeof caller_request.request_id);
   caller_request.route = *route;
   if (timeout != NULL)
     caller_request.response_timeout = read_timeout (timeout);
+  if (caller_request.socket < 0)
+    {
+      md_entry_record_dropped (&caller_request, md_now ());
+      md_run_spec_clear (&caller_request.spec);
+      return abandon_response (request);
+    }
   return post_and_respond (request, &caller_request);
 }
 
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -50,7 +50,7 @@
   MdCallerRequest *next;       /* engine only: next request for the same job */
   MdEntryJob *job;             /* engine only: job of the request, NULL once answered */
   int event;                   /* eventfd, borrowed; written when the request is answered */
-  int socket;                  /* SUBMIT: the caller's, borrowed; -1: not known */
+  int socket;                  /* SUBMIT: the caller's, borrowed */
   int status;                  /* response: HTTP status, 0: the caller has disconnected */
   MdTime retry_after;          /* response: Retry-After, 0: none */
   MdBuf body;                  /* response; freed by the thread that posted the request */
@@ -304,6 +304,9 @@
 /* md_entry_handle_requests: handle requests from the inbox, oldest first, for about this time; at
    least one. Returns false if some are left, which the next call handles first. */
 bool md_entry_handle_requests (MdRunEntry *entry, MdTime budget);
+/* md_entry_record_dropped: log and count a request whose caller has left before anything of it was
+   ordered. Can be called from any thread. */
+void md_entry_record_dropped (const MdCallerRequest *caller_request, MdTime now);
 /* md_entry_reject_requests: answer all requests in the inbox with 503 without handling them. */
 void md_entry_reject_requests (MdRunEntry *entry);
 /* md_entry_order_started, md_entry_order_ended: record that a run has started or ended.
--- a/tests/test-entry-late.c
+++ b/tests/test-entry-late.c
@@ -7,6 +7,8 @@
 #include "suite.h"
 
 #include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define NOW (1000 * MD_SECOND)
 #define LAG (390 * MD_MS) /* of the engine, as seen on a day of the grown sites */
@@ -18,12 +20,16 @@
 static MdSavedResources saved[2];
 static bool excluded[2];
 static MdCallerRequest request;
+static int caller[2];   /* the entry's and the caller's end of a connection; -1: closed */
 static MdRunTask *task; /* of the job */
 
 /* Frees what the last request was answered with. */
 static void
 teardown (void)
 {
+  for (size_t i = 0; i < MD_ARRAY_SIZE (caller); i++)
+    if (caller[i] >= 0)
+      close (caller[i]);
   md_buf_clear (&request.body);
 }
 
@@ -51,7 +57,7 @@
   request = (MdCallerRequest){ .kind = MD_CALLER_REQUEST_SUBMIT,
                                .arrived = arrived,
                                .event = eventfd (0, EFD_NONBLOCK),
-                               .socket = -1 };
+                               .socket = caller[0] };
   md_str_copy (request.id, sizeof request.id, MD_STR ("1"));
   request.spec.steps = step;
   request.spec.n_steps = 1;
@@ -69,6 +75,7 @@
 static void
 setup (void)
 {
+  ck_assert_int_eq (socketpair (AF_UNIX, SOCK_STREAM, 0, caller), 0);
   entry = (MdRunEntry){ .now = NOW, .next_order_id = 1, .saved_resources = saved };
   md_leases_set (&entry.daemon.leases, 1300 * MD_MS, 50 * MD_MS);
   md_tuning_default (&entry.daemon.settings.tuning);
@@ -229,6 +236,23 @@
 }
 END_TEST
 
+/* Guards against two runs of a task at once: a caller of which nothing is known counted as present
+   (review 1). */
+START_TEST (request_without_a_caller_is_dropped)
+{
+  close (caller[1]);
+  caller[1] = -1;
+  submit_job (NOW);
+  ck_assert_uint_eq (entry.n_jobs, 0);
+  ck_assert_int_eq (request.status, 0);
+  close (caller[0]);
+  caller[0] = -1;
+  submit_job (NOW);
+  ck_assert_uint_eq (entry.n_jobs, 0);
+  ck_assert_int_eq (request.status, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -242,5 +266,6 @@
   tcase_add_test (tc, late_for_a_moment_admits);
   tcase_add_test (tc, request_that_waited_is_rejected);
   tcase_add_test (tc, requests_are_handled_in_several_passes);
+  tcase_add_test (tc, request_without_a_caller_is_dropped);
   return run_suite ("entry-late", tc);
 }
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -170,7 +170,18 @@
   urcu_memb_unregister_thread ();
 }
 
-/* Waits until so many requests are in the inbox, which keeps them. */
+/* Number of requests in the inbox, which keeps them. */
+static int
+count_requests (void)
+{
+  int found = 0;
+
+  md_links_poll (entry.daemon.links, md_now () + 10 * MD_MS);
+  for (MdInboxNode *node = atomic_load (&entry.inbox.newest); node != NULL; node = node->next)
+    found++;
+  return found;
+}
+
 static void
 wait_for_requests (int n)
 {
@@ -178,15 +189,20 @@
   int found = 0;
 
   while (found < n && md_now () < end)
-    {
-      found = 0;
-      md_links_poll (entry.daemon.links, md_now () + 10 * MD_MS);
-      for (MdInboxNode *node = atomic_load (&entry.inbox.newest); node != NULL; node = node->next)
-        found++;
-    }
+    found = count_requests ();
   ck_assert_int_eq (found, n);
 }
 
+/* Closes the connection with a reset. */
+static void
+reset_connection (int fd)
+{
+  struct linger linger = { .l_onoff = 1 };
+
+  ck_assert_int_eq (setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), 0);
+  close (fd);
+}
+
 /* Guards against an entry whose engine, late as it is, has to reject each job itself: it did nothing
    else any more, and its callers had left when it came to them (issue 26). */
 START_TEST (overloaded_entry_rejects_before_the_engine)
@@ -227,6 +243,39 @@
 }
 END_TEST
 
+/* Guards against two runs of a task at once: after a pause of the entry, requests are read from
+   connections that were reset meanwhile, and whose callers have repeated the jobs elsewhere. The
+   socket of such a connection has no peer any more (review 1). */
+START_TEST (request_of_a_reset_connection_is_dropped)
+{
+  int callers[8]; /* one for each thread, so that the next request is not read yet */
+  int64_t left = atomic_load (&md_metrics[MD_M_CALLERS_LEFT]);
+  int64_t accepted = atomic_load (&md_metrics[MD_M_CALLER_CONNECTIONS]);
+  MdTime end = md_now () + 60 * MD_SECOND;
+  int repeated;
+
+  for (size_t i = 0; i < MD_ARRAY_SIZE (callers); i++)
+    {
+      callers[i] = connect_caller ();
+      post_job (callers[i]);
+    }
+  wait_for_requests (MD_ARRAY_SIZE (callers));
+  repeated = connect_caller ();
+  post_job (repeated);
+  reset_connection (repeated);
+  md_entry_reject_requests (&entry);
+  while (atomic_load (&md_metrics[MD_M_CALLERS_LEFT]) == left && count_requests () == 0
+         && md_now () < end)
+    ;
+  ck_assert_int_eq (count_requests (), 0);
+  ck_assert_int_eq (atomic_load (&md_metrics[MD_M_CALLERS_LEFT]), left + 1);
+  ck_assert_int_eq (atomic_load (&md_metrics[MD_M_CALLER_CONNECTIONS]),
+                    accepted + (int)MD_ARRAY_SIZE (callers) + 1);
+  for (size_t i = 0; i < MD_ARRAY_SIZE (callers); i++)
+    close (callers[i]);
+}
+END_TEST
+
 /* Guards against a configuration that is in force late because the engine is: callers got 404 for a
    queue that had been added seconds before (issue 29). The engine of these tests never runs. */
 START_TEST (configuration_does_not_wait_for_the_engine)
@@ -269,6 +318,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, overloaded_entry_rejects_before_the_engine);
   tcase_add_test (tc, repeated_job_reaches_the_engine);
+  tcase_add_test (tc, request_of_a_reset_connection_is_dropped);
   tcase_add_test (tc, configuration_does_not_wait_for_the_engine);
   tcase_add_test (tc, outdated_configuration_denies_no_queue);
   return run_suite ("front", tc);
