--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -48,6 +48,7 @@
 
 launch () { # name command...
   local name=$1; shift
+  echo "event=launched" >> "$RUN/$name.log" # precedes all lines of the process
   "$@" >> "$RUN/$name.log" 2>&1 &
   echo "$! $(start_time $!)" > "$RUN/$name.pid"
   disown $!
@@ -136,7 +137,7 @@
   local len=$(($(stat -c %s "$RUN/config.json") + 7))
   { printf "\\x$(printf %02x $((len >> 24)))\\x$(printf %02x $((len >> 16 & 255)))\\x$(printf %02x $((len >> 8 & 255)))\\x$(printf %02x $((len & 255)))\\x06config"
     cat "$RUN/config.json"; } > "$RUN/record"
-  curl -sS -m 3 --data-binary @"$RUN/record" \
+  curl -fsS -m 3 --data-binary @"$RUN/record" \
     "http://$STORE/v1/log-append?topic=keyed.op&part=0" > /dev/null
 }
 
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -159,7 +159,7 @@
 
 # Configurations that an entry went back to within one lifetime.
 went_back () { # log
-  awk '/ event=started / { last = 0 }
+  awk '/^event=launched$/ { last = 0 }
     match($0, / event=config-applied version=[0-9]+/) {
       version = substr($0, RSTART + 30, RLENGTH - 30) + 0
       if (version <= last) n++
