Dial an entry again when sent data is not acknowledged

Cause: a guard noticed a silent connection after 1 s without a message (entry_silence, 9.9) and dialled then; its entry had closed it after 350 ms (9.35) and had no guards until then.

Ruled out: a shorter silence for all. It is the kernel of the peer that acknowledges.

Change: guards set TCP_USER_TIMEOUT (250 ms) on the connections that they dial and dial again when the kernel gives one up. Each such end within ten seconds of the connection's start doubles the time, up to four times, as the way may only be congested. The second connection carries a hello that lists what the guard has, as after any reconnect; the former one is closed before it, so that nothing starts twice.

--- a/common/md-private.h
+++ b/common/md-private.h
@@ -254,6 +254,13 @@
 /* md_links_set_connect_timeout: set the time-out of later connection attempts; 2 s by default. */
 void md_links_set_connect_timeout (MdLinks *links, MdTime timeout);
 
+/* md_links_set_ack_timeout: give up later dialled connections when data that was sent is not
+   acknowledged for this long, and dial again. Acknowledgements come from the peer's kernel, also
+   while its process is late or paused: without them the connection is dead, or the way to the peer
+   is. A connection that follows one of less than ten seconds which ended so waits twice as long,
+   at most four times the timeout, as the way may be congested. 0, the default: never. */
+void md_links_set_ack_timeout (MdLinks *links, MdTime timeout);
+
 /* md_links_poll: write queued frames, wait for I/O until the given time or a call of
    md_links_wake, read, and call the handler. */
 void md_links_poll (MdLinks *links, MdTime until);
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -18,6 +18,9 @@
 /* The first SYN to an entry without power is lost, and the kernel repeats it only after a
    second; a new connection attempt reaches the restarted entry sooner. */
 #define CONNECT_TIMEOUT (200 * MD_MS)
+/* A connection can go silent for good while a new one works. Two and a half heartbeats; entries
+   that are only late are given entry_silence. */
+#define ACK_TIMEOUT (250 * MD_MS)
 
 static void
 on_entry_record (void *user, const MdKeyedRecord *record)
@@ -158,6 +161,7 @@
   if (guard->daemon.links == NULL)
     return MD_EXIT_FAILED;
   md_links_set_connect_timeout (guard->daemon.links, CONNECT_TIMEOUT);
+  md_links_set_ack_timeout (guard->daemon.links, ACK_TIMEOUT);
   md_daemon_catch_signals (guard->daemon.links);
   rc = start_components (guard, &error);
   if (rc == MD_OK)
--- a/net/link-io.c
+++ b/net/link-io.c
@@ -22,6 +22,8 @@
 #define READ_CHUNK_BYTES ((size_t)64 << 10)     /* requested by one recv */
 #define READ_BUDGET_BYTES ((size_t)1 << 20)     /* read from one link per event, for fairness */
 #define MAX_IDLE_BUFFER_BYTES ((size_t)1 << 20) /* larger buffers are freed when empty */
+#define ACK_TIMEOUT_RESET (10 * MD_SECOND) /* a connection that lasted is not on a congested way */
+#define MAX_ACK_TIMEOUTS 4                 /* times the acknowledgement timeout */
 
 bool
 md_link_watch (MdLinks *links, int operation, int fd, uint32_t events, void *data)
@@ -83,6 +85,30 @@
   md_link_end (link, MD_E_IO, "closed locally");
 }
 
+/* Ends a connection that the kernel has given up, because data was not acknowledged. */
+static void
+end_unacknowledged (MdLink *link)
+{
+  MdTime limit = link->links->ack_timeout;
+  bool short_lived = md_now () < link->established_at + ACK_TIMEOUT_RESET;
+
+  link->ack_timeout = short_lived ? 2 * link->ack_timeout : limit;
+  if (link->ack_timeout > MAX_ACK_TIMEOUTS * limit)
+    link->ack_timeout = MAX_ACK_TIMEOUTS * limit;
+  md_count (MD_M_LINKS_ABANDONED, 1);
+  md_link_end (link, MD_E_TIMEOUT, "sent data was not acknowledged");
+}
+
+/* Ends a connection after a failed system call. */
+static void
+end_with_errno (MdLink *link)
+{
+  if (errno == ETIMEDOUT)
+    end_unacknowledged (link);
+  else
+    md_link_end (link, MD_E_IO, strerror (errno));
+}
+
 /* ------------------------------------------------------------------ */
 /* Output                                                             */
 
@@ -145,7 +171,7 @@
         break;
       if (n < 0)
         {
-          md_link_end (link, MD_E_IO, strerror (errno));
+          end_with_errno (link);
           return;
         }
       link->out_start += (size_t)n;
@@ -280,7 +306,7 @@
   if (n == 0)
     md_link_end (link, MD_E_IO, "closed by the peer");
   else if (errno != EAGAIN && errno != EWOULDBLOCK)
-    md_link_end (link, MD_E_IO, strerror (errno));
+    end_with_errno (link);
   return 0;
 }
 
--- a/net/link.c
+++ b/net/link.c
@@ -217,9 +217,28 @@
   links->connect_timeout = timeout;
 }
 
+void
+md_links_set_ack_timeout (MdLinks *links, MdTime timeout)
+{
+  links->ack_timeout = timeout;
+}
+
 /* ------------------------------------------------------------------ */
 /* Connecting                                                         */
 
+static void
+set_ack_timeout (MdLink *link)
+{
+  unsigned ms;
+
+  if (!link->dialled || link->links->ack_timeout == 0)
+    return;
+  if (link->ack_timeout == 0)
+    link->ack_timeout = link->links->ack_timeout;
+  ms = (unsigned)(link->ack_timeout / MD_MS);
+  setsockopt (link->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
+}
+
 static void
 establish_link (MdLink *link)
 {
@@ -227,8 +246,10 @@
   int on = 1;
 
   setsockopt (link->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  set_ack_timeout (link);
   link->state = MD_LINK_UP;
-  link->last_read = md_now ();
+  link->established_at = md_now ();
+  link->last_read = link->established_at;
   link->max_silence = HANDSHAKE_TIMEOUT;
   link->control = false;
   md_links_schedule_check (links, link->last_read + link->max_silence);
--- a/net/md-link.h
+++ b/net/md-link.h
@@ -36,6 +36,8 @@
   MdTime due;                  /* next attempt or connect time-out, by state */
   MdTime last_read;            /* when data was last received */
   MdTime max_silence;          /* closed when nothing is received for this long, 0 never */
+  MdTime established_at;       /* when the present or last connection came up */
+  MdTime ack_timeout;          /* of the next connection; 0: that of the links */
   MdBuf in;                    /* received data that is not decoded yet */
   MdBuf out;                   /* queued frames */
   size_t out_start;            /* bytes of out already written */
@@ -59,6 +61,7 @@
   size_t accepted;          /* number of accepted links */
   MdTime accept_resume_at;  /* accepting is paused until then, 0 not paused */
   MdTime connect_timeout;   /* limit of one connection attempt */
+  MdTime ack_timeout;       /* of dialled connections, see md_links_set_ack_timeout; 0: none */
   MdTime next_check;        /* not later than the earliest deadline */
 };
 
--- a/tests/test-link.c
+++ b/tests/test-link.c
@@ -175,6 +175,65 @@
 }
 END_TEST
 
+/* Guards against a connection that stays in use for a second although nothing that is sent over it
+   arrives, while a new one works (issue 35). The peer takes no data, as its buffer is full. */
+START_TEST (test_unacknowledged_data)
+{
+  Side s = { 0 };
+  int listener;
+  int peer;
+  MdLink *link = connect_to_plain (&s, &listener, &peer);
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__SnapshotReply reply = MD__SNAPSHOT_REPLY__INIT;
+
+  md_links_set_ack_timeout (s.links, 200 * MD_MS);
+  md_link_disconnect (link); /* the timeout holds from the next connection on */
+  for (int i = 0; s.ups < 2 && i < PASSES; i++)
+    poll_both (&s, NULL);
+  ck_assert_int_eq (s.ups, 2);
+  reply.snapshot.len = 4u << 20;
+  reply.snapshot.data = calloc (1, reply.snapshot.len);
+  frame.msg_case = MD__FRAME__MSG_SNAPSHOT_REPLY;
+  frame.snapshot_reply = &reply;
+  for (int i = 0; i < 8; i++)
+    md_link_send (link, &frame);
+  for (int i = 0; s.ups < 3 && i < PASSES; i++)
+    poll_both (&s, NULL);
+  ck_assert_int_eq (s.ups, 3);
+  ck_assert_int_eq (s.code, MD_E_TIMEOUT);
+  free (reply.snapshot.data);
+  close (peer);
+  close (listener);
+  md_links_free (s.links);
+}
+END_TEST
+
+/* Guards against a connection that is given up although the peer only has nothing to say. */
+START_TEST (test_acknowledged_data)
+{
+  Side s = { 0 };
+  int listener;
+  int peer;
+  MdLink *link = connect_to_plain (&s, &listener, &peer);
+  MdTime end;
+
+  md_links_set_ack_timeout (s.links, 50 * MD_MS);
+  md_link_disconnect (link);
+  for (int i = 0; s.ups < 2 && i < PASSES; i++)
+    poll_both (&s, NULL);
+  for (end = md_now () + 300 * MD_MS; md_now () < end;)
+    {
+      send_leaving (link); /* acknowledged by the kernel, and never read */
+      poll_both (&s, NULL);
+    }
+  ck_assert_int_eq (s.ups, 2);
+  ck_assert_int_eq (s.downs, 1);
+  close (peer);
+  close (listener);
+  md_links_free (s.links);
+}
+END_TEST
+
 /* Guards against output for a peer that does not read growing without bound. */
 START_TEST (test_slow_reader)
 {
@@ -300,6 +359,8 @@
 
   tcase_add_test (tc, test_frames_and_reconnect);
   tcase_add_test (tc, test_silent_peer);
+  tcase_add_test (tc, test_unacknowledged_data);
+  tcase_add_test (tc, test_acknowledged_data);
   tcase_add_test (tc, test_slow_reader);
   tcase_add_test (tc, test_partial_and_malformed);
   tcase_add_test (tc, test_close_with_output);
