Take a link's socket out of the epoll set before closing it

Cause: close removes a socket from an epoll set with its last reference only. A thread that looks for a caller's socket is in getpeername on one descriptor after the other, those of guards included, and holds one meanwhile. The next event of the socket is then reported for a link that has been freed.

Ruled out: watches of the HTTP client; they are taken out before libcurl closes their sockets, and freed only with the client.

Change: EPOLL_CTL_DEL before close.

--- a/net/link-io.c
+++ b/net/link-io.c
@@ -49,6 +49,18 @@
   link->flush_pending = false;
 }
 
+void
+md_link_close_socket (MdLink *link)
+{
+  if (link->fd < 0)
+    return;
+  /* close removes the socket from the epoll set only if no other thread is in a system call on the
+     descriptor; otherwise its next event would be reported for a link that has been freed. */
+  md_link_watch (link->links, EPOLL_CTL_DEL, link->fd, 0, NULL);
+  close (link->fd);
+  link->fd = -1;
+}
+
 void
 md_link_end (MdLink *link, int code, const char *reason)
 {
@@ -57,9 +69,7 @@
   if (link->state == MD_LINK_ENDED)
     return;
   cancel_flush (link);
-  if (link->fd >= 0)
-    close (link->fd); /* also removes it from the epoll set */
-  link->fd = -1;
+  md_link_close_socket (link);
   link->state = MD_LINK_ENDED;
   link->blocked = false;
   link->out_start = 0;
--- a/net/link.c
+++ b/net/link.c
@@ -70,8 +70,7 @@
     link->next->previous = link->previous;
   if (!link->dialled)
     links->accepted--;
-  if (link->fd >= 0)
-    close (link->fd);
+  md_link_close_socket (link);
   md_buf_clear (&link->in);
   md_buf_clear (&link->out);
   free (link);
--- a/net/md-link.h
+++ b/net/md-link.h
@@ -70,6 +70,10 @@
 /* md_link_watch: call epoll_ctl; false when it fails. */
 bool md_link_watch (MdLinks *links, int operation, int fd, uint32_t events, void *data);
 
+/* md_link_close_socket: remove the socket from the epoll set and close it; does nothing when there is
+   none. */
+void md_link_close_socket (MdLink *link);
+
 /* md_link_end: close the connection and have the next poll report its end with this error. Has no
    effect on a link that has already ended. */
 void md_link_end (MdLink *link, int code, const char *reason);
--- a/tests/test-link.c
+++ b/tests/test-link.c
@@ -3,7 +3,7 @@
    Each test polls two link sets in turn from one thread. Waiting loops have a
    bound on passes only to end a broken run. */
 
-#include "md-private.h"
+#include "md-link.h"
 
 #include "suite.h"
 #include "wire.pb-c.h"
@@ -11,6 +11,7 @@
 #include <arpa/inet.h>
 #include <pthread.h>
 #include <stdio.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -327,6 +328,32 @@
 }
 END_TEST
 
+/* Guards against a crash: the socket of a link is closed while another thread is in a system call on
+   its descriptor, so that the kernel keeps it. It stayed in the epoll set, and its next event was
+   reported for a link that had been freed (review 3). A duplicate takes the place of that call. */
+START_TEST (test_close_while_in_use)
+{
+  Side s = { 0 };
+  int listener;
+  int peer;
+  MdLink *link = connect_to_plain (&s, &listener, &peer);
+  struct epoll_event event = { .events = EPOLLIN };
+  int fd = link->fd;
+  int held = dup (fd);
+
+  md_link_close (link);
+  ck_assert_int_eq (dup2 (held, fd), fd);
+  ck_assert_int_eq (epoll_ctl (s.links->epoll_fd, EPOLL_CTL_ADD, fd, &event), 0);
+  close (fd);
+  close (held);
+  poll_both (&s, NULL);
+  ck_assert_int_eq (s.downs, 1);
+  close (peer);
+  close (listener);
+  md_links_free (s.links);
+}
+END_TEST
+
 static void *
 wake_links (void *data)
 {
@@ -364,6 +391,7 @@
   tcase_add_test (tc, test_slow_reader);
   tcase_add_test (tc, test_partial_and_malformed);
   tcase_add_test (tc, test_close_with_output);
+  tcase_add_test (tc, test_close_while_in_use);
   tcase_add_test (tc, test_wake);
   return run_suite ("link", tc);
 }
