Move the handling of callers' requests into a file of its own

What answers, attaches and drops requests of callers is in entry-requests.c now; jobs stay in entry-jobs.c. submit is split where a request becomes a job (md_entry_start_job).

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -1,18 +1,11 @@
-/* entry-jobs.c -- life cycle of jobs at an entry, from submission to the answer
+/* entry-jobs.c -- life cycle of jobs at an entry, from admission to the answer
 
    Each entry handles the jobs that were submitted to it without consulting other entries.
    The scheduling decisions are made by the functions of sched/; this file supplies their
    input and carries them out. */
 
-#define _GNU_SOURCE /* POLLRDHUP */
-
 #include "run-entry.h"
 
-#include <errno.h>
-#include <poll.h>
-#include <stdio.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
 #include <xxhash.h>
 
 /* A run on a stalled worker is cancelled after this multiple of its expected run time. */
@@ -32,8 +25,8 @@
   return (uint32_t)(XXH64 (id, strlen (id), 0) % MD_JOB_BUCKETS);
 }
 
-static MdEntryJob *
-find_job (const MdRunEntry *entry, const char *id, const MdRoute *route)
+MdEntryJob *
+md_entry_find_job (const MdRunEntry *entry, const char *id, const MdRoute *route)
 {
   for (MdEntryJob *job = entry->buckets[bucket_of (id)]; job != NULL; job = job->bucket_next)
     if (strcmp (job->id, id) == 0 && strcmp (job->route.prefix, route->prefix) == 0
@@ -97,46 +90,12 @@
 /* ------------------------------------------------------------------ */
 /* Answers                                                            */
 
-/* Whether the status says that nothing of the job has run or will run. */
-static bool
-is_rejection (int status)
-{
-  return status == 429 || status == 503;
-}
-
-static void
-wake_thread (int event)
-{
-  uint64_t one = 1;
-
-  if (write (event, &one, sizeof one) < 0)
-    md_log (MD_LOG_ERROR, "eventfd", "reason=\"cannot wake the HTTP thread\"");
-}
-
-static void
-answer_caller_request (MdCallerRequest *caller_request, int status, const char *state,
-                       MdTime retry_after)
-{
-  int event = caller_request->event;
-
-  caller_request->job = NULL;
-  caller_request->status = status;
-  caller_request->retry_after = retry_after;
-  if (state != NULL)
-    md_platform_write_state (&caller_request->body, state);
-  else if (is_rejection (status))
-    md_buf_append (&caller_request->body, MD_STR (MD_BODY_NOT_RUN));
-  /* From here on the thread may free the request. */
-  atomic_store (&caller_request->answered, true);
-  wake_thread (event);
-}
-
 static const char *
 outcome_name (int status, const char *state)
 {
   if (state != NULL)
     return state;
-  return is_rejection (status) ? "not_run" : "unknown";
+  return md_entry_is_rejection (status) ? "not_run" : "unknown";
 }
 
 static void
@@ -181,7 +140,7 @@
       histogram = MD_H_JOB_FAILED;
       outcome = MD_JOB_OUTCOME_FAILED;
     }
-  else if (is_rejection (status))
+  else if (md_entry_is_rejection (status))
     {
       metric = MD_M_REFUSED;
       histogram = MD_H_JOB_REJECTED;
@@ -231,87 +190,26 @@
       MdCallerRequest *caller_request = job->requests;
 
       job->requests = caller_request->next;
-      answer_caller_request (caller_request, status, state, retry_after);
+      md_entry_answer_request (caller_request, status, state, retry_after);
     }
   cancel_orders (job);
   unlink_job (entry, job);
   free_job (entry, job);
 }
 
-/* Whether the caller has closed its connection, or it was reset. A caller of which that cannot be
-   told counts as one that has left: it repeats the job, and nothing of it has run here. */
-static bool
-has_caller_left (const MdCallerRequest *caller_request)
-{
-  struct pollfd fd = { .fd = caller_request->socket, .events = POLLRDHUP };
-  int n;
-
-  if (fd.fd < 0)
-    return true; /* poll would skip it */
-  do
-    n = poll (&fd, 1, 0);
-  while (n < 0 && errno == EINTR);
-  return n != 0;
-}
-
 void
-md_entry_record_dropped (const MdCallerRequest *caller_request, MdTime now)
-{
-  md_log (MD_LOG_INFO, "request-dropped",
-          "job=%s request=%s queue=%s outcome=not_run reason=\"the caller has left\" age_ms=%lld",
-          caller_request->id, caller_request->request_id, caller_request->route.name,
-          (long long)((now - caller_request->arrived) / MD_MS));
-  md_count (MD_M_CALLERS_LEFT, 1);
-}
-
-/* Answers a request whose caller left before anything of it was ordered. */
-static void
-drop_request (const MdRunEntry *entry, MdCallerRequest *caller_request)
-{
-  md_entry_record_dropped (caller_request, entry->now);
-  md_run_spec_clear (&caller_request->spec);
-  answer_caller_request (caller_request, 0, NULL, 0);
-}
-
-/* Answers a request of which nothing has been ordered. */
-static void
-reject_unhandled (MdCallerRequest *caller_request)
-{
-  md_run_spec_clear (&caller_request->spec);
-  answer_caller_request (caller_request, 503, NULL, MD_RETRY_AFTER_NO_WORKER);
-}
-
-static void
-submit (MdRunEntry *entry, MdCallerRequest *caller_request)
+md_entry_start_job (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
-  MdEntryJob *job = find_job (entry, caller_request->id, &caller_request->route);
+  MdEntryJob *job;
   MdError error = { 0 };
 
-  md_count (MD_M_JOBS, 1);
-  md_entry_load_request (&entry->load, entry->now - caller_request->arrived, entry->now);
-  /* After a pause of this process, requests can be read from connections that were reset long
-     ago. Their callers may have repeated the jobs at other entries. */
-  if (has_caller_left (caller_request))
-    {
-      drop_request (entry, caller_request);
-      return;
-    }
-  if (job != NULL)
-    {
-      /* The job is active already; all its callers get the same answer. */
-      md_run_spec_clear (&caller_request->spec);
-      caller_request->job = job;
-      caller_request->next = job->requests;
-      job->requests = caller_request;
-      return;
-    }
   job = calloc (1, sizeof *job);
   if (job != NULL && caller_request->route.advisor.present)
     job->advice = calloc (caller_request->spec.n_steps, sizeof *job->advice);
   if (job == NULL || (caller_request->route.advisor.present && job->advice == NULL))
     {
       free (job);
-      reject_unhandled (caller_request);
+      md_entry_reject_request (caller_request);
       return;
     }
   if (md_runjob_init (&job->runjob, &caller_request->spec, caller_request->route.max_attempts,
@@ -321,7 +219,7 @@
       md_log (MD_LOG_WARN, "job-rejected", "job=%s queue=%s reason=\"%s\"", caller_request->id,
               caller_request->route.name, error.detail);
       free_job (entry, job);
-      answer_caller_request (caller_request, 503, NULL, 0);
+      md_entry_answer_request (caller_request, 503, NULL, 0);
       return;
     }
   md_str_copy (job->id, sizeof job->id, md_str (caller_request->id));
@@ -337,151 +235,6 @@
   md_entry_admit (entry, job);
 }
 
-/* Removes a request whose caller has disconnected. The job is cancelled when its last caller
-   is gone. */
-static void
-detach_caller (MdRunEntry *entry, MdCallerRequest *caller_request)
-{
-  MdEntryJob *job = caller_request->job;
-  MdCallerRequest **link;
-
-  if (job == NULL)
-    return; /* already answered */
-  for (link = &job->requests; *link != caller_request; link = &(*link)->next)
-    ;
-  *link = caller_request->next;
-  answer_caller_request (caller_request, 0, NULL, 0);
-  if (job->requests == NULL)
-    md_entry_finish_job (entry, job, 0, NULL, "caller-left", 0);
-}
-
-/* Frees an ABANDON request and marks it as handled in the abandoned one, which its thread may
-   free from then on. */
-static void
-acknowledge_abandon (MdCallerRequest *abandon)
-{
-  int event = abandon->abandoned->event;
-
-  atomic_store (&abandon->abandoned->abandon_handled, true);
-  wake_thread (event);
-  free (abandon);
-}
-
-static void
-count_pending (MdRunEntry *entry, MdCallerRequest *caller_request)
-{
-  uint64_t n = 0;
-
-  for (const MdEntryJob *job = entry->jobs; job != NULL; job = job->next)
-    n += job->started_at == 0 && strcmp (job->route.name, caller_request->route.name) == 0;
-  md_platform_write_pending (&caller_request->body, n);
-  answer_caller_request (caller_request, 200, NULL, 0);
-}
-
-/* Answers that the job is unknown. A best-effort job is known only to the entry that accepted
-   it, and only until it has ended. */
-static void
-answer_unknown (MdCallerRequest *caller_request)
-{
-  md_buf_append (&caller_request->body, MD_STR ("{}"));
-  answer_caller_request (caller_request, 410, NULL, 0);
-}
-
-static void
-answer_state (MdRunEntry *entry, MdCallerRequest *caller_request)
-{
-  const MdEntryJob *job = find_job (entry, caller_request->id, &caller_request->route);
-
-  if (job == NULL)
-    answer_unknown (caller_request);
-  else
-    answer_caller_request (caller_request, 200,
-                           job->started_at > 0 ? MD_PLATFORM_IN_PROGRESS : MD_PLATFORM_QUEUED, 0);
-}
-
-static void
-cancel_job (MdRunEntry *entry, MdCallerRequest *caller_request)
-{
-  MdEntryJob *job = find_job (entry, caller_request->id, &caller_request->route);
-
-  if (job == NULL)
-    {
-      answer_unknown (caller_request);
-      return;
-    }
-  md_entry_finish_job (entry, job, 200, MD_PLATFORM_CANCELLED, "cancelled", 0);
-  answer_caller_request (caller_request, 200, MD_PLATFORM_CANCELLED, 0);
-}
-
-static void
-handle_request (MdRunEntry *entry, MdCallerRequest *caller_request)
-{
-  switch (caller_request->kind)
-    {
-    case MD_CALLER_REQUEST_SUBMIT:
-      submit (entry, caller_request);
-      break;
-    case MD_CALLER_REQUEST_ABANDON:
-      detach_caller (entry, caller_request->abandoned);
-      acknowledge_abandon (caller_request);
-      break;
-    case MD_CALLER_REQUEST_PENDING:
-      count_pending (entry, caller_request);
-      break;
-    case MD_CALLER_REQUEST_STATE:
-      answer_state (entry, caller_request);
-      break;
-    case MD_CALLER_REQUEST_CANCEL:
-      cancel_job (entry, caller_request);
-      break;
-    }
-}
-
-/* Load pattern: callers of a neighbour that is away come all at once. Guards hear the entry, and
-   its reports are read, between two passes only; a pass that handled all requests took so long that
-   guards ended its runs. */
-bool
-md_entry_handle_requests (MdRunEntry *entry, MdTime budget)
-{
-  MdTime end = md_now () + budget;
-
-  if (entry->backlog == NULL)
-    entry->backlog = md_inbox_take (&entry->inbox);
-  while (entry->backlog != NULL)
-    {
-      MdInboxNode *node = entry->backlog;
-
-      entry->backlog = node->next;
-      handle_request (entry, (MdCallerRequest *)node);
-      if (entry->backlog != NULL && md_now () >= end)
-        return false;
-    }
-  return true;
-}
-
-static void
-reject_all (MdInboxNode *list)
-{
-  for (MdInboxNode *node = list, *next; node != NULL; node = next)
-    {
-      MdCallerRequest *caller_request = (MdCallerRequest *)node;
-
-      next = node->next;
-      if (caller_request->kind == MD_CALLER_REQUEST_ABANDON)
-        acknowledge_abandon (caller_request);
-      else
-        reject_unhandled (caller_request);
-    }
-}
-
-void
-md_entry_reject_requests (MdRunEntry *entry)
-{
-  reject_all (entry->backlog);
-  entry->backlog = NULL;
-  reject_all (md_inbox_take (&entry->inbox));
-}
-
 /* ------------------------------------------------------------------ */
 /* Starts and ends of runs                                            */
 
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -1,11 +1,11 @@
 /* run-entry.h -- types and functions shared by the files of the entry daemon
 
-   front.c is the HTTP server for callers, run-entry.c the main loop, entry-jobs.c keeps
-   the jobs, entry-placement.c admits jobs and places their tasks, entry-advice.c calls
-   the advisory service, and entry-guards.c exchanges messages with guards. All of them
-   run in the engine thread, except front.c and entry-metrics.c, which run in the threads
-   of the HTTP server. config-reader.c has a thread of its own. Times are microseconds on the monotonic clock (MdTime) unless stated
-   otherwise. */
+   front.c is the HTTP server for callers, run-entry.c the main loop, entry-requests.c handles
+   the requests, entry-jobs.c keeps the jobs, entry-placement.c admits them and places their
+   tasks, entry-advice.c calls the advisory service, and entry-guards.c exchanges messages with
+   guards. All of them run in the engine thread, except front.c and entry-metrics.c, which run in
+   the threads of the HTTP server. config-reader.c has a thread of its own. Times are microseconds
+   on the monotonic clock (MdTime) unless stated otherwise. */
 
 #ifndef MD_RUN_ENTRY_H
 #define MD_RUN_ENTRY_H
@@ -295,12 +295,15 @@
    from it. */
 void md_entry_free_advice (MdRunEntry *entry, MdEntryJob *job);
 
-/* entry-jobs.c */
-/* md_entry_finish_job: answer all waiting requests, cancel the runs that are left, and free the
-   job. status is the HTTP status, 0 if no caller is left. state is the state of the job for
-   the response body, or NULL. reason is for the log. */
-void md_entry_finish_job (MdRunEntry *entry, MdEntryJob *job, int status, const char *state,
-                          const char *reason, MdTime retry_after);
+/* entry-requests.c */
+/* md_entry_is_rejection: whether an HTTP status says that nothing of the job has run or will run. */
+bool md_entry_is_rejection (int status);
+/* md_entry_answer_request: answer a request. status and state are as for md_entry_finish_job. The
+   request belongs to its thread again afterwards. */
+void md_entry_answer_request (MdCallerRequest *caller_request, int status, const char *state,
+                              MdTime retry_after);
+/* md_entry_reject_request: answer a request with 503; nothing of its job has been ordered. */
+void md_entry_reject_request (MdCallerRequest *caller_request);
 /* md_entry_handle_requests: handle requests from the inbox, oldest first, for about this time; at
    least one. Returns false if some are left, which the next call handles first. */
 bool md_entry_handle_requests (MdRunEntry *entry, MdTime budget);
@@ -309,6 +312,17 @@
 void md_entry_record_dropped (const MdCallerRequest *caller_request, MdTime now);
 /* md_entry_reject_requests: answer all requests in the inbox with 503 without handling them. */
 void md_entry_reject_requests (MdRunEntry *entry);
+
+/* entry-jobs.c */
+/* md_entry_find_job: the active job with this ID and queue, NULL if there is none. */
+MdEntryJob *md_entry_find_job (const MdRunEntry *entry, const char *id, const MdRoute *route);
+/* md_entry_start_job: begin the job of a request, or answer the request if that is not possible. */
+void md_entry_start_job (MdRunEntry *entry, MdCallerRequest *caller_request);
+/* md_entry_finish_job: answer all waiting requests, cancel the runs that are left, and free the
+   job. status is the HTTP status, 0 if no caller is left. state is the state of the job for
+   the response body, or NULL. reason is for the log. */
+void md_entry_finish_job (MdRunEntry *entry, MdEntryJob *job, int status, const char *state,
+                          const char *reason, MdTime retry_after);
 /* md_entry_order_started, md_entry_order_ended: record that a run has started or ended.
    md_entry_order_ended frees the order and may finish the job. run is the time at the worker,
    0 if unknown. checkpoint is empty if none was saved. */
