Answer repeated requests for ended jobs with their final state

Cause: an entry forgets a job with its answer, and takes the repeat for a new job. The workers reject its runs as old; the entry then raises the run numbers and starts them all the same.

Ruled out: a cancelling that is not acknowledged (200, runs stopped within 50 ms).

A job that its callers left, or that was rejected or given up, is not remembered and may run. GET and DELETE of an ended job are answered 410 as before.

What remains: a repeat that reaches another entry starts the job there, as entries share nothing about best-effort jobs.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -6,6 +6,7 @@
 
 #include "run-entry.h"
 
+#include <stdio.h>
 #include <xxhash.h>
 
 /* A run on a stalled worker is cancelled after this multiple of its expected run time. */
@@ -35,6 +36,48 @@
   return NULL;
 }
 
+static MdJobKey
+job_key (const char *id, const MdRoute *route)
+{
+  char name[MD_JOB_ID_BYTES + sizeof route->prefix + sizeof route->host];
+  int len = snprintf (name, sizeof name, "%s %s %s", id, route->prefix, route->host);
+  XXH128_hash_t hash = XXH3_128bits (name, (size_t)len);
+
+  return (MdJobKey){ hash.low64, hash.high64 };
+}
+
+/* Remembers a job that was answered with its final state. */
+static void
+record_end (MdRunEntry *entry, const MdEntryJob *job, const char *state)
+{
+  MdFinalState end = MD_FINAL_FAILED;
+
+  if (state == NULL)
+    return;
+  if (strcmp (state, MD_PLATFORM_COMPLETED) == 0)
+    end = MD_FINAL_COMPLETED;
+  else if (strcmp (state, MD_PLATFORM_CANCELLED) == 0)
+    end = MD_FINAL_CANCELLED;
+  md_ended_jobs_add (&entry->ended_jobs, job_key (job->id, &job->route), end, entry->now);
+}
+
+const char *
+md_entry_find_end (const MdRunEntry *entry, const char *id, const MdRoute *route)
+{
+  switch (md_ended_jobs_find (&entry->ended_jobs, job_key (id, route), entry->now))
+    {
+    case MD_FINAL_COMPLETED:
+      return MD_PLATFORM_COMPLETED;
+    case MD_FINAL_FAILED:
+      return MD_PLATFORM_FAILED;
+    case MD_FINAL_CANCELLED:
+      return MD_PLATFORM_CANCELLED;
+    case MD_FINAL_UNKNOWN:
+      break;
+    }
+  return NULL;
+}
+
 static void
 link_job (MdRunEntry *entry, MdEntryJob *job)
 {
@@ -192,6 +235,7 @@
       job->requests = caller_request->next;
       md_entry_answer_request (caller_request, status, state, retry_after);
     }
+  record_end (entry, job, state);
   cancel_orders (job);
   unlink_job (entry, job);
   free_job (entry, job);
--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -95,6 +95,21 @@
   md_entry_answer_request (caller_request, 503, NULL, MD_RETRY_AFTER_NO_WORKER);
 }
 
+/* Answers the repeated request for a job that has ended; false if there is no such job. */
+static bool
+answer_ended (const MdRunEntry *entry, MdCallerRequest *caller_request)
+{
+  const char *state = md_entry_find_end (entry, caller_request->id, &caller_request->route);
+
+  if (state == NULL)
+    return false;
+  md_log (MD_LOG_INFO, "job-repeated", "job=%s request=%s queue=%s status=200 outcome=%s",
+          caller_request->id, caller_request->request_id, caller_request->route.name, state);
+  md_run_spec_clear (&caller_request->spec);
+  md_entry_answer_request (caller_request, 200, state, 0);
+  return true;
+}
+
 static void
 submit (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
@@ -118,6 +133,8 @@
       job->requests = caller_request;
       return;
     }
+  if (answer_ended (entry, caller_request))
+    return;
   md_entry_start_job (entry, caller_request);
 }
 
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -12,6 +12,7 @@
 
 #include "advice.h"
 #include "config-reader.h"
+#include "ended-jobs.h"
 #include "inbox.h"
 
 #include "wire.pb-c.h"
@@ -216,6 +217,7 @@
   MdEntryJob *jobs;                      /* all active jobs */
   MdEntryJob *buckets[MD_JOB_BUCKETS];   /* hash table of active jobs by ID */
   uint32_t n_jobs;                       /* active jobs */
+  MdEndedJobs ended_jobs;                /* of jobs that were answered with their final state */
   uint64_t next_order_id;                /* starts at 1 */
   MdQueueStats *stats[MD_MAX_QUEUES];    /* n_stats entries, owned; never removed */
   _Atomic uint32_t n_stats;              /* other threads read it */
@@ -316,6 +318,9 @@
 /* entry-jobs.c */
 /* md_entry_find_job: the active job with this ID and queue, NULL if there is none. */
 MdEntryJob *md_entry_find_job (const MdRunEntry *entry, const char *id, const MdRoute *route);
+/* md_entry_find_end: state in which the job with this ID and queue has ended here, NULL if that is
+   not known. */
+const char *md_entry_find_end (const MdRunEntry *entry, const char *id, const MdRoute *route);
 /* md_entry_start_job: begin the job of a request, or answer the request if that is not possible. */
 void md_entry_start_job (MdRunEntry *entry, MdCallerRequest *caller_request);
 /* md_entry_finish_job: answer all waiting requests, cancel the runs that are left, and free the
--- a/tests/run-platform.sh
+++ b/tests/run-platform.sh
@@ -33,6 +33,9 @@
   echo "its caller reads: $(cat "$RUN/cancelled")"
   stopped () { [ "$(grep -c '^end 00000000000000a9.* stopped' "$RUN/journal")" = 3 ]; }
   wait_for 5 stopped && echo "its runs are stopped"
+  echo "its request is repeated: $(post 00000000000000a9 "${JOB/ms=30/ms=1500}")"
+  echo "a job that was done is repeated: $(post 00000000000000a1 "$JOB")"
+  echo "starts of both: $(grep -c '^start 00000000000000a9' "$RUN/journal") and $(grep -c '^start 00000000000000a1' "$RUN/journal")"
   echo "its state after that: $(ask GET)"
   echo "a run time out of range: $(post 00000000000000af "${JOB//_ms\":30/_ms\":9223372036854775807}")"
   echo "a negative one: $(post 00000000000000b0 "${JOB//_ms\":30/_ms\":-9223372036854775808}")"
