Order a gang only where all of its members can start at once

Cause: the trial placement of a gang also finds a place for a task on a worker without room, where it waits; and a job counts as possible when one task of each step fits on some worker.

Ruled out: the guards' queues, which start what fits in the order of arrival.

Change: a gang is possible only if the workers have room for all of its members at a time, and rejected at once otherwise (503, reason no-upstream). Its members are placed only on workers that have room now, all or none; until then it waits at the entry, where it holds nothing, and is rejected when its goal can no longer be met.

What remains: two entries that place gangs at the same moment can still start each a part.

--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -85,6 +85,7 @@
   need->max_per_worker = spec->max_per_worker;
   need->excluded = NULL;
   need->alone = false;
+  need->at_once = false;
 }
 
 /* Counts the tasks of a step on each worker, for the limit per worker. Returns an array with an
@@ -159,8 +160,8 @@
   return task->run_number > 0 ? (MdTime)((double)left / RETRY_SAFETY_FACTOR) : left;
 }
 
-/* Whether all tasks of a gang can be placed now. A gang is ordered as a whole or not at all,
-   because tasks that start early would hold their capacity while they wait for the others. */
+/* Whether all tasks of a gang can start now. A gang is ordered as a whole or not at all, because
+   tasks that start early would hold their capacity while they wait for the others. */
 static bool
 gang_fits (MdRunEntry *entry, const MdTaskRequirements *need, uint32_t count,
            const uint32_t *per_worker_count)
@@ -208,6 +209,7 @@
   md_entry_requirements (entry, job, step, &need);
   if (!md_entry_apply_advice (entry, job, step, &need))
     return;
+  need.at_once = job->runjob.spec.steps[step].gang;
   need.affinity = choose_rack (entry, job, step, &need);
   if (job->runjob.spec.steps[step].gang
       && !gang_fits (entry, &need, job->runjob.spec.steps[step].n_tasks, per_worker_count))
@@ -288,16 +290,18 @@
   return possible;
 }
 
-/* Whether each step fits on some worker, busy or not. Otherwise the job could never end. */
+/* Whether each step fits on some worker, busy or not, and each gang on all of them together.
+   Otherwise the job could never end. */
 static bool
 is_possible (const MdRunEntry *entry, const MdEntryJob *job)
 {
   for (uint32_t i = 0; i < job->runjob.spec.n_steps; i++)
     {
+      const MdRunStep *step = &job->runjob.spec.steps[i];
       MdTaskRequirements need;
 
       md_entry_requirements (entry, job, i, &need);
-      if (!md_place_possible (&entry->workers, &need))
+      if (!md_place_possible (&entry->workers, &need, step->gang ? step->n_tasks : 1))
         return false;
     }
   return true;
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -15,7 +15,9 @@
    other workers first. A task under which a worker has crashed is placed on an idle worker only,
    where it runs alone: a second crash takes nothing else with it and tells whether the task is to
    blame. Another one has to be idle as well: near a peak, where it is not, the loss of the
-   worker would cost others more than the task is worth. A worker that failed runs of several jobs in a row, of any entry, is
+   worker would cost others more than the task is worth. The members of a gang make progress only
+   together, so that all of them are placed where there is room at once, or none: one that waits
+   behind the others holds up all, and they it. A worker that failed runs of several jobs in a row, of any entry, is
    avoided for some time and then tried again with one run at a time. */
 
 #include "run-sched.h"
@@ -181,6 +183,9 @@
         continue;
       current = worker == avoid || is_avoided (worker, now) ? &fallback : &best;
       placement = place_on (workers, worker, need, now);
+      if (need->at_once
+          && (placement.wait > 0 || !md_resources_fit (worker->free, need->resources)))
+        continue;
       if (is_better (&placement, current, need))
         *current = placement;
     }
@@ -335,13 +340,29 @@
   return best;
 }
 
+/* How many tasks the worker has room for when it is idle; at most limit. */
+static uint32_t
+count_room (const MdWorker *worker, const MdTaskRequirements *need, uint32_t limit)
+{
+  MdResources left = worker->capacity;
+  uint32_t n = 0;
+
+  if (need->max_per_worker > 0 && need->max_per_worker < limit)
+    limit = need->max_per_worker;
+  for (; n < limit && md_resources_fit (left, need->resources); n++)
+    md_resources_subtract (&left, need->resources);
+  return n;
+}
+
 bool
-md_place_possible (const MdWorkers *workers, const MdTaskRequirements *need)
+md_place_possible (const MdWorkers *workers, const MdTaskRequirements *need, uint32_t count)
 {
-  for (uint32_t i = 0; i < workers->n; i++)
+  uint32_t room = 0;
+
+  for (uint32_t i = 0; i < workers->n && room < count; i++)
     if (md_worker_can_run (workers->workers[i], need))
-      return true;
-  return false;
+      room += count_room (workers->workers[i], need, count - room);
+  return room >= count;
 }
 
 void
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -247,6 +247,7 @@
   uint32_t max_per_worker;    /* most tasks of the step on one worker, 0 unlimited */
   const bool *excluded;       /* for each worker: it must not run the step; NULL none */
   bool alone;                 /* nothing else may run at the worker meanwhile */
+  bool at_once;               /* it must not wait: the worker has room for it now */
 } MdTaskRequirements;
 
 typedef struct
@@ -325,8 +326,9 @@
 const char *md_place_rack (const MdWorkers *workers, const MdTaskRequirements *need, uint32_t count,
                            MdSavedResources *saved, MdTime now);
 
-/* md_place_possible: whether md_worker_can_run holds for some worker. */
-bool md_place_possible (const MdWorkers *workers, const MdTaskRequirements *need);
+/* md_place_possible: whether the workers for which md_worker_can_run holds have room for count tasks
+   at a time, if nothing else runs there. */
+bool md_place_possible (const MdWorkers *workers, const MdTaskRequirements *need, uint32_t count);
 
 /* md_worker_set_failures: store the number of consecutive failures that the guard reports.
    From a threshold on, each increase sets avoid_until, with exponential backoff. */
--- a/tests/test-coverage.c
+++ b/tests/test-coverage.c
@@ -143,7 +143,7 @@
   ck_assert_int_eq (md_place_backlog (&workers, &need, 0), 50 * MD_MS);
   worker[1].sparse = true;
   ck_assert_ptr_null (md_place (&workers, &need, NULL, NULL, 0).worker);
-  ck_assert (md_place_possible (&workers, &need));
+  ck_assert (md_place_possible (&workers, &need, 1));
 }
 END_TEST
 
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -58,7 +58,7 @@
   ck_assert_ptr_eq (md_place (&fleet.all, &need, NULL, NULL, 0).worker, &fleet.worker[3]);
   need.required_label = "a100";
   ck_assert_ptr_null (md_place (&fleet.all, &need, NULL, NULL, 0).worker);
-  ck_assert (!md_place_possible (&fleet.all, &need));
+  ck_assert (!md_place_possible (&fleet.all, &need, 1));
 }
 END_TEST
 
@@ -416,6 +416,49 @@
 }
 END_TEST
 
+/* Guards against a gang that can never be at work together: its members held all workers until they
+   ended alone (review 5). */
+START_TEST (gang_is_possible_if_all_have_room_together)
+{
+  Fleet fleet;
+  MdTaskRequirements need = need_of (100 * MD_MS);
+
+  fleet_init (&fleet);
+  need.resources.cpu = 30000;
+  ck_assert (md_place_possible (&fleet.all, &need, 2 * N));
+  ck_assert (!md_place_possible (&fleet.all, &need, 2 * N + 1));
+  need.max_per_worker = 1;
+  ck_assert (md_place_possible (&fleet.all, &need, N));
+  ck_assert (!md_place_possible (&fleet.all, &need, N + 1));
+  need.max_per_worker = 0;
+  fleet.worker[0].state = MD_WORKER_DRAINING;
+  ck_assert (!md_place_possible (&fleet.all, &need, 2 * N));
+  /* Busy workers count as well: they have room later. */
+  fleet.worker[1].free = (MdResources){ 0 };
+  ck_assert (md_place_possible (&fleet.all, &need, 2 * N - 2));
+}
+END_TEST
+
+/* Guards against members that wait behind others of their gang, which wait for them. */
+START_TEST (gang_is_placed_only_if_all_start_at_once)
+{
+  Fleet fleet;
+  MdSavedResources saved[N];
+  MdTaskRequirements need = need_of (100 * MD_MS);
+  MdTime finish = 0;
+
+  fleet_init (&fleet);
+  need.resources.cpu = 60000;
+  need.at_once = true;
+  ck_assert (md_place_try (&fleet.all, &need, N, NULL, saved, &finish, 0));
+  ck_assert (!md_place_try (&fleet.all, &need, N + 1, NULL, saved, &finish, 0));
+  fleet.worker[0].free.cpu = 50000;
+  ck_assert (!md_place_try (&fleet.all, &need, N, NULL, saved, &finish, 0));
+  need.at_once = false;
+  ck_assert (md_place_try (&fleet.all, &need, N, NULL, saved, &finish, 0));
+}
+END_TEST
+
 /* Guards against a gang that is done twice because the end of one member was lost, and
    against one that fails oftener than its queue allows. */
 START_TEST (gang_ends_as_one)
@@ -551,6 +594,8 @@
   tcase_add_test (tc, suspect_runs_on_an_idle_worker);
   tcase_add_test (tc, task_that_crashes_workers_is_given_up);
   tcase_add_test (tc, task_that_shared_crashed_workers_has_another_chance);
+  tcase_add_test (tc, gang_is_possible_if_all_have_room_together);
+  tcase_add_test (tc, gang_is_placed_only_if_all_start_at_once);
   tcase_add_test (tc, gang_goes_together);
   tcase_add_test (tc, gang_ends_as_one);
   tcase_add_test (tc, unsupported_jobs_are_told_apart);
