Have guards reject members of a gang that would have to wait

Cause: each entry sees the same room in the reports; the second order for it waits in the guard's queue.

Change: orders for members of a gang say that they must not wait (RunOrder.at_once). A guard that has no room for one rejects it; its entry stops the others and places the gang again where there is room.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -248,6 +248,7 @@
   out->start_within_us = order->start_within - (now - order->placed_at);
   out->permit = order->permit;
   out->alone = order->alone;
+  out->at_once = order->at_once;
   out->checkpoint = job->runjob.tasks[order->step][order->task].checkpoint;
   order->sent = true;
 }
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -125,6 +125,7 @@
   order->run_number = ++task->run_number + job->run_number_offset;
   order->need = need->resources;
   order->alone = need->alone;
+  order->at_once = need->at_once;
   order->declared_run = job->runjob.spec.steps[step].declared_time;
   order->placed_at = entry->now;
   order->expected_wait = placement->wait;
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -539,6 +539,7 @@
   run->queued.resources = (MdResources){ order->cpu, order->memory_mb, order->accelerators };
   run->queued.work = (double)order->work_us;
   run->queued.alone = order->alone;
+  run->queued.at_once = order->at_once;
   run->queued.start_by = guard->now + order->start_within_us;
   md_str_copy (run->task, sizeof run->task, md_str (order->task));
   run->run_number = order->run;
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -654,6 +654,19 @@
   return worker->reachable ? worker->last_response_at + UNREACHABLE_AFTER : INT64_MAX;
 }
 
+/* Rejects the runs that must not wait and could not be started. If members of gangs waited, the gangs
+   of two entries could each hold the capacity that the other one waits for. */
+static void
+reject_delayed (MdRunGuard *guard)
+{
+  for (MdRun *run = guard->queue.waiting.first, *next; run != NULL; run = next)
+    {
+      next = run->next;
+      if (run->at_once)
+        md_guard_end_run (guard, guard_run (run), MD_RUN_REJECTED, "");
+    }
+}
+
 MdTime
 md_guard_worker_poll (MdRunGuard *guard)
 {
@@ -676,5 +689,6 @@
       send_start (guard, guard_run (run));
   else if (guard->start_after < due)
     due = guard->start_after;
+  reject_delayed (guard);
   return due;
 }
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -118,6 +118,7 @@
   MdTime start_within;          /* slack at placement: a start after this time misses the goal */
   char permit[MD_PERMIT_BYTES]; /* from the advisory service, empty: none */
   bool alone;                   /* nothing else may run at the worker meanwhile */
+  bool at_once;                 /* the guard is to reject it rather than let it wait */
   bool sent;                    /* has been sent to the guard */
   bool started;                 /* the guard has reported the start */
   bool withdrawn;               /* the guard was asked to end it unless it has started */
--- a/net/wire.pb-c.c
+++ b/net/wire.pb-c.c
@@ -3973,7 +3973,7 @@
   (ProtobufCMessageInit) md__worker_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_order__field_descriptors[12] =
+static const ProtobufCFieldDescriptor md__run_order__field_descriptors[13] =
 {
   {
     "id",
@@ -4119,10 +4119,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "at_once",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, at_once),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_order__field_indices_by_name[] = {
   6,   /* field[6] = accelerators */
   11,   /* field[11] = alone */
+  12,   /* field[12] = at_once */
   9,   /* field[9] = checkpoint */
   4,   /* field[4] = cpu */
   0,   /* field[0] = id */
@@ -4137,7 +4150,7 @@
 static const ProtobufCIntRange md__run_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor md__run_order__descriptor =
 {
@@ -4147,7 +4160,7 @@
   "Md__RunOrder",
   "md",
   sizeof(Md__RunOrder),
-  12,
+  13,
   md__run_order__field_descriptors,
   md__run_order__field_indices_by_name,
   1,  md__run_order__number_ranges,
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -112,6 +112,7 @@
   MdTime sort_key;       /* orders the waiting runs: start_by, at most a fixed time after arrival */
   MdTime started_at;     /* when it left the queue; valid in STARTING and RUNNING */
   bool alone;            /* nothing else may run at the worker meanwhile */
+  bool at_once;          /* it is to be rejected rather than wait */
   void *data;            /* of the caller, not used here */
 };
 
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -389,6 +389,24 @@
   peer->echo = guard.now + 3600 * MD_SECOND; /* its entry is always heard */
 }
 
+/* Guards against gangs of two entries that each hold a part of the workers and wait for the rest. */
+START_TEST (run_that_must_not_wait_is_rejected)
+{
+  peer->echo = guard.now;
+  add_waiting ();
+  guard.queue.waiting.first->at_once = true;
+  md_guard_worker_poll (&guard);
+  ck_assert_uint_eq (guard.queue.running.n, 1);
+  add_waiting ();
+  guard.queue.waiting.first->at_once = true;
+  guard.queue.waiting.first->resources.cpu = 7500; /* 7000 are free */
+  md_guard_worker_poll (&guard);
+  ck_assert_uint_eq (guard.queue.waiting.n, 0);
+  ck_assert_uint_eq (guard.queue.running.n, 1);
+  ck_assert_int_eq (peer->ends->result, MD_RUN_REJECTED);
+}
+END_TEST
+
 /* Guards against starts that are sent to a worker whose process has ended, and wait for the end of its
    lease although they were never received (issue 29). */
 START_TEST (refused_start_is_rejected_at_once)
@@ -598,6 +616,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, waiting_run_is_started);
   tcase_add_test (tc, waiting_run_of_a_silent_entry_is_not_started);
+  tcase_add_test (tc, run_that_must_not_wait_is_rejected);
   tcase_add_test (tc, refused_start_is_rejected_at_once);
   tcase_add_test (tc, run_of_a_crashed_worker_ends_with_its_lease);
   tcase_add_test (tc, shrunk_capacity_is_recorded_at_once);
