Limit Retry-After before its random part is added

Seen by the review with the undefined behaviour sanitizer: while every worker is avoided, the expected wait is unlimited, the sum overflows and the Retry-After is left out, so that callers return at once.

Change: the delay is limited to its maximum (5 s) first. test-placement retries_are_spread fails before in the sanitizer's build: "signed integer overflow: 1 +".

--- a/sched/admission.c
+++ b/sched/admission.c
@@ -81,6 +81,9 @@
     delay = forecast->wait;
   if (delay < forecast->lag)
     delay = forecast->lag;
+  /* The wait is unlimited while no worker is of use. */
+  if (delay > MAX_RETRY_AFTER)
+    delay = MAX_RETRY_AFTER;
   delay += (MdTime)(random % (uint64_t)delay);
   return delay < MAX_RETRY_AFTER ? delay : MAX_RETRY_AFTER;
 }
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -276,9 +276,12 @@
   MdForecast forecast = { .wait = 400 * MD_MS };
   MdTime first = md_admit_retry_after (&forecast, 0);
   MdTime last = md_admit_retry_after (&forecast, (uint64_t)(400 * MD_MS) - 1);
+  MdForecast unlimited = { .wait = INT64_MAX };
 
   ck_assert_int_eq (first, 400 * MD_MS);
   ck_assert_int_gt (last, 790 * MD_MS);
+  /* All workers are avoided; the sum overflowed, so that callers were told no time at all. */
+  ck_assert_int_eq (md_admit_retry_after (&unlimited, UINT64_MAX), 5 * MD_SECOND);
 }
 END_TEST
 
