--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -70,6 +70,36 @@
 }
 END_TEST
 
+/* Guards against a task on a worker without the label that it requires, and a step that starts before
+   those that it depends on: what did not fit was dropped, and the job accepted without it. */
+START_TEST (requirements_that_do_not_fit_are_refused)
+{
+  static const char *const members[]
+      = { "\"requirements\":\"a-label-of-more-than-thirty-two-characters\"",
+          "\"requirements\":7",
+          "\"depends_on\":[\"0\"]",
+          "\"depends_on\":[-1]",
+          "\"depends_on\":[64]",
+          "\"depends_on\":0" };
+  MdRunSpec spec;
+
+  for (size_t i = 0; i < MD_ARRAY_SIZE (members); i++)
+    {
+      char text[256];
+
+      snprintf (text, sizeof text, "{\"spec\":\"a\",\"steps\":[{\"count\":1},{\"count\":1,%s}]}",
+                members[i]);
+      ck_assert_int_eq (md_platform_parse_job (md_str (text), &spec, NULL), MD_E_INVALID);
+    }
+  ck_assert_int_eq (
+      md_platform_parse_job (MD_STR ("{\"spec\":\"a\",\"steps\":[{\"count\":1},{\"count\":1,"
+                                     "\"depends_on\":[0],\"requirements\":\"\"}]}"),
+                             &spec, NULL),
+      MD_OK);
+  md_run_spec_clear (&spec);
+}
+END_TEST
+
 static const char worker_text[]
     = "{\"service\":\"calc\",\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,"
       "\"gpu\":0},"
@@ -468,6 +498,7 @@
 
   tcase_add_test (tc, job_is_decoded);
   tcase_add_test (tc, job_without_steps_is_refused);
+  tcase_add_test (tc, requirements_that_do_not_fit_are_refused);
   tcase_add_test (tc, worker_is_decoded);
   tcase_add_test (tc, strange_workers_are_refused);
   tcase_add_test (tc, held_runs_are_decoded);
