Keep the functions of the guard's worker where they are used

Read-through: what ends started runs has one caller left and is static again, worker-lifetime keeps its key "worker" (empty, as the new lifetime has sent no report yet), two includes and the name of a parameter. No behaviour changes otherwise; test-guard-worker, test-ended-jobs and test-entry-late pass.

--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -10,7 +10,6 @@
 
 #include <errno.h>
 #include <poll.h>
-#include <stdio.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
--- a/fleet/guard-lifetime.c
+++ b/fleet/guard-lifetime.c
@@ -8,8 +8,6 @@
 #include "lifetime.h"
 #include "run-guard.h"
 
-#include <stdio.h>
-
 /* ------------------------------------------------------------------ */
 /* Reports                                                            */
 
@@ -124,22 +122,14 @@
 /* ------------------------------------------------------------------ */
 /* Lifetimes                                                          */
 
-MdRunResult
-md_guard_crash_result (const MdRunGuard *guard)
-{
-  if (guard->worker.report.state != MD_WORKER_READY)
-    return MD_RUN_LEASE_EXPIRED; /* it had said that it leaves */
-  return guard->queue.running.n == 1 ? MD_RUN_CRASHED_ALONE : MD_RUN_CRASHED;
-}
-
 void
 md_guard_begin_lifetime (MdRunGuard *guard, int64_t born_ms)
 {
   MdGuardWorker *worker = &guard->worker;
 
   md_log (guard->queue.running.n > 0 ? MD_LOG_WARN : MD_LOG_INFO, "worker-lifetime",
-          "born_ms=%lld former=%s former_born_ms=%lld runs=%u", (long long)born_ms, worker->id,
-          (long long)worker->report.born_ms, guard->queue.running.n);
+          "worker= born_ms=%lld former=%s former_born_ms=%lld runs=%u", (long long)born_ms,
+          worker->id, (long long)worker->report.born_ms, guard->queue.running.n);
   worker->id[0] = '\0';
   worker->report = (MdWorkerReport){ .born_ms = born_ms, .clock_ms = -1 };
   worker->has_report = false;
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -74,8 +74,17 @@
   return (MdGuardRun *)queued;
 }
 
-void
-md_guard_end_started_runs (MdRunGuard *guard, MdRunResult result)
+/* How the started runs ended with the worker's process. */
+static MdRunResult
+crash_result (const MdRunGuard *guard)
+{
+  if (guard->worker.report.state != MD_WORKER_READY)
+    return MD_RUN_LEASE_EXPIRED; /* it had said that it leaves */
+  return guard->queue.running.n == 1 ? MD_RUN_CRASHED_ALONE : MD_RUN_CRASHED;
+}
+
+static void
+end_started_runs (MdRunGuard *guard, MdRunResult result)
 {
   for (MdRun *run = guard->queue.running.first, *next; run != NULL; run = next)
     {
@@ -314,9 +323,9 @@
     }
 }
 
-/* Compares the runs that the worker lists with those started there. A listed run is confirmed, a
-   fenced one that is not listed was never started, or by a former lifetime, and a confirmed one that is missing from
-   MAX_MISSING_HOLDS holds in a row has ended. */
+/* Compares the runs that the worker lists with those started there. A listed run is confirmed. A
+   fenced one that is not listed was never started, or by a former lifetime only. A confirmed one
+   that is missing from MAX_MISSING_HOLDS holds in a row has ended. */
 static void
 reconcile (MdRunGuard *guard, const MdHoldResponse *response)
 {
@@ -397,7 +406,7 @@
 {
   if (response->born_ms != guard->worker.report.born_ms)
     {
-      MdRunResult crashed = md_guard_crash_result (guard);
+      MdRunResult crashed = crash_result (guard);
 
       md_guard_begin_lifetime (guard, response->born_ms);
       end_former_runs (guard, response, crashed);
@@ -646,8 +655,7 @@
     {
       md_log (MD_LOG_WARN, "lease-lapsed", "worker=%s runs=%u refused=%d", worker->id,
               guard->queue.running.n, worker->refused);
-      md_guard_end_started_runs (guard, worker->refused ? md_guard_crash_result (guard)
-                                                        : MD_RUN_LEASE_EXPIRED);
+      end_started_runs (guard, worker->refused ? crash_result (guard) : MD_RUN_LEASE_EXPIRED);
     }
   if (guard->queue.running.n > 0)
     return worker->lease_until;
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -223,18 +223,12 @@
    after it has been received. */
 void md_guard_settle_report (MdRunGuard *guard);
 
-/* md_guard_crash_result: how the started runs ended with the worker's process. */
-MdRunResult md_guard_crash_result (const MdRunGuard *guard);
-
 /* guard-worker.c */
 
 /* md_guard_update_accepting: open or close the queue after a change of the worker's state; closing
    rejects waiting runs. */
 void md_guard_update_accepting (MdRunGuard *guard);
 
-/* md_guard_end_started_runs: end all runs that were sent to the worker. */
-void md_guard_end_started_runs (MdRunGuard *guard, MdRunResult result);
-
 /* md_guard_worker_poll: send the hold, stops and starts that are due, and check the timeouts of
    the worker. Returns the time of the next call. */
 MdTime md_guard_worker_poll (MdRunGuard *guard);
--- a/sched/ended-jobs.c
+++ b/sched/ended-jobs.c
@@ -17,9 +17,9 @@
 }
 
 void
-md_ended_jobs_add (MdEndedJobs *ends, MdJobKey key, MdFinalState state, MdTime now)
+md_ended_jobs_add (MdEndedJobs *jobs, MdJobKey key, MdFinalState state, MdTime now)
 {
-  MdEndedJob *set = ends->slots[key.low % MD_ENDED_JOB_SETS];
+  MdEndedJob *set = jobs->slots[key.low % MD_ENDED_JOB_SETS];
   MdEndedJob *chosen = &set[0];
 
   for (unsigned i = 0; i < MD_ENDED_JOB_WAYS; i++)
@@ -36,9 +36,9 @@
 }
 
 MdFinalState
-md_ended_jobs_find (const MdEndedJobs *ends, MdJobKey key, MdTime now)
+md_ended_jobs_find (const MdEndedJobs *jobs, MdJobKey key, MdTime now)
 {
-  const MdEndedJob *set = ends->slots[key.low % MD_ENDED_JOB_SETS];
+  const MdEndedJob *set = jobs->slots[key.low % MD_ENDED_JOB_SETS];
 
   for (unsigned i = 0; i < MD_ENDED_JOB_WAYS; i++)
     if (is_key (&set[i], key) && now < set[i].ended_at + MD_ENDED_JOB_RETENTION)
--- a/sched/ended-jobs.h
+++ b/sched/ended-jobs.h
@@ -39,9 +39,9 @@
 
 /* md_ended_jobs_add: record the end of a job. It takes the place of an earlier end of the same job,
    or else of the oldest one in its set. */
-void md_ended_jobs_add (MdEndedJobs *ends, MdJobKey key, MdFinalState state, MdTime now);
+void md_ended_jobs_add (MdEndedJobs *jobs, MdJobKey key, MdFinalState state, MdTime now);
 /* md_ended_jobs_find: how the job ended; UNKNOWN if it has not, or longer than
    MD_ENDED_JOB_RETENTION ago, or if too many others have ended since. */
-MdFinalState md_ended_jobs_find (const MdEndedJobs *ends, MdJobKey key, MdTime now);
+MdFinalState md_ended_jobs_find (const MdEndedJobs *jobs, MdJobKey key, MdTime now);
 
 #endif
