--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -2,8 +2,11 @@
 #
 # $BIN names the build. Every process runs on loopback; its id stands in $RUN/NAME.pid.
 BIN=${MD_BIN:-build/release}
+DAEMON=${MD_DAEMON:-$BIN/mulberrydrift} # another build's daemons with the tools of this one
 RUN=$(mktemp -d)
 : > "$RUN/journal"
+: > "$RUN/ordered" # signals that end a process: name, id, signal
+: > "$RUN/ends"    # name, id, status as of the shell, seconds since 1970
 ENTRIES=2
 GUARDS=3
 
@@ -20,13 +23,22 @@
   local pid start
   [ -f "$RUN/$1.pid" ] && read -r pid start < "$RUN/$1.pid" && [ "$(start_time "$pid")" = "$start" ]
 }
-send_signal () { ! running "$2" || kill "-$1" "$(pid_of "$2")" 2>/dev/null; } # signal name
+send_signal () { # signal name
+  running "$2" || return 0
+  case $1 in
+    KILL) echo "$2 $(pid_of "$2") KILL" >> "$RUN/ordered" ;;
+    TERM) echo "$2 $(pid_of "$2") $(has_started "$2" && echo TERM || echo EARLY-TERM)" >> "$RUN/ordered" ;;
+  esac
+  kill "-$1" "$(pid_of "$2")" 2>/dev/null
+}
 
 finish_platform () {
   local f
   for f in "$RUN"/*.pid; do [ -f "$f" ] && send_signal KILL "$(basename "$f" .pid)"; done
   wait 2>/dev/null
-  [ -n "${KEEP:-}" ] && echo "logs: $RUN" >&2 || rm -rf "$RUN"
+  if [ -n "${KEEP:-}" ]; then echo "logs: $RUN" >&2; return; fi
+  # A shell that waits for a process may be writing how it ended.
+  rm -rf "$RUN" 2>/dev/null || { sleep 0.2; rm -rf "$RUN"; }
 }
 trap finish_platform EXIT
 
@@ -35,7 +47,7 @@
 # Entries share one internal port, as on the platform, and differ by address.
 plan_ports () {
   set -- $("$BIN/tests/freeport" $((6 + 3 * GUARDS)))
-  INNER=$1 CALLERS=$2 READY=$3 STORE=127.0.0.1:$4
+  INNER=$1 CALLERS=$2 READY=$3 STORE=127.0.0.1:$4 METRICS=$5
   shift 6
   local n
   for n in $(seq "$GUARDS"); do
@@ -49,14 +61,20 @@
 launch () { # name command...
   local name=$1; shift
   echo "event=launched" >> "$RUN/$name.log" # precedes all lines of the process
-  "$@" >> "$RUN/$name.log" 2>&1 &
-  echo "$! $(start_time $!)" > "$RUN/$name.pid"
+  rm -f "$RUN/$name.pid"
+  # The shell that waits for the process outlives the one that launches it, so that every end is
+  # recorded, at whatever time.
+  { "$@" >> "$RUN/$name.log" 2>&1 &
+    echo "$! $(start_time $!)" > "$RUN/$name.pid"
+    wait $!
+    echo "$name $! $? $EPOCHREALTIME" >> "$RUN/ends"; } > /dev/null 2>&1 &
   disown $!
+  until [ -s "$RUN/$name.pid" ]; do sleep 0.002; done
 }
 # A sanitizer's runtime does not stand beside a preloaded library.
 launch_stepped () { # name command...: the same with a wall clock of its own, see step_clock
   local name=$1; shift
-  if [ "$(basename "$BIN")" != release ]; then launch "$name" "$@"; return; fi
+  if [ "$(basename "$(dirname "$DAEMON")")" != release ]; then launch "$name" "$@"; return; fi
   [ -e "$RUN/clock-$name" ] || printf '%-16d' 0 > "$RUN/clock-$name"
   launch "$name" env LD_PRELOAD="$PWD/$BIN/tests/clock-shim.so" CLOCK_OFFSET_FILE="$RUN/clock-$name" "$@"
 }
@@ -81,10 +99,11 @@
   curl -sS -m 3 -X POST "http://$orders/control?mode=$2" > /dev/null
 }
 
-# Processes reach the store through STORE_VIA when that is set.
+# Processes reach the store through STORE_VIA when that is set. With KEEP_SETTINGS the settings file
+# stays as it is.
 start_entry () { # n
   local ip=127.0.0.$((10 + $1))
-  cat > "$RUN/entry-$1.yaml" <<YAML
+  [ -n "${KEEP_SETTINGS:-}" ] || cat > "$RUN/entry-$1.yaml" <<YAML
 role: run-entry
 name: entry-$1
 region: lusitania
@@ -94,20 +113,21 @@
 entry_port: $INNER
 caller_address: $ip:$CALLERS
 ready_address: $ip:$READY
+metrics_address: $ip:$METRICS
 advisor_address: $STORE
 advertised_address: ${ADVERTISED:-$ip:$INNER}
 seeds: "$SEEDS"
-caller_threads: 64
+caller_threads: ${CALLER_THREADS:-64}
 grace_s: 6
 YAML
-  launch_stepped "entry-$1" "$BIN/mulberrydrift" run-entry --config "$RUN/entry-$1.yaml"
+  launch_stepped "entry-$1" "$DAEMON" run-entry --config "$RUN/entry-$1.yaml"
 }
 
 start_guard () { # n; through VIA_n when PROXIED is set
   local orders register via
   eval "orders=\$ORDERS_$1 register=\$REGISTER_$1 via=\$VIA_$1"
   [ -n "${PROXIED:-}" ] && orders=$via
-  cat > "$RUN/guard-$1.yaml" <<YAML
+  [ -n "${KEEP_SETTINGS:-}" ] || cat > "$RUN/guard-$1.yaml" <<YAML
 role: run-guard
 name: guard-$1
 region: lusitania
@@ -117,10 +137,11 @@
 seeds: "$SEEDS"
 worker_address: $orders
 register_address: $register
+metrics_address: 127.0.0.$((50 + $1)):$METRICS
 worker_lease_max_ms: 1000
 grace_s: 6
 YAML
-  launch_stepped "guard-$1" "$BIN/mulberrydrift" run-guard --config "$RUN/guard-$1.yaml"
+  launch_stepped "guard-$1" "$DAEMON" run-guard --config "$RUN/guard-$1.yaml"
 }
 
 # put_config VERSION PREFIX...: the operator's configuration with these queues.
@@ -178,6 +199,99 @@
   done
 }
 
+command_proxy () {
+  local reply
+  exec 9<> "/dev/tcp/${CONTROL%:*}/${CONTROL#*:}" || return
+  echo "$*" >&9
+  IFS= read -r -t 5 reply <&9
+  exec 9>&-
+}
+
+# start_proxied SEED: entries and guards, guards and workers, and both and the store meet through
+# the fault proxy.
+start_proxied () {
+  plan_ports
+  SEEDS=
+  local n routes=
+  for n in $(seq "$ENTRIES"); do routes="$routes e$n=127.0.0.$((10 + n)):$INNER"; done
+  for n in $(seq "$GUARDS"); do eval "routes=\"\$routes w$n=\$ORDERS_$n\""; done
+  launch proxy "$BIN/tests/faultproxy" --seed "$1" $routes "s=$STORE"
+  wait_for 5 grep -q '^control listening' "$RUN/proxy.log" || fail "the proxy did not start"
+  CONTROL=$(sed -n 's/^control listening //p' "$RUN/proxy.log")
+  for n in $(seq "$GUARDS"); do eval "VIA_$n=$(sed -n "s/^route w$n listening //p" "$RUN/proxy.log")"; done
+  STORE_VIA=$(sed -n 's/^route s listening //p' "$RUN/proxy.log")
+  PROXIED=1
+  start_store
+  wait_for 5 curl -s -m 1 -o /dev/null "http://$STORE/control" || fail "the store did not start"
+  put_config 3 /calc/
+  for n in $(seq "$ENTRIES"); do start_proxied_entry "$n"; done
+  for n in $(seq "$GUARDS"); do start_worker "$n" "$((n % 2 + 1))"; start_guard "$n"; done
+  for n in $(seq "$ENTRIES"); do
+    wait_for 20 workers_seen "$n" "$GUARDS" || fail "seed $1: entry-$n does not see every worker"
+  done
+}
+
+start_proxied_entry () { ADVERTISED=$(sed -n "s/^route e$1 listening //p" "$RUN/proxy.log") start_entry "$1"; }
+
+restart () { # name
+  case $1 in
+    entry-*) start_proxied_entry "${1#entry-}" ;;
+    guard-*) start_guard "${1#guard-}" ;;
+  esac
+}
+
+# Sets PICK. Not in a subshell: there the random sequence does not follow the seed.
+some () {
+  local words=($1)
+  PICK=${words[RANDOM % ${#words[@]}]}
+}
+
+# Faults run beside one another; each undoes itself.
+one_fault () { # kind name duration
+  case $1 in
+    kill) send_signal KILL "$2"; sleep "$3"; restart "$2" ;;
+    pause) send_signal STOP "$2"; sleep "$3"; send_signal CONT "$2" ;;
+    term) send_signal TERM "$2"
+      local left=140
+      while running "$2" && [ $left -gt 0 ]; do left=$((left - 1)); sleep 0.05; done
+      ! running "$2" || { send_signal KILL "$2"; echo "overdue $2" >> "$RUN/overdue"; }
+      restart "$2" ;;
+  esac
+}
+
+serves () { # entry
+  post "$(printf 'f%015x' "$RANDOM$RANDOM")" \
+    '{"best_effort":true,"spec":"ms=20 cpu=500","steps":[{"count":2,"cpu":500,"mem_mb":64,"estimated_ms":20}]}' \
+    "$1" | grep -q completed
+}
+
+# Whether NAME has written that it started, since it was launched.
+has_started () {
+  awk '/^event=launched$/ { n = 0 } / event=started / { n = 1 } END { exit !n }' "$RUN/$1.log"
+}
+daemons () { (cd "$RUN" && ls | sed -n 's/^\([eg][a-z]*-[0-9]*\)\.pid$/\1/p'); }
+# Ends every entry and guard by SIGTERM, as a deployment does.
+stop_daemons () {
+  local name left=600
+  for name in $(daemons); do wait_for 10 has_started "$name"; send_signal TERM "$name"; done
+  for name in $(daemons); do
+    while running "$name" && [ $left -gt 0 ]; do left=$((left - 1)); sleep 0.05; done
+    ! running "$name" || { echo "overdue $name" >> "$RUN/overdue"; send_signal KILL "$name"; }
+  done
+  sleep 0.1 # until the last end is recorded
+}
+# judge_ends: a word for each end that no signal of ours ordered, and for each whose status is not
+# that of the signal: 0 after SIGTERM, killed after SIGKILL. SIGTERM before a process has started may
+# end it as it ends any program.
+judge_ends () {
+  awk 'kind == "ordered" { order[$1, $2] = order[$1, $2] "+" $3; next }
+    $1 !~ /^(entry|guard|worker|store|proxy)/ { next }
+    { o = order[$1, $2]
+      if ((o ~ /TERM/ && $3 == 0) || (o ~ /EARLY/ && $3 == 143) || (o ~ /KILL/ && $3 == 137)) next
+      printf "%s:%s:%s ", $1, o == "" ? "by-itself" : "after" o, ($3 > 128 ? "signal=" $3 - 128 : "status=" $3) }' \
+    kind=ordered "$RUN/ordered" kind=end "$RUN/ends"
+}
+
 # judge_runs JOURNAL RESULTS: counts broken promises from what workers and callers saw:
 # two runs of a task at once, jobs that started although every attempt was rejected, and
 # starts on a worker that has been draining for longer than drain_ms.
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -13,68 +13,13 @@
 # Judged from what callers and workers saw: no two runs of a task at once, no start of a
 # rejected job, no start on a worker that drains, no configuration older than one that the
 # same process had; and after the last fault every entry
-# serves again, with the newest configuration. KEEP_LOGS=DIR keeps the logs of a failure.
+# serves again, with the newest configuration; and no process ended but those that a fault
+# or the end of the run stopped, with the status that belongs to the signal.
+# KEEP_LOGS=DIR keeps the logs of a failure.
 cd "$(dirname "$0")/.."
+. tests/rounds.sh
 SEED=${SEED:-1} RUNS=${RUNS:-4} AT_A_TIME=${AT_A_TIME:-3} FAULTS=${FAULTS:-8}
 
-command_proxy () {
-  local reply
-  exec 9<> "/dev/tcp/${CONTROL%:*}/${CONTROL#*:}" || return
-  echo "$*" >&9
-  IFS= read -r -t 5 reply <&9
-  exec 9>&-
-}
-
-start_soak () {
-  plan_ports
-  SEEDS=
-  local n routes=
-  for n in $(seq "$ENTRIES"); do routes="$routes e$n=127.0.0.$((10 + n)):$INNER"; done
-  for n in $(seq "$GUARDS"); do eval "routes=\"\$routes w$n=\$ORDERS_$n\""; done
-  launch proxy "$BIN/tests/faultproxy" --seed "$1" $routes "s=$STORE"
-  wait_for 5 grep -q '^control listening' "$RUN/proxy.log" || fail "the proxy did not start"
-  CONTROL=$(sed -n 's/^control listening //p' "$RUN/proxy.log")
-  for n in $(seq "$GUARDS"); do eval "VIA_$n=$(sed -n "s/^route w$n listening //p" "$RUN/proxy.log")"; done
-  STORE_VIA=$(sed -n 's/^route s listening //p' "$RUN/proxy.log")
-  PROXIED=1
-  start_store
-  wait_for 5 curl -s -m 1 -o /dev/null "http://$STORE/control" || fail "the store did not start"
-  put_config 3 /calc/
-  for n in $(seq "$ENTRIES"); do soak_entry "$n"; done
-  for n in $(seq "$GUARDS"); do start_worker "$n" "$((n % 2 + 1))"; start_guard "$n"; done
-  for n in $(seq "$ENTRIES"); do
-    wait_for 20 workers_seen "$n" "$GUARDS" || fail "seed $1: entry-$n does not see every worker"
-  done
-}
-
-soak_entry () { ADVERTISED=$(sed -n "s/^route e$1 listening //p" "$RUN/proxy.log") start_entry "$1"; }
-
-restart () { # name
-  case $1 in
-    entry-*) soak_entry "${1#entry-}" ;;
-    guard-*) start_guard "${1#guard-}" ;;
-  esac
-}
-
-# Sets PICK. Not in a subshell: there the random sequence does not follow the seed.
-some () {
-  local words=($1)
-  PICK=${words[RANDOM % ${#words[@]}]}
-}
-
-# Faults run beside one another; each undoes itself.
-one_fault () { # kind name duration
-  case $1 in
-    kill) send_signal KILL "$2"; sleep "$3"; restart "$2" ;;
-    pause) send_signal STOP "$2"; sleep "$3"; send_signal CONT "$2" ;;
-    term) send_signal TERM "$2"
-      local left=140
-      while running "$2" && [ $left -gt 0 ]; do left=$((left - 1)); sleep 0.05; done
-      ! running "$2" || { send_signal KILL "$2"; echo "overdue $2" >> "$RUN/overdue"; }
-      restart "$2" ;;
-  esac
-}
-
 inject () {
   local names="entry-1 entry-2 guard-1 guard-2 guard-3" d="$((RANDOM % 2)).$((RANDOM % 9 + 1))"
   local route kind name
@@ -168,11 +113,6 @@
     END { print n + 0 }' "$1"
 }
 
-serves () { # entry
-  post "$(printf 'f%015x' "$RANDOM$RANDOM")" \
-    '{"best_effort":true,"spec":"ms=20 cpu=500","steps":[{"count":2,"cpu":500,"mem_mb":64,"estimated_ms":20}]}' \
-    "$1" | grep -q completed
-}
 has_queue () { # entry prefix
   [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' "http://127.0.0.$((10 + $1)):$CALLERS$2")" = 200 ]
 }
@@ -180,7 +120,7 @@
 one_run () { # seed
   . tests/platform.sh
   RANDOM=$1 VERSION=3 LAST= UNSURE=
-  start_soak "$1"
+  start_proxied "$1"
   "$BIN/tests/jobload" --servers "127.0.0.11:$CALLERS,127.0.0.12:$CALLERS" --threads 8 --jobs 60 \
     --tasks 6 --ms 120 --leave 8 --pause 40 --attempts 4 --seed "$1" --results "$RUN/results" > "$RUN/load.out" 2>&1 &
   local load=$! bad=
@@ -206,35 +146,21 @@
     [ -z "$LAST" ] || wait_for 5 has_queue "$n" "/v$LAST/" || bad="$bad entry-$n-config"
   done
   sleep 3 # orders that are carried out late
+  stop_daemons
+  bad="$bad$(judge_ends)"
   [ -e "$RUN/overdue" ] && bad="$bad $(tr ' \n' '-,' < "$RUN/overdue")"
   local sums
   sums=$(judge_runs "$RUN/journal" "$RUN/results" 2>> "$RUN/verdict")
   echo "$sums" | grep -q 'twice=0 false_not_run=0 drained=0' || bad="$bad $(tr '\n' ',' < "$RUN/verdict")"
   echo "seed=$1 ${bad:+BROKEN:$bad }$sums faults=$(tr '\n' ' ' < "$RUN/faults")"
-  if [ -n "$bad" ] && [ -n "${KEEP_LOGS:-}" ]; then
-    mkdir -p "$KEEP_LOGS" && cp -r "$RUN" "$KEEP_LOGS/seed-$1"
-  fi
+  [ -z "$bad" ] || keep_logs "$1"
   [ -z "$bad" ]
 }
 
-# A run that gives up before its verdict counts as broken and names the step.
-report_run () { # seed
-  local said
-  said=$(mktemp -d)
-  (one_run "$1") > "$said/out" 2> "$said/err"
-  local status=$?
-  cat "$said/out"
-  grep -q '^seed=' "$said/out" \
-    || echo "seed=$1 BROKEN: ended without a verdict, status $status: $(tail -n 3 "$said/err" | tr '\n' ' ')"
-  rm -rf "$said"
-  return $status
-}
-
 if [ "${1:-}" = one ]; then report_run "$2"; exit; fi
 
 out=$(mktemp)
-seq "$SEED" $((SEED + RUNS - 1)) \
-  | xargs -P "$AT_A_TIME" -n 1 bash tests/soak.sh one 2>&1 | tee "$out"
+run_rounds tests/soak.sh | tee "$out"
 awk -v runs="$RUNS" '
   /^seed=/ { done++
     broken += /BROKEN/
