Wait in milliseconds where the host has no epoll_pwait2

What callers saw: on a host whose kernel or filter of system calls does not offer epoll_pwait2, an entry or guard runs, uses up a processor, is never ready and serves nobody, without a log line.

Cause: the event loop ignored the error of the wait and called again at once. No other wait was tried, and nothing was written.

Ruled out: the other waits of the daemons; the log's writer and the thread that watches callers wait by poll(2), which every kernel in question has.

Change: when epoll_pwait2 fails with anything but EINTR, the loop goes over to epoll_wait with whole milliseconds, rounded up, and says so once (event-wait-in-ms). A wait that fails altogether is logged, at most once a second, and followed by a pause of 10 ms (event-wait-failed). The wait has a file of its own.

--- a/net/link.c
+++ b/net/link.c
@@ -541,16 +541,8 @@
   struct epoll_event events[MAX_EVENTS];
   MdTime now = md_now ();
   MdTime wait = (until < links->next_check ? until : links->next_check) - now;
-  struct timespec timeout;
-  int n;
-
-  if (wait < 0 || links->ended != NULL)
-    wait = 0;
-  if (wait > 3600 * MD_SECOND)
-    wait = 3600 * MD_SECOND;
-  timeout.tv_sec = wait / MD_SECOND;
-  timeout.tv_nsec = wait % MD_SECOND * 1000;
-  n = epoll_pwait2 (links->epoll_fd, events, MAX_EVENTS, &timeout, NULL);
+  int n = md_link_wait (links, events, MAX_EVENTS, links->ended != NULL ? 0 : wait);
+
   for (int i = 0; i < n; i++)
     handle_event (links, &events[i]);
 }
--- a/net/md-link.h
+++ b/net/md-link.h
@@ -1,4 +1,4 @@
-/* md-link.h -- internals of links, private to link.c and link-io.c */
+/* md-link.h -- internals of links, private to link.c, link-io.c and link-wait.c */
 
 #ifndef MD_LINK_H
 #define MD_LINK_H
@@ -52,17 +52,19 @@
   MdLinkHandler handler;
   void *user; /* first argument of the callbacks */
   int epoll_fd;
-  int wake_fd;              /* eventfd of md_links_wake */
-  int listen_fd;            /* -1 none */
-  atomic_bool wake_pending; /* wake_fd was written and not read yet */
-  MdLink *links;            /* all links, owned */
-  MdLink *flush_list;       /* links with output to write before the next wait */
-  MdLink *ended;            /* links whose end is not reported yet */
-  size_t accepted;          /* number of accepted links */
-  MdTime accept_resume_at;  /* accepting is paused until then, 0 not paused */
-  MdTime connect_timeout;   /* limit of one connection attempt */
-  MdTime ack_timeout;       /* of dialled connections, see md_links_set_ack_timeout; 0: none */
-  MdTime next_check;        /* not later than the earliest deadline */
+  int wake_fd;                 /* eventfd of md_links_wake */
+  int listen_fd;               /* -1 none */
+  atomic_bool wake_pending;    /* wake_fd was written and not read yet */
+  MdLink *links;               /* all links, owned */
+  MdLink *flush_list;          /* links with output to write before the next wait */
+  MdLink *ended;               /* links whose end is not reported yet */
+  size_t accepted;             /* number of accepted links */
+  MdTime accept_resume_at;     /* accepting is paused until then, 0 not paused */
+  MdTime connect_timeout;      /* limit of one connection attempt */
+  MdTime ack_timeout;          /* of dialled connections, see md_links_set_ack_timeout; 0: none */
+  MdTime next_check;           /* not later than the earliest deadline */
+  bool wait_in_ms;             /* the host does not offer epoll_pwait2 */
+  MdTime wait_failure_log_due; /* next log line about a failed wait */
 };
 
 /* link-io.c */
@@ -82,6 +84,14 @@
 void md_link_write (MdLink *link);    /* write queued output until it would block */
 void md_links_flush (MdLinks *links); /* write the output of all links in flush_list */
 
+/* link-wait.c */
+
+struct epoll_event;
+
+/* md_link_wait: wait for events for this long, or less. Returns their number, or -1 when there are none
+   because of a signal or an error; an error is logged, and the call takes some milliseconds. */
+int md_link_wait (MdLinks *links, struct epoll_event *events, int max, MdTime wait);
+
 /* link.c */
 
 /* md_links_schedule_check: check the deadlines at the given time at the latest. */
