Bound the connections of callers by the descriptors that the host allows

What callers saw: at an entry with 160 threads for callers and a limit of 100 descriptors, 300 callers were refused with 503 ("cannot create an eventfd"), waited up to 19 s, or got no answer; the entry used up a processor, also after the load had gone, and no line of its log said why.

Cause: CivetWeb accepts up to 512 connections more than it has threads. Without a descriptor its accept fails and is tried again at once. Nothing read the limits, and the soft one stayed as it was.

Ruled out: the links of guards, which pause accepting; the watch of callers' sockets, whose search is bounded.

Change: md_host_limits_open, in the start of all four daemons, raises the soft limit of descriptors to the hard one, logs the limits of descriptors, threads and memory (host-limits), and warns when they do not suffice for caller_threads (descriptors-short, threads-short). The servers for callers start as many threads, and accept as many connections beyond, as leave a quarter of the descriptors to the rest; further callers wait in the kernel. Threads that CivetWeb could not start are counted and reported (threads-missing), and connections are closed early by the number that runs, not the one asked for. The queue of the server for probes is bounded to 16.

--- a/entry/callers.c
+++ b/entry/callers.c
@@ -7,6 +7,7 @@
    a reserve requests are refused at once instead of queueing unseen. */
 
 #include "entry-private.h"
+#include "host-limits.h"
 #include "http-server.h"
 
 #include <civetweb.h>
@@ -25,7 +26,7 @@
   struct mg_context *server; /* CivetWeb */
   _Atomic int in_progress;   /* requests being handled */
   _Atomic int connections;   /* open connections */
-  int threads;               /* CivetWeb threads */
+  atomic_int threads;        /* CivetWeb threads */
 };
 
 /* One request on its way through the handlers. */
@@ -49,7 +50,8 @@
 {
   int open = atomic_load (&call->callers->connections);
 
-  return open * 4 > call->callers->threads * 3 || md_entry_leaving (call->callers->entry);
+  return open * 4 > atomic_load (&call->callers->threads) * 3
+         || md_entry_leaving (call->callers->entry);
 }
 
 /* Head and body leave in one write: two would be two packets, and the second may
@@ -507,7 +509,7 @@
   int status;
 
   md_gauge (MD_M_CALLERS, busy);
-  if (busy > callers->threads - RESERVED_THREADS)
+  if (busy > atomic_load (&callers->threads) - RESERVED_THREADS)
     status = refuse_overload (&call);
   else if (!authenticate (&call))
     status = send_bad_request (&call, 401, "a customer's bearer token is needed");
@@ -617,6 +619,8 @@
                                     .init_connection = init_connection,
                                     .connection_closed = connection_closed,
                                     .log_message = log_message };
+  MdHostShare share = md_host_own_share (settings->caller_threads);
+  unsigned before = md_host_thread_count ();
   char threads[16];
   const char *options[] = { "listening_ports",
                             settings->caller_address,
@@ -635,8 +639,8 @@
   if (callers == NULL)
     return NULL;
   callers->entry = entry;
-  callers->threads = (int)settings->caller_threads;
-  snprintf (threads, sizeof threads, "%u", (unsigned)settings->caller_threads);
+  atomic_init (&callers->threads, (int)share.threads);
+  snprintf (threads, sizeof threads, "%u", share.threads);
   callers->server = mg_start (&callbacks, callers, options);
   if (callers->server == NULL)
     {
@@ -645,6 +649,8 @@
       free (callers);
       return NULL;
     }
+  atomic_store (&callers->threads,
+                (int)md_host_check_threads (before, share.threads, settings->caller_address));
   mg_set_request_handler (callers->server, "/v1/jobs", on_jobs, callers);
   mg_set_request_handler (callers->server, "/v1/pools/", on_request, callers);
   mg_set_request_handler (callers->server, "/healthz", on_health, callers);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -6,6 +6,7 @@
    order without locks on the path of a request. */
 
 #include "entry-private.h"
+#include "host-limits.h"
 
 #include <popt.h>
 #include <signal.h>
@@ -443,6 +444,7 @@
     }
   free (config);
   md_log_open (STDERR_FILENO, entry->settings.name, entry->settings.log_level);
+  md_host_limits_open (&entry->settings);
   result = run_entry (entry);
   free (entry);
   return result;
--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -1,6 +1,7 @@
 /* daemon.c -- startup, signals and reloading of settings for run-entry and run-guard */
 
 #include "daemon.h"
+#include "host-limits.h"
 
 #include <errno.h>
 #include <popt.h>
@@ -53,6 +54,7 @@
     }
   md_log_open (STDOUT_FILENO, daemon->settings.name, daemon->settings.log_level);
   md_log_start_writer ();
+  md_host_limits_open (&daemon->settings);
   if (md_leases_set (&daemon->leases, daemon->settings.resend_after, daemon->settings.stop_timeout)
       != MD_OK)
     md_log (MD_LOG_WARN, "leases-too-long", "leases_ms=%lld resend_after_ms=%lld",
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -8,6 +8,7 @@
 #define _GNU_SOURCE /* POLLRDHUP */
 
 #include "caller-sockets.h"
+#include "host-limits.h"
 #include "http-server.h"
 #include "run-entry.h"
 
@@ -39,7 +40,7 @@
   atomic_bool keep_alive_disabled; /* each response closes its connection */
   atomic_bool stopping;            /* the engine answers no more requests */
   atomic_int connections;          /* open connections of both servers */
-  int threads;                     /* threads of the server for callers */
+  atomic_int threads;              /* threads of the server for callers */
   MdCallerSockets sockets;         /* of callers whose requests have been read */
   /* Jobs that have been posted to the engine and not answered, by a hash of the ID. */
   atomic_uint submissions[SUBMISSION_SLOTS];
@@ -66,7 +67,7 @@
 should_close (const MdFront *front)
 {
   return atomic_load (&front->keep_alive_disabled)
-         || atomic_load (&front->connections) * 4 > front->threads * 3;
+         || atomic_load (&front->connections) * 4 > atomic_load (&front->threads) * 3;
 }
 
 static int
@@ -557,9 +558,11 @@
 }
 
 static struct mg_context *
-start_server (MdFront *front, const char *address, const char *threads,
+start_server (MdFront *front, const char *address, MdHostShare share,
               int (*handler) (struct mg_connection *, void *), MdError *error)
 {
+  char threads[16];
+  char waiting[16];
   const char *options[] = { "listening_ports",
                             address,
                             "num_threads",
@@ -575,14 +578,18 @@
                             "max_request_size",
                             "32768",
                             "connection_queue",
-                            "512",
+                            waiting,
                             NULL };
   struct mg_callbacks callbacks = { .init_thread = init_thread,
                                     .exit_thread = exit_thread,
                                     .init_connection = init_connection,
                                     .connection_close = connection_closing,
                                     .connection_closed = connection_closed };
-  struct mg_context *server = mg_start (&callbacks, front, options);
+  struct mg_context *server;
+
+  snprintf (threads, sizeof threads, "%u", share.threads);
+  snprintf (waiting, sizeof waiting, "%u", share.waiting);
+  server = mg_start (&callbacks, front, options);
 
   if (server == NULL)
     md_error_set (error, MD_E_IO, "listen", address, "cannot listen");
@@ -596,19 +603,23 @@
 {
   const MdSettings *settings = &entry->daemon.settings;
   MdFront *front = calloc (1, sizeof *front);
-  char threads[16];
+  const MdHostShare probe_share = { .threads = 3, .waiting = 16 };
+  MdHostShare share = md_host_own_share (settings->caller_threads);
+  unsigned threads = md_host_thread_count ();
   char probes[2 * MD_ADDRESS_BYTES + 2];
 
   if (front == NULL)
     return NULL;
   front->entry = entry;
-  front->threads = (int)settings->caller_threads;
-  snprintf (threads, sizeof threads, "%u", settings->caller_threads);
-  front->callers = start_server (front, settings->caller_address, threads, handle_caller, error);
+  atomic_init (&front->threads, (int)share.threads);
+  front->callers = start_server (front, settings->caller_address, share, handle_caller, error);
+  if (front->callers != NULL)
+    atomic_store (&front->threads,
+                  (int)md_host_check_threads (threads, share.threads, settings->caller_address));
   snprintf (probes, sizeof probes, "%s%s%s", settings->ready_address,
             settings->metrics_address[0] != '\0' ? "," : "", settings->metrics_address);
   if (front->callers != NULL)
-    front->probes = start_server (front, probes, "3", handle_probe, error);
+    front->probes = start_server (front, probes, probe_share, handle_probe, error);
   if (front->probes != NULL)
     return front;
   md_front_stop (front);
--- a/guard/guard.c
+++ b/guard/guard.c
@@ -12,6 +12,7 @@
    what it accepted, waits until the answers were released or received by their
    owner, appends its leaving record and ends. drain_timeout bounds the wait. */
 
+#include "host-limits.h"
 #include "md-guard.h"
 
 #include <civetweb.h>
@@ -470,6 +471,7 @@
       if (load_settings (&guard, options.config) == MD_OK)
         {
           md_log_open (STDERR_FILENO, guard.settings.name, guard.settings.log_level);
+          md_host_limits_open (&guard.settings);
           mg_init_library (0);
           guard.tuning = &guard.settings.tuning;
           guard.incarnation = md_new_incarnation ();
