Count ends in run-host-limits, and pass options to the rig's load

The rig passes LOAD_OPTIONS to its callers, so that plays with more of them need no copy of the script. No change of the daemons.

--- a/tests/ends-rig.sh
+++ b/tests/ends-rig.sh
@@ -17,7 +17,8 @@
 # Guards against processes that end by themselves: each end that no signal of the rig ordered counts,
 # at any time, and so does each ordered one with an unexpected status (judge_ends). After the last
 # event every entry serves again, and SIGTERM ends all processes. One line a run. KEEP_LOGS=DIR keeps
-# the logs of those that fail; MD_DAEMON=FILE plays the daemons of another build.
+# the logs of those that fail; MD_DAEMON=FILE plays the daemons of another build; LOAD_OPTIONS and
+# FUZZ_OPTIONS are further options of jobload and fuzzload.
 cd "$(dirname "$0")/.."
 . tests/rounds.sh
 SEED=${SEED:-1} RUNS=${RUNS:-1} AT_A_TIME=${AT_A_TIME:-1} EVENTS=${EVENTS:-30}
@@ -187,7 +188,7 @@
   local n i servers= bad=
   for n in $(seq "$ENTRIES"); do servers=$servers${servers:+,}127.0.0.$((10 + n)):$CALLERS; done
   launch load "$BIN/tests/jobload" --servers "$servers" --threads 8 --jobs 100000 --tasks 8 --ms 60 \
-    --leave 8 --pause 40 --attempts 4 --seed "$1" --results "$RUN/results"
+    --leave 8 --pause 40 --attempts 4 --seed "$1" --results "$RUN/results" ${LOAD_OPTIONS:-}
   for i in $(seq "$EVENTS"); do
     sleep "0.$((RANDOM % 5 + 1))"
     rig_event
--- a/tests/run-host-limits.sh
+++ b/tests/run-host-limits.sh
@@ -28,7 +28,7 @@
   echo "refused for want of a descriptor: $(cat "$RUN"/entry-*.log | grep -c 'cannot create an eventfd')"
   for n in $(seq "$ENTRIES"); do wait_for 10 serves "$n" || fail "entry-$n does not serve"; done
   stop_daemons
-  echo "ends: $(judge_ends)"
+  echo "processes that ended by themselves: $(judge_ends | wc -w)"
 }
 
 run > "$RUN/out" || { cat "$RUN/out"; exit 1; }
