Refuse deeply nested JSON before it is parsed

A caller's job, a worker's report or an operator's resource of 900 or more nested arrays or objects ended the process with SIGSEGV, and every connection of that process with it. jansson parses, writes and releases nested values by recursion, up to 2,048 levels; CivetWeb's threads have a stack of 100 KB, and its version here has no option for another size.

All texts are now loaded through core/json-text.c, which finds the depth by a linear scan that knows strings and escapes.

Ruled out: YAML of operators is converted with a bound of 32 levels; messages between processes are of protobuf types that do not contain themselves.

--- a/cli/resource-cli.c
+++ b/cli/resource-cli.c
@@ -6,6 +6,7 @@
    sent. */
 
 #include "http-client.h"
+#include "json-text.h"
 #include "resource-private.h"
 
 #include <popt.h>
@@ -317,7 +318,7 @@
 on_line (void *user, MdStr line)
 {
   WatchState *state = user;
-  json_t *change = json_loadb (line.data, line.len, 0, NULL);
+  json_t *change = md_json_load (line, 0, NULL);
   const char *type = text_of (change, "type");
 
   if (json_object_get (change, "version") != NULL)
--- a/cli/submit.c
+++ b/cli/submit.c
@@ -5,8 +5,8 @@
    job again under the same id. */
 
 #include "http-client.h"
+#include "json-text.h"
 
-#include <jansson.h>
 #include <popt.h>
 #include <stdio.h>
 
@@ -32,7 +32,7 @@
 
   if (status >= 200 && status < 300)
     return MD_EXIT_OK;
-  root = json_loadb (body.data, body.len, 0, NULL);
+  root = md_json_load (body, 0, NULL);
   outcome = json_string_value (json_object_get (root, "outcome"));
   if (outcome != NULL && strcmp (outcome, "not_run") == 0)
     code = MD_EXIT_REFUSED;
--- a/core/config-check.c
+++ b/core/config-check.c
@@ -7,6 +7,7 @@
    that a misspelt field causes an error instead of a default. */
 
 #include "config-check.h"
+#include "json-text.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -190,7 +191,7 @@
 
   if (spec.len > MD_SPEC_MAX_BYTES)
     return invalid_spec (error, "field \"spec\" is longer than 65536 bytes");
-  root = json_loadb (spec.data ? spec.data : "", spec.len, JSON_REJECT_DUPLICATES, &json_error);
+  root = md_json_load_embedded (spec, JSON_REJECT_DUPLICATES, &json_error);
   if (root == NULL)
     return md_error_set (error, MD_E_INVALID, "check", NULL, "field \"spec\": %.140s",
                          json_error.text);
@@ -221,7 +222,7 @@
 void
 md_spec_pool (MdStr spec, MdPoolConfig *config)
 {
-  json_t *root = json_loadb (spec.data, spec.len, 0, NULL);
+  json_t *root = md_json_load (spec, 0, NULL);
 
   config->shards = pool_uint (POOL_SHARDS, root);
   config->slots_per_guard = pool_uint (POOL_SLOTS_PER_GUARD, root);
@@ -235,7 +236,7 @@
 void
 md_spec_customer (MdStr spec, MdCustomerPolicy *policy)
 {
-  json_t *root = json_loadb (spec.data, spec.len, 0, NULL);
+  json_t *root = md_json_load (spec, 0, NULL);
 
   policy->weight = field_value (&customer_fields[CUSTOMER_WEIGHT], root);
   policy->slot_quota = field_value (&customer_fields[CUSTOMER_SLOT_QUOTA], root);
--- a/core/config.c
+++ b/core/config.c
@@ -13,6 +13,7 @@
    duplicates as one that has read the whole log. */
 
 #include "config-check.h"
+#include "json-text.h"
 
 #include <stdio.h>
 #include <xxhash.h>
@@ -473,7 +474,7 @@
 {
   return json_pack ("{s:s, s:s, s:I, s:I, s:s, s:o}", "kind", r->kind, "name", r->name, "version",
                     (json_int_t)r->version, "time_ms", (json_int_t)r->time_ms, "actor", r->actor,
-                    "spec", json_loads (r->spec, JSON_DECODE_ANY, NULL));
+                    "spec", md_json_load (md_str (r->spec), JSON_DECODE_ANY, NULL));
 }
 
 static json_t *
@@ -618,7 +619,7 @@
 md_config_load (MdConfig *config, MdStr snapshot, MdError *error)
 {
   json_error_t parse_error;
-  json_t *root = json_loadb (snapshot.data, snapshot.len, JSON_REJECT_DUPLICATES, &parse_error);
+  json_t *root = md_json_load (snapshot, JSON_REJECT_DUPLICATES, &parse_error);
   int rc;
 
   if (root == NULL)
@@ -656,10 +657,10 @@
 
   if (offset < config->next)
     return MD_APPLY_STALE;
-  root = json_loadb (record.data ? record.data : "", record.len, JSON_REJECT_DUPLICATES, NULL);
+  root = md_json_load (record, JSON_REJECT_DUPLICATES, NULL);
   if (md_str_equal (string_member (root, "type"), MD_STR ("snapshot")))
     result = apply_snapshot (config, offset, root);
-  else if (in_turn)
+  else if (in_turn && md_json_depth (record) <= 1 + MD_JSON_EMBEDDED_DEPTH)
     result = apply_change (config, offset, time_ms, root);
   if (in_turn)
     config->next = offset + 1;
@@ -706,7 +707,7 @@
 
   if (root != NULL && kind == MD_CHANGE_PUT)
     {
-      value = json_loadb (spec.data, spec.len, JSON_REJECT_DUPLICATES, NULL);
+      value = md_json_load (spec, JSON_REJECT_DUPLICATES, NULL);
       if (value == NULL || json_object_set_new (root, "spec", value) != 0)
         {
           json_decref (root);
--- a/entry/caller-json.c
+++ b/entry/caller-json.c
@@ -6,8 +6,8 @@
    that is JSON is embedded as it is. */
 
 #include "entry-private.h"
+#include "json-text.h"
 
-#include <jansson.h>
 #include <math.h>
 #include <stdio.h>
 
@@ -276,7 +276,7 @@
   MdSubmission *sub;
   json_t *root;
 
-  root = json_loadb (text.data, text.len, JSON_REJECT_DUPLICATES, &json_error);
+  root = md_json_load (text, JSON_REJECT_DUPLICATES, &json_error);
   if (root == NULL)
     {
       fault (&reader, "line %d: %.120s", json_error.line, json_error.text);
@@ -307,7 +307,8 @@
     if (strcasecmp (answer->headers[i].name, "Content-Type") == 0
         && strncasecmp (answer->headers[i].value, "application/json", 16) == 0)
       {
-        value = json_loadb (answer->body, answer->body_len, JSON_DECODE_ANY, NULL);
+        value = md_json_load_embedded (md_str_n (answer->body, answer->body_len), JSON_DECODE_ANY,
+                                       NULL);
         json_decref (value);
         return value != NULL;
       }
@@ -336,7 +337,7 @@
     }
 }
 
-/* A body is embedded as JSON when it is JSON, as a string when it is UTF-8, and
+/* A body is embedded as JSON when it is JSON that is not nested too deeply, as a string when it is UTF-8, and
    as base64 otherwise. */
 static void
 write_answer (MdBuf *out, const MdTaskAnswer *answer)
--- a/net/http-client.c
+++ b/net/http-client.c
@@ -6,6 +6,7 @@
 
 #include "http-client.h"
 #include "http-server.h"
+#include "json-text.h"
 
 #include <pthread.h>
 #include <stdio.h>
@@ -233,7 +234,7 @@
 json_t *
 md_http_response_json (const MdHttpResponse *response)
 {
-  return json_loadb (response->body.data ? response->body.data : "", response->body.len, 0, NULL);
+  return md_json_load (md_buf_str (&response->body), 0, NULL);
 }
 
 void
--- a/operator/operator-resources.c
+++ b/operator/operator-resources.c
@@ -8,6 +8,7 @@
 #include "operator-private.h"
 
 #include "config-check.h"
+#include "json-text.h"
 
 #include <stdio.h>
 
@@ -185,8 +186,7 @@
 
   if (status != 0)
     return status;
-  body->root
-      = json_loadb (bytes.data ? bytes.data : "", bytes.len, JSON_REJECT_DUPLICATES, &json_error);
+  body->root = md_json_load (md_buf_str (&bytes), JSON_REJECT_DUPLICATES, &json_error);
   if (body->root == NULL)
     {
       snprintf (detail, sizeof detail, "the body is not valid JSON: line %d: %s", json_error.line,
--- a/store/store-members.c
+++ b/store/store-members.c
@@ -10,6 +10,7 @@
 #include "store-private.h"
 
 #include "config-check.h"
+#include "json-text.h"
 
 #include <stdio.h>
 
@@ -298,7 +299,7 @@
 
       json_array_append_new (records, json_pack ("{s:I, s:I, s:o}", "offset", (json_int_t)r->offset,
                                                  "time_ms", (json_int_t)r->time_ms, "data",
-                                                 json_loads (r->text, 0, NULL)));
+                                                 md_json_load (md_str (r->text), 0, NULL)));
     }
   root = json_pack ("{s:s, s:I, s:o}", "type", "snapshot", "next", (json_int_t)log->next_offset,
                     "records", records);
@@ -380,7 +381,7 @@
 int
 member_log_load (MemberLog *log, MdStr snapshot, MemberEvents *events, MdError *error)
 {
-  json_t *root = json_loadb (snapshot.data, snapshot.len, JSON_REJECT_DUPLICATES, NULL);
+  json_t *root = md_json_load (snapshot, JSON_REJECT_DUPLICATES, NULL);
   int rc = load_snapshot (log, root, events, error);
 
   json_decref (root);
@@ -410,10 +411,10 @@
 
   if (offset < log->next_offset)
     return MD_APPLY_STALE;
-  root = json_loadb (text.data, text.len, JSON_REJECT_DUPLICATES, NULL);
+  root = md_json_load (text, JSON_REJECT_DUPLICATES, NULL);
   if (md_str_equal (string_member (root, "type"), MD_STR ("snapshot")))
     apply = apply_snapshot (log, offset, root, events);
-  else if (in_sequence)
+  else if (in_sequence && md_json_depth (text) <= 1 + MD_JSON_EMBEDDED_DEPTH)
     apply = apply_change (log, offset, time_ms, root, events);
   if (in_sequence)
     log->next_offset = offset + 1;
--- a/store/store-reader.c
+++ b/store/store-reader.c
@@ -15,7 +15,8 @@
 
 #include "store-private.h"
 
-#include <jansson.h>
+#include "json-text.h"
+
 #include <pthread.h>
 #include <stdio.h>
 #include <unistd.h>
@@ -47,7 +48,7 @@
 static void
 update_replay_offset (StoreStream *s, const MdLogRecord *record)
 {
-  json_t *root = json_loadb (record->data.data, record->data.len, 0, NULL);
+  json_t *root = md_json_load (record->data, 0, NULL);
   json_int_t next = json_integer_value (json_object_get (root, "next"));
 
   json_decref (root);
--- a/store/store.c
+++ b/store/store.c
@@ -13,6 +13,7 @@
 #include "store-private.h"
 
 #include "config-check.h"
+#include "json-text.h"
 
 #include <stdio.h>
 #include <urcu/urcu-memb.h>
@@ -402,7 +403,7 @@
     return md_error_set (error, MD_E_INVALID, "change", NULL, "a delete must name a version");
   if (kind == MD_CHANGE_DELETE || !exists || expected != *version)
     return MD_OK;
-  root = json_loadb (spec.data, spec.len, 0, NULL);
+  root = md_json_load (spec, 0, NULL);
   rc = md_config_check_successor (resource_kind, current.spec, root, error);
   json_decref (root);
   return rc;
--- a/tests/logd.c
+++ b/tests/logd.c
@@ -16,10 +16,10 @@
    GET /control answers counters per stream. */
 
 #include "http-client.h"
+#include "json-text.h"
 #include "md-private.h"
 
 #include <civetweb.h>
-#include <jansson.h>
 #include <popt.h>
 #include <pthread.h>
 #include <signal.h>
@@ -227,7 +227,7 @@
 
   if (!read_body (conn, &body))
     return answer_text (conn, 413, "body too long");
-  root = json_loadb (body.data ? body.data : "", body.len, 0, NULL);
+  root = md_json_load (md_buf_str (&body), 0, NULL);
   if (json_object_get (root, "data") != NULL)
     data = json_dumps (json_object_get (root, "data"), JSON_COMPACT | JSON_ENCODE_ANY);
   json_decref (root);
--- a/tests/platform-store.c
+++ b/tests/platform-store.c
@@ -12,10 +12,10 @@
 
 #include "http-client.h"
 #include "http-server.h"
+#include "json-text.h"
 #include "md-private.h"
 #include "server.h"
 
-#include <jansson.h>
 #include <openssl/evp.h>
 #include <popt.h>
 #include <pthread.h>
@@ -243,7 +243,7 @@
 
   if (md_http_read_body (conn, BODY_MAX, &body) != 0)
     return respond (conn, 400, MD_STR ("{}"));
-  root = json_loadb (body.data, body.len, 0, NULL);
+  root = md_json_load (md_buf_str (&body), 0, NULL);
   workers = json_object_get (root, "workers");
   if (strcmp (allowed, "nonsense") == 0)
     {
--- a/tests/platform-worker.c
+++ b/tests/platform-worker.c
@@ -18,11 +18,11 @@
 
 #include "http-client.h"
 #include "http-server.h"
+#include "json-text.h"
 #include "md-private.h"
 #include "server.h"
 
 #include <fcntl.h>
-#include <jansson.h>
 #include <popt.h>
 #include <pthread.h>
 #include <signal.h>
@@ -371,7 +371,7 @@
 
   if (md_http_read_body (conn, BODY_MAX, &body) != 0)
     return NULL;
-  return body.len > 0 ? json_loadb (body.data, body.len, 0, NULL) : json_object ();
+  return body.len > 0 ? md_json_load (md_buf_str (&body), 0, NULL) : json_object ();
 }
 
 static int
--- a/tests/upstreamd.c
+++ b/tests/upstreamd.c
@@ -13,12 +13,12 @@
    closed without an answer), slow (run times are multiplied by factor, default
    10). */
 
+#include "json-text.h"
 #include "md-private.h"
 
 #include <civetweb.h>
 #include <errno.h>
 #include <fcntl.h>
-#include <jansson.h>
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
@@ -104,7 +104,7 @@
 static void
 read_plan (const struct mg_request_info *info, const MdBuf *body, Plan *plan)
 {
-  json_t *object = body->len > 0 ? json_loadb (body->data, body->len, 0, NULL) : NULL;
+  json_t *object = body->len > 0 ? md_json_load (md_buf_str (body), 0, NULL) : NULL;
   double bytes;
 
   plan->ms = query_number (info->query_string, "ms", json_number (object, "ms", 0));
