Refuse JSON with too many values before it is parsed

160 callers that sent 256 KB of {"spec":"x","steps":[[],[],...]} at once raised the memory of an entry of 64 threads to more than 600 MB, 900 MB with {} for []. Each was answered 400, but only after it had been parsed. Entries may use 260 MB, small ones 120, and a process over its limit is killed without a line in its log.

Nothing related the memory of a parsed value to what a message may contain. jansson takes 136 bytes for [] and 232 for {}, of which the text has three each (measured with mallinfo2, 262,144 elements); 40 for a number and 536 for {"a":{}}.

Ruled out as the reason of the peak: the bodies themselves, 256 KB for each of 64 threads.

--- a/core/json-text.c
+++ b/core/json-text.c
@@ -1,6 +1,6 @@
 /* json-text.c -- parsing of JSON texts with bounds
 
-   A scan of the text finds its depth without recursion and without memory. It only has to
+   A scan of the text finds its depth and counts its values without recursion and without memory. It only has to
    know strings and their escapes: up to the first fault of the text it sees the same brackets as the
    parser, which does not read further. */
 
@@ -13,6 +13,7 @@
 {
   size_t depth;     /* open arrays and objects */
   size_t max_depth; /* largest depth so far */
+  size_t values;    /* at most; the elements of an empty array or object are counted as one */
 } Scan;
 
 /* Returns the position after the string whose first quote is at pos. */
@@ -32,6 +33,7 @@
     {
     case '[':
     case '{':
+      scan->values++;
       scan->depth++;
       if (scan->depth > scan->max_depth)
         scan->max_depth = scan->depth;
@@ -40,19 +42,29 @@
     case '}':
       scan->depth -= scan->depth > 0;
       break;
+    case ',':
+      scan->values++;
+      break;
     default:
       break;
     }
 }
 
-/* Scans the text until it ends or has more than max_depth levels. Returns the position after the last
-   byte that was scanned. */
+static bool
+is_within (const Scan *scan, MdJsonBounds bounds)
+{
+  return scan->max_depth <= bounds.depth && scan->values <= bounds.values;
+}
+
+/* Scans the text until it ends or exceeds the bounds. Returns the position after the last byte that was
+   scanned. */
 static size_t
-scan_text (Scan *scan, MdStr text, size_t max_depth)
+scan_text (Scan *scan, MdStr text, MdJsonBounds bounds)
 {
   size_t pos = 0;
 
-  while (pos < text.len && scan->max_depth <= max_depth)
+  scan->values = 1;
+  while (pos < text.len && is_within (scan, bounds))
     if (text.data[pos] == '"')
       pos = skip_string (text, pos);
     else
@@ -65,7 +77,7 @@
 {
   Scan scan = { 0 };
 
-  scan_text (&scan, text, SIZE_MAX);
+  scan_text (&scan, text, (MdJsonBounds){ .depth = SIZE_MAX, .values = SIZE_MAX });
   return scan.max_depth;
 }
 
@@ -79,20 +91,24 @@
   return lines;
 }
 
-static json_t *
-load (MdStr text, size_t max_depth, size_t flags, json_error_t *error)
+json_t *
+md_json_load_bounded (MdStr text, MdJsonBounds bounds, size_t flags, json_error_t *error)
 {
   Scan scan = { 0 };
-  size_t scanned = scan_text (&scan, text, max_depth);
+  size_t scanned = scan_text (&scan, text, bounds);
 
-  if (scan.max_depth <= max_depth)
+  if (is_within (&scan, bounds))
     return json_loadb (text.data != NULL ? text.data : "", text.len, flags, error);
   if (error != NULL)
     {
       memset (error, 0, sizeof *error);
       error->line = count_lines (md_str_n (text.data, scanned));
       error->position = (int)scanned;
-      snprintf (error->text, sizeof error->text - 1, "nested more than %zu levels deep", max_depth);
+      if (scan.max_depth > bounds.depth)
+        snprintf (error->text, sizeof error->text - 1, "nested more than %zu levels deep",
+                  bounds.depth);
+      else
+        snprintf (error->text, sizeof error->text - 1, "more than %zu values", bounds.values);
     }
   return NULL;
 }
@@ -100,11 +116,15 @@
 json_t *
 md_json_load (MdStr text, size_t flags, json_error_t *error)
 {
-  return load (text, MD_JSON_MAX_DEPTH, flags, error);
+  MdJsonBounds bounds = { .depth = MD_JSON_MAX_DEPTH, .values = SIZE_MAX };
+
+  return md_json_load_bounded (text, bounds, flags, error);
 }
 
 json_t *
 md_json_load_embedded (MdStr text, size_t flags, json_error_t *error)
 {
-  return load (text, MD_JSON_EMBEDDED_DEPTH, flags, error);
+  MdJsonBounds bounds = { .depth = MD_JSON_EMBEDDED_DEPTH, .values = MD_JSON_MAX_VALUES };
+
+  return md_json_load_bounded (text, bounds, flags, error);
 }
--- a/core/json-text.h
+++ b/core/json-text.h
@@ -1,8 +1,9 @@
 /* json-text.h -- parsing of JSON texts with bounds
 
    jansson parses, writes and frees nested values by recursion, up to 2,048 levels. A thread of the HTTP
-   server has a stack of 100 KB, which 900 levels exceed. Every JSON text that the program reads is
-   therefore loaded here, where its nesting is checked before anything recurses. */
+   server has a stack of 100 KB, which 900 levels exceed. A parsed value takes
+   up to eighty times as much memory as its text. Every JSON text that the program reads is therefore loaded
+   here, where its nesting and the number of its values are checked before it is parsed. */
 
 #ifndef MD_JSON_TEXT_H
 #define MD_JSON_TEXT_H
@@ -19,6 +20,17 @@
    response of the log. */
 #define MD_JSON_EMBEDDED_DEPTH 64
 
+/* Values of a text whose size follows from no other bound, and of an answer that is embedded. They take
+   at most 80 MB; numbers, of which large bodies consist, an eighth of that. */
+#define MD_JSON_MAX_VALUES (256u << 10)
+
+/* What a text may contain. */
+typedef struct
+{
+  size_t depth;  /* levels of arrays and objects */
+  size_t values; /* elements of arrays, members of objects, and the outermost value */
+} MdJsonBounds;
+
 /* md_json_depth: the number of levels of arrays and objects that a parser may enter while it
    reads the text, whether or not the text is valid. */
 size_t md_json_depth (MdStr text);
@@ -28,7 +40,10 @@
    MD_JSON_MAX_DEPTH levels. An empty MdStr without data is not valid. */
 json_t *md_json_load (MdStr text, size_t flags, json_error_t *error);
 
-/* md_json_load_embedded: the same with MD_JSON_EMBEDDED_DEPTH. */
+/* md_json_load_bounded: the same with other bounds. */
+json_t *md_json_load_bounded (MdStr text, MdJsonBounds bounds, size_t flags, json_error_t *error);
+
+/* md_json_load_embedded: the same with MD_JSON_EMBEDDED_DEPTH and MD_JSON_MAX_VALUES. */
 json_t *md_json_load_embedded (MdStr text, size_t flags, json_error_t *error);
 
 #endif
--- a/entry/caller-json.c
+++ b/entry/caller-json.c
@@ -272,11 +272,12 @@
 md_job_parse (MdStr text, uint32_t max_tasks, MdError *error)
 {
   Reader reader = { .error = error };
+  MdJsonBounds bounds = { .depth = MD_JSON_MAX_DEPTH, .values = MD_JSON_MAX_VALUES };
   json_error_t json_error;
   MdSubmission *sub;
   json_t *root;
 
-  root = md_json_load (text, JSON_REJECT_DUPLICATES, &json_error);
+  root = md_json_load_bounded (text, bounds, JSON_REJECT_DUPLICATES, &json_error);
   if (root == NULL)
     {
       fault (&reader, "line %d: %.120s", json_error.line, json_error.text);
@@ -337,7 +338,7 @@
     }
 }
 
-/* A body is embedded as JSON when it is JSON that is not nested too deeply, as a string when it is UTF-8, and
+/* A body is embedded as JSON when it is JSON within the bounds of an embedded text, as a string when it is UTF-8, and
    as base64 otherwise. */
 static void
 write_answer (MdBuf *out, const MdTaskAnswer *answer)
--- a/tests/test-json-text.c
+++ b/tests/test-json-text.c
@@ -1,7 +1,8 @@
-/* test-json-text.c -- nesting of JSON texts
+/* test-json-text.c -- nesting of JSON texts, and the number of their values
 
    Guards against an end of the process by a nested text: each reader of JSON is called on a thread
-   with the stack of an HTTP thread, which jansson's recursion exceeds at about 900 levels. */
+   with the stack of an HTTP thread, which jansson's recursion exceeds at about 900 levels. Guards against a text whose values take eighty times
+   its size when they are parsed. */
 
 #include "config-check.h"
 #include "entry-private.h"
@@ -353,6 +354,88 @@
 }
 END_TEST
 
+/* Guards against jobs that expand: the values of a body of 256 KB take up to 20 MB. */
+START_TEST (job_with_too_many_values_is_refused_unparsed)
+{
+  static const char *const elements[] = { "[]", "{}", "1", "\"\"", "{\"a\":{}}" };
+  MD_AUTO_BUF text = { 0 };
+  MdError error = { 0 };
+  MdRunSpec spec;
+
+  md_buf_append (&text, MD_STR ("{\"spec\":\"x\",\"steps\":["));
+  while (text.len < 256u << 10)
+    md_buf_printf (&text, "%s,", elements[_i]);
+  md_buf_append (&text, MD_STR ("1]}"));
+  ck_assert_int_eq (md_platform_parse_job (md_buf_str (&text), &spec, &error), MD_E_INVALID);
+  ck_assert_str_eq (error.detail, "not JSON: more than 8192 values");
+}
+END_TEST
+
+/* Guards against a bound that refuses what callers may send: all steps, each with every member and
+   every earlier step as predecessor, and a spec of 4,000 bytes. */
+START_TEST (largest_job_is_accepted)
+{
+  MD_AUTO_BUF text = { 0 };
+  MdRunSpec spec;
+
+  md_buf_append (&text, MD_STR ("{\"best_effort\":true,\"repeat_count\":0,\"spec\":\""));
+  append_times (&text, 4000, "x");
+  md_buf_append (&text, MD_STR ("\",\"steps\":["));
+  for (int i = 0; i < MD_MAX_STEPS; i++)
+    {
+      md_buf_printf (
+          &text,
+          "%s{\"count\":4096,\"cpu\":1000,\"mem_mb\":64,\"gpu\":0,\"estimated_ms\":30,"
+          "\"checkpointing\":false,\"gang\":false,\"same_rack\":false,\"speculative\":false,"
+          "\"long_running\":false,\"anti_affinity\":0,\"affinity\":\"r1\","
+          "\"requirements\":\"a\",\"depends_on\":[",
+          i > 0 ? "," : "");
+      for (int k = 0; k < i; k++)
+        md_buf_printf (&text, "%s%d", k > 0 ? "," : "", k);
+      md_buf_append (&text, MD_STR ("]}"));
+    }
+  md_buf_append (&text, MD_STR ("]}"));
+  ck_assert_int_eq (md_platform_parse_job (md_buf_str (&text), &spec, NULL), MD_OK);
+  ck_assert_uint_eq (spec.n_steps, MD_MAX_STEPS);
+  ck_assert_uint_eq (spec.steps[MD_MAX_STEPS - 1].depends_on, UINT64_MAX >> 1);
+  md_run_spec_clear (&spec);
+}
+END_TEST
+
+/* Guards against reports, lists, callers' jobs and upstreams' answers that expand. */
+START_TEST (other_texts_with_too_many_values_are_refused)
+{
+  static const struct
+  {
+    ReadText read;
+    const char *head;
+    const char *element;
+    const char *tail;
+    size_t most;
+  } cases[] = {
+    { read_worker_report,
+      "{\"state\":\"ready\",\"service\":\"a\",\"born\":1,\"capacity\":{\"cpu\":1},\"labels\":[",
+      "1", "]}", 1000 },
+    { read_routes, "{\"version\":1,\"routes\":[", "{}", "]}", MD_JSON_LIST_VALUES / 2 - 10 },
+    { read_caller_job, "{\"pool\":\"p\",\"tasks\":[{\"path\":\"/\",\"body\":[", "1", "]}]}",
+      MD_JSON_MAX_VALUES - 10 },
+    { write_json_answer, "[", "1", "]", MD_JSON_MAX_VALUES - 10 }
+  };
+  MD_AUTO_BUF text = { 0 };
+
+  for (size_t i = 0; i < MD_ARRAY_SIZE (cases); i++)
+    for (int beyond = 0; beyond < 2; beyond++)
+      {
+        text.len = 0;
+        md_buf_append (&text, md_str (cases[i].head));
+        for (size_t k = 0; k < cases[i].most + (beyond ? 30 : 0); k++)
+          md_buf_printf (&text, "%s%s", k > 0 ? "," : "", cases[i].element);
+        md_buf_append (&text, md_str (cases[i].tail));
+        ck_assert_int_eq (cases[i].read (md_buf_str (&text)), !beyond);
+      }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -364,5 +447,8 @@
   tcase_add_test (tc, error_of_a_nested_text_names_limit_and_line);
   tcase_add_test (tc, deepest_spec_survives_a_snapshot);
   tcase_add_test (tc, list_with_a_nested_element_is_repaired);
+  tcase_add_loop_test (tc, job_with_too_many_values_is_refused_unparsed, 0, 5);
+  tcase_add_test (tc, largest_job_is_accepted);
+  tcase_add_test (tc, other_texts_with_too_many_values_are_refused);
   return run_suite ("json-text", tc);
 }
