Give every empty text an address

A run-entry or run-guard ended with SIGABRT within a second after its settings file had been truncated, as it is for a moment when a platform rewrites the file in place; a start with an empty file ended the same way.

The empty text had a NULL pointer, and yaml_parser_set_input_string asserts that its input is not NULL. It was not one place: jansson drops such a text, json_pack fails on it, and memcpy, strncasecmp and memcmp have no defined behaviour. The constructors md_str, md_str_n and md_buf_str now return an address for empty text, and texts are built with them where a literal was used. An empty specification of a run, which protobuf-c decodes to NULL, is copied through md_str_copy. Looked at and already safe: XXH*, json_loadb, curl, mg_write, fwrite, memchr in the log reader, sorted tables of names.

--- a/cli/resource-yaml.c
+++ b/cli/resource-yaml.c
@@ -265,7 +265,7 @@
     }
   if (!yaml_parser_initialize (&parser))
     abort ();
-  yaml_parser_set_input_string (&parser, (unsigned char *)(text.data ? text.data : ""), text.len);
+  yaml_parser_set_input_string (&parser, (const unsigned char *)md_buf_str (&text).data, text.len);
   read_all (&parser, path, documents, n, faults);
   yaml_parser_delete (&parser);
   if (faults->len == 0 && *n == 0)
--- a/common/settings.c
+++ b/common/settings.c
@@ -362,7 +362,7 @@
     {
       const yaml_node_t *key = get_node (reader, pair->key);
       const Setting *setting;
-      MdStr name = { NULL, 0 };
+      MdStr name = MD_STR ("");
 
       scalar_text (key, &name);
       setting = find_setting (tuning_table, MD_ARRAY_SIZE (tuning_table), name);
@@ -378,7 +378,7 @@
 static void
 read_token_field (Reader *reader, MdToken *token, MdStr key, const yaml_node_t *node)
 {
-  MdStr value = { NULL, 0 };
+  MdStr value = MD_STR ("");
   bool is_operator = md_str_equal (key, MD_STR ("operator"));
 
   if (!scalar_text (node, &value) || value.len == 0 || value.len >= MD_NAME_BYTES)
@@ -425,7 +425,7 @@
       for (yaml_node_pair_t *pair = map->data.mapping.pairs.start;
            pair < map->data.mapping.pairs.top; pair++)
         {
-          MdStr key = { NULL, 0 };
+          MdStr key = MD_STR ("");
           scalar_text (get_node (reader, pair->key), &key);
           read_token_field (reader, token, key, get_node (reader, pair->value));
         }
@@ -441,7 +441,7 @@
        pair++)
     {
       MdStr key;
-      MdStr value = { NULL, 0 };
+      MdStr value = MD_STR ("");
       const yaml_node_t *node = get_node (reader, pair->value);
 
       if (!scalar_text (get_node (reader, pair->key), &key) || !md_str_equal (key, MD_STR ("role")))
@@ -470,7 +470,7 @@
   const yaml_node_t *key = get_node (reader, pair->key);
   const yaml_node_t *value = get_node (reader, pair->value);
   const Setting *setting;
-  MdStr name = { NULL, 0 };
+  MdStr name = MD_STR ("");
 
   scalar_text (key, &name);
   if (is_duplicate_key (reader, root, pair, name))
@@ -595,6 +595,7 @@
   Reader reader = { .doc = &doc, .path = path, .faults = faults };
 
   set_defaults (settings);
+  text = md_str_n (text.data, text.len);
   if (!yaml_parser_initialize (&parser))
     return MD_E_MEMORY;
   yaml_parser_set_input_string (&parser, (const unsigned char *)text.data, text.len);
--- a/core/md-base.h
+++ b/core/md-base.h
@@ -40,17 +40,19 @@
 /* An MdStr of a string literal. */
 #define MD_STR(literal) ((MdStr){ (literal), sizeof (literal) - 1 })
 
-/* An MdStr of a terminated string; NULL gives an empty one. */
+/* An MdStr of len bytes. Empty text has an address even if data is NULL, as it is in buffers and
+   decoded messages without a byte: libraries reject a NULL text or end the process. */
 static inline MdStr
-md_str (const char *s)
+md_str_n (const void *data, size_t len)
 {
-  return (MdStr){ s, s ? strlen (s) : 0 };
+  return (MdStr){ data == NULL && len == 0 ? "" : data, len };
 }
 
+/* An MdStr of a terminated string; NULL gives an empty one. */
 static inline MdStr
-md_str_n (const void *data, size_t len)
+md_str (const char *s)
 {
-  return (MdStr){ data, len };
+  return md_str_n (s, s ? strlen (s) : 0);
 }
 
 static inline bool
@@ -98,7 +100,7 @@
 static inline MdStr
 md_buf_str (const MdBuf *buf)
 {
-  return (MdStr){ buf->data, buf->len };
+  return md_str_n (buf->data, buf->len);
 }
 
 static inline bool
--- a/entry/entry-peers.c
+++ b/entry/entry-peers.c
@@ -390,7 +390,7 @@
 load_snapshot (MdEntry *entry, const Md__SnapshotReply *reply)
 {
   MdError error = { 0 };
-  MdStr text = { (const char *)reply->snapshot.data, reply->snapshot.len };
+  MdStr text = md_str_n (reply->snapshot.data, reply->snapshot.len);
   int result = md_store_load_snapshot (entry->store, (int)reply->stream, text, &error);
 
   md_log (result == MD_OK ? MD_LOG_INFO : MD_LOG_WARN, "snapshot",
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -516,8 +516,7 @@
     return NULL;
   text->references = 1;
   text->len = bytes->len;
-  memcpy (text->text, bytes->data, bytes->len);
-  text->text[bytes->len] = '\0';
+  md_str_copy (text->text, bytes->len + 1, md_str_n (bytes->data, bytes->len));
   return text;
 }
 
--- a/tests/test-basics.c
+++ b/tests/test-basics.c
@@ -64,6 +64,21 @@
 }
 END_TEST
 
+/* Guards against an empty text without an address: libraries end the process (libyaml) or drop
+   the text (jansson) when they are given one, and memcpy has no defined behaviour. */
+START_TEST (test_empty_text_has_an_address)
+{
+  MD_AUTO_BUF buf = { 0 };
+
+  ck_assert_ptr_nonnull (md_str (NULL).data);
+  ck_assert_ptr_nonnull (md_str_n (NULL, 0).data);
+  ck_assert_ptr_nonnull (md_buf_str (&buf).data);
+  ck_assert_uint_eq (md_str (NULL).len, 0);
+  ck_assert_uint_eq (md_buf_str (&buf).len, 0);
+  ck_assert_str_eq (md_buf_str (&buf).data, "");
+}
+END_TEST
+
 int
 main (void)
 {
@@ -74,5 +89,6 @@
   tcase_add_test (tc, test_secret_compare);
   tcase_add_test (tc, test_log_quote);
   tcase_add_test (tc, test_buffer);
+  tcase_add_test (tc, test_empty_text_has_an_address);
   return run_suite ("basics", tc);
 }
--- a/tests/test-guard-orders.c
+++ b/tests/test-guard-orders.c
@@ -280,6 +280,41 @@
 }
 END_TEST
 
+/* Whether the guard has read a request of this entry for full reports. */
+static bool
+is_followed (const StandIn *entry)
+{
+  for (const MdGuardPeer *peer = guard.peers; peer != NULL; peer = peer->next)
+    if (peer->incarnation == entry->number)
+      return peer->followed_until > 0;
+  return false;
+}
+
+/* Guards against undefined behaviour at an empty specification, which protobuf-c decodes to a text
+   without an address; the address sanitizer variant ends the process at it. */
+START_TEST (empty_specification_is_read)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunOrders orders = MD__RUN_ORDERS__INIT;
+  ProtobufCBinaryData spec = { .len = 0, .data = NULL };
+  StandIn *entry = &entries[0];
+
+  connect_guard ();
+  for (int i = 0; i < PASSES && (entry->link == NULL || entry->reports < 1); i++)
+    poll_all ();
+  orders.guard = guard.incarnation;
+  orders.follow_us = MD_SECOND;
+  orders.n_specs = 1;
+  orders.specs = &spec;
+  frame.msg_case = MD__FRAME__MSG_RUN_ORDERS;
+  frame.run_orders = &orders;
+  md_link_send (entry->link, &frame);
+  for (int i = 0; i < PASSES && !is_followed (entry); i++)
+    poll_all ();
+  ck_assert (is_followed (entry));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -292,5 +327,6 @@
   tcase_add_test (tc, late_entry_gets_fewer_reports);
   tcase_add_test (tc, entry_gets_full_reports_for_a_while);
   tcase_add_test (tc, old_entries_get_full_reports);
+  tcase_add_test (tc, empty_specification_is_read);
   return run_suite ("guard-orders", tc);
 }
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -70,6 +70,31 @@
 }
 END_TEST
 
+/* Guards against an end of the process by an empty file, as it is while a file is rewritten in
+   place: libyaml aborts on a text without an address. */
+START_TEST (test_empty_text)
+{
+  MD_AUTO_BUF faults = { 0 };
+  MdSettings s;
+
+  ck_assert_int_eq (md_settings_parse (&s, "f.yaml", (MdStr){ NULL, 0 }, &faults), MD_E_INVALID);
+  ck_assert_str_eq (faults.data, "f.yaml:1: the file must be a mapping of settings\n");
+  md_settings_clear (&s);
+}
+END_TEST
+
+/* Guards against the same when the file is loaded. */
+START_TEST (test_empty_file)
+{
+  MD_AUTO_BUF faults = { 0 };
+  MdSettings s;
+
+  ck_assert_int_eq (md_settings_load (&s, "/dev/null", &faults), MD_E_INVALID);
+  ck_assert_ptr_nonnull (faults.data);
+  md_settings_clear (&s);
+}
+END_TEST
+
 /* Guards against a missing required setting. */
 START_TEST (test_missing)
 {
@@ -145,6 +170,8 @@
 
   tcase_add_test (tc, test_values);
   tcase_add_loop_test (tc, test_faults, 0, MD_ARRAY_SIZE (bad_files));
+  tcase_add_test (tc, test_empty_text);
+  tcase_add_test (tc, test_empty_file);
   tcase_add_test (tc, test_missing);
   tcase_add_test (tc, test_tokens);
   tcase_add_test (tc, test_update);
