Take the default of an optional setting without a value

A process whose template left an optional setting without a value ("resend_after_ms:") ended at its start with exit 1, and a running one rejected the whole changed file.

The check of the value did not tell an absent value from a wrong one.

--- a/common/settings.c
+++ b/common/settings.c
@@ -159,6 +159,13 @@
   return true;
 }
 
+/* A template leaves a key without a value where the platform has none to fill in. */
+static bool
+has_no_value (const yaml_node_t *node)
+{
+  return node != NULL && node->type == YAML_SCALAR_NODE && node->data.scalar.length == 0;
+}
+
 int
 md_address_split (MdStr address, char host[MD_ADDRESS_BYTES], int *port)
 {
@@ -251,7 +258,6 @@
   add_fault (reader, node, "%s: must be debug, info, warn or error", setting->name);
 }
 
-/* An empty list is valid, because a template may have no address to fill in. */
 static void
 read_list (Reader *reader, const Setting *setting, void *dest, const yaml_node_t *node)
 {
@@ -288,6 +294,8 @@
   MdStr value;
   int port;
 
+  if (!(setting->flags & REQUIRED) && has_no_value (node))
+    return;
   if (setting->type == SETTING_LIST)
     {
       read_list (reader, setting, dest, node);
@@ -352,6 +360,8 @@
 static void
 read_tuning (Reader *reader, MdTuning *tuning, const yaml_node_t *map)
 {
+  if (has_no_value (map))
+    return;
   if (map->type != YAML_MAPPING_NODE)
     {
       add_fault (reader, map, "tuning: must be a mapping");
@@ -400,6 +410,8 @@
 {
   size_t n;
 
+  if (has_no_value (list))
+    return;
   if (list->type != YAML_SEQUENCE_NODE)
     {
       add_fault (reader, list, "tokens: must be a list");
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -70,6 +70,45 @@
 }
 END_TEST
 
+/* Guards against a start that fails because a template had no value to fill in for an optional
+   setting: the default applies, as if the setting were missing. */
+START_TEST (test_optional_without_value)
+{
+  MD_AUTO_BUF faults = { 0 };
+  MdSettings s;
+
+  ck_assert_int_eq (parse (&s,
+                           GUARD_HEAD "slots:\nbalancer_address: \"\"\nlog_level:\n"
+                                      "drain_timeout_ms:\ntokens:\ntuning:\n",
+                           &faults),
+                    MD_OK);
+  ck_assert_uint_eq (s.slots, 8);
+  ck_assert_str_eq (s.balancer_address, "");
+  ck_assert_int_eq (s.log_level, MD_LOG_INFO);
+  ck_assert_int_eq (s.drain_timeout, 30 * MD_SECOND);
+  md_settings_clear (&s);
+  ck_assert_int_eq (parse (&s, GUARD_HEAD "tuning:\n  horizon_ms:\n", &faults), MD_OK);
+  md_settings_clear (&s);
+}
+END_TEST
+
+/* Guards against a required setting without a value that is taken for its default. */
+START_TEST (test_required_without_value)
+{
+  MD_AUTO_BUF faults = { 0 };
+  MdSettings s;
+
+  ck_assert_int_eq (parse (&s,
+                           "role: guard\nname:\nregion: r\nfailure_domain: r-a\n"
+                           "log_address:\nupstream_address: 127.0.0.1:8000\npool: p\n",
+                           &faults),
+                    MD_E_INVALID);
+  ck_assert_str_eq (faults.data, "f.yaml:2: name: must be a text of 1 to 63 bytes\n"
+                                 "f.yaml:5: log_address: must be a text of 1 to 63 bytes\n");
+  md_settings_clear (&s);
+}
+END_TEST
+
 /* Guards against an end of the process by an empty file, as it is while a file is rewritten in
    place: libyaml aborts on a text without an address. */
 START_TEST (test_empty_text)
@@ -170,6 +209,8 @@
 
   tcase_add_test (tc, test_values);
   tcase_add_loop_test (tc, test_faults, 0, MD_ARRAY_SIZE (bad_files));
+  tcase_add_test (tc, test_optional_without_value);
+  tcase_add_test (tc, test_required_without_value);
   tcase_add_test (tc, test_empty_text);
   tcase_add_test (tc, test_empty_file);
   tcase_add_test (tc, test_missing);
