Take NULL for an empty text of any length

No caller passes NULL with a length; the state is excluded by construction now, so that such a mistake reads nothing instead of NULL.

--- a/core/md-base.h
+++ b/core/md-base.h
@@ -40,12 +40,12 @@
 /* An MdStr of a string literal. */
 #define MD_STR(literal) ((MdStr){ (literal), sizeof (literal) - 1 })
 
-/* An MdStr of len bytes. Empty text has an address even if data is NULL, as it is in buffers and
-   decoded messages without a byte: libraries reject a NULL text or end the process. */
+/* An MdStr of len bytes. NULL, the data of buffers and decoded messages without a byte, gives an
+   empty text with an address: libraries reject a NULL text or end the process. */
 static inline MdStr
 md_str_n (const void *data, size_t len)
 {
-  return (MdStr){ data == NULL && len == 0 ? "" : data, len };
+  return data != NULL ? (MdStr){ data, len } : (MdStr){ "", 0 };
 }
 
 /* An MdStr of a terminated string; NULL gives an empty one. */
