Read a settings file when it is whole, and wait for it at a start

A platform that rewrites the settings file in place leaves it empty or cut short for a moment. A running process took such a state over when it was a valid smaller file (grace_s and resend_after_ms went to their defaults), and a start at that moment, or before the file was there, ended with exit 1 after some milliseconds.

The file was read at the first look that differed from the last one. A request by SIGHUP is kept until then. A start waits up to 10 s for a file that is missing, empty, cut short or changing and prints each reason; a wrong value in a settled or marked file still ends it at once, as do usage errors and check-config. entry and guard start the same way.

--- a/common/md-private.h
+++ b/common/md-private.h
@@ -11,6 +11,8 @@
 
 #include <stdatomic.h>
 #include <stdio.h>
+#include <sys/types.h>
+#include <time.h>
 
 /* ------------------------------------------------------------------ */
 /* Files (stream.c)                                                   */
@@ -176,6 +178,9 @@
                                                 force within this time */
   double remote_factor;                    /* run-entry: factor on the run time of a worker
                                                 away from the data */
+  bool end_marked;                         /* the text ended with the end marker "..." */
+  bool incomplete;                         /* after an error: the file may be cut short, empty,
+                                                missing or being written */
   MdToken *tokens;                         /* n_tokens elements, owned */
   size_t n_tokens;
   MdTuning tuning; /* defaults with the overrides of "tuning:" */
@@ -189,6 +194,41 @@
 int md_settings_parse (MdSettings *settings, const char *path, MdStr text, MdBuf *faults);
 void md_settings_clear (MdSettings *settings);
 
+/* State of a file, as far as it tells that the content has changed. */
+typedef struct
+{
+  bool exists;
+  dev_t device;
+  ino_t inode;
+  off_t size;               /* bytes */
+  struct timespec modified; /* last change of the content */
+} MdFileState;
+
+/* The settings file of a running process (settings-file.c); zero-initialized. */
+typedef struct
+{
+  MdFileState loaded; /* when it was last read */
+  MdFileState seen;   /* at the last look */
+  MdTime seen_at;     /* since when it is known to be in that state; 0: not seen */
+  MdTime check_due;   /* next look */
+  bool requested;     /* it is to be read even if it has not changed */
+  bool missing;       /* it has been reported as missing */
+} MdSettingsFile;
+
+/* md_settings_wait: load the settings of a daemon that starts. A file that is missing, empty, cut
+   short or being written is loaded again for up to 10 s; other errors are final once the file has
+   not changed for 300 ms. is_stopping, which may be NULL, ends the wait. file, which may be
+   NULL, receives the state of the file. Writes to stderr what it waits for. Returns what md_settings_load returns, and
+   MD_E_TIMEOUT after is_stopping. */
+int md_settings_wait (MdSettings *settings, const char *path, MdSettingsFile *file,
+                      bool (*is_stopping) (void), MdBuf *faults);
+
+/* md_settings_file_changed: whether a running process has to load its file now: it has changed, or
+   that was requested (SIGHUP), and it has not changed for 300 ms. Looks at the file at
+   file->check_due, and at once when requested. Returns the reason, "signal" or "file"; NULL: no. */
+const char *md_settings_file_changed (MdSettingsFile *file, const char *path, bool requested,
+                                      MdTime now);
+
 /* md_settings_update: copy the changed settings that a run-entry or run-guard can reload
    without a restart from fresh to settings. Appends the names of the copied settings to
    applied and those of other changed settings, which need a restart, to deferred; both
--- a/common/settings.c
+++ b/common/settings.c
@@ -13,8 +13,6 @@
 #include <stdio.h>
 #include <yaml.h>
 
-#define MAX_FILE_BYTES (1u << 20) /* settings files are a few kilobytes long */
-
 typedef enum
 {
   SETTING_NAME,    /* text of 1 to MD_NAME_BYTES - 1 bytes */
@@ -97,6 +95,8 @@
   { "remote_factor", SETTING_DOUBLE, AT (remote_factor), FOR_RUN_ENTRY | RELOADABLE, 1, 100 },
 };
 
+static const MdStr end_marker_key = { "end_marker", sizeof "end_marker" - 1 };
+
 #define TUNE(field) offsetof (MdTuning, field)
 static const Setting tuning_table[] = {
   { "heartbeat_min_ms", SETTING_MS, TUNE (heartbeat_min), FOR_BOTH, 10, 60e3 },
@@ -130,6 +130,7 @@
   MdBuf *faults;        /* error messages, one per line */
   unsigned role;        /* the FOR_* flag of the role, 0 not read yet */
   bool failed;          /* an error was reported */
+  bool incomplete;      /* the file may be the beginning of a longer one */
 } Reader;
 
 static void MD_PRINTF (3, 4)
@@ -471,7 +472,10 @@
         add_fault (reader, node, "role: must be entry, guard, run-entry or run-guard");
     }
   if (reader->role == 0 && !reader->failed)
-    add_fault (reader, root, "role: missing");
+    {
+      add_fault (reader, root, "role: missing");
+      reader->incomplete = true;
+    }
   settings->is_entry = reader->role == FOR_ENTRY || reader->role == FOR_RUN_ENTRY;
 }
 
@@ -490,7 +494,7 @@
       add_fault (reader, key, "%.*s: given twice", (int)name.len, name.data);
       return;
     }
-  if (md_str_equal (name, MD_STR ("role")))
+  if (md_str_equal (name, MD_STR ("role")) || md_str_equal (name, end_marker_key))
     return;
   if (md_str_equal (name, MD_STR ("tokens")))
     {
@@ -521,7 +525,35 @@
     {
       const Setting *setting = &settings_table[i];
       if ((setting->flags & REQUIRED) && (setting->flags & reader->role) && !seen[i])
-        add_fault (reader, root, "%s: missing", setting->name);
+        {
+          add_fault (reader, root, "%s: missing", setting->name);
+          reader->incomplete = true;
+        }
+    }
+}
+
+/* A file that begins with "end_marker: required" ends with "...", the end of a YAML document; one
+   that does not is cut short. */
+static void
+check_end_marker (Reader *reader, const MdSettings *settings, const yaml_node_t *root)
+{
+  for (yaml_node_pair_t *pair = root->data.mapping.pairs.start; pair < root->data.mapping.pairs.top;
+       pair++)
+    {
+      const yaml_node_t *node = get_node (reader, pair->value);
+      MdStr key = MD_STR ("");
+      MdStr value = MD_STR ("");
+
+      if (!scalar_text (get_node (reader, pair->key), &key) || !md_str_equal (key, end_marker_key))
+        continue;
+      scalar_text (node, &value);
+      if (!md_str_equal (value, MD_STR ("required")))
+        add_fault (reader, node, "end_marker: must be required");
+      else if (!settings->end_marked)
+        {
+          add_fault (reader, node, "end_marker: the file does not end with a line \"...\"");
+          reader->incomplete = true;
+        }
     }
 }
 
@@ -551,6 +583,7 @@
   if (root == NULL || root->type != YAML_MAPPING_NODE)
     {
       add_fault (reader, root, "the file must be a mapping of settings");
+      reader->incomplete = true;
       return;
     }
   read_role (reader, settings, root);
@@ -561,6 +594,7 @@
     read_pair (reader, settings, root, pair, seen);
   check_required (reader, root, seen);
   check_relations (reader, settings, root);
+  check_end_marker (reader, settings, root);
 }
 
 static void
@@ -586,19 +620,6 @@
   settings->log_level = MD_LOG_INFO;
 }
 
-static bool
-read_file (const char *path, MdBuf *out)
-{
-  FILE *file = fopen (path, "rb");
-  bool ok;
-
-  if (file == NULL)
-    return false;
-  ok = md_stream_read (file, MAX_FILE_BYTES, out);
-  fclose (file);
-  return ok;
-}
-
 int
 md_settings_parse (MdSettings *settings, const char *path, MdStr text, MdBuf *faults)
 {
@@ -613,31 +634,20 @@
   yaml_parser_set_input_string (&parser, (const unsigned char *)text.data, text.len);
   if (!yaml_parser_load (&parser, &doc))
     {
+      settings->incomplete = true;
       md_buf_printf (faults, "%s:%lu: %s\n", path, (unsigned long)parser.problem_mark.line + 1,
                      parser.problem ? parser.problem : "not valid YAML");
       yaml_parser_delete (&parser);
       return MD_E_INVALID;
     }
+  settings->end_marked = !doc.end_implicit;
   read_root (&reader, settings);
+  settings->incomplete = reader.incomplete;
   yaml_document_delete (&doc);
   yaml_parser_delete (&parser);
   return reader.failed ? MD_E_INVALID : MD_OK;
 }
 
-int
-md_settings_load (MdSettings *settings, const char *path, MdBuf *faults)
-{
-  MD_AUTO_BUF text = { 0 };
-
-  set_defaults (settings);
-  if (!read_file (path, &text))
-    {
-      md_buf_printf (faults, "%s:1: cannot be read: %s\n", path, strerror (errno));
-      return MD_E_INVALID;
-    }
-  return md_settings_parse (settings, path, md_buf_str (&text), faults);
-}
-
 void
 md_settings_clear (MdSettings *settings)
 {
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -433,7 +433,8 @@
   entry = calloc (1, sizeof *entry);
   if (entry == NULL)
     return MD_EXIT_FAILED;
-  if (md_settings_load (&entry->settings, config, &faults) != MD_OK || !entry->settings.is_entry)
+  if (md_settings_wait (&entry->settings, config, NULL, NULL, &faults) != MD_OK
+      || !entry->settings.is_entry)
     {
       fputs (faults.len > 0 ? faults.data : "the settings are not those of an entry\n", stderr);
       md_settings_clear (&entry->settings);
--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -2,7 +2,6 @@
 
 #include "daemon.h"
 
-#include <errno.h>
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
@@ -12,9 +11,6 @@
 static atomic_bool signal_stopping; /* SIGTERM or SIGINT has been received */
 static atomic_bool signal_reload;   /* SIGHUP has been received and not handled yet */
 
-/* A changed file must take effect within two seconds, like a configuration. */
-#define FILE_CHECK_INTERVAL MD_SECOND
-
 static int
 parse_options (int argc, const char **argv, char **config)
 {
@@ -43,13 +39,14 @@
   signal (SIGHUP, SIG_IGN);
   if (rc != MD_EXIT_OK)
     return rc;
-  if (stat (daemon->path, &daemon->file_stat) != 0)
-    fprintf (stderr, "%s: %s\n", daemon->path, strerror (errno));
-  if (md_settings_load (&daemon->settings, daemon->path, &faults) != MD_OK)
+  rc = md_settings_wait (&daemon->settings, daemon->path, &daemon->file, md_daemon_is_stopping,
+                         &faults);
+  if (rc != MD_OK)
     {
-      fputs (faults.data != NULL ? faults.data : "settings cannot be read\n", stderr);
+      fputs (md_buf_str (&faults).data, stderr);
       md_settings_clear (&daemon->settings);
-      return MD_EXIT_FAILED;
+      daemon->stopped = md_daemon_is_stopping ();
+      return daemon->stopped ? MD_EXIT_OK : MD_EXIT_FAILED;
     }
   md_log_open (STDOUT_FILENO, daemon->settings.name, daemon->settings.log_level);
   md_log_start_writer ();
@@ -71,13 +68,6 @@
   md_log_stop_writer ();
 }
 
-static bool
-is_same_file (const struct stat *a, const struct stat *b)
-{
-  return a->st_ino == b->st_ino && a->st_size == b->st_size
-         && a->st_mtim.tv_sec == b->st_mtim.tv_sec && a->st_mtim.tv_nsec == b->st_mtim.tv_nsec;
-}
-
 static bool
 reload (MdDaemon *daemon, const char *trigger)
 {
@@ -88,15 +78,17 @@
   char reason[256];
 
   if (md_settings_load (&fresh, daemon->path, &faults) != MD_OK)
-    md_log (MD_LOG_ERROR, "settings-rejected", "trigger=%s reason=%s", trigger,
-            md_log_quote (md_buf_str (&faults), reason, sizeof reason));
+    md_log (MD_LOG_ERROR, "settings-rejected", "trigger=%s reason=%s size=%lld", trigger,
+            md_log_quote (md_buf_str (&faults), reason, sizeof reason),
+            (long long)daemon->file.loaded.size);
   else
     {
       md_settings_update (&daemon->settings, &fresh, &applied, &deferred);
       md_log_set_level (daemon->settings.log_level);
       md_log (deferred.len > 0 ? MD_LOG_WARN : MD_LOG_INFO, "settings-read",
-              "trigger=%s applied=%s deferred=%s", trigger, applied.len > 0 ? applied.data : "-",
-              deferred.len > 0 ? deferred.data : "-");
+              "trigger=%s applied=%s deferred=%s size=%lld", trigger,
+              applied.len > 0 ? applied.data : "-", deferred.len > 0 ? deferred.data : "-",
+              (long long)daemon->file.loaded.size);
     }
   md_settings_clear (&fresh);
   return applied.len > 0;
@@ -106,22 +98,9 @@
 md_daemon_reload (MdDaemon *daemon, MdTime now)
 {
   bool requested = atomic_exchange (&signal_reload, false);
-  struct stat file;
-  bool changed;
-
-  if (!requested && now < daemon->file_check_due)
-    return false;
-  daemon->file_check_due = now + FILE_CHECK_INTERVAL;
-  /* The file may be missing for a moment while it is being replaced. */
-  if (stat (daemon->path, &file) != 0)
-    {
-      md_log (MD_LOG_WARN, "settings-missing", "path=%s reason=\"%s\"", daemon->path,
-              strerror (errno));
-      return false;
-    }
-  changed = !is_same_file (&file, &daemon->file_stat);
-  daemon->file_stat = file;
-  return (requested || changed) && reload (daemon, requested ? "signal" : "file");
+  const char *trigger = md_settings_file_changed (&daemon->file, daemon->path, requested, now);
+
+  return trigger != NULL && reload (daemon, trigger);
 }
 
 int
--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -7,8 +7,6 @@
 #include "leases.h"
 #include "platform.h"
 
-#include <sys/stat.h>
-
 #define MD_METRICS_PATH "/metrics" /* served on metrics_address */
 
 /* One connection for a long-polling read, one for all other calls. */
@@ -19,25 +17,26 @@
 
 typedef struct
 {
-  MdSettings settings;   /* in force */
-  MdLeases leases;       /* derived from the settings at startup; not reloaded */
-  char *path;            /* of the settings file, owned */
-  struct stat file_stat; /* state of the settings file when it was last checked */
-  MdTime file_check_due; /* next check of the settings file */
-  MdLinks *links;        /* event loop of the engine thread, owned */
-  MdHttp *store;         /* calls to the platform's store, owned */
+  MdSettings settings; /* in force */
+  MdLeases leases;     /* derived from the settings at startup; not reloaded */
+  char *path;          /* of the settings file, owned */
+  MdSettingsFile file; /* state of the settings file */
+  bool stopped;        /* SIGTERM or SIGINT was received while the settings were awaited */
+  MdLinks *links;      /* event loop of the engine thread, owned */
+  MdHttp *store;       /* calls to the platform's store, owned */
 } MdDaemon;
 
-/* md_daemon_open: parse "--config FILE", read the settings and open the log. Errors are
-   printed to stderr. Returns MD_EXIT_OK, or the exit code of the process. */
+/* md_daemon_open: parse "--config FILE", wait for usable settings (md_settings_wait) and open the
+   log. Errors are printed to stderr. Returns MD_EXIT_OK, or the exit code of the process. When
+   daemon->stopped is set the process ends with that code in any case. */
 int md_daemon_open (MdDaemon *daemon, int argc, const char **argv);
 /* md_daemon_close: free the links, the connections to the store and the settings, and stop the
    log writer. */
 void md_daemon_close (MdDaemon *daemon);
 
-/* md_daemon_reload: read the settings file again after SIGHUP, or if the file has changed since
-   the last check. The file is checked once a second. Returns true if a setting was changed; a
-   file with errors is ignored. */
+/* md_daemon_reload: read the settings file again after SIGHUP, or if it has changed, once it has
+   not changed for 300 ms (md_settings_file_changed). Must be called by daemon->file.check_due.
+   Returns true if a setting was changed; a file with errors is ignored. */
 bool md_daemon_reload (MdDaemon *daemon, MdTime now);
 
 static inline MdTime
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -180,11 +180,12 @@
       start_leaving (entry);
       if (md_daemon_reload (&entry->daemon, entry->now))
         apply_settings (entry);
+      due = entry->daemon.file.check_due;
       handled = md_entry_handle_requests (entry, REQUEST_BUDGET);
       md_entry_jobs_tick (entry);
       update_ready (entry);
       update_gauges (entry);
-      due = md_entry_guards_poll (entry);
+      due = md_time_min (due, md_entry_guards_poll (entry));
       if (entry->leaving && entry->now < entry->reject_after)
         due = md_time_min (due, entry->reject_after);
       due = md_time_min (due, poll_registration (entry));
@@ -301,7 +302,7 @@
   static MdRunEntry entry;
   int rc = md_daemon_open (&entry.daemon, argc, argv);
 
-  if (rc != MD_EXIT_OK)
+  if (rc != MD_EXIT_OK || entry.daemon.stopped)
     return rc;
   md_http_init ();
   entry.incarnation = md_new_incarnation ();
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -116,6 +116,7 @@
         }
       if (md_daemon_reload (&guard->daemon, guard->now) && seeds_added)
         add_seeds (guard);
+      due = md_time_min (due, guard->daemon.file.check_due);
       if (seeds_added)
         due = md_time_min (due, md_keyed_reader_poll (guard->entries, guard->now));
       due = md_time_min (due, md_guard_orders_poll (guard));
@@ -192,7 +193,7 @@
   MdRunGuard guard = { 0 };
   int rc = md_daemon_open (&guard.daemon, argc, argv);
 
-  if (rc != MD_EXIT_OK)
+  if (rc != MD_EXIT_OK || guard.daemon.stopped)
     return rc;
   md_http_init ();
   guard.incarnation = md_new_incarnation ();
--- a/guard/guard.c
+++ b/guard/guard.c
@@ -72,7 +72,7 @@
 load_settings (MdGuard *guard, const char *path)
 {
   MD_AUTO_BUF faults = { 0 };
-  int rc = md_settings_load (&guard->settings, path, &faults);
+  int rc = md_settings_wait (&guard->settings, path, NULL, NULL, &faults);
 
   if (faults.len > 0)
     fputs (faults.data, stderr);
