Close a connection on which a guard states a second name

Callers saw: an entry that ends with SIGSEGV, at a moment after a connection to its internal port had ended. Cause: a second hello under another name on one connection gave both guards the same link. When the connection ended, only the guard named last was told; the other one kept the freed link, and the next heartbeat was written to it.

Ruled out: hellos of the same name on two connections; the former link is detached there.

Change: the connection is closed, and the line hello-refused names the peer. Found by reading what each field of a frame may do; anything in the network that reaches the port can send it.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -541,12 +541,28 @@
          && hello->entry != entry->incarnation && has_sent_orders (guard);
 }
 
+/* Whether the connection was used by a guard of another name. When it ends, only one guard is told
+   that its link is gone. */
+static bool
+is_hello_of_another (const MdLink *link, const MdEntryGuard *guard)
+{
+  return md_link_data (link) != NULL && md_link_data (link) != guard;
+}
+
 static void
 on_hello (MdRunEntry *entry, MdLink *link, const Md__RunHello *hello)
 {
   MdEntryGuard *guard = find_guard (entry, hello->name);
   uint64_t *hello_orders;
+  char name[MD_NAME_BYTES];
 
+  if (is_hello_of_another (link, guard))
+    {
+      md_log (MD_LOG_WARN, "hello-refused", "guard=%s peer=%s reason=\"second name\"",
+              md_log_quote (md_str (hello->name), name, sizeof name), md_link_peer (link));
+      md_link_disconnect (link);
+      return;
+    }
   if (is_outdated_hello (guard, hello))
     {
       md_log (MD_LOG_INFO, "hello-outdated", "guard=%s connection=%llu present=%llu", guard->name,
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -140,6 +140,39 @@
 }
 END_TEST
 
+static void
+send_hello_of (int connection, char *name)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunHello hello = MD__RUN_HELLO__INIT;
+
+  hello.name = name;
+  hello.incarnation = INCARNATION;
+  hello.connection = 1;
+  frame.msg_case = MD__FRAME__MSG_RUN_HELLO;
+  frame.run_hello = &hello;
+  md_link_send (connections[connection], &frame);
+}
+
+/* Guards against an entry that crashes after a connection was used under two names: when it
+   ended, the guard named first kept the freed link and was sent the next heartbeat there. */
+START_TEST (connection_belongs_to_one_guard)
+{
+  send_hello_of (0, "guard-1");
+  send_hello_of (0, "guard-2");
+  for (int i = 0; i < PASSES && known_guard () == NULL; i++)
+    poll_both ();
+  md_link_close (connections[0]);
+  for (int i = 0; i < PASSES && known_guard ()->lost_at == 0; i++)
+    poll_both ();
+  for (uint32_t i = 0; i < entry.workers.n; i++)
+    ck_assert_ptr_null (((const MdEntryGuard *)entry.workers.workers[i])->link);
+  entry.now = md_now () + MD_SECOND;
+  entry.guards_due = 0;
+  md_entry_guards_poll (&entry);
+}
+END_TEST
+
 /* Guards against an entry that runs for weeks and still looks at every worker that was
    replaced meanwhile, and against one that forgets a worker which is away for a moment. */
 START_TEST (replaced_worker_is_forgotten)
@@ -448,6 +481,7 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, late_hello_is_refused);
   tcase_add_test (tc, later_hello_replaces);
+  tcase_add_test (tc, connection_belongs_to_one_guard);
   tcase_add_test (tc, hello_without_entry_does_not_end_orders);
   tcase_add_test (tc, hello_without_welcome_replaces);
   tcase_add_test (tc, replaced_worker_is_forgotten);
