Bound the starts and stops that a guard has in progress

Callers saw: no answer for two seconds (504), and guards that a memory limit ends, after one accepted job of 4,096 tasks that declare no resources or a thousandth of a core. Such tasks need no free capacity, so the guard began a start call for each of them at once, of which libcurl sends five at a time; each of the others holds about 25 KB and times out after 30 ms, is fenced and repeated.

Ruled out: the records that the guard has of the runs, which are in the 2 to 5 MB that are left, and the entry, whose memory grew by 4 to 5 MB.

Change: at most 64 starts and stops are in progress; further runs stay in the queue, and stops are sent with a later pass. A run that must not wait is not rejected for it. Of the same class, stops of runs that are not known, and stops of cancelled ones, are bounded with them.

Measured with a scripted run of two such jobs on the stand-ins, release build, three runs each: peak memory of the largest guard 104,204 to 113,732 KB before, 16,588 to 16,804 KB after; 12,100 KB before the jobs. The new test starts_in_progress_are_bounded of build/release/tests/test-guard-worker failed before (500 calls instead of 64; 18 of 19 passed); after, 19 of 19 pass, release and asan. Both jobs are still answered 504, because the stand-in worker rejects starts beyond 256 at a time.

--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -28,10 +28,13 @@
 #define STOP_TIMEOUT (60 * MD_MS)            /* the same for a stop */
 #define STOP_RETRY_DELAY (100 * MD_MS)       /* a stop is repeated until the run has ended */
 #define CAPACITY_RETRY_DELAY (10 * MD_MS)    /* after a rejection for lack of capacity */
-#define MAX_REJECTED_STARTS 4                /* then the run is returned to its entry */
-#define MAX_MISSING_HOLDS 2                  /* consecutive; then the run has ended */
-#define UNREACHABLE_AFTER (600 * MD_MS)      /* without a response to a hold */
-#define TOKEN_STEP 1                         /* fences the starts sent so far */
+/* Starts and stops at a time. The client has five connections for them, and a call that waits for
+   one costs about 25 KB of memory; a job may have thousands of tasks that need no capacity. */
+#define MAX_ORDER_CALLS 64
+#define MAX_REJECTED_STARTS 4           /* then the run is returned to its entry */
+#define MAX_MISSING_HOLDS 2             /* consecutive; then the run has ended */
+#define UNREACHABLE_AFTER (600 * MD_MS) /* without a response to a hold */
+#define TOKEN_STEP 1                    /* fences the starts sent so far */
 /* The worker has seen a higher token, since the clock from which the first one was derived
    was set back. */
 #define TOKEN_JUMP 1000000
@@ -171,6 +174,14 @@
 /* ------------------------------------------------------------------ */
 /* Stops                                                              */
 
+static void
+free_order_call (OrderCall *call)
+{
+  if (call != NULL)
+    call->guard->order_calls--;
+  free (call);
+}
+
 static void
 on_stop_response (void *user, const MdHttpAsyncResponse *response)
 {
@@ -183,7 +194,7 @@
   if (response->status != 200)
     md_log (MD_LOG_WARN, "stop-unanswered", "status=%d reason=\"%s\"", response->status,
             response->error.detail);
-  free (call);
+  free_order_call (call);
 }
 
 /* NULL when memory is short; send_order handles that. */
@@ -194,6 +205,7 @@
 
   if (call == NULL)
     return NULL;
+  guard->order_calls++;
   call->guard = guard;
   call->entry = entry;
   call->id = id;
@@ -217,16 +229,25 @@
     {
       md_log (MD_LOG_ERROR, "order-not-sent", "target=%s reason=\"out of memory\"",
               order->target.data != NULL ? order->target.data : "");
-      free (call);
+      free_order_call (call);
     }
   return rc;
 }
 
+static bool
+may_call (const MdRunGuard *guard)
+{
+  return guard->order_calls < MAX_ORDER_CALLS;
+}
+
+/* Does nothing when too many calls are in progress; callers repeat stops until the run has ended. */
 static void
 send_stop (MdRunGuard *guard, MdStr task, uint32_t run_number)
 {
   MD_AUTO_CALL order = { 0 };
 
+  if (!may_call (guard))
+    return;
   md_platform_stop (&order, md_str (guard->worker.id), task, run_number, guard->worker.token);
   send_order (guard, &order, STOP_TIMEOUT, on_stop_response, new_order_call (guard, 0, 0));
 }
@@ -565,6 +586,7 @@
   MdOrderResult result;
   int64_t clock_ms;
 
+  guard->order_calls--;
   guard->now = md_now ();
   if (run == NULL || !run->start_in_progress)
     return;
@@ -631,6 +653,8 @@
 
       if (!run->cancelled || run->start_in_progress)
         continue;
+      if (guard->now >= run->stop_due && !may_call (guard))
+        continue; /* the response to another call wakes the engine */
       if (guard->now >= run->stop_due)
         {
           run->stop_due = guard->now + STOP_RETRY_DELAY;
@@ -663,10 +687,13 @@
 }
 
 /* Rejects the runs that must not wait and could not be started. If members of gangs waited, the gangs
-   of two entries could each hold the capacity that the other one waits for. */
+   of two entries could each hold the capacity that the other one waits for. Those that wait for the
+   calls in progress may still start. */
 static void
 reject_delayed (MdRunGuard *guard)
 {
+  if (!may_call (guard))
+    return;
   for (MdRun *run = guard->queue.waiting.first, *next; run != NULL; run = next)
     {
       next = run->next;
@@ -693,7 +720,8 @@
      leases of entries may have expired meanwhile. */
   md_guard_check_leases (guard);
   if (guard->now >= guard->start_after)
-    for (MdRun *run; (run = md_runqueue_next (&guard->queue, guard->now)) != NULL;)
+    for (MdRun *run;
+         may_call (guard) && (run = md_runqueue_next (&guard->queue, guard->now)) != NULL;)
       send_start (guard, guard_run (run));
   else if (guard->start_after < due)
     due = guard->start_after;
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -164,6 +164,7 @@
   uint64_t checked_version;          /* state_version when the entries were looked at last */
   MdTime entries_due;                /* an entry needs a report at this time if the state stays as
                                         it is; 0: at the next pass */
+  uint32_t order_calls;              /* starts and stops that await their responses */
   bool hold_in_progress;             /* a hold call awaits its response */
   MdTime hold_due;       /* when to send the next hold; valid when none is in progress */
   MdTime hold_sent;      /* when the last hold was sent */
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -608,6 +608,39 @@
 }
 END_TEST
 
+#define MANY_RUNS 500
+
+/* Guards against a guard that is killed for its memory: one job of 4,096 tasks that declare no
+   resources had as many start calls in progress at once. Guards as well against runs that are never
+   started after that, and against a gang that is rejected because its calls had to wait. */
+START_TEST (starts_in_progress_are_bounded)
+{
+  peer->echo = guard.now + MD_SECOND;
+  for (uint32_t i = 0; i < MANY_RUNS; i++)
+    {
+      MdGuardRun *run;
+
+      add_waiting ();
+      run = (MdGuardRun *)guard.queue.waiting.last;
+      run->queued.id = i + 1;
+      run->queued.resources = (MdResources){ 0 };
+      run->queued.at_once = true;
+    }
+  md_guard_worker_poll (&guard);
+  ck_assert_uint_eq (guard.queue.running.n, 64);
+  ck_assert_uint_eq (guard.queue.waiting.n, MANY_RUNS - 64);
+  for (int i = 0; i < PASSES && peer->ends == NULL; i++)
+    poll_guard ();
+  for (int i = 0; i < PASSES && guard.queue.waiting.n + guard.queue.running.n > 0; i++)
+    {
+      ck_assert_uint_le (guard.queue.running.n, 64);
+      poll_guard ();
+    }
+  ck_assert_uint_eq (guard.queue.waiting.n + guard.queue.running.n, 0);
+  ck_assert_uint_eq (guard.order_calls, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -631,6 +664,7 @@
   tcase_add_test (tc, deregistration_of_another_worker_is_ignored);
   tcase_add_test (tc, runs_end_when_the_worker_states_another_birth);
   tcase_add_test (tc, run_of_the_new_lifetime_is_kept);
+  tcase_add_test (tc, starts_in_progress_are_bounded);
   tcase_add_test (tc, unanswered_start_at_a_former_lifetime_has_crashed);
   return run_suite ("guard-worker", tc);
 }
