Bound the tasks of a job and of all jobs at an entry

Callers saw: no answer from an entry, to any job, after one job of 64 steps of 4,096 tasks in a body of 4 KB; an entry whose memory is limited is killed by two of them. The steps and the tasks of a step were bounded, the tasks of a job and of all active jobs were not. Tasks that declare no resources fit on any worker at any time, so that admission lets all of them pass, and each takes about 660 bytes at the entry and a run at a guard.

Ruled out: the parsed body, which is 4 KB; a fault of admission, since the job waits for nothing.

Change: a job of more than 8,192 tasks is answered 503 like other jobs that are not served, and one that comes while 65,536 tasks are active 429. The largest planned job has 890 tasks.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -15,7 +15,11 @@
 #define TICK_INTERVAL (10 * MD_MS) /* between checks of deadlines and waiting runs */
 #define MAX_REJECTIONS 8           /* of one task by guards; a job with more is given up */
 #define STALE_RUN_NUMBER_STEP 1000 /* added to run numbers when a worker has seen higher ones */
-#define STATUS_GIVEN_UP 504        /* HTTP status: part of the job may have run */
+/* Of all active jobs. A task takes about 700 bytes at the entry once it is ordered, and tasks that
+   declare no resources are bounded by nothing else. 16,000 starts a second of tasks that take four
+   seconds are fewer. */
+#define MAX_ACTIVE_TASKS 65536
+#define STATUS_GIVEN_UP 504 /* HTTP status: part of the job may have run */
 
 /* ------------------------------------------------------------------ */
 /* Hash table and statistics                                          */
@@ -90,6 +94,7 @@
     entry->jobs->previous = job;
   entry->jobs = job;
   entry->n_jobs++;
+  entry->n_tasks += md_run_spec_tasks (&job->runjob.spec);
 }
 
 static void
@@ -107,6 +112,7 @@
   if (job->next != NULL)
     job->next->previous = job->previous;
   entry->n_jobs--;
+  entry->n_tasks -= md_run_spec_tasks (&job->runjob.spec);
 }
 
 /* Returns the statistics of a queue, created on first use. When the table is full or memory is
@@ -241,12 +247,30 @@
   free_job (entry, job);
 }
 
+/* Rejects a job for which the entry has no memory to spare; it may have later. */
+static void
+reject_for_tasks (const MdRunEntry *entry, MdCallerRequest *caller_request)
+{
+  md_log (MD_LOG_WARN, "job-rejected", "job=%s queue=%s reason=\"too many tasks\" active=%llu",
+          caller_request->id, caller_request->route.name, (unsigned long long)entry->n_tasks);
+  md_count (MD_M_REFUSED, 1);
+  md_run_spec_clear (&caller_request->spec);
+  md_entry_answer_request (caller_request, 429, NULL, MD_RETRY_AFTER_NO_WORKER);
+}
+
 void
 md_entry_start_job (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
   MdEntryJob *job;
   MdError error = { 0 };
+  uint64_t tasks = md_run_spec_tasks (&caller_request->spec);
 
+  /* A job that could never fit is left to the check of its specification. */
+  if (tasks <= MD_MAX_JOB_TASKS && entry->n_tasks + tasks > MAX_ACTIVE_TASKS)
+    {
+      reject_for_tasks (entry, caller_request);
+      return;
+    }
   job = calloc (1, sizeof *job);
   if (job != NULL && caller_request->route.advisor.present)
     job->advice = calloc (caller_request->spec.n_steps, sizeof *job->advice);
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -364,10 +364,7 @@
               const MdForecast *forecast)
 {
   const MdRunSpec *spec = &job->runjob.spec;
-  uint64_t tasks = 0;
 
-  for (uint32_t i = 0; i < spec->n_steps; i++)
-    tasks += spec->steps[i].n_tasks;
   md_log (MD_LOG_INFO, event,
           "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f "
           "wait_bound_ms=%lld patience_ms=%lld steps=%u tasks=%llu cpu=%u memory_mb=%u "
@@ -377,7 +374,7 @@
           (long long)(forecast->wait / MD_MS), (long long)(forecast->goal / MD_MS),
           forecast->demand, (long long)(md_admit_wait_bound (forecast->demand) / MD_MS),
           (long long)((job->deadline - job->arrived) / MD_MS), spec->n_steps,
-          (unsigned long long)tasks, spec->steps[0].resources.cpu,
+          (unsigned long long)md_run_spec_tasks (spec), spec->steps[0].resources.cpu,
           spec->steps[0].resources.memory_mb, (long long)(spec->steps[0].declared_time / MD_MS),
           job->route.slack_factor * 100, (long long)(job->route.target_latency / MD_MS),
           count_full (entry), (long long)((entry->now - job->arrived) / MD_MS),
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -218,6 +218,7 @@
   MdEntryJob *jobs;                      /* all active jobs */
   MdEntryJob *buckets[MD_JOB_BUCKETS];   /* hash table of active jobs by ID */
   uint32_t n_jobs;                       /* active jobs */
+  uint64_t n_tasks;                      /* of the active jobs */
   MdEndedJobs ended_jobs;                /* of jobs that were answered with their final state */
   uint64_t next_order_id;                /* starts at 1 */
   MdQueueStats *stats[MD_MAX_QUEUES];    /* n_stats entries, owned; never removed */
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -445,6 +445,7 @@
 
 #define MD_MAX_STEPS 64         /* of a job */
 #define MD_MAX_STEP_TASKS 4096  /* of a step */
+#define MD_MAX_JOB_TASKS 8192   /* of a job; the largest planned for has 890 */
 #define MD_RUN_NAME_BYTES 64    /* name of a task on the platform, with the null byte */
 #define MD_CHECKPOINT_BYTES 128 /* reference to a saved state, with the null byte */
 
@@ -478,6 +479,9 @@
 /* md_run_spec_clear: free what the spec owns and zero it. */
 void md_run_spec_clear (MdRunSpec *spec);
 
+/* md_run_spec_tasks: number of tasks of all steps. */
+uint64_t md_run_spec_tasks (const MdRunSpec *spec);
+
 typedef enum
 {
   MD_TASK_BLOCKED,       /* a step that it depends on is not done */
--- a/sched/runjob.c
+++ b/sched/runjob.c
@@ -25,6 +25,16 @@
   memset (spec, 0, sizeof *spec);
 }
 
+uint64_t
+md_run_spec_tasks (const MdRunSpec *spec)
+{
+  uint64_t n = 0;
+
+  for (uint32_t i = 0; i < spec->n_steps; i++)
+    n += spec->steps[i].n_tasks;
+  return n;
+}
+
 /* Sets the tasks of blocked steps to READY if the steps that they depend on are done. */
 static void
 unblock_steps (MdRunJob *job)
@@ -61,6 +71,9 @@
         return md_error_set (error, MD_E_INVALID, "job", "",
                              "step %u: long-running and repeated steps are not supported", i);
     }
+  if (md_run_spec_tasks (spec) > MD_MAX_JOB_TASKS)
+    return md_error_set (error, MD_E_INVALID, "job", "", "at most %d tasks are possible",
+                         MD_MAX_JOB_TASKS);
   return MD_OK;
 }
 
