Bound the entries that a guard dials

Callers saw: guards that end by the kernel's hand or reach their workers no more. Cause: the addresses in the welcome of an entry are dialled, and the table of known addresses forgets the oldest one when it holds 512, but the peer of the forgotten address stayed with its link. Nothing bounded the peers, so that one message of 16 MB could add as many as fit into it, each with a socket.

Ruled out: entries, which keep addresses and dial none; they hold 512.

Change: an address is not added while 512 peers exist; those of entries that are gone are dropped after 30 seconds of silence, as before.

New test addresses_in_a_message_are_bounded of build/release/tests/test-guard-orders: before, 2,051 peers after a message with 2,048 addresses, 5 of 6 tests passed; after, 6 of 6, release and asan.

--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -315,12 +315,15 @@
 /* ------------------------------------------------------------------ */
 /* Connections                                                        */
 
+/* Each peer is dialled and has a socket, so that the addresses in one message must not be as many
+   as fit into it. Those of entries that are gone make room when their peers are dropped. */
 void
 md_guard_add_peer (MdRunGuard *guard, MdStr address, bool indirect)
 {
   MdGuardPeer *peer;
 
-  if (!md_directory_add (&guard->directory, address, guard->now))
+  if (guard->n_peers >= MD_MAX_ENTRIES
+      || !md_directory_add (&guard->directory, address, guard->now))
     return;
   peer = calloc (1, sizeof *peer);
   if (peer == NULL)
@@ -334,6 +337,7 @@
   peer->link = md_links_dial (guard->daemon.links, address, peer);
   peer->next = guard->peers;
   guard->peers = peer;
+  guard->n_peers++;
   md_log (MD_LOG_INFO, "entry-found", "address=%s", peer->address);
 }
 
@@ -353,6 +357,7 @@
       free_peer (peer);
     }
   guard->peers = NULL;
+  guard->n_peers = 0;
 }
 
 /* Closes the link and frees the peer. keep_address: leave the address in the directory, so that
@@ -365,6 +370,7 @@
   while (*place != peer)
     place = &(*place)->next;
   *place = peer->next;
+  guard->n_peers--;
   if (!keep_address)
     md_directory_remove (&guard->directory, md_str (peer->address));
   md_link_set_data (peer->link, NULL);
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -155,6 +155,7 @@
   MdRunQueue queue;                  /* waiting and started runs; each is an MdGuardRun */
   MdGuardWorker worker;              /* the worker beside this guard */
   MdGuardPeer *peers;                /* entries, connected or not */
+  unsigned n_peers;                  /* of them, at most MD_MAX_ENTRIES */
   uint64_t connections;              /* hellos sent so far; numbers the connections */
   uint64_t ends;                     /* ends so far. They are numbered across entries, so that an
                                         entry whose address was dropped and learned again does
@@ -242,8 +243,8 @@
 
 extern const MdLinkHandler md_run_guard_handler;
 
-/* md_guard_add_peer: dial an entry, unless its address is known already. indirect: the address
-   was given by another entry, not by the settings or the store. */
+/* md_guard_add_peer: dial an entry, unless its address is known already or MD_MAX_ENTRIES are.
+   indirect: the address was given by another entry, not by the settings or the store. */
 void md_guard_add_peer (MdRunGuard *guard, MdStr address, bool indirect);
 
 /* md_guard_free_peers: free all peers; their links are freed with the daemon's links. */
--- a/tests/test-guard-orders.c
+++ b/tests/test-guard-orders.c
@@ -280,6 +280,44 @@
 }
 END_TEST
 
+/* Guards against a guard that is killed for its memory, or has no descriptor left for its worker,
+   after one message of an entry that names very many addresses: each was dialled. */
+START_TEST (addresses_in_a_message_are_bounded)
+{
+  enum
+  {
+    ADDRESSES = 4 * MD_MAX_ENTRIES
+  };
+  static char text[ADDRESSES][MD_ADDRESS_BYTES];
+  static char *names[ADDRESSES];
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunWelcome welcome = MD__RUN_WELCOME__INIT;
+  unsigned n = 0;
+
+  connect_guard ();
+  for (int i = 0; i < PASSES && entries[0].reports == 0; i++)
+    poll_all ();
+  for (int i = 0; i < ADDRESSES; i++)
+    {
+      /* Nobody listens on these. */
+      snprintf (text[i], MD_ADDRESS_BYTES, "127.200.%d.%d:9", i / 250, 1 + i % 250);
+      names[i] = text[i];
+    }
+  welcome.name = "entry-1";
+  welcome.incarnation = 1;
+  welcome.entries = names;
+  welcome.n_entries = ADDRESSES;
+  frame.msg_case = MD__FRAME__MSG_RUN_WELCOME;
+  frame.run_welcome = &welcome;
+  md_link_send (entries[0].link, &frame);
+  for (int i = 0; i < PASSES && guard.directory.n < MD_MAX_ENTRIES; i++)
+    poll_all ();
+  for (const MdGuardPeer *peer = guard.peers; peer != NULL; peer = peer->next)
+    n++;
+  ck_assert_uint_eq (n, MD_MAX_ENTRIES);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -292,5 +330,6 @@
   tcase_add_test (tc, late_entry_gets_fewer_reports);
   tcase_add_test (tc, entry_gets_full_reports_for_a_while);
   tcase_add_test (tc, old_entries_get_full_reports);
+  tcase_add_test (tc, addresses_in_a_message_are_bounded);
   return run_suite ("guard-orders", tc);
 }
