Move the reading of reports to a file of its own

The functions that read reports move to entry-reports.c unchanged, except that repeating a cancellation after a new connection is a function of entry-guards.c, which keeps those lists.

--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -2,10 +2,11 @@
 
    front.c is the HTTP server for callers, run-entry.c the main loop, entry-requests.c handles
    the requests, entry-jobs.c keeps the jobs, entry-placement.c admits them and places their
-   tasks, entry-advice.c calls the advisory service, and entry-guards.c exchanges messages with
-   guards. All of them run in the engine thread, except front.c and entry-metrics.c, which run in
-   the threads of the HTTP server. config-reader.c has a thread of its own. Times are microseconds
-   on the monotonic clock (MdTime) unless stated otherwise. */
+   tasks, entry-advice.c calls the advisory service, entry-guards.c has the links of guards and
+   sends their orders, and entry-reports.c reads their reports. All of them run in the engine
+   thread, except front.c and entry-metrics.c, which run in the threads of the HTTP server.
+   config-reader.c has a thread of its own. Times are microseconds on the monotonic clock (MdTime)
+   unless stated otherwise. */
 
 #ifndef MD_RUN_ENTRY_H
 #define MD_RUN_ENTRY_H
@@ -366,10 +367,17 @@
 void md_entry_send_order (MdRunEntry *entry, MdEntryOrder *order);
 void md_entry_cancel (MdEntryOrder *order);
 void md_entry_withdraw (MdEntryOrder *order);
+/* md_entry_repeat_end: queue the cancellation or withdrawal of an order again, if there was one. */
+void md_entry_repeat_end (MdEntryOrder *order);
 /* md_entry_guards_poll: send messages that are due, end the orders of lost guards, and remove
    guards that have been away for too long. Returns when it must be called again. */
 MdTime md_entry_guards_poll (MdRunEntry *entry);
 /* md_entry_free_guards: free all guards with their orders, without ending the orders. */
 void md_entry_free_guards (MdRunEntry *entry);
 
+/* entry-reports.c */
+#define MD_GUARD_SILENCE (350 * MD_MS) /* a guard reports with each heartbeat, 100 ms or less */
+/* md_entry_report: take over a report of a guard, and end or confirm the orders that it names. */
+void md_entry_report (MdRunEntry *entry, MdEntryGuard *guard, const Md__RunReport *report);
+
 #endif
