Bound what an entry keeps of hellos

Callers saw: an entry that is killed for its memory. Cause: each hello lists the orders that its guard still has, and the entry kept the list, of any length, until the next hello of that name, for ten minutes after the connection had ended; it kept any number of names.

Ruled out: the decoded frame itself, which is limited to 64 MB and freed at once, and which is the peak that is left.

Change: the list is kept only if the guard has orders of this entry, and a hello with more than twice the active tasks (131,072) is refused, as is a name beyond 4,096, six times the workers planned for. guard-refused says so.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -17,6 +17,9 @@
 /* At the size planned in two years, guards connect several times an hour and list the running
    entries. With 35 entries replaced a day, nine dead addresses remain. */
 #define MAX_ADDRESS_AGE (6 * 3600 * MD_SECOND)
+/* Six times the workers planned for. A guard that has gone keeps its name for GUARD_RETENTION. */
+#define MAX_GUARDS 4096
+#define MAX_HELLO_ORDERS 131072    /* in a hello; twice the tasks that are active at a time */
 #define IDLE_INTERVAL_HEARTBEATS 2 /* between messages to a guard without runs of this entry */
 /* Messages that are due within this time are sent with those that are due now. */
 #define SEND_AHEAD (10 * MD_MS)
@@ -81,7 +84,7 @@
 {
   MdEntryGuard *guard;
 
-  if (!grow_worker_arrays (entry))
+  if (entry->workers.n >= MAX_GUARDS || !grow_worker_arrays (entry))
     return NULL;
   guard = calloc (1, sizeof *guard);
   if (guard == NULL)
@@ -421,11 +424,21 @@
   return md_link_data (link) != NULL && md_link_data (link) != guard;
 }
 
+/* How many of the orders in the hello are compared with those that have been sent. */
+static size_t
+orders_to_keep (const MdRunEntry *entry, const MdEntryGuard *guard, const Md__RunHello *hello)
+{
+  bool refers = hello->entry == entry->incarnation && guard != NULL && guard->orders != NULL;
+
+  return refers ? hello->n_alive : 0;
+}
+
 static void
 on_hello (MdRunEntry *entry, MdLink *link, const Md__RunHello *hello)
 {
   MdEntryGuard *guard = find_guard (entry, hello->name);
   uint64_t *hello_orders;
+  size_t n_orders;
   char name[MD_NAME_BYTES];
 
   if (is_hello_of_another (link, guard))
@@ -452,11 +465,14 @@
     }
   if (guard == NULL)
     guard = new_guard (entry, hello->name);
-  hello_orders = calloc (hello->n_alive + 1, sizeof *hello_orders);
-  if (guard == NULL || hello_orders == NULL)
+  n_orders = orders_to_keep (entry, guard, hello);
+  hello_orders = calloc (n_orders + 1, sizeof *hello_orders);
+  if (guard == NULL || hello_orders == NULL || n_orders > MAX_HELLO_ORDERS)
     {
       /* Without the list, running orders would be treated as lost. */
-      md_log (MD_LOG_ERROR, "guard-refused", "guard=%s reason=\"out of memory\"", hello->name);
+      md_log (MD_LOG_ERROR, "guard-refused",
+              "guard=%s orders=%zu guards=%u reason=\"out of memory or over a limit\"",
+              md_log_quote (md_str (hello->name), name, sizeof name), n_orders, entry->workers.n);
       free (hello_orders);
       md_link_disconnect (link);
       return;
@@ -471,9 +487,9 @@
   guard->connection = hello->connection;
   free (guard->hello_orders);
   guard->hello_orders = hello_orders;
-  guard->n_hello_orders = hello->entry == entry->incarnation ? hello->n_alive : 0;
-  if (guard->n_hello_orders > 0)
-    memcpy (guard->hello_orders, hello->alive, guard->n_hello_orders * sizeof *guard->hello_orders);
+  guard->n_hello_orders = n_orders;
+  if (n_orders > 0)
+    memcpy (hello_orders, hello->alive, n_orders * sizeof *hello_orders);
   guard->awaiting_report = true;
   guard->welcomed |= hello->entry == entry->incarnation;
   guard->link = link;
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -472,6 +472,86 @@
 }
 END_TEST
 
+#define MANY_ORDERS 140000 /* more than an entry has sent */
+
+static void
+send_orders_hello (char *name, MdLink *link, size_t n_alive)
+{
+  static uint64_t alive[MANY_ORDERS];
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunHello hello = MD__RUN_HELLO__INIT;
+
+  hello.name = name;
+  hello.incarnation = INCARNATION;
+  hello.connection = 1;
+  hello.entry = entry.incarnation;
+  hello.alive = alive;
+  hello.n_alive = n_alive;
+  frame.msg_case = MD__FRAME__MSG_RUN_HELLO;
+  frame.run_hello = &hello;
+  md_link_send (link, &frame);
+}
+
+/* Guards against an entry that is killed for its memory: it kept the orders that each hello
+   listed, of any number, also for a guard that has none. */
+START_TEST (orders_in_a_hello_are_bounded)
+{
+  MdEntryOrder order = { .sent = true };
+
+  entry.incarnation = FORMER + 1;
+  send_orders_hello ("guard-1", connections[0], MANY_ORDERS);
+  for (int i = 0; i < PASSES && known_guard () == NULL; i++)
+    poll_both ();
+  ck_assert_ptr_nonnull (known_guard ()->link);
+  ck_assert_uint_eq (known_guard ()->n_hello_orders, 0);
+  ((MdEntryGuard *)entry.workers.workers[0])->orders = &order;
+  send_orders_hello ("guard-1", connections[0], MANY_ORDERS);
+  for (int i = 0; i < PASSES && downs[0] == 0; i++)
+    poll_both ();
+  ck_assert_int_eq (downs[0], 1);
+  ck_assert_uint_eq (known_guard ()->n_hello_orders, 0);
+  ((MdEntryGuard *)entry.workers.workers[0])->orders = NULL;
+}
+END_TEST
+
+static void
+poll_at_once (void)
+{
+  md_links_poll (guard, 0);
+  md_links_poll (entry.daemon.links, 0);
+}
+
+/* Guards against the same by connections that each state another name. */
+START_TEST (names_of_guards_are_bounded)
+{
+  char name[MD_NAME_BYTES];
+
+  send_orders_hello ("guard-1", connections[0], 0);
+  for (int i = 0; i < PASSES && known_guard () == NULL; i++)
+    poll_both ();
+  /* As many as that, without their connections. */
+  while (entry.workers.n < 4096)
+    {
+      uint32_t n = entry.workers.n;
+      MdLink *link = md_links_dial (guard, md_str (md_link_peer (connections[0])), NULL);
+
+      snprintf (name, sizeof name, "guard-%u", n + 1);
+      for (int i = 0; i < PASSES && !md_link_is_up (link); i++)
+        poll_at_once ();
+      send_orders_hello (name, link, 0);
+      for (int i = 0; i < PASSES && entry.workers.n == n; i++)
+        poll_at_once ();
+      ck_assert_uint_eq (entry.workers.n, n + 1);
+      md_link_close (link);
+    }
+  send_orders_hello ("one-too-many", connections[1], 0);
+  for (int i = 0; i < PASSES && downs[1] == 0; i++)
+    poll_both ();
+  ck_assert_int_eq (downs[1], 1);
+  ck_assert_uint_eq (entry.workers.n, 4096);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -482,6 +562,8 @@
   tcase_add_test (tc, late_hello_is_refused);
   tcase_add_test (tc, later_hello_replaces);
   tcase_add_test (tc, connection_belongs_to_one_guard);
+  tcase_add_test (tc, orders_in_a_hello_are_bounded);
+  tcase_add_test (tc, names_of_guards_are_bounded);
   tcase_add_test (tc, hello_without_entry_does_not_end_orders);
   tcase_add_test (tc, hello_without_welcome_replaces);
   tcase_add_test (tc, replaced_worker_is_forgotten);
