Ignore reports about orders that have not been sent

Callers saw: an entry that ends with SIGSEGV or continues with damaged memory. Cause: an order is in two lists until it is sent, that of its guard's orders and that of the orders to send. The end of an order, reported by its guard, took it out of the first one and freed it; if it had not been sent yet, the next message read it from the second one. IDs ascend by one, so that a guard with a fault, or anything that reaches the port, can name the next one.

Ruled out: the other ways in which an order ends (lost guard, disconnection, a job that ends, cancellation before it is sent); they take it out of the list of orders to send first.

Change: starts and ends of orders that have not been sent are ignored.

--- a/fleet/entry-reports.c
+++ b/fleet/entry-reports.c
@@ -4,12 +4,14 @@
 
 #include <xxhash.h>
 
+/* The order with this ID. One that has not been sent is none of the guard's; to end it here would
+   leave it in the list of orders to send. */
 static MdEntryOrder *
 find_order (const MdEntryGuard *guard, uint64_t id)
 {
   for (MdEntryOrder *order = guard->orders; order != NULL; order = order->next)
     if (order->id == id)
-      return order;
+      return order->sent ? order : NULL;
   return NULL;
 }
 
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -552,6 +552,45 @@
 }
 END_TEST
 
+/* Guards against an entry that crashes: a guard reported the end of an order that had not been sent
+   to it yet. The order was freed and stayed in the list of those to send. */
+START_TEST (end_of_an_unsent_order_is_ignored)
+{
+  MdEntryOrder *order = calloc (1, sizeof *order);
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunReport report = MD__RUN_REPORT__INIT;
+  Md__RunEnd end = MD__RUN_END__INIT;
+  Md__RunEnd *ends[] = { &end };
+  uint64_t started[1];
+
+  entry.incarnation = FORMER + 1;
+  send_hello (0);
+  for (int i = 0; i < PASSES && known_guard () == NULL; i++)
+    poll_both ();
+  order->guard = (MdEntryGuard *)entry.workers.workers[0];
+  md_entry_send_order (&entry, order);
+  report.stamp_us = 1;
+  report.entry = entry.incarnation;
+  end.number = 1;
+  end.id = started[0] = order->id;
+  report.started = started;
+  report.n_started = 1;
+  report.ends = ends;
+  report.n_ends = 1;
+  frame.msg_case = MD__FRAME__MSG_RUN_REPORT;
+  frame.run_report = &report;
+  md_link_send (connections[0], &frame);
+  for (int i = 0; i < PASSES && known_guard ()->stamp == 0; i++)
+    poll_both ();
+  ck_assert_ptr_eq (known_guard ()->unsent, order);
+  ck_assert_ptr_eq (known_guard ()->orders, order);
+  ck_assert (!order->started);
+  entry.now = md_now () + MD_SECOND;
+  md_entry_guards_poll (&entry); /* its job is gone, so that it ends */
+  ck_assert_ptr_null (known_guard ()->orders);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -564,6 +603,7 @@
   tcase_add_test (tc, connection_belongs_to_one_guard);
   tcase_add_test (tc, orders_in_a_hello_are_bounded);
   tcase_add_test (tc, names_of_guards_are_bounded);
+  tcase_add_test (tc, end_of_an_unsent_order_is_ignored);
   tcase_add_test (tc, hello_without_entry_does_not_end_orders);
   tcase_add_test (tc, hello_without_welcome_replaces);
   tcase_add_test (tc, replaced_worker_is_forgotten);
