Log how a process began and ended

Each daemon now writes process-begin before it reads its settings (pid, version, time that loading took, disposition of SIGHUP, limits) and process-end as its last line (status, reason, step, signal and its sender, peak memory). SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT and SIGSYS leave one line, fatal-signal, written with async-signal-safe calls on an alternate stack; the signal is then sent again with its siginfo under the former action, so that status and core dump stay the same. All threads of the program and those of the HTTP servers have such a stack. Lines that the log writer still holds are written first, and the writer writes whole lines only, so that none is split.

Ruled out: a stack in thread-local storage, since the C library clears it for each thread and 256 threads would make it resident; backtrace(), which is not async-signal-safe.

--- a/cli/explain.c
+++ b/cli/explain.c
@@ -56,10 +56,11 @@
 is_circumstance (MdStr line)
 {
   static const char *const events[]
-      = { "guard-down",   "guard-lost",  "entry-lost",       "entry-silent", "worker-unreachable",
-          "worker-left",  "hold-failed", "start-unanswered", "lease-lapsed", "store-lost",
-          "worker-state", "leaving",     "stopped",          "started",      "config-applied",
-          "log-dropped",  "readiness",   "upstream-state",   "load",         "overloaded" };
+      = { "guard-down",    "guard-lost",  "entry-lost",       "entry-silent", "worker-unreachable",
+          "worker-left",   "hold-failed", "start-unanswered", "lease-lapsed", "store-lost",
+          "worker-state",  "leaving",     "stopped",          "started",      "config-applied",
+          "log-dropped",   "readiness",   "upstream-state",   "load",         "overloaded",
+          "process-begin", "process-end", "fatal-signal" };
 
   for (size_t i = 0; i < MD_ARRAY_SIZE (events); i++)
     if (md_line_has_event (line, events[i]))
--- a/common/log.c
+++ b/common/log.c
@@ -7,7 +7,9 @@
    second, lines below the level of a warning are dropped; the last quarter is reserved
    for warnings and errors. The number of dropped lines is logged. */
 
-#include "md-private.h"
+#define _GNU_SOURCE /* memrchr */
+
+#include "process.h"
 
 #include <errno.h>
 #include <limits.h>
@@ -22,6 +24,7 @@
 #define LINES_PER_SECOND 4000u      /* ten lines for each job at the peak load of one entry */
 #define BATCH_INTERVAL (50 * MD_MS) /* pause between writes, to write lines in batches */
 #define FLUSH_TIMEOUT_MS 200        /* at shutdown, when the output is not read */
+#define WAIT_STEP_MS 5              /* between checks of md_log_wait_written */
 
 static struct
 {
@@ -42,6 +45,7 @@
   MdTime window_start;   /* start of the second in which lines are counted */
   unsigned window_lines; /* lines below a warning in that second */
   uint64_t dropped;      /* lines since the last log-dropped line */
+  atomic_size_t pending; /* bytes that are buffered or being written */
 } writer = { .lock = PTHREAD_MUTEX_INITIALIZER, .filled = PTHREAD_COND_INITIALIZER };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
@@ -61,6 +65,26 @@
          && (int)level >= atomic_load_explicit (&logger.lowest, memory_order_relaxed);
 }
 
+int
+md_log_descriptor (void)
+{
+  return logger.fd;
+}
+
+const char *
+md_log_node (void)
+{
+  return logger.node;
+}
+
+void
+md_log_wait_written (int timeout_ms)
+{
+  for (int waited = 0; waited < timeout_ms && atomic_load (&writer.pending) > 0;
+       waited += WAIT_STEP_MS)
+    poll (NULL, 0, WAIT_STEP_MS);
+}
+
 void
 md_log_set_level (MdLogLevel lowest)
 {
@@ -112,6 +136,7 @@
         pthread_cond_signal (&writer.filled);
       memcpy (writer.bytes + writer.used, line, len);
       writer.used += len;
+      atomic_fetch_add (&writer.pending, len);
     }
   else
     writer.dropped++;
@@ -159,14 +184,28 @@
   return stopping;
 }
 
+/* The length of the whole lines in the first PIPE_BUF bytes, or PIPE_BUF when there is none. */
+static size_t
+whole_lines (const char *bytes, size_t n)
+{
+  const char *end;
+
+  if (n <= PIPE_BUF)
+    return n;
+  end = memrchr (bytes, '\n', PIPE_BUF);
+  return end != NULL ? (size_t)(end - bytes) + 1 : PIPE_BUF;
+}
+
 /* Waits for a slow reader, but at shutdown only while it reads within
-   FLUSH_TIMEOUT_MS. A pipe that polls as writable accepts PIPE_BUF bytes without blocking. */
+   FLUSH_TIMEOUT_MS. A pipe that polls as writable accepts PIPE_BUF bytes without blocking. Each
+   call writes whole lines, so that a line of a signal handler does not get into another one. */
 static void
 write_all (const char *bytes, size_t n)
 {
   while (n > 0)
     {
       struct pollfd fd = { .fd = logger.fd, .events = POLLOUT };
+      size_t len = whole_lines (bytes, n);
       ssize_t written;
 
       if (poll (&fd, 1, FLUSH_TIMEOUT_MS) == 0)
@@ -175,7 +214,7 @@
             return;
           continue;
         }
-      written = write (logger.fd, bytes, n < PIPE_BUF ? n : PIPE_BUF);
+      written = write (logger.fd, bytes, len);
       if (written < 0 && errno != EINTR && errno != EAGAIN)
         return; /* there is no other place to report the error */
       if (written > 0)
@@ -226,6 +265,7 @@
       writer.dropped = 0;
       pthread_mutex_unlock (&writer.lock);
       write_all (batch, used);
+      atomic_fetch_sub (&writer.pending, used);
       report_dropped (dropped);
       if (!stopping)
         nanosleep (&pause, NULL);
@@ -241,7 +281,7 @@
 
   writer.bytes = malloc (BUFFER_BYTES);
   if (writer.bytes != NULL && batch != NULL
-      && pthread_create (&writer.thread, NULL, run_writer, batch) == 0)
+      && md_thread_create (&writer.thread, NULL, run_writer, batch) == 0)
     return;
   free (writer.bytes);
   free (batch);
--- a/common/md-private.h
+++ b/common/md-private.h
@@ -45,6 +45,13 @@
 void md_log_start_writer (void);
 void md_log_stop_writer (void);
 
+/* For a handler of fatal signals; all three are async-signal-safe. md_log_descriptor: the
+   descriptor of md_log_open. md_log_node: the node in every line. md_log_wait_written: wait until
+   the background thread has written all buffered lines, at most timeout_ms. */
+int md_log_descriptor (void);
+const char *md_log_node (void);
+void md_log_wait_written (int timeout_ms);
+
 /* md_log: write one line of key=value pairs. event is a fixed word; format yields
    "key=value" pairs separated by spaces. Untrusted values must be escaped with md_log_quote. */
 void md_log (MdLogLevel level, const char *event, const char *format, ...) MD_PRINTF (3, 4);
--- a/core/mulberrydrift.h
+++ b/core/mulberrydrift.h
@@ -30,7 +30,7 @@
 {
 #endif
 
-#define MD_VERSION "0.2.0"
+#define MD_VERSION "0.7.0"
 
   /* ------------------------------------------------------------------ */
   /* Basic types                                                        */
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -8,6 +8,7 @@
 
 #include "entry-private.h"
 #include "http-server.h"
+#include "process.h"
 
 #include <civetweb.h>
 #include <stdio.h>
@@ -567,6 +568,7 @@
 static void *
 init_thread (const struct mg_context *ctx MD_UNUSED, int type MD_UNUSED)
 {
+  md_fatal_signals_prepare_thread ();
   urcu_memb_register_thread ();
   return NULL;
 }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -6,6 +6,7 @@
    order without locks on the path of a request. */
 
 #include "entry-private.h"
+#include "process.h"
 
 #include <popt.h>
 #include <signal.h>
@@ -219,6 +220,7 @@
 begin_leaving (MdEntry *entry, MdTime now)
 {
   entry->leave_started = now;
+  md_process_set_step (MD_STEP_LEAVING);
   atomic_store (&entry->leaving, true);
   md_log (MD_LOG_INFO, "leaving", "unfinished=%u", md_shards_unfinished (entry));
   if (!md_peers_other_entry_live (entry))
@@ -309,8 +311,9 @@
 }
 
 static void
-on_signal (int signo MD_UNUSED)
+on_signal (int signo MD_UNUSED, siginfo_t *info, void *context MD_UNUSED)
 {
+  md_process_note_signal (info);
   if (signal_target == NULL)
     return;
   atomic_store (&signal_target->stopping, true);
@@ -320,7 +323,7 @@
 static void
 install_signals (MdEntry *entry)
 {
-  struct sigaction action = { .sa_handler = on_signal };
+  struct sigaction action = { .sa_sigaction = on_signal, .sa_flags = SA_SIGINFO };
 
   signal_target = entry;
   sigaction (SIGTERM, &action, NULL);
@@ -400,7 +403,8 @@
   install_signals (entry);
   md_log (MD_LOG_INFO, "started", "role=entry internal=%s callers=%s operators=%s",
           entry->bound_internal, entry->settings.caller_address, entry->settings.operator_address);
-  pthread_create (&registrar, NULL, register_thread, entry);
+  md_thread_create (&registrar, NULL, register_thread, entry);
+  md_process_set_step (MD_STEP_RUNNING);
   run_engine (entry);
   pthread_join (registrar, NULL);
   leave_members (entry);
@@ -430,6 +434,7 @@
       return MD_EXIT_USAGE;
     }
   poptFreeContext (context);
+  md_process_set_step (MD_STEP_SETTINGS);
   entry = calloc (1, sizeof *entry);
   if (entry == NULL)
     return MD_EXIT_FAILED;
@@ -442,6 +447,7 @@
       return MD_EXIT_USAGE;
     }
   free (config);
+  md_process_set_step (MD_STEP_COMPONENTS);
   md_log_open (STDERR_FILENO, entry->settings.name, entry->settings.log_level);
   result = run_entry (entry);
   free (entry);
--- a/fleet/config-reader.c
+++ b/fleet/config-reader.c
@@ -1,6 +1,7 @@
 /* config-reader.c -- the operator's configuration, followed in a thread of its own */
 
 #include "config-reader.h"
+#include "process.h"
 
 #include <pthread.h>
 #include <urcu/urcu-memb.h>
@@ -90,7 +91,7 @@
                                            READ_WAIT, on_record, reader);
   if (reader->records == NULL)
     return md_error_set (error, MD_E_MEMORY, "config-reader", "", "out of memory");
-  reader->started = pthread_create (&reader->thread, NULL, run, reader) == 0;
+  reader->started = md_thread_create (&reader->thread, NULL, run, reader) == 0;
   if (!reader->started)
     return md_error_set (error, MD_E_IO, "config-reader", "", "cannot create a thread");
   return MD_OK;
--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -1,6 +1,7 @@
 /* daemon.c -- startup, signals and reloading of settings for run-entry and run-guard */
 
 #include "daemon.h"
+#include "process.h"
 
 #include <errno.h>
 #include <popt.h>
@@ -43,6 +44,7 @@
   signal (SIGHUP, SIG_IGN);
   if (rc != MD_EXIT_OK)
     return rc;
+  md_process_set_step (MD_STEP_SETTINGS);
   if (stat (daemon->path, &daemon->file_stat) != 0)
     fprintf (stderr, "%s: %s\n", daemon->path, strerror (errno));
   if (md_settings_load (&daemon->settings, daemon->path, &faults) != MD_OK)
@@ -53,6 +55,7 @@
     }
   md_log_open (STDOUT_FILENO, daemon->settings.name, daemon->settings.log_level);
   md_log_start_writer ();
+  md_process_set_step (MD_STEP_COMPONENTS);
   if (md_leases_set (&daemon->leases, daemon->settings.resend_after, daemon->settings.stop_timeout)
       != MD_OK)
     md_log (MD_LOG_WARN, "leases-too-long", "leases_ms=%lld resend_after_ms=%lld",
@@ -140,8 +143,10 @@
 }
 
 static void
-on_signal (int number)
+on_signal (int number, siginfo_t *info, void *context MD_UNUSED)
 {
+  if (number != SIGHUP)
+    md_process_note_signal (info);
   atomic_store (number == SIGHUP ? &signal_reload : &signal_stopping, true);
   md_links_wake (signal_links);
 }
@@ -149,7 +154,7 @@
 void
 md_daemon_catch_signals (MdLinks *links)
 {
-  struct sigaction action = { .sa_handler = on_signal, .sa_flags = SA_RESTART };
+  struct sigaction action = { .sa_sigaction = on_signal, .sa_flags = SA_SIGINFO | SA_RESTART };
 
   signal_links = links;
   sigaction (SIGTERM, &action, NULL);
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -9,6 +9,7 @@
 
 #include "caller-sockets.h"
 #include "http-server.h"
+#include "process.h"
 #include "run-entry.h"
 
 #include <arpa/inet.h>
@@ -509,6 +510,7 @@
 static void *
 init_thread (const struct mg_context *context MD_UNUSED, int type MD_UNUSED)
 {
+  md_fatal_signals_prepare_thread ();
   urcu_memb_register_thread ();
   return NULL;
 }
--- a/fleet/guard-registrar.c
+++ b/fleet/guard-registrar.c
@@ -4,6 +4,7 @@
    which runs in a thread of CivetWeb, checks a report and queues it for the engine thread
    before it acknowledges it. The same server answers metrics requests. */
 
+#include "process.h"
 #include "run-guard.h"
 
 #include <civetweb.h>
@@ -88,6 +89,13 @@
   return respond (conn, 200, "text/plain; version=0.0.4", text.data != NULL ? text.data : "");
 }
 
+static void *
+init_thread (const struct mg_context *ctx MD_UNUSED, int type MD_UNUSED)
+{
+  md_fatal_signals_prepare_thread ();
+  return NULL;
+}
+
 MdRegistrarServer *
 md_registrar_server_start (const MdSettings *settings, MdInbox *inbox, MdLinks *links,
                            MdError *error)
@@ -104,7 +112,7 @@
                             "tcp_nodelay",
                             "1",
                             NULL };
-  struct mg_callbacks callbacks = { 0 };
+  struct mg_callbacks callbacks = { .init_thread = init_thread };
   MdRegistrarServer *server = calloc (1, sizeof *server);
 
   if (server == NULL)
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -8,6 +8,7 @@
 
 #include "run-entry.h"
 #include "http-client.h"
+#include "process.h"
 
 #include <stdio.h>
 #include <time.h>
@@ -141,6 +142,7 @@
   entry->reject_after = entry->now + BALANCER_DELAY;
   entry->drain_deadline = entry->now + (drain_time > 0 ? drain_time : 0);
   md_front_disable_keep_alive (entry->front);
+  md_process_set_step (MD_STEP_LEAVING);
   md_log (MD_LOG_INFO, "leaving", "jobs=%u", entry->n_jobs);
 }
 
@@ -272,6 +274,7 @@
     {
       md_log (MD_LOG_INFO, "started", "incarnation=%llx caller_address=%s",
               (unsigned long long)entry->incarnation, entry->daemon.settings.caller_address);
+      md_process_set_step (MD_STEP_RUNNING);
       run_loop (entry);
       finish_callers (entry);
       md_log (MD_LOG_INFO, "stopped", "jobs_done=%lld jobs_failed=%lld refused=%lld",
@@ -286,8 +289,7 @@
     {
       /* Stopping the HTTP server would take seconds because of threads that serve idle
          connections. */
-      md_log_stop_writer ();
-      _exit (MD_EXIT_OK);
+      md_process_end (MD_EXIT_OK);
     }
   md_front_stop (entry->front);
   md_config_reader_stop (entry->config);
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -8,6 +8,7 @@
 
 #include "run-guard.h"
 #include "http-client.h"
+#include "process.h"
 
 #include <civetweb.h>
 
@@ -74,6 +75,7 @@
   guard->queue.accepting = false;
   guard->state_version++;
   md_guard_reject_waiting (guard);
+  md_process_set_step (MD_STEP_LEAVING);
   md_log (MD_LOG_INFO, "leaving", "runs=%u", guard->queue.running.n);
 }
 
@@ -168,6 +170,7 @@
     {
       md_log (MD_LOG_INFO, "started", "incarnation=%llx worker_address=%s",
               (unsigned long long)guard->incarnation, guard->daemon.settings.worker_address);
+      md_process_set_step (MD_STEP_RUNNING);
       run_loop (guard);
       md_log (MD_LOG_INFO, "stopped", "runs=%u", guard->queue.running.n);
     }
--- a/guard/guard-register.c
+++ b/guard/guard-register.c
@@ -6,6 +6,7 @@
    it the owner removes the guard after a longer silence. */
 
 #include "md-guard.h"
+#include "process.h"
 
 #include <pthread.h>
 #include <time.h>
@@ -142,7 +143,7 @@
   r->links = links;
   pthread_mutex_init (&r->lock, NULL);
   pthread_cond_init (&r->asked, NULL);
-  if (pthread_create (&r->thread, NULL, run, r) == 0)
+  if (md_thread_create (&r->thread, NULL, run, r) == 0)
     return r;
   free (r);
   return NULL;
--- a/guard/guard.c
+++ b/guard/guard.c
@@ -13,6 +13,7 @@
    owner, appends its leaving record and ends. drain_timeout bounds the wait. */
 
 #include "md-guard.h"
+#include "process.h"
 
 #include <civetweb.h>
 #include <popt.h>
@@ -197,6 +198,7 @@
   if (guard->leaving)
     return;
   guard->leaving = true;
+  md_process_set_step (MD_STEP_LEAVING);
   guard->leave_until = guard->now + guard->settings.drain_timeout;
   md_ledger_leave (guard->ledger, guard->now);
   md_guard_announce_leaving (guard);
@@ -303,9 +305,11 @@
 await_signal (void *data)
 {
   Signals *signals = data;
-  int number;
+  siginfo_t info;
 
-  sigwait (&signals->set, &number);
+  while (sigwaitinfo (&signals->set, &info) < 0)
+    ;
+  md_process_note_signal (&info);
   atomic_store (&signals->stop, true);
   md_links_wake (signals->links);
   return NULL;
@@ -322,7 +326,7 @@
   sigaddset (&signals->set, SIGTERM);
   sigaddset (&signals->set, SIGINT);
   pthread_sigmask (SIG_BLOCK, &signals->set, NULL);
-  if (pthread_create (&signals->thread, NULL, await_signal, signals) != 0)
+  if (md_thread_create (&signals->thread, NULL, await_signal, signals) != 0)
     abort (); /* a guard that cannot be stopped in order must not start */
 }
 
@@ -442,6 +446,7 @@
       md_log (MD_LOG_INFO, "started", "incarnation=%llx pool=%s slots=%u upstream=%s",
               (unsigned long long)guard->incarnation, guard->settings.pool, guard->slots,
               guard->settings.upstream_address);
+      md_process_set_step (MD_STEP_RUNNING);
       run_loop (guard, &signals.stop);
       log_counters ();
     }
@@ -449,7 +454,7 @@
     md_log (MD_LOG_ERROR, "start", "step=%s peer=%s detail=\"%s\"", error.step, error.peer,
             error.detail);
   if (guard->finished && !guard->removed)
-    _exit (MD_EXIT_OK); /* the registrar sits in a call to a silent log */
+    md_process_end (MD_EXIT_OK); /* the registrar sits in a call to a silent log */
   stop_signals (&signals);
   free_parts (guard);
   urcu_memb_unregister_thread ();
@@ -467,9 +472,11 @@
   if (parse_options (argc, argv, &options) == MD_OK)
     {
       rc = MD_EXIT_FAILED;
+      md_process_set_step (MD_STEP_SETTINGS);
       if (load_settings (&guard, options.config) == MD_OK)
         {
           md_log_open (STDERR_FILENO, guard.settings.name, guard.settings.log_level);
+          md_process_set_step (MD_STEP_COMPONENTS);
           mg_init_library (0);
           guard.tuning = &guard.settings.tuning;
           guard.incarnation = md_new_incarnation ();
--- a/guard/upstream.c
+++ b/guard/upstream.c
@@ -19,6 +19,7 @@
 
 #include "http-server.h"
 #include "md-guard.h"
+#include "process.h"
 
 #include <civetweb.h>
 #include <errno.h>
@@ -582,7 +583,7 @@
   pthread_attr_init (&attributes);
   pthread_attr_setstacksize (&attributes, EXECUTOR_STACK);
   for (size_t i = 0; i < n && rc == 0; i++)
-    rc = pthread_create (&up->executors[i].thread, &attributes, execute, &up->executors[i]);
+    rc = md_thread_create (&up->executors[i].thread, &attributes, execute, &up->executors[i]);
   pthread_attr_destroy (&attributes);
   if (rc != 0)
     return md_error_set (error, MD_E_IO, "executors", NULL, "%s", strerror (rc));
--- a/main.c
+++ b/main.c
@@ -3,11 +3,12 @@
    Each sub-command parses its own options with popt and returns the exit code
    of the process. */
 
-#include "md-private.h"
+#include "process.h"
 
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
+#include <unistd.h>
 
 typedef struct
 {
@@ -33,6 +34,15 @@
   { "replay", md_replay_main, "feed a recorded trace to the dispatch core" },
 };
 
+static const struct
+{
+  const char *name; /* of the command */
+  int log_fd;       /* descriptor of its log */
+} daemons[] = { { "entry", STDERR_FILENO },
+                { "guard", STDERR_FILENO },
+                { "run-entry", STDOUT_FILENO },
+                { "run-guard", STDOUT_FILENO } };
+
 static void
 print_help (FILE *out)
 {
@@ -64,6 +74,34 @@
   return result == MD_OK ? MD_EXIT_OK : MD_EXIT_FAILED;
 }
 
+/* Descriptor of the log of a daemon; -1: another command, or only its help is wanted. */
+static int
+daemon_log_fd (int argc, char **argv)
+{
+  for (int i = 2; i < argc; i++)
+    if (strcmp (argv[i], "--help") == 0 || strcmp (argv[i], "-?") == 0
+        || strcmp (argv[i], "--usage") == 0)
+      return -1;
+  for (size_t i = 0; argc > 1 && i < MD_ARRAY_SIZE (daemons); i++)
+    if (strcmp (argv[1], daemons[i].name) == 0)
+      return daemons[i].log_fd;
+  return -1;
+}
+
+static int
+run_command (const Command *command, int argc, char **argv)
+{
+  int log_fd = daemon_log_fd (argc, argv);
+  int status;
+
+  if (log_fd >= 0)
+    md_process_begin (command->name, log_fd, false);
+  status = command->run (argc - 1, (const char **)argv + 1);
+  if (log_fd >= 0)
+    md_process_end (status);
+  return status;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -86,7 +124,7 @@
     }
   for (size_t i = 0; i < MD_ARRAY_SIZE (commands); i++)
     if (strcmp (argv[1], commands[i].name) == 0)
-      return commands[i].run (argc - 1, (const char **)argv + 1);
+      return run_command (&commands[i], argc, argv);
   fprintf (stderr, "mulberrydrift: unknown command '%s'\n", argv[1]);
   return MD_EXIT_USAGE;
 }
--- a/operator/operator.c
+++ b/operator/operator.c
@@ -8,6 +8,7 @@
 
 #include "http-client.h"
 #include "operator-private.h"
+#include "process.h"
 
 #include <stdio.h>
 #include <time.h>
@@ -142,6 +143,13 @@
   return 1;
 }
 
+static void *
+init_thread (const struct mg_context *ctx MD_UNUSED, int type MD_UNUSED)
+{
+  md_fatal_signals_prepare_thread ();
+  return NULL;
+}
+
 static struct mg_context *
 start_server (MdOperator *server, unsigned threads)
 {
@@ -163,6 +171,7 @@
   struct mg_context *ctx;
 
   snprintf (count, sizeof count, "%u", threads);
+  callbacks.init_thread = init_thread;
   callbacks.http_error = on_http_error;
   callbacks.log_message = log_civetweb_message;
   md_http_init ();
--- a/store/store-reader.c
+++ b/store/store-reader.c
@@ -13,6 +13,7 @@
    the retention time. All entries detect this at about the same time; each waits a
    random time and writes a snapshot only if none has been read by then. */
 
+#include "process.h"
 #include "store-private.h"
 
 #include <jansson.h>
@@ -360,7 +361,7 @@
 {
   pthread_t thread;
 
-  if (pthread_create (&thread, NULL, reader_main, stream) != 0)
+  if (md_thread_create (&thread, NULL, reader_main, stream) != 0)
     return MD_E_IO;
   pthread_detach (thread);
   return MD_OK;
--- /dev/null
+++ b/tests/run-ends.sh
@@ -0,0 +1,64 @@
+#!/usr/bin/env bash
+# Ends of real processes: what the log says about them and with which status they end.
+#
+# Guards against processes that end without a trace, against a handler that changes the exit
+# status, and against ends that fail because threads still run.
+cd "$(dirname "$0")/.."
+. tests/platform.sh
+ENTRIES=1 GUARDS=1
+
+# The sanitizer's handlers would change the exit status.
+export ASAN_OPTIONS="handle_segv=0:handle_sigbus=0:handle_sigfpe=0:handle_sigill=0${ASAN_OPTIONS:+:$ASAN_OPTIONS}"
+
+# await NAME: wait for a process that this script started and set status.
+ended () { ! running "$1"; }
+await () {
+  wait_for 60 ended "$1" || fail "$1 does not end"
+  { wait "$(pid_of "$1")"; status=$?; } 2> /dev/null
+}
+# As in platform.sh, but the process stays a job of the shell, so that its status can be read.
+launch () { # name command...
+  local name=$1; shift
+  echo "event=launched" >> "$RUN/$name.log"
+  "$@" >> "$RUN/$name.log" 2>&1 &
+  echo "$! $(start_time $!)" > "$RUN/$name.pid"
+}
+lines () { grep -c "$2" "$RUN/$1.log"; } # name pattern
+well_formed='^time=[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:]{8}\.[0-9]{3}Z level=error node=[a-z0-9-]+ event=fatal-signal pid=[0-9]+ signal=[0-9]+ name=SIG[A-Z]+ code=-?[0-9]+ (address=0x[0-9a-f]+|sender_pid=[0-9]+) pc=0x[0-9a-f]+ offset=(-|0x[0-9a-f]+) tid=[0-9]+ thread=[^ ]+ step=running uptime_ms=[0-9]+$'
+
+fatal_signals () {
+  local signal name
+  for signal in SEGV BUS FPE ILL ABRT SYS; do
+    for name in entry-1 guard-1; do
+      : > "$RUN/$name.log"
+      "start_${name%-1}" 1
+      wait_for 20 seen "$name" event=started || fail "$name did not start"
+      wait_for 20 seen "$name" 'event=\(config-applied\|worker-reached\)' || fail "$name does not run"
+      kill "-$signal" "$(pid_of "$name")"
+      await "$name"
+      [ "$status" = $((128 + $(kill -l "$signal"))) ] || fail "SIG$signal: $name ended with $status"
+      [ "$(lines "$name" event=fatal-signal)" = 1 ] || fail "SIG$signal: not one line of $name"
+      grep -qE "$well_formed" "$RUN/$name.log" || fail "SIG$signal: the line of $name is malformed"
+      [ "$(lines "$name" event=process-begin)" = 1 ] || fail "$name has no first line"
+    done
+  done
+  echo "fatal signals: one line each, status unchanged"
+}
+
+failed_start () {
+  { cat "$RUN/entry-1.yaml"; echo "remote_factor: none"; } > "$RUN/wrong.yaml"
+  launch wrong "$BIN/mulberrydrift" run-entry --config "$RUN/wrong.yaml"
+  await wrong
+  [ "$status" = 1 ] || fail "a start with wrong settings does not fail"
+  seen wrong 'event=process-end .* status=1 reason=start-failed step=settings' \
+    || fail "a failed start leaves no last line"
+  echo "a failed start: status and step are logged"
+}
+
+plan_ports
+start_store
+wait_for 5 curl -s -m 1 -o /dev/null "http://$STORE/control" || fail "the store did not start"
+put_config 3 /calc/
+start_worker 1
+fatal_signals
+failed_start
--- a/tests/test-log.c
+++ b/tests/test-log.c
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <pthread.h>
 #include <stdio.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define FLOOD 200000
@@ -112,6 +113,33 @@
 }
 END_TEST
 
+/* Guards against a line of a signal handler within a line of the writer: each packet of the
+   socket is one write. */
+START_TEST (each_write_has_whole_lines)
+{
+  char packet[65536];
+  ssize_t n;
+  int fds[2];
+  int packets = 0;
+
+  ck_assert_int_eq (socketpair (AF_UNIX, SOCK_DGRAM, 0, fds), 0);
+  md_log_open (fds[1], "node", MD_LOG_INFO);
+  md_log_start_writer ();
+  for (int i = 0; i < 200; i++)
+    md_log (MD_LOG_INFO, "line", "i=%d text=%0*d", i, 1 + i % 97, 7);
+  md_log_stop_writer ();
+  md_log_open (-1, "", MD_LOG_INFO);
+  while ((n = recv (fds[0], packet, sizeof packet, MSG_DONTWAIT)) > 0)
+    {
+      ck_assert_int_eq (packet[n - 1], '\n');
+      packets++;
+    }
+  ck_assert_int_gt (packets, 3);
+  close (fds[0]);
+  close (fds[1]);
+}
+END_TEST
+
 START_TEST (histograms_are_cumulative)
 {
   MD_AUTO_BUF text = { 0 };
@@ -137,6 +165,7 @@
   tcase_add_test (tc, flood_does_not_wait_for_the_reader);
   tcase_add_test (tc, dropped_lines_are_counted_and_warnings_kept);
   tcase_add_test (tc, lines_come_out_whole_and_in_order);
+  tcase_add_test (tc, each_write_has_whole_lines);
   tcase_add_test (tc, histograms_are_cumulative);
   return run_suite ("log", tc);
 }
