Stop the log writer while other threads log

Callers saw entries end by themselves: at the end of an entry md_log_stop_writer freed the buffer while threads of callers still logged, and their next line was copied to a null pointer (SIGSEGV). md_log tested the pointer without the lock. Lines that were buffered after the writer's last pass, and the number of dropped lines, were lost too.

The pointer is now tested under the lock, the buffer is taken away under it, and what it still holds is written before it is freed. The line about dropped lines no longer passes through the buffer.

Ruled out: keeping the buffer for the life of the process, as a second writer would still race with the first one's end.

--- a/common/log.c
+++ b/common/log.c
@@ -36,7 +36,7 @@
 /* The buffer and thread of md_log_start_writer. */
 static struct
 {
-  pthread_mutex_t lock;  /* protects used, stopping, the window and dropped */
+  pthread_mutex_t lock;  /* protects all fields but filled, thread and pending */
   pthread_cond_t filled; /* used became positive, or stopping was set */
   char *bytes;           /* BUFFER_BYTES, owned; NULL: no writer */
   size_t used;           /* bytes of buffered lines */
@@ -123,14 +123,16 @@
   return level >= MD_LOG_WARN || writer.window_lines++ < LINES_PER_SECOND;
 }
 
-/* Returns false when there is no writer. A line that does not fit is dropped. */
+/* Returns false when there is no writer. A line that does not fit is dropped. The pointer is
+   tested under the lock, because md_log_stop_writer takes the buffer away while threads log. */
 static bool
 buffer_line (MdLogLevel level, const char *line, size_t len)
 {
-  if (writer.bytes == NULL)
-    return false;
+  bool exists;
+
   pthread_mutex_lock (&writer.lock);
-  if (admit_line (level, len, md_now ()))
+  exists = writer.bytes != NULL;
+  if (exists && admit_line (level, len, md_now ()))
     {
       if (writer.used == 0)
         pthread_cond_signal (&writer.filled);
@@ -138,10 +140,26 @@
       writer.used += len;
       atomic_fetch_add (&writer.pending, len);
     }
-  else
+  else if (exists)
     writer.dropped++;
   pthread_mutex_unlock (&writer.lock);
-  return true;
+  return exists;
+}
+
+/* Formats a line of at most LINE_BYTES and returns its length; 0: not a valid format. */
+static size_t
+format_line (char *line, MdLogLevel level, const char *event, const char *format, va_list args)
+{
+  size_t len = format_prefix (line, level, event);
+  int n = vsnprintf (line + len, LINE_BYTES - len - 1, format, args);
+
+  if (n < 0)
+    return 0;
+  len += (size_t)n;
+  if (len > LINE_BYTES - 2)
+    len = LINE_BYTES - 2;
+  line[len++] = '\n';
+  return len;
 }
 
 void
@@ -150,21 +168,13 @@
   char line[LINE_BYTES];
   size_t len;
   va_list args;
-  int n;
 
   if (!md_log_enabled (level))
     return;
-  len = format_prefix (line, level, event);
   va_start (args, format);
-  n = vsnprintf (line + len, sizeof line - len - 1, format, args);
+  len = format_line (line, level, event, format, args);
   va_end (args);
-  if (n < 0)
-    return;
-  len += (size_t)n;
-  if (len > sizeof line - 2)
-    len = sizeof line - 2;
-  line[len++] = '\n';
-  if (buffer_line (level, line, len))
+  if (len == 0 || buffer_line (level, line, len))
     return;
   if (write (logger.fd, line, len) < 0)
     return; /* a failed write must not stop the service */
@@ -236,12 +246,24 @@
   return used;
 }
 
+/* Written like a batch: the buffer may be full or gone, and the output may not be read. */
+static void
+write_event (MdLogLevel level, const char *event, const char *format, ...)
+{
+  char line[LINE_BYTES];
+  va_list args;
+
+  va_start (args, format);
+  write_all (line, format_line (line, level, event, format, args));
+  va_end (args);
+}
+
 static void
 report_dropped (uint64_t dropped)
 {
   if (dropped > 0)
-    md_log (MD_LOG_WARN, "log-dropped", "lines=%llu reason=\"volume or slow reader\"",
-            (unsigned long long)dropped);
+    write_event (MD_LOG_WARN, "log-dropped", "lines=%llu reason=\"volume or slow reader\"",
+                 (unsigned long long)dropped);
 }
 
 static void *
@@ -278,29 +300,50 @@
 md_log_start_writer (void)
 {
   char *batch = malloc (BUFFER_BYTES);
+  char *bytes = malloc (BUFFER_BYTES);
 
-  writer.bytes = malloc (BUFFER_BYTES);
-  if (writer.bytes != NULL && batch != NULL
+  if (bytes != NULL && batch != NULL
       && md_thread_create (&writer.thread, NULL, run_writer, batch) == 0)
-    return;
-  free (writer.bytes);
+    {
+      pthread_mutex_lock (&writer.lock);
+      writer.bytes = bytes;
+      pthread_mutex_unlock (&writer.lock);
+      return;
+    }
+  free (bytes);
   free (batch);
-  writer.bytes = NULL;
 }
 
+/* Lines that were buffered after the thread's last pass are written here. */
 void
 md_log_stop_writer (void)
 {
-  if (writer.bytes == NULL)
-    return;
+  char *bytes;
+  uint64_t dropped;
+  size_t used;
+
   pthread_mutex_lock (&writer.lock);
-  writer.stopping = true;
+  bytes = writer.bytes;
+  writer.stopping = bytes != NULL;
   pthread_cond_signal (&writer.filled);
   pthread_mutex_unlock (&writer.lock);
+  if (bytes == NULL)
+    return;
   pthread_join (writer.thread, NULL);
-  free (writer.bytes);
+  pthread_mutex_lock (&writer.lock);
   writer.bytes = NULL;
+  used = writer.used;
+  writer.used = 0;
+  dropped = writer.dropped;
+  writer.dropped = 0;
+  pthread_mutex_unlock (&writer.lock);
+  write_all (bytes, used);
+  atomic_fetch_sub (&writer.pending, used);
+  report_dropped (dropped);
+  free (bytes);
+  pthread_mutex_lock (&writer.lock);
   writer.stopping = false;
+  pthread_mutex_unlock (&writer.lock);
 }
 
 static bool
--- a/tests/test-log.c
+++ b/tests/test-log.c
@@ -1,7 +1,8 @@
 /* test-log.c -- the logger of a daemon with a reader that does not read, and histograms
 
    Guards against requests that wait for whoever reads the log, against lines that are
-   left out without a word, and against warnings that are lost to routine lines. */
+   left out without a word, against warnings that are lost to routine lines, and against a
+   writer that is stopped while other threads log. */
 
 #include "md-private.h"
 #include "suite.h"
@@ -140,6 +141,90 @@
 }
 END_TEST
 
+#define STOP_THREADS 8
+#define STOP_ROUNDS 300
+
+static atomic_bool stop_logging;
+
+static void *
+log_until_stopped (void *data)
+{
+  while (!atomic_load (&stop_logging))
+    md_log (MD_LOG_WARN, "busy", "text=%0100d", 7);
+  return data;
+}
+
+/* Guards against the use of the buffer after md_log_stop_writer has freed it: at the end of an
+   entry, the threads of its callers still log. */
+START_TEST (writer_stops_while_threads_log)
+{
+  pthread_t threads[STOP_THREADS];
+  int fd = open ("/dev/null", O_WRONLY);
+
+  ck_assert_int_ge (fd, 0);
+  md_log_open (fd, "node", MD_LOG_INFO);
+  for (int i = 0; i < STOP_THREADS; i++)
+    ck_assert_int_eq (pthread_create (&threads[i], NULL, log_until_stopped, NULL), 0);
+  for (int i = 0; i < STOP_ROUNDS; i++)
+    {
+      md_log_start_writer ();
+      md_log_stop_writer ();
+    }
+  atomic_store (&stop_logging, true);
+  for (int i = 0; i < STOP_THREADS; i++)
+    pthread_join (threads[i], NULL);
+  md_log_open (-1, "", MD_LOG_INFO);
+  close (fd);
+}
+END_TEST
+
+#define STOP_LINES 40000
+
+/* Numbered lines, more slowly than the buffer can be filled. */
+static void *
+log_numbers (void *data)
+{
+  for (int i = 0; i < STOP_LINES; i++)
+    md_log (MD_LOG_WARN, "number", "i=%d.", i);
+  return data;
+}
+
+/* Guards against lines that are buffered after the writer's last pass and never written. The
+   reader drains the pipe, and no line is dropped as the buffer is large enough for a round. */
+START_TEST (no_line_is_lost_when_the_writer_stops)
+{
+  MD_AUTO_BUF text = { 0 };
+  const char *at;
+  pthread_t reader;
+  pthread_t thread;
+  int fds[2];
+  void *data[2] = { &fds[0], &text };
+  long long next = 0;
+
+  md_log_open (open_pipe (fds), "node", MD_LOG_INFO);
+  ck_assert_int_eq (pthread_create (&reader, NULL, drain, data), 0);
+  ck_assert_int_eq (pthread_create (&thread, NULL, log_numbers, NULL), 0);
+  for (int i = 0; i < 20; i++)
+    {
+      md_log_start_writer ();
+      usleep (500);
+      md_log_stop_writer ();
+    }
+  pthread_join (thread, NULL);
+  md_log_open (-1, "", MD_LOG_INFO);
+  close (fds[1]);
+  pthread_join (reader, NULL);
+  close (fds[0]);
+  md_buf_append (&text, md_str_n ("", 1));
+  for (at = strstr (text.data, "event=number"); at != NULL; at = strstr (at + 1, "event=number"))
+    next++;
+  for (at = strstr (text.data, "event=log-dropped lines="); at != NULL;
+       at = strstr (at + 1, "event=log-dropped lines="))
+    next += strtoll (at + strlen ("event=log-dropped lines="), NULL, 10);
+  ck_assert_int_eq (next, STOP_LINES);
+}
+END_TEST
+
 START_TEST (histograms_are_cumulative)
 {
   MD_AUTO_BUF text = { 0 };
@@ -166,6 +251,8 @@
   tcase_add_test (tc, dropped_lines_are_counted_and_warnings_kept);
   tcase_add_test (tc, lines_come_out_whole_and_in_order);
   tcase_add_test (tc, each_write_has_whole_lines);
+  tcase_add_test (tc, writer_stops_while_threads_log);
+  tcase_add_test (tc, no_line_is_lost_when_the_writer_stops);
   tcase_add_test (tc, histograms_are_cumulative);
   return run_suite ("log", tc);
 }
