--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -1,6 +1,7 @@
 /* daemon.c -- startup, signals and reloading of settings for run-entry and run-guard */
 
 #include "daemon.h"
+#include "process.h"
 
 #include <popt.h>
 #include <signal.h>
@@ -39,6 +40,7 @@
   signal (SIGHUP, SIG_IGN);
   if (rc != MD_EXIT_OK)
     return rc;
+  md_process_set_step (MD_STEP_SETTINGS);
   rc = md_settings_wait (&daemon->settings, daemon->path, &daemon->file, md_daemon_is_stopping,
                          &faults);
   if (rc != MD_OK)
@@ -50,6 +52,7 @@
     }
   md_log_open (STDOUT_FILENO, daemon->settings.name, daemon->settings.log_level);
   md_log_start_writer ();
+  md_process_set_step (MD_STEP_COMPONENTS);
   if (md_leases_set (&daemon->leases, daemon->settings.resend_after, daemon->settings.stop_timeout)
       != MD_OK)
     md_log (MD_LOG_WARN, "leases-too-long", "leases_ms=%lld resend_after_ms=%lld",
@@ -119,8 +122,10 @@
 }
 
 static void
-on_signal (int number)
+on_signal (int number, siginfo_t *info, void *context MD_UNUSED)
 {
+  if (number != SIGHUP)
+    md_process_note_signal (info);
   atomic_store (number == SIGHUP ? &signal_reload : &signal_stopping, true);
   md_links_wake (signal_links);
 }
@@ -128,7 +133,7 @@
 void
 md_daemon_catch_signals (MdLinks *links)
 {
-  struct sigaction action = { .sa_handler = on_signal, .sa_flags = SA_RESTART };
+  struct sigaction action = { .sa_sigaction = on_signal, .sa_flags = SA_SIGINFO | SA_RESTART };
 
   signal_links = links;
   sigaction (SIGTERM, &action, NULL);
