Limit times and speeds that peers and callers supply

Callers saw: nothing in a release build on x86-64 but wrong decisions; a build with a sanitizer ends, and the result of the conversions differs on arm64. Sums with them overflowed, quotients were out of the range of the integer they were converted to, and a capacity that shrank to one thousandth of a core multiplied waits by millions.

Change: md_span limits a computed time to 0 and 366 days; reports, orders, run times and goals use it; a reported speed is limited to 0.001 to 1,000 and NaN counts as 1. An empty specification is copied without memcpy of a null pointer.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -256,7 +256,7 @@
   out->cpu = order->need.cpu;
   out->memory_mb = order->need.memory_mb;
   out->accelerators = order->need.accelerators;
-  out->work_us = (uint64_t)order->work;
+  out->work_us = (uint64_t)md_span (order->work);
   out->start_within_us = order->start_within - (now - order->placed_at);
   out->permit = order->permit;
   out->alone = order->alone;
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -560,7 +560,7 @@
     if (job->runjob.tasks[i][0].state != MD_TASK_BLOCKED
         && md_entry_expected_work (job, i) > longest)
       longest = md_entry_expected_work (job, i);
-  return entry->now + (MdTime)(longest / 2) > job->goal;
+  return entry->now + md_span (longest / 2) > job->goal;
 }
 
 /* Withdraws all orders of a job, which is rejected if none of them has started. */
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -286,7 +286,7 @@
       }
   md_workers_restore (&entry->workers, entry->saved_resources);
   if (job->critical_path > first)
-    forecast->finish += (MdTime)(job->critical_path - first);
+    forecast->finish += md_span (job->critical_path - first);
   forecast->finish += md_entry_advice_wait (entry, job);
   return possible;
 }
@@ -320,7 +320,7 @@
     work[i] = md_entry_expected_work (job, i)
               + (double)md_advice_call_time (&job->route.advisor, MD_ADVICE_MAX_WORKERS);
   job->critical_path = md_runjob_critical_path (&job->runjob, work);
-  objective = (MdTime)(job->route.slack_factor * job->critical_path) + job->route.target_latency;
+  objective = md_span (job->route.slack_factor * job->critical_path) + job->route.target_latency;
   job->arrived = caller_request->arrived;
   job->goal = caller_request->arrived + objective - NETWORK_MARGIN;
   job->limit = caller_request->arrived + MD_LIMIT_GOAL_MULTIPLE * objective - NETWORK_MARGIN;
--- a/fleet/entry-reports.c
+++ b/fleet/entry-reports.c
@@ -2,6 +2,7 @@
 
 #include "run-entry.h"
 
+#include <math.h>
 #include <xxhash.h>
 
 /* The order with this ID. One that has not been sent is none of the guard's; to end it here would
@@ -32,6 +33,17 @@
           guard->name, guard->worker_id, (long long)info->born_ms, info->cpu, info->memory_mb);
 }
 
+/* Guards report speeds between these, see runqueue.c. */
+#define MIN_REPORTED_SPEED 1e-3
+#define MAX_REPORTED_SPEED 1e3
+
+static double
+reported_speed (double speed)
+{
+  return isnan (speed) || speed <= 0 ? 1
+                                     : fmax (MIN_REPORTED_SPEED, fmin (MAX_REPORTED_SPEED, speed));
+}
+
 /* Updates the state of the worker. The resources of orders that the guard had not received
    when it sent the report are subtracted. */
 static void
@@ -41,9 +53,9 @@
 
   worker->free
       = (MdResources){ report->free_cpu, report->free_memory_mb, report->free_accelerators };
-  worker->next_end = (MdTime)report->next_end_us;
-  worker->wait = (MdTime)report->wait_us;
-  worker->speed = report->speed;
+  worker->next_end = md_span ((double)report->next_end_us);
+  worker->wait = md_span ((double)report->wait_us);
+  worker->speed = reported_speed (report->speed);
   for (const MdEntryOrder *order = guard->orders; order != NULL; order = order->next)
     if (report->entry != entry->incarnation || order->id > report->last_order)
       md_worker_reserve (worker, order->need, order->expected_run);
@@ -104,7 +116,7 @@
         md_entry_order_ended (entry, order,
                               end->how < MD_RUN_RESULT_COUNT ? (MdRunResult)end->how
                                                              : MD_RUN_LEASE_EXPIRED,
-                              (MdTime)end->run_us, end->checkpoint);
+                              md_span ((double)end->run_us), end->checkpoint);
     }
 }
 
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -522,11 +522,20 @@
     return NULL;
   text->references = 1;
   text->len = bytes->len;
-  memcpy (text->text, bytes->data, bytes->len);
+  if (bytes->len > 0)
+    memcpy (text->text, bytes->data, bytes->len);
   text->text[bytes->len] = '\0';
   return text;
 }
 
+/* A job may be late already. */
+static MdTime
+start_within (const Md__RunOrder *order)
+{
+  return order->start_within_us < 0 ? -md_span (-(double)order->start_within_us)
+                                    : md_span ((double)order->start_within_us);
+}
+
 static void
 add_order (MdRunGuard *guard, MdGuardPeer *peer, const Md__RunOrder *order, MdRunText *spec)
 {
@@ -546,7 +555,7 @@
   run->queued.work = (double)order->work_us;
   run->queued.alone = order->alone;
   run->queued.at_once = order->at_once;
-  run->queued.start_by = guard->now + order->start_within_us;
+  run->queued.start_by = guard->now + start_within (order);
   md_str_copy (run->task, sizeof run->task, md_str (order->task));
   run->run_number = order->run;
   run->queued.job = XXH64 (run->task, strcspn (run->task, "."), 0);
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -85,7 +85,7 @@
 
   if (need->affinity[0] != '\0' && !md_labels_have (&worker->labels, need->affinity))
     run *= workers->remote_factor;
-  placement.run_time = (MdTime)run;
+  placement.run_time = md_span (run);
   if (!md_resources_fit (worker->free, need->resources))
     {
       placement.wait = worker->wait;
@@ -227,8 +227,8 @@
 void
 md_worker_reserve (MdWorker *worker, MdResources resources, MdTime run_time)
 {
-  MdTime share
-      = worker->capacity.cpu > 0 ? run_time * resources.cpu / worker->capacity.cpu : run_time;
+  double share = worker->capacity.cpu > 0 ? (double)run_time * resources.cpu / worker->capacity.cpu
+                                          : (double)run_time;
   bool fits = md_resources_fit (worker->free, resources);
 
   md_resources_subtract (&worker->free, resources);
@@ -238,7 +238,7 @@
         worker->next_end = run_time;
       return;
     }
-  worker->wait += share;
+  worker->wait = md_span ((double)worker->wait + share);
 }
 
 void
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -22,6 +22,20 @@
   uint32_t accelerators; /* whole devices */
 } MdResources;
 
+/* Longest time that decisions are made with, microseconds. The sum of a hundred thousand of them fits
+   into MdTime. */
+#define MD_MAX_SPAN (366 * 24 * 3600 * MD_SECOND)
+
+/* md_span: a time that was computed from numbers of callers, guards or workers, limited to 0 and
+   MD_MAX_SPAN. 0 for NaN. */
+static inline MdTime
+md_span (double us)
+{
+  if (!(us > 0))
+    return 0;
+  return us < (double)MD_MAX_SPAN ? (MdTime)us : MD_MAX_SPAN;
+}
+
 static inline bool
 md_resources_fit (MdResources available, MdResources needed)
 {
--- a/sched/runqueue.c
+++ b/sched/runqueue.c
@@ -306,7 +306,7 @@
 static MdTime
 expected_time (const MdRun *run, double speed)
 {
-  return run->work > 0 ? (MdTime)(run->work / speed) : DEFAULT_RUN_TIME;
+  return run->work > 0 ? md_span (run->work / speed) : DEFAULT_RUN_TIME;
 }
 
 /* Once a run is overdue, its elapsed time predicts more than its estimate: it is then expected
