Bound the memory for bodies that are read and parsed at a time

160 callers whose bodies of 256 KB held as many values as a job may have raised the memory of an entry with 160 threads to 286 to 298 MB; entries may use 260 MB, small ones 120, and are killed beyond that. Each of the threads could hold a body of the largest size, up to 2.5 MB of parsed values, and kept the body until its job had ended.

Bodies of more than 16 KB now share 24 MB and those that are being parsed 16 MB. A body that does not fit is refused at once with 503 and Retry-After, nothing of it has run; parsing waits for up to a second first, since others take milliseconds. A request whose first attempt may be running gets 504 instead, after which the caller repeats it: 503 would state that the job never runs. The response is written before the rest of the body is read and dropped, as a reset would take it from the caller. The body is released before the engine is waited for. The body of a request without a route is dropped while it is read. Bodies of up to 16 KB are never refused, so that the jobs of others, a few kilobytes each, are served meanwhile.

Ruled out: a limit on the number of connections (idle ones need no memory worth a bound); a smaller largest body, which the operator configures.

--- a/core/json-text.c
+++ b/core/json-text.c
@@ -8,6 +8,10 @@
 
 #include <stdio.h>
 
+#define VALUE_BYTES 304 /* of an object with one member in an object, which takes the most */
+#define TEXT_FACTOR                                                                                \
+  3 /* a string that is being parsed: its token, the buffer of that, and its copy */
+
 /* What the scan has found up to a position of the text. */
 typedef struct
 {
@@ -81,6 +85,16 @@
   return scan.max_depth;
 }
 
+size_t
+md_json_memory (MdStr text, size_t *values)
+{
+  Scan scan = { 0 };
+
+  scan_text (&scan, text, (MdJsonBounds){ .depth = SIZE_MAX, .values = SIZE_MAX });
+  *values = scan.values;
+  return scan.values * VALUE_BYTES + text.len * TEXT_FACTOR;
+}
+
 static int
 count_lines (MdStr text)
 {
--- a/core/json-text.h
+++ b/core/json-text.h
@@ -35,6 +35,10 @@
    reads the text, whether or not the text is valid. */
 size_t md_json_depth (MdStr text);
 
+/* md_json_memory: bytes that parsing the text takes at most, the value included. Its number of values is
+   stored in values. */
+size_t md_json_memory (MdStr text, size_t *values);
+
 /* md_json_load: parse a text, as json_loadb does with these flags; the caller releases the value.
    NULL with error set, which may be NULL, when the text is not valid or has more than
    MD_JSON_MAX_DEPTH levels. An empty MdStr without data is not valid. */
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -9,6 +9,7 @@
 
 #include "caller-sockets.h"
 #include "http-server.h"
+#include "memory-budget.h"
 #include "run-entry.h"
 
 #include <arpa/inet.h>
@@ -29,6 +30,14 @@
 #define RETRY_AFTER_LATE (1 * MD_SECOND)      /* Retry-After while the entry is late */
 #define DEFAULT_MAX_BODY (256u << 10)         /* bytes, if the configuration states no limit */
 
+/* Smaller bodies are not counted, so that jobs, most of which have a few kilobytes, are read while
+   callers send large bodies. Each thread can hold one. */
+#define SMALL_BODY (16u << 10)   /* bytes */
+#define BODY_MEMORY (24u << 20)  /* bytes, of larger bodies; small entries may use 120 MB in all */
+#define PARSE_MEMORY (16u << 20) /* bytes, of bodies that are being parsed */
+#define PARSE_WAIT (1 * MD_SECOND)   /* for others to be parsed, which takes milliseconds */
+#define RETRY_AFTER_MEMORY MD_SECOND /* Retry-After while memory is short */
+
 #define SUBMISSION_SLOTS 4096u /* many more than there are threads */
 
 struct MdFront
@@ -41,6 +50,8 @@
   atomic_int connections;          /* open connections of both servers */
   int threads;                     /* threads of the server for callers */
   MdCallerSockets sockets;         /* of callers whose requests have been read */
+  MdMemoryBudget body_memory;      /* of bodies that are being read or parsed */
+  MdMemoryBudget parse_memory;     /* of parsed bodies that are being decoded */
   /* Jobs that have been posted to the engine and not answered, by a hash of the ID. */
   atomic_uint submissions[SUBMISSION_SLOTS];
 };
@@ -242,10 +253,9 @@
 {
   bool outdated = lookup->config_age > request->front->entry->daemon.settings.config_apply;
   int status = outdated ? 503 : 404;
-  MD_AUTO_BUF body = { 0 };
   char path[160];
 
-  if (md_http_read_body (request->conn, lookup->max_body, &body) != 0)
+  if (!md_http_skip_body (request->conn, lookup->max_body))
     mg_disable_connection_keep_alive (request->conn);
   if (!lookup->configured)
     return reject (request, 503, "no configuration has been read yet", RETRY_AFTER_NO_CONFIG);
@@ -333,19 +343,16 @@
   return respond (request, 429, MD_STR (MD_BODY_NOT_RUN), RETRY_AFTER_LATE);
 }
 
-/* Parses a job, posts it to the engine and writes the response. */
+/* Posts a job, which it owns from then on, to the engine and writes the response. */
 static int
-post_job (const Request *request, const MdRoute *route, const char *id, MdStr body)
+post_job (const Request *request, const MdRoute *route, const char *id, MdRunSpec spec)
 {
   MdCallerRequest caller_request
-      = { .kind = MD_CALLER_REQUEST_SUBMIT, .arrived = request->arrived };
+      = { .kind = MD_CALLER_REQUEST_SUBMIT, .arrived = request->arrived, .spec = spec };
   const char *timeout = mg_get_header (request->conn, MD_PLATFORM_DEADLINE_HEADER);
   const char *unsupported;
   struct sockaddr_in peer;
-  MdError error = { 0 };
 
-  if (md_platform_parse_job (body, &caller_request.spec, &error) != MD_OK)
-    return reject (request, 400, error.detail, 0);
   unsupported = unsupported_reason (request->front->entry, route, &caller_request.spec);
   if (unsupported != NULL)
     {
@@ -380,18 +387,83 @@
 /* Whether the job is rejected without the engine. A repeated job may be running for its first
    attempt; only the engine can tell, so that the answer "not run" is true. */
 static bool
-rejects_job (MdFront *front, unsigned in_progress)
+rejects_job (MdFront *front, bool repeated)
 {
-  return in_progress == 0 && atomic_load (&front->entry->load.overloaded);
+  return !repeated && atomic_load (&front->entry->load.overloaded);
 }
 
+/* Rejects a job because others use the memory for bodies. repeated: its first attempt may be running, so
+   that "not run" may be false; the caller repeats the job after status 504. */
 static int
-submit (const Request *request, const MdRoute *route, const char *id, size_t max_body)
+refuse_for_memory (const Request *request, bool repeated, size_t max_body)
 {
-  MdFront *front = request->front;
-  atomic_uint *submissions = &front->submissions[XXH64 (id, strlen (id), 0) % SUBMISSION_SLOTS];
-  MD_AUTO_BUF body = { 0 };
-  int status = md_http_read_body (request->conn, max_body, &body);
+  int status = repeated ? 504 : 503;
+
+  md_count (MD_M_MEMORY_REJECTIONS, 1);
+  mg_disable_connection_keep_alive (request->conn);
+  if (repeated)
+    respond (request, status, MD_STR ("{}"), 0);
+  else
+    reject (request, status, "bodies of other requests use the memory", RETRY_AFTER_MEMORY);
+  /* Closing a connection with unread data resets it, and the caller may lose the response. */
+  md_http_skip_body (request->conn, max_body);
+  return status;
+}
+
+/* Body of a job. Its memory is returned before the engine is waited for. */
+typedef struct
+{
+  MdBuf text;
+  size_t counted; /* bytes taken of the memory for bodies */
+} Body;
+
+static void
+release_body (MdFront *front, Body *body)
+{
+  md_buf_clear (&body->text);
+  md_memory_budget_return (&front->body_memory, body->counted);
+  body->counted = 0;
+}
+
+/* Takes memory for the body; false when others use it. */
+static bool
+acquire_body (const Request *request, Body *body, size_t max_body)
+{
+  long long announced = request->info->content_length;
+  size_t size = announced >= 0 && (size_t)announced < max_body ? (size_t)announced : max_body;
+
+  body->counted = size > SMALL_BODY ? size : 0;
+  if (md_memory_budget_take (&request->front->body_memory, body->counted, 0))
+    return true;
+  body->counted = 0;
+  return false;
+}
+
+/* Parses the body within the memory for that, and releases it. Returns MD_E_LIMIT when others use that
+   memory. */
+static int
+parse_body (MdFront *front, Body *body, MdRunSpec *spec, MdError *error)
+{
+  size_t memory = md_platform_job_memory (md_buf_str (&body->text));
+  int rc = MD_E_LIMIT;
+
+  if (md_memory_budget_take (&front->parse_memory, memory, PARSE_WAIT))
+    {
+      rc = md_platform_parse_job (md_buf_str (&body->text), spec, error);
+      md_memory_budget_return (&front->parse_memory, memory);
+    }
+  release_body (front, body);
+  return rc;
+}
+
+/* Reads the body, for which memory has been taken, and submits the job in it. */
+static int
+submit_body (const Request *request, const MdRoute *route, const char *id, Body *body,
+             size_t max_body, bool repeated)
+{
+  int status = md_http_read_body (request->conn, max_body, &body->text);
+  MdError error = { 0 };
+  MdRunSpec spec;
 
   if (status != 0)
     {
@@ -399,10 +471,33 @@
       mg_disable_connection_keep_alive (request->conn);
       return reject (request, status, "the request body is too large or incomplete", 0);
     }
-  if (rejects_job (front, atomic_fetch_add (submissions, 1)))
-    status = reject_job (request, route, id);
+  if (rejects_job (request->front, repeated))
+    return reject_job (request, route, id);
+  switch (parse_body (request->front, body, &spec, &error))
+    {
+    case MD_OK:
+      return post_job (request, route, id, spec);
+    case MD_E_LIMIT:
+      return refuse_for_memory (request, repeated, max_body);
+    default:
+      return reject (request, 400, error.detail, 0);
+    }
+}
+
+static int
+submit (const Request *request, const MdRoute *route, const char *id, size_t max_body)
+{
+  MdFront *front = request->front;
+  atomic_uint *submissions = &front->submissions[XXH64 (id, strlen (id), 0) % SUBMISSION_SLOTS];
+  bool repeated = atomic_fetch_add (submissions, 1) > 0;
+  Body body = { 0 };
+  int status;
+
+  if (acquire_body (request, &body, max_body))
+    status = submit_body (request, route, id, &body, max_body, repeated);
   else
-    status = post_job (request, route, id, md_buf_str (&body));
+    status = refuse_for_memory (request, repeated, max_body);
+  release_body (front, &body);
   atomic_fetch_sub (submissions, 1);
   return status;
 }
@@ -602,6 +697,8 @@
   if (front == NULL)
     return NULL;
   front->entry = entry;
+  md_memory_budget_init (&front->body_memory, BODY_MEMORY);
+  md_memory_budget_init (&front->parse_memory, PARSE_MEMORY);
   front->threads = (int)settings->caller_threads;
   snprintf (threads, sizeof threads, "%u", settings->caller_threads);
   front->callers = start_server (front, settings->caller_address, threads, handle_caller, error);
@@ -631,5 +728,7 @@
     mg_stop (front->callers);
   if (front->probes != NULL)
     mg_stop (front->probes);
+  md_memory_budget_destroy (&front->body_memory);
+  md_memory_budget_destroy (&front->parse_memory);
   free (front);
 }
--- a/net/http-server.c
+++ b/net/http-server.c
@@ -37,6 +37,22 @@
     }
 }
 
+bool
+md_http_skip_body (struct mg_connection *conn, size_t max)
+{
+  char chunk[8192];
+  size_t skipped = 0;
+  int n;
+
+  while ((n = mg_read (conn, chunk, sizeof chunk)) > 0)
+    {
+      skipped += (size_t)n;
+      if (skipped > max)
+        return false;
+    }
+  return n == 0;
+}
+
 int
 md_socket_find (const void *peer, socklen_t len, int first, int end)
 {
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <openssl/evp.h>
+#include <poll.h>
 #include <stdio.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -21,7 +22,9 @@
   "\"target_latency_ms\":60,\"priority\":1,\"service\":\"calc\",\"max_attempts\":2,"               \
   "\"slack_factor\":4}"
 #define CONFIG(version, routes)                                                                    \
-  "{\"version\":" #version ",\"routes\":[" routes "],\"services\":[],\"limits\":{}}"
+  "{\"version\":" #version ",\"routes\":[" routes "],\"services\":[],"                             \
+  "\"limits\":{\"max_body_bytes\":7340032}}"
+#define LARGE_BODY 7340032 /* bytes; the memory for bodies is enough for three */
 #define GONE "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
 
 static MdRunEntry entry;
@@ -309,6 +312,118 @@
 }
 END_TEST
 
+/* Sends the head of a job with a large body. */
+static void
+announce_large_body (int fd, const char *id)
+{
+  char request[256];
+  int len = snprintf (request, sizeof request,
+                      "POST /calc/%s HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: %d\r\n\r\n",
+                      id, LARGE_BODY);
+
+  ck_assert_int_eq (write (fd, request, (size_t)len), len);
+}
+
+/* Waits for a response and returns its status. */
+static int
+read_status (int fd)
+{
+  char response[1024] = "";
+
+  ck_assert_int_gt (read (fd, response, sizeof response - 1), 0);
+  return atoi (response + strlen ("HTTP/1.1 "));
+}
+
+/* Index of the first connection that has a response. */
+static int
+wait_for_response (const int *callers, int n)
+{
+  struct pollfd fds[8];
+
+  for (int i = 0; i < n; i++)
+    fds[i] = (struct pollfd){ .fd = callers[i], .events = POLLIN };
+  ck_assert_int_gt (poll (fds, (nfds_t)n, 60000), 0);
+  for (int i = 0; i < n; i++)
+    if (fds[i].revents != 0)
+      return i;
+  return -1;
+}
+
+/* Guards against callers whose bodies take more memory than the entry may use, and against small jobs
+   that are refused because of them. A job whose first attempt may be running must not be called
+   "not run". */
+START_TEST (bodies_beyond_the_memory_are_refused)
+{
+  static const char *const ids[]
+      = { "00000000000000b0", "00000000000000b1", "00000000000000b2", "00000000000000b3" };
+  int callers[4];
+  int refused;
+  int small = connect_caller ();
+  int repeated = connect_caller ();
+
+  for (int i = 0; i < 4; i++)
+    {
+      callers[i] = connect_caller ();
+      announce_large_body (callers[i], ids[i]);
+    }
+  refused = wait_for_response (callers, 4);
+  ck_assert_int_eq (read_rejection (callers[refused]), 503);
+  announce_large_body (repeated, ids[(refused + 1) % 4]);
+  ck_assert_int_eq (read_status (repeated), 504);
+  post_job (small);
+  wait_for_requests (1);
+  md_entry_reject_requests (&entry);
+  ck_assert_int_eq (read_rejection (small), 503);
+  for (int i = 0; i < 4; i++)
+    close (callers[i]);
+  close (repeated);
+  close (small);
+}
+END_TEST
+
+static void
+post_large_job (int fd, const char *id)
+{
+  MD_AUTO_BUF body = { 0 };
+  size_t sent = 0;
+
+  md_buf_append (&body,
+                 MD_STR ("{\"best_effort\":true,\"steps\":[{\"count\":1,\"cpu\":1}],\"x\":\""));
+  while (body.len < LARGE_BODY - 2)
+    md_buf_append (&body, MD_STR ("x"));
+  md_buf_append (&body, MD_STR ("\"}"));
+  announce_large_body (fd, id);
+  while (sent < body.len)
+    {
+      ssize_t n = write (fd, body.data + sent, body.len - sent);
+
+      ck_assert_int_gt (n, 0);
+      sent += (size_t)n;
+    }
+}
+
+/* Guards against bodies that are kept for as long as their jobs run. */
+START_TEST (memory_of_a_body_is_free_while_its_job_runs)
+{
+  static const char *const ids[] = { "00000000000000c0", "00000000000000c1", "00000000000000c2",
+                                     "00000000000000c3", "00000000000000c4", "00000000000000c5" };
+  int callers[MD_ARRAY_SIZE (ids)];
+
+  for (int i = 0; i < (int)MD_ARRAY_SIZE (ids); i++)
+    {
+      callers[i] = connect_caller ();
+      post_large_job (callers[i], ids[i]);
+      wait_for_requests (i + 1);
+    }
+  md_entry_reject_requests (&entry);
+  for (size_t i = 0; i < MD_ARRAY_SIZE (ids); i++)
+    {
+      ck_assert_int_eq (read_rejection (callers[i]), 503);
+      close (callers[i]);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -321,5 +436,7 @@
   tcase_add_test (tc, request_of_a_reset_connection_is_dropped);
   tcase_add_test (tc, configuration_does_not_wait_for_the_engine);
   tcase_add_test (tc, outdated_configuration_denies_no_queue);
+  tcase_add_test (tc, bodies_beyond_the_memory_are_refused);
+  tcase_add_test (tc, memory_of_a_body_is_free_while_its_job_runs);
   return run_suite ("front", tc);
 }
