--- a/guard/guard.c
+++ b/guard/guard.c
@@ -12,6 +12,7 @@
    what it accepted, waits until the answers were released or received by their
    owner, appends its leaving record and ends. drain_timeout bounds the wait. */
 
+#include "host-limits.h"
 #include "md-guard.h"
 #include "process.h"
 
@@ -478,6 +479,7 @@
         {
           md_log_open (STDERR_FILENO, guard.settings.name, guard.settings.log_level);
           md_process_set_step (MD_STEP_COMPONENTS);
+          md_host_limits_open (&guard.settings);
           mg_init_library (0);
           guard.tuning = &guard.settings.tuning;
           guard.incarnation = md_new_incarnation ();
