--- a/common/log.c
+++ b/common/log.c
@@ -7,7 +7,9 @@
    second, lines below the level of a warning are dropped; the last quarter is reserved
    for warnings and errors. The number of dropped lines is logged. */
 
-#include "md-private.h"
+#define _GNU_SOURCE /* memrchr */
+
+#include "process.h"
 
 #include <errno.h>
 #include <limits.h>
@@ -22,6 +24,7 @@
 #define LINES_PER_SECOND 4000u      /* ten lines for each job at the peak load of one entry */
 #define BATCH_INTERVAL (50 * MD_MS) /* pause between writes, to write lines in batches */
 #define FLUSH_TIMEOUT_MS 200        /* at shutdown, when the output is not read */
+#define WAIT_STEP_MS 5              /* between checks of md_log_wait_written */
 
 static struct
 {
@@ -33,7 +36,7 @@
 /* The buffer and thread of md_log_start_writer. */
 static struct
 {
-  pthread_mutex_t lock;  /* protects used, stopping, the window and dropped */
+  pthread_mutex_t lock;  /* protects all fields but filled, thread and pending */
   pthread_cond_t filled; /* used became positive, or stopping was set */
   char *bytes;           /* BUFFER_BYTES, owned; NULL: no writer */
   size_t used;           /* bytes of buffered lines */
@@ -42,6 +45,7 @@
   MdTime window_start;   /* start of the second in which lines are counted */
   unsigned window_lines; /* lines below a warning in that second */
   uint64_t dropped;      /* lines since the last log-dropped line */
+  atomic_size_t pending; /* bytes that are buffered or being written */
 } writer = { .lock = PTHREAD_MUTEX_INITIALIZER, .filled = PTHREAD_COND_INITIALIZER };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
@@ -61,6 +65,26 @@
          && (int)level >= atomic_load_explicit (&logger.lowest, memory_order_relaxed);
 }
 
+int
+md_log_descriptor (void)
+{
+  return logger.fd;
+}
+
+const char *
+md_log_node (void)
+{
+  return logger.node;
+}
+
+void
+md_log_wait_written (int timeout_ms)
+{
+  for (int waited = 0; waited < timeout_ms && atomic_load (&writer.pending) > 0;
+       waited += WAIT_STEP_MS)
+    poll (NULL, 0, WAIT_STEP_MS);
+}
+
 void
 md_log_set_level (MdLogLevel lowest)
 {
@@ -99,24 +123,43 @@
   return level >= MD_LOG_WARN || writer.window_lines++ < LINES_PER_SECOND;
 }
 
-/* Returns false when there is no writer. A line that does not fit is dropped. */
+/* Returns false when there is no writer. A line that does not fit is dropped. The pointer is
+   tested under the lock, because md_log_stop_writer takes the buffer away while threads log. */
 static bool
 buffer_line (MdLogLevel level, const char *line, size_t len)
 {
-  if (writer.bytes == NULL)
-    return false;
+  bool exists;
+
   pthread_mutex_lock (&writer.lock);
-  if (admit_line (level, len, md_now ()))
+  exists = writer.bytes != NULL;
+  if (exists && admit_line (level, len, md_now ()))
     {
       if (writer.used == 0)
         pthread_cond_signal (&writer.filled);
       memcpy (writer.bytes + writer.used, line, len);
       writer.used += len;
+      atomic_fetch_add (&writer.pending, len);
     }
-  else
+  else if (exists)
     writer.dropped++;
   pthread_mutex_unlock (&writer.lock);
-  return true;
+  return exists;
+}
+
+/* Formats a line of at most LINE_BYTES and returns its length; 0: not a valid format. */
+static size_t
+format_line (char *line, MdLogLevel level, const char *event, const char *format, va_list args)
+{
+  size_t len = format_prefix (line, level, event);
+  int n = vsnprintf (line + len, LINE_BYTES - len - 1, format, args);
+
+  if (n < 0)
+    return 0;
+  len += (size_t)n;
+  if (len > LINE_BYTES - 2)
+    len = LINE_BYTES - 2;
+  line[len++] = '\n';
+  return len;
 }
 
 void
@@ -125,21 +168,13 @@
   char line[LINE_BYTES];
   size_t len;
   va_list args;
-  int n;
 
   if (!md_log_enabled (level))
     return;
-  len = format_prefix (line, level, event);
   va_start (args, format);
-  n = vsnprintf (line + len, sizeof line - len - 1, format, args);
+  len = format_line (line, level, event, format, args);
   va_end (args);
-  if (n < 0)
-    return;
-  len += (size_t)n;
-  if (len > sizeof line - 2)
-    len = sizeof line - 2;
-  line[len++] = '\n';
-  if (buffer_line (level, line, len))
+  if (len == 0 || buffer_line (level, line, len))
     return;
   if (write (logger.fd, line, len) < 0)
     return; /* a failed write must not stop the service */
@@ -159,14 +194,28 @@
   return stopping;
 }
 
+/* The length of the whole lines in the first PIPE_BUF bytes, or PIPE_BUF when there is none. */
+static size_t
+whole_lines (const char *bytes, size_t n)
+{
+  const char *end;
+
+  if (n <= PIPE_BUF)
+    return n;
+  end = memrchr (bytes, '\n', PIPE_BUF);
+  return end != NULL ? (size_t)(end - bytes) + 1 : PIPE_BUF;
+}
+
 /* Waits for a slow reader, but at shutdown only while it reads within
-   FLUSH_TIMEOUT_MS. A pipe that polls as writable accepts PIPE_BUF bytes without blocking. */
+   FLUSH_TIMEOUT_MS. A pipe that polls as writable accepts PIPE_BUF bytes without blocking. Each
+   call writes whole lines, so that a line of a signal handler does not get into another one. */
 static void
 write_all (const char *bytes, size_t n)
 {
   while (n > 0)
     {
       struct pollfd fd = { .fd = logger.fd, .events = POLLOUT };
+      size_t len = whole_lines (bytes, n);
       ssize_t written;
 
       if (poll (&fd, 1, FLUSH_TIMEOUT_MS) == 0)
@@ -175,7 +224,7 @@
             return;
           continue;
         }
-      written = write (logger.fd, bytes, n < PIPE_BUF ? n : PIPE_BUF);
+      written = write (logger.fd, bytes, len);
       if (written < 0 && errno != EINTR && errno != EAGAIN)
         return; /* there is no other place to report the error */
       if (written > 0)
@@ -197,12 +246,24 @@
   return used;
 }
 
+/* Written like a batch: the buffer may be full or gone, and the output may not be read. */
+static void
+write_event (MdLogLevel level, const char *event, const char *format, ...)
+{
+  char line[LINE_BYTES];
+  va_list args;
+
+  va_start (args, format);
+  write_all (line, format_line (line, level, event, format, args));
+  va_end (args);
+}
+
 static void
 report_dropped (uint64_t dropped)
 {
   if (dropped > 0)
-    md_log (MD_LOG_WARN, "log-dropped", "lines=%llu reason=\"volume or slow reader\"",
-            (unsigned long long)dropped);
+    write_event (MD_LOG_WARN, "log-dropped", "lines=%llu reason=\"volume or slow reader\"",
+                 (unsigned long long)dropped);
 }
 
 static void *
@@ -226,6 +287,7 @@
       writer.dropped = 0;
       pthread_mutex_unlock (&writer.lock);
       write_all (batch, used);
+      atomic_fetch_sub (&writer.pending, used);
       report_dropped (dropped);
       if (!stopping)
         nanosleep (&pause, NULL);
@@ -238,29 +300,50 @@
 md_log_start_writer (void)
 {
   char *batch = malloc (BUFFER_BYTES);
+  char *bytes = malloc (BUFFER_BYTES);
 
-  writer.bytes = malloc (BUFFER_BYTES);
-  if (writer.bytes != NULL && batch != NULL
-      && pthread_create (&writer.thread, NULL, run_writer, batch) == 0)
-    return;
-  free (writer.bytes);
+  if (bytes != NULL && batch != NULL
+      && md_thread_create (&writer.thread, NULL, run_writer, batch) == 0)
+    {
+      pthread_mutex_lock (&writer.lock);
+      writer.bytes = bytes;
+      pthread_mutex_unlock (&writer.lock);
+      return;
+    }
+  free (bytes);
   free (batch);
-  writer.bytes = NULL;
 }
 
+/* Lines that were buffered after the thread's last pass are written here. */
 void
 md_log_stop_writer (void)
 {
-  if (writer.bytes == NULL)
-    return;
+  char *bytes;
+  uint64_t dropped;
+  size_t used;
+
   pthread_mutex_lock (&writer.lock);
-  writer.stopping = true;
+  bytes = writer.bytes;
+  writer.stopping = bytes != NULL;
   pthread_cond_signal (&writer.filled);
   pthread_mutex_unlock (&writer.lock);
+  if (bytes == NULL)
+    return;
   pthread_join (writer.thread, NULL);
-  free (writer.bytes);
+  pthread_mutex_lock (&writer.lock);
   writer.bytes = NULL;
+  used = writer.used;
+  writer.used = 0;
+  dropped = writer.dropped;
+  writer.dropped = 0;
+  pthread_mutex_unlock (&writer.lock);
+  write_all (bytes, used);
+  atomic_fetch_sub (&writer.pending, used);
+  report_dropped (dropped);
+  free (bytes);
+  pthread_mutex_lock (&writer.lock);
   writer.stopping = false;
+  pthread_mutex_unlock (&writer.lock);
 }
 
 static bool
--- a/common/settings.c
+++ b/common/settings.c
@@ -13,8 +13,6 @@
 #include <stdio.h>
 #include <yaml.h>
 
-#define MAX_FILE_BYTES (1u << 20) /* settings files are a few kilobytes long */
-
 typedef enum
 {
   SETTING_NAME,    /* text of 1 to MD_NAME_BYTES - 1 bytes */
@@ -97,6 +95,8 @@
   { "remote_factor", SETTING_DOUBLE, AT (remote_factor), FOR_RUN_ENTRY | RELOADABLE, 1, 100 },
 };
 
+static const MdStr end_marker_key = { "end_marker", sizeof "end_marker" - 1 };
+
 #define TUNE(field) offsetof (MdTuning, field)
 static const Setting tuning_table[] = {
   { "heartbeat_min_ms", SETTING_MS, TUNE (heartbeat_min), FOR_BOTH, 10, 60e3 },
@@ -130,6 +130,7 @@
   MdBuf *faults;        /* error messages, one per line */
   unsigned role;        /* the FOR_* flag of the role, 0 not read yet */
   bool failed;          /* an error was reported */
+  bool incomplete;      /* the file may be the beginning of a longer one */
 } Reader;
 
 static void MD_PRINTF (3, 4)
@@ -159,6 +160,13 @@
   return true;
 }
 
+/* A template leaves a key without a value where the platform has none to fill in. */
+static bool
+has_no_value (const yaml_node_t *node)
+{
+  return node != NULL && node->type == YAML_SCALAR_NODE && node->data.scalar.length == 0;
+}
+
 int
 md_address_split (MdStr address, char host[MD_ADDRESS_BYTES], int *port)
 {
@@ -251,7 +259,6 @@
   add_fault (reader, node, "%s: must be debug, info, warn or error", setting->name);
 }
 
-/* An empty list is valid, because a template may have no address to fill in. */
 static void
 read_list (Reader *reader, const Setting *setting, void *dest, const yaml_node_t *node)
 {
@@ -288,6 +295,8 @@
   MdStr value;
   int port;
 
+  if (!(setting->flags & REQUIRED) && has_no_value (node))
+    return;
   if (setting->type == SETTING_LIST)
     {
       read_list (reader, setting, dest, node);
@@ -352,6 +361,8 @@
 static void
 read_tuning (Reader *reader, MdTuning *tuning, const yaml_node_t *map)
 {
+  if (has_no_value (map))
+    return;
   if (map->type != YAML_MAPPING_NODE)
     {
       add_fault (reader, map, "tuning: must be a mapping");
@@ -362,7 +373,7 @@
     {
       const yaml_node_t *key = get_node (reader, pair->key);
       const Setting *setting;
-      MdStr name = { NULL, 0 };
+      MdStr name = MD_STR ("");
 
       scalar_text (key, &name);
       setting = find_setting (tuning_table, MD_ARRAY_SIZE (tuning_table), name);
@@ -378,7 +389,7 @@
 static void
 read_token_field (Reader *reader, MdToken *token, MdStr key, const yaml_node_t *node)
 {
-  MdStr value = { NULL, 0 };
+  MdStr value = MD_STR ("");
   bool is_operator = md_str_equal (key, MD_STR ("operator"));
 
   if (!scalar_text (node, &value) || value.len == 0 || value.len >= MD_NAME_BYTES)
@@ -400,6 +411,8 @@
 {
   size_t n;
 
+  if (has_no_value (list))
+    return;
   if (list->type != YAML_SEQUENCE_NODE)
     {
       add_fault (reader, list, "tokens: must be a list");
@@ -425,7 +438,7 @@
       for (yaml_node_pair_t *pair = map->data.mapping.pairs.start;
            pair < map->data.mapping.pairs.top; pair++)
         {
-          MdStr key = { NULL, 0 };
+          MdStr key = MD_STR ("");
           scalar_text (get_node (reader, pair->key), &key);
           read_token_field (reader, token, key, get_node (reader, pair->value));
         }
@@ -441,7 +454,7 @@
        pair++)
     {
       MdStr key;
-      MdStr value = { NULL, 0 };
+      MdStr value = MD_STR ("");
       const yaml_node_t *node = get_node (reader, pair->value);
 
       if (!scalar_text (get_node (reader, pair->key), &key) || !md_str_equal (key, MD_STR ("role")))
@@ -459,7 +472,10 @@
         add_fault (reader, node, "role: must be entry, guard, run-entry or run-guard");
     }
   if (reader->role == 0 && !reader->failed)
-    add_fault (reader, root, "role: missing");
+    {
+      add_fault (reader, root, "role: missing");
+      reader->incomplete = true;
+    }
   settings->is_entry = reader->role == FOR_ENTRY || reader->role == FOR_RUN_ENTRY;
 }
 
@@ -470,7 +486,7 @@
   const yaml_node_t *key = get_node (reader, pair->key);
   const yaml_node_t *value = get_node (reader, pair->value);
   const Setting *setting;
-  MdStr name = { NULL, 0 };
+  MdStr name = MD_STR ("");
 
   scalar_text (key, &name);
   if (is_duplicate_key (reader, root, pair, name))
@@ -478,7 +494,7 @@
       add_fault (reader, key, "%.*s: given twice", (int)name.len, name.data);
       return;
     }
-  if (md_str_equal (name, MD_STR ("role")))
+  if (md_str_equal (name, MD_STR ("role")) || md_str_equal (name, end_marker_key))
     return;
   if (md_str_equal (name, MD_STR ("tokens")))
     {
@@ -509,7 +525,35 @@
     {
       const Setting *setting = &settings_table[i];
       if ((setting->flags & REQUIRED) && (setting->flags & reader->role) && !seen[i])
-        add_fault (reader, root, "%s: missing", setting->name);
+        {
+          add_fault (reader, root, "%s: missing", setting->name);
+          reader->incomplete = true;
+        }
+    }
+}
+
+/* A file that begins with "end_marker: required" ends with "...", the end of a YAML document; one
+   that does not is cut short. */
+static void
+check_end_marker (Reader *reader, const MdSettings *settings, const yaml_node_t *root)
+{
+  for (yaml_node_pair_t *pair = root->data.mapping.pairs.start; pair < root->data.mapping.pairs.top;
+       pair++)
+    {
+      const yaml_node_t *node = get_node (reader, pair->value);
+      MdStr key = MD_STR ("");
+      MdStr value = MD_STR ("");
+
+      if (!scalar_text (get_node (reader, pair->key), &key) || !md_str_equal (key, end_marker_key))
+        continue;
+      scalar_text (node, &value);
+      if (!md_str_equal (value, MD_STR ("required")))
+        add_fault (reader, node, "end_marker: must be required");
+      else if (!settings->end_marked)
+        {
+          add_fault (reader, node, "end_marker: the file does not end with a line \"...\"");
+          reader->incomplete = true;
+        }
     }
 }
 
@@ -539,6 +583,7 @@
   if (root == NULL || root->type != YAML_MAPPING_NODE)
     {
       add_fault (reader, root, "the file must be a mapping of settings");
+      reader->incomplete = true;
       return;
     }
   read_role (reader, settings, root);
@@ -549,6 +594,7 @@
     read_pair (reader, settings, root, pair, seen);
   check_required (reader, root, seen);
   check_relations (reader, settings, root);
+  check_end_marker (reader, settings, root);
 }
 
 static void
@@ -574,19 +620,6 @@
   settings->log_level = MD_LOG_INFO;
 }
 
-static bool
-read_file (const char *path, MdBuf *out)
-{
-  FILE *file = fopen (path, "rb");
-  bool ok;
-
-  if (file == NULL)
-    return false;
-  ok = md_stream_read (file, MAX_FILE_BYTES, out);
-  fclose (file);
-  return ok;
-}
-
 int
 md_settings_parse (MdSettings *settings, const char *path, MdStr text, MdBuf *faults)
 {
@@ -595,36 +628,26 @@
   Reader reader = { .doc = &doc, .path = path, .faults = faults };
 
   set_defaults (settings);
+  text = md_str_n (text.data, text.len);
   if (!yaml_parser_initialize (&parser))
     return MD_E_MEMORY;
   yaml_parser_set_input_string (&parser, (const unsigned char *)text.data, text.len);
   if (!yaml_parser_load (&parser, &doc))
     {
+      settings->incomplete = true;
       md_buf_printf (faults, "%s:%lu: %s\n", path, (unsigned long)parser.problem_mark.line + 1,
                      parser.problem ? parser.problem : "not valid YAML");
       yaml_parser_delete (&parser);
       return MD_E_INVALID;
     }
+  settings->end_marked = !doc.end_implicit;
   read_root (&reader, settings);
+  settings->incomplete = reader.incomplete;
   yaml_document_delete (&doc);
   yaml_parser_delete (&parser);
   return reader.failed ? MD_E_INVALID : MD_OK;
 }
 
-int
-md_settings_load (MdSettings *settings, const char *path, MdBuf *faults)
-{
-  MD_AUTO_BUF text = { 0 };
-
-  set_defaults (settings);
-  if (!read_file (path, &text))
-    {
-      md_buf_printf (faults, "%s:1: cannot be read: %s\n", path, strerror (errno));
-      return MD_E_INVALID;
-    }
-  return md_settings_parse (settings, path, md_buf_str (&text), faults);
-}
-
 void
 md_settings_clear (MdSettings *settings)
 {
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -7,6 +7,7 @@
 
 #include "entry-private.h"
 #include "host-limits.h"
+#include "process.h"
 
 #include <popt.h>
 #include <signal.h>
@@ -220,6 +221,7 @@
 begin_leaving (MdEntry *entry, MdTime now)
 {
   entry->leave_started = now;
+  md_process_set_step (MD_STEP_LEAVING);
   atomic_store (&entry->leaving, true);
   md_log (MD_LOG_INFO, "leaving", "unfinished=%u", md_shards_unfinished (entry));
   if (!md_peers_other_entry_live (entry))
@@ -310,8 +312,9 @@
 }
 
 static void
-on_signal (int signo MD_UNUSED)
+on_signal (int signo MD_UNUSED, siginfo_t *info, void *context MD_UNUSED)
 {
+  md_process_note_signal (info);
   if (signal_target == NULL)
     return;
   atomic_store (&signal_target->stopping, true);
@@ -321,7 +324,7 @@
 static void
 install_signals (MdEntry *entry)
 {
-  struct sigaction action = { .sa_handler = on_signal };
+  struct sigaction action = { .sa_sigaction = on_signal, .sa_flags = SA_SIGINFO };
 
   signal_target = entry;
   sigaction (SIGTERM, &action, NULL);
@@ -401,7 +404,8 @@
   install_signals (entry);
   md_log (MD_LOG_INFO, "started", "role=entry internal=%s callers=%s operators=%s",
           entry->bound_internal, entry->settings.caller_address, entry->settings.operator_address);
-  pthread_create (&registrar, NULL, register_thread, entry);
+  md_thread_create (&registrar, NULL, register_thread, entry);
+  md_process_set_step (MD_STEP_RUNNING);
   run_engine (entry);
   pthread_join (registrar, NULL);
   leave_members (entry);
@@ -424,6 +428,7 @@
   MdEntry *entry;
   int result;
 
+  md_limit_arenas ();
   if (poptGetNextOpt (context) < -1 || config == NULL)
     {
       fputs ("usage: mulberrydrift entry --config FILE\n", stderr);
@@ -431,10 +436,12 @@
       return MD_EXIT_USAGE;
     }
   poptFreeContext (context);
+  md_process_set_step (MD_STEP_SETTINGS);
   entry = calloc (1, sizeof *entry);
   if (entry == NULL)
     return MD_EXIT_FAILED;
-  if (md_settings_load (&entry->settings, config, &faults) != MD_OK || !entry->settings.is_entry)
+  if (md_settings_wait (&entry->settings, config, NULL, NULL, &faults) != MD_OK
+      || !entry->settings.is_entry)
     {
       fputs (faults.len > 0 ? faults.data : "the settings are not those of an entry\n", stderr);
       md_settings_clear (&entry->settings);
@@ -443,6 +450,7 @@
       return MD_EXIT_USAGE;
     }
   free (config);
+  md_process_set_step (MD_STEP_COMPONENTS);
   md_log_open (STDERR_FILENO, entry->settings.name, entry->settings.log_level);
   md_host_limits_open (&entry->settings);
   result = run_entry (entry);
--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -1,4 +1,4 @@
-/* entry-guards.c -- links from guards: sends orders and receives reports
+/* entry-guards.c -- links from guards: connections, and the orders that are sent
 
    Guards connect to the entry. A guard is identified by its name. A new incarnation means
    that the runs of its previous process have ended. While a guard is disconnected, its
@@ -17,10 +17,12 @@
 /* At the size planned in two years, guards connect several times an hour and list the running
    entries. With 35 entries replaced a day, nine dead addresses remain. */
 #define MAX_ADDRESS_AGE (6 * 3600 * MD_SECOND)
+/* Six times the workers planned for. A guard that has gone keeps its name for GUARD_RETENTION. */
+#define MAX_GUARDS 4096
+#define MAX_HELLO_ORDERS 131072    /* in a hello; twice the tasks that are active at a time */
 #define IDLE_INTERVAL_HEARTBEATS 2 /* between messages to a guard without runs of this entry */
 /* Messages that are due within this time are sent with those that are due now. */
 #define SEND_AHEAD (10 * MD_MS)
-#define MAX_SILENCE (350 * MD_MS) /* a guard reports with each heartbeat, 100 ms or less */
 
 /* ------------------------------------------------------------------ */
 /* Guards                                                             */
@@ -82,7 +84,7 @@
 {
   MdEntryGuard *guard;
 
-  if (!grow_worker_arrays (entry))
+  if (entry->workers.n >= MAX_GUARDS || !grow_worker_arrays (entry))
     return NULL;
   guard = calloc (1, sizeof *guard);
   if (guard == NULL)
@@ -200,6 +202,16 @@
   mark_due (order->guard);
 }
 
+/* A cancellation or withdrawal may have been lost with the connection. */
+void
+md_entry_repeat_end (MdEntryOrder *order)
+{
+  if (order->cancelled)
+    append_id (&order->guard->cancels, order->id);
+  if (order->withdrawn)
+    append_id (&order->guard->withdraws, order->id);
+}
+
 static uint32_t
 count_unsent (const MdEntryGuard *guard)
 {
@@ -244,7 +256,7 @@
   out->cpu = order->need.cpu;
   out->memory_mb = order->need.memory_mb;
   out->accelerators = order->need.accelerators;
-  out->work_us = (uint64_t)order->work;
+  out->work_us = (uint64_t)md_span (order->work);
   out->start_within_us = order->start_within - (now - order->placed_at);
   out->permit = order->permit;
   out->alone = order->alone;
@@ -336,143 +348,6 @@
   guard->echoed_at = guard->stamp_at;
 }
 
-/* ------------------------------------------------------------------ */
-/* Reports                                                            */
-
-static MdEntryOrder *
-find_order (const MdEntryGuard *guard, uint64_t id)
-{
-  for (MdEntryOrder *order = guard->orders; order != NULL; order = order->next)
-    if (order->id == id)
-      return order;
-  return NULL;
-}
-
-static void
-update_worker (MdEntryGuard *guard, const Md__WorkerInfo *info)
-{
-  MdWorker *worker = &guard->worker;
-
-  md_str_copy (guard->worker_id, sizeof guard->worker_id, md_str (info->id));
-  md_str_copy (worker->pool, sizeof worker->pool, md_str (info->service));
-  worker->capacity = (MdResources){ info->cpu, info->memory_mb, info->accelerators };
-  worker->labels.n = 0;
-  for (size_t i = 0; i < info->n_labels && i < MD_MAX_LABELS; i++)
-    md_str_copy (worker->labels.label[worker->labels.n++], MD_LABEL_BYTES,
-                 md_str (info->labels[i]));
-  worker->lifetime = XXH64 (guard->worker_id, strlen (guard->worker_id), (uint64_t)info->born_ms);
-  md_log (MD_LOG_INFO, "worker-seen", "guard=%s worker=%s born_ms=%lld cpu=%u memory_mb=%u",
-          guard->name, guard->worker_id, (long long)info->born_ms, info->cpu, info->memory_mb);
-}
-
-/* Updates the state of the worker. The resources of orders that the guard had not received
-   when it sent the report are subtracted. */
-static void
-update_resources (MdRunEntry *entry, MdEntryGuard *guard, const Md__RunReport *report)
-{
-  MdWorker *worker = &guard->worker;
-
-  worker->free
-      = (MdResources){ report->free_cpu, report->free_memory_mb, report->free_accelerators };
-  worker->next_end = (MdTime)report->next_end_us;
-  worker->wait = (MdTime)report->wait_us;
-  worker->speed = report->speed;
-  for (const MdEntryOrder *order = guard->orders; order != NULL; order = order->next)
-    if (report->entry != entry->incarnation || order->id > report->last_order)
-      md_worker_reserve (worker, order->need, order->expected_run);
-  worker->reported_at = entry->now;
-  worker->stalled = report->stalled;
-  md_worker_set_failures (worker, report->failures, entry->now);
-  if ((uint32_t)worker->state != report->state)
-    md_log (MD_LOG_INFO, "upstream-state", "guard=%s worker=%s state=%u former=%d", guard->name,
-            guard->worker_id, report->state, (int)worker->state);
-  worker->state
-      = report->state <= MD_WORKER_DRAINING ? (MdWorkerState)report->state : MD_WORKER_ABSENT;
-}
-
-static bool
-is_in_hello (const MdEntryGuard *guard, uint64_t id)
-{
-  for (size_t i = 0; i < guard->n_hello_orders; i++)
-    if (guard->hello_orders[i] == id)
-      return true;
-  return false;
-}
-
-/* Compares the orders sent with those that the guard listed in its hello, after the first
-   report has delivered the ends. An order that is in neither has not reached the guard. */
-static void
-reconcile_orders (MdRunEntry *entry, MdEntryGuard *guard)
-{
-  guard->awaiting_report = false;
-  mark_due (guard);
-  for (MdEntryOrder *order = guard->orders, *next; order != NULL; order = next)
-    {
-      next = order->next;
-      if (order->sent && !is_in_hello (guard, order->id))
-        md_entry_order_ended (entry, order, MD_RUN_REJECTED, 0, "");
-      else if (order->sent)
-        {
-          /* The cancellation or withdrawal may have been lost with the connection. */
-          if (order->cancelled)
-            append_id (&guard->cancels, order->id);
-          if (order->withdrawn)
-            append_id (&guard->withdraws, order->id);
-        }
-    }
-}
-
-static void
-handle_progress (MdRunEntry *entry, MdEntryGuard *guard, const Md__RunReport *report)
-{
-  for (size_t i = 0; i < report->n_started; i++)
-    {
-      MdEntryOrder *order = find_order (guard, report->started[i]);
-
-      if (order != NULL)
-        md_entry_order_started (entry, order);
-    }
-  for (size_t i = 0; i < report->n_ends; i++)
-    {
-      const Md__RunEnd *end = report->ends[i];
-      MdEntryOrder *order = find_order (guard, end->id);
-
-      if (end->number > guard->ends_seen)
-        guard->ends_seen = end->number;
-      if (order != NULL)
-        md_entry_order_ended (entry, order,
-                              end->how < MD_RUN_RESULT_COUNT ? (MdRunResult)end->how
-                                                             : MD_RUN_LEASE_EXPIRED,
-                              (MdTime)end->run_us, end->checkpoint);
-    }
-}
-
-static void
-on_report (MdRunEntry *entry, MdEntryGuard *guard, const Md__RunReport *report)
-{
-  if (report->stamp_us > guard->stamp)
-    {
-      guard->stamp = report->stamp_us;
-      guard->stamp_at = entry->now;
-    }
-  if (report->worker != NULL)
-    update_worker (guard, report->worker);
-  guard->worker.sparse = report->interval_us > 0;
-  if (!guard->worker.sparse)
-    guard->worker.follow_requested = false;
-  md_link_set_max_silence (guard->link, guard->worker.sparse ? MD_SPARSE_SILENCE : MAX_SILENCE);
-  /* Until a guard receives the welcome of this process, its reports refer to a former process
-     of this entry, whose orders and ends had the same numbers. */
-  if (report->entry == entry->incarnation)
-    {
-      guard->welcomed = true;
-      handle_progress (entry, guard, report);
-    }
-  update_resources (entry, guard, report);
-  if (guard->awaiting_report)
-    reconcile_orders (entry, guard);
-}
-
 /* ------------------------------------------------------------------ */
 /* Connections                                                        */
 
@@ -541,12 +416,38 @@
          && hello->entry != entry->incarnation && has_sent_orders (guard);
 }
 
+/* Whether the connection was used by a guard of another name. When it ends, only one guard is told
+   that its link is gone. */
+static bool
+is_hello_of_another (const MdLink *link, const MdEntryGuard *guard)
+{
+  return md_link_data (link) != NULL && md_link_data (link) != guard;
+}
+
+/* How many of the orders in the hello are compared with those that have been sent. */
+static size_t
+orders_to_keep (const MdRunEntry *entry, const MdEntryGuard *guard, const Md__RunHello *hello)
+{
+  bool refers = hello->entry == entry->incarnation && guard != NULL && guard->orders != NULL;
+
+  return refers ? hello->n_alive : 0;
+}
+
 static void
 on_hello (MdRunEntry *entry, MdLink *link, const Md__RunHello *hello)
 {
   MdEntryGuard *guard = find_guard (entry, hello->name);
   uint64_t *hello_orders;
+  size_t n_orders;
+  char name[MD_NAME_BYTES];
 
+  if (is_hello_of_another (link, guard))
+    {
+      md_log (MD_LOG_WARN, "hello-refused", "guard=%s peer=%s reason=\"second name\"",
+              md_log_quote (md_str (hello->name), name, sizeof name), md_link_peer (link));
+      md_link_disconnect (link);
+      return;
+    }
   if (is_outdated_hello (guard, hello))
     {
       md_log (MD_LOG_INFO, "hello-outdated", "guard=%s connection=%llu present=%llu", guard->name,
@@ -564,11 +465,14 @@
     }
   if (guard == NULL)
     guard = new_guard (entry, hello->name);
-  hello_orders = calloc (hello->n_alive + 1, sizeof *hello_orders);
-  if (guard == NULL || hello_orders == NULL)
+  n_orders = orders_to_keep (entry, guard, hello);
+  hello_orders = calloc (n_orders + 1, sizeof *hello_orders);
+  if (guard == NULL || hello_orders == NULL || n_orders > MAX_HELLO_ORDERS)
     {
       /* Without the list, running orders would be treated as lost. */
-      md_log (MD_LOG_ERROR, "guard-refused", "guard=%s reason=\"out of memory\"", hello->name);
+      md_log (MD_LOG_ERROR, "guard-refused",
+              "guard=%s orders=%zu guards=%u reason=\"out of memory or over a limit\"",
+              md_log_quote (md_str (hello->name), name, sizeof name), n_orders, entry->workers.n);
       free (hello_orders);
       md_link_disconnect (link);
       return;
@@ -583,9 +487,9 @@
   guard->connection = hello->connection;
   free (guard->hello_orders);
   guard->hello_orders = hello_orders;
-  guard->n_hello_orders = hello->entry == entry->incarnation ? hello->n_alive : 0;
-  if (guard->n_hello_orders > 0)
-    memcpy (guard->hello_orders, hello->alive, guard->n_hello_orders * sizeof *guard->hello_orders);
+  guard->n_hello_orders = n_orders;
+  if (n_orders > 0)
+    memcpy (hello_orders, hello->alive, n_orders * sizeof *hello_orders);
   guard->awaiting_report = true;
   guard->welcomed |= hello->entry == entry->incarnation;
   guard->link = link;
@@ -593,7 +497,7 @@
   guard->worker.sparse = false;
   guard->worker.follow_requested = false;
   md_link_set_data (link, guard);
-  md_link_set_max_silence (link, MAX_SILENCE);
+  md_link_set_max_silence (link, MD_GUARD_SILENCE);
   for (size_t i = 0; i < hello->n_entries; i++)
     md_directory_add (&entry->directory, md_str (hello->entries[i]), entry->now);
   send_welcome (entry, link);
@@ -623,7 +527,7 @@
       break;
     case MD__FRAME__MSG_RUN_REPORT:
       if (guard != NULL)
-        on_report (entry, guard, frame->run_report);
+        md_entry_report (entry, guard, frame->run_report);
       break;
     default:
       md_log (MD_LOG_WARN, "frame-ignored", "peer=%s kind=%d", md_link_peer (link),
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -8,6 +8,7 @@
 
 #include "run-guard.h"
 #include "http-client.h"
+#include "process.h"
 
 #include <civetweb.h>
 
@@ -74,6 +75,7 @@
   guard->queue.accepting = false;
   guard->state_version++;
   md_guard_reject_waiting (guard);
+  md_process_set_step (MD_STEP_LEAVING);
   md_log (MD_LOG_INFO, "leaving", "runs=%u", guard->queue.running.n);
 }
 
@@ -116,6 +118,7 @@
         }
       if (md_daemon_reload (&guard->daemon, guard->now) && seeds_added)
         add_seeds (guard);
+      due = md_time_min (due, guard->daemon.file.check_due);
       if (seeds_added)
         due = md_time_min (due, md_keyed_reader_poll (guard->entries, guard->now));
       due = md_time_min (due, md_guard_orders_poll (guard));
@@ -168,6 +171,7 @@
     {
       md_log (MD_LOG_INFO, "started", "incarnation=%llx worker_address=%s",
               (unsigned long long)guard->incarnation, guard->daemon.settings.worker_address);
+      md_process_set_step (MD_STEP_RUNNING);
       run_loop (guard);
       md_log (MD_LOG_INFO, "stopped", "runs=%u", guard->queue.running.n);
     }
@@ -190,9 +194,11 @@
 md_run_guard_main (int argc, const char **argv)
 {
   MdRunGuard guard = { 0 };
-  int rc = md_daemon_open (&guard.daemon, argc, argv);
+  int rc;
 
-  if (rc != MD_EXIT_OK)
+  md_limit_arenas ();
+  rc = md_daemon_open (&guard.daemon, argc, argv);
+  if (rc != MD_EXIT_OK || guard.daemon.stopped)
     return rc;
   md_http_init ();
   guard.incarnation = md_new_incarnation ();
--- a/guard/guard.c
+++ b/guard/guard.c
@@ -14,6 +14,7 @@
 
 #include "host-limits.h"
 #include "md-guard.h"
+#include "process.h"
 
 #include <civetweb.h>
 #include <popt.h>
@@ -73,7 +74,7 @@
 load_settings (MdGuard *guard, const char *path)
 {
   MD_AUTO_BUF faults = { 0 };
-  int rc = md_settings_load (&guard->settings, path, &faults);
+  int rc = md_settings_wait (&guard->settings, path, NULL, NULL, &faults);
 
   if (faults.len > 0)
     fputs (faults.data, stderr);
@@ -198,6 +199,7 @@
   if (guard->leaving)
     return;
   guard->leaving = true;
+  md_process_set_step (MD_STEP_LEAVING);
   guard->leave_until = guard->now + guard->settings.drain_timeout;
   md_ledger_leave (guard->ledger, guard->now);
   md_guard_announce_leaving (guard);
@@ -304,9 +306,11 @@
 await_signal (void *data)
 {
   Signals *signals = data;
-  int number;
+  siginfo_t info;
 
-  sigwait (&signals->set, &number);
+  while (sigwaitinfo (&signals->set, &info) < 0)
+    ;
+  md_process_note_signal (&info);
   atomic_store (&signals->stop, true);
   md_links_wake (signals->links);
   return NULL;
@@ -323,7 +327,7 @@
   sigaddset (&signals->set, SIGTERM);
   sigaddset (&signals->set, SIGINT);
   pthread_sigmask (SIG_BLOCK, &signals->set, NULL);
-  if (pthread_create (&signals->thread, NULL, await_signal, signals) != 0)
+  if (md_thread_create (&signals->thread, NULL, await_signal, signals) != 0)
     abort (); /* a guard that cannot be stopped in order must not start */
 }
 
@@ -443,6 +447,7 @@
       md_log (MD_LOG_INFO, "started", "incarnation=%llx pool=%s slots=%u upstream=%s",
               (unsigned long long)guard->incarnation, guard->settings.pool, guard->slots,
               guard->settings.upstream_address);
+      md_process_set_step (MD_STEP_RUNNING);
       run_loop (guard, &signals.stop);
       log_counters ();
     }
@@ -450,7 +455,7 @@
     md_log (MD_LOG_ERROR, "start", "step=%s peer=%s detail=\"%s\"", error.step, error.peer,
             error.detail);
   if (guard->finished && !guard->removed)
-    _exit (MD_EXIT_OK); /* the registrar sits in a call to a silent log */
+    md_process_end (MD_EXIT_OK); /* the registrar sits in a call to a silent log */
   stop_signals (&signals);
   free_parts (guard);
   urcu_memb_unregister_thread ();
@@ -465,12 +470,15 @@
   Options options = { 0 };
   int rc = MD_EXIT_USAGE;
 
+  md_limit_arenas ();
   if (parse_options (argc, argv, &options) == MD_OK)
     {
       rc = MD_EXIT_FAILED;
+      md_process_set_step (MD_STEP_SETTINGS);
       if (load_settings (&guard, options.config) == MD_OK)
         {
           md_log_open (STDERR_FILENO, guard.settings.name, guard.settings.log_level);
+          md_process_set_step (MD_STEP_COMPONENTS);
           md_host_limits_open (&guard.settings);
           mg_init_library (0);
           guard.tuning = &guard.settings.tuning;
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -22,6 +22,20 @@
   uint32_t accelerators; /* whole devices */
 } MdResources;
 
+/* Longest time that decisions are made with, microseconds. The sum of a hundred thousand of them fits
+   into MdTime. */
+#define MD_MAX_SPAN (366 * 24 * 3600 * MD_SECOND)
+
+/* md_span: a time that was computed from numbers of callers, guards or workers, limited to 0 and
+   MD_MAX_SPAN. 0 for NaN. */
+static inline MdTime
+md_span (double us)
+{
+  if (!(us > 0))
+    return 0;
+  return us < (double)MD_MAX_SPAN ? (MdTime)us : MD_MAX_SPAN;
+}
+
 static inline bool
 md_resources_fit (MdResources available, MdResources needed)
 {
@@ -445,6 +459,7 @@
 
 #define MD_MAX_STEPS 64         /* of a job */
 #define MD_MAX_STEP_TASKS 4096  /* of a step */
+#define MD_MAX_JOB_TASKS 8192   /* of a job; the largest planned for has 890 */
 #define MD_RUN_NAME_BYTES 64    /* name of a task on the platform, with the null byte */
 #define MD_CHECKPOINT_BYTES 128 /* reference to a saved state, with the null byte */
 
@@ -478,6 +493,9 @@
 /* md_run_spec_clear: free what the spec owns and zero it. */
 void md_run_spec_clear (MdRunSpec *spec);
 
+/* md_run_spec_tasks: number of tasks of all steps. */
+uint64_t md_run_spec_tasks (const MdRunSpec *spec);
+
 typedef enum
 {
   MD_TASK_BLOCKED,       /* a step that it depends on is not done */
--- a/store/store-reader.c
+++ b/store/store-reader.c
@@ -13,9 +13,11 @@
    the retention time. All entries detect this at about the same time; each waits a
    random time and writes a snapshot only if none has been read by then. */
 
+#include "process.h"
 #include "store-private.h"
 
-#include <jansson.h>
+#include "json-text.h"
+
 #include <pthread.h>
 #include <stdio.h>
 #include <unistd.h>
@@ -47,7 +49,7 @@
 static void
 update_replay_offset (StoreStream *s, const MdLogRecord *record)
 {
-  json_t *root = json_loadb (record->data.data, record->data.len, 0, NULL);
+  json_t *root = md_json_load (record->data, 0, NULL);
   json_int_t next = json_integer_value (json_object_get (root, "next"));
 
   json_decref (root);
@@ -360,7 +362,7 @@
 {
   pthread_t thread;
 
-  if (pthread_create (&thread, NULL, reader_main, stream) != 0)
+  if (md_thread_create (&thread, NULL, reader_main, stream) != 0)
     return MD_E_IO;
   pthread_detach (thread);
   return MD_OK;
