Close a connection to entry that states a second name

Cause: the second hello gave the link to a second peer; the first one kept it after the connection had ended and sent its next heartbeat to freed memory. A hello that cannot be read, received on a connection that the entry had dialled, freed the link of that peer in the same way.

Ruled out: the guard daemon, which finds the peer of a link by the link.

Change: a hello of another name, or one that cannot be read, ends the connection; a dialled link stays that of its peer and is dialled again.

The second case, a dialled link, was read in the code and is not tested.

--- a/entry/entry-peers.c
+++ b/entry/entry-peers.c
@@ -210,6 +210,16 @@
   md_link_set_data (link, peer);
 }
 
+/* A connection belongs to the peer that it was first used by, because only one is told when it ends.
+   Dialled ones have theirs from the start. */
+static bool
+is_hello_acceptable (const MdLink *link, const Peer *peer, const Md__Hello *hello)
+{
+  if (hello->protocol != MD_PROTOCOL || hello->name[0] == '\0' || hello->incarnation == 0)
+    return false;
+  return md_link_data (link) == NULL || md_link_data (link) == peer;
+}
+
 static void
 handle_hello (MdEntry *entry, MdLink *link, const Md__Hello *hello, MdTime now)
 {
@@ -217,9 +227,11 @@
   Peer *peer = find_by_name (entry, role, hello->name);
   char quoted[MD_NAME_BYTES];
 
-  if (hello->protocol != MD_PROTOCOL || hello->name[0] == '\0' || hello->incarnation == 0)
+  if (!is_hello_acceptable (link, peer, hello))
     {
-      md_link_close (link);
+      md_log (MD_LOG_WARN, "hello-refused", "peer=%s name=%s", md_link_peer (link),
+              md_log_quote (md_str (hello->name), quoted, sizeof quoted));
+      md_link_disconnect (link); /* a dialled one stays that of its peer and is dialled again */
       return;
     }
   if (peer == NULL)
