Give each connection of test-frame-fuzz its own response buffer

The thread sanitizer reported a data race in the test's stand-in worker: two connections of its server wrote their responses into one static buffer, while the other thread still sent from it. No daemon is involved. The buffer is one for each thread now, and each connection has a thread of its own.

--- a/tests/test-frame-fuzz.c
+++ b/tests/test-frame-fuzz.c
@@ -479,7 +479,7 @@
           "\"finished\":[]}",
           "{\"clock_ms\":0,\"born\":1,\"running\":[],"
           "\"finished\":[[9007199254740993,\"00000000000000a1.0.0.0\",2,\"done\",\"\"]]}" };
-  static char response[512];
+  static __thread char response[512]; /* one for each connection */
   bool hold = strstr (request, "/v1/hold") != NULL;
   const char *body = hold ? holds[number / 40 % (int)MD_ARRAY_SIZE (holds)]
                           : starts[number % (int)MD_ARRAY_SIZE (starts)];
