Bound the runs of a guard and the ends it keeps for an entry

Callers saw: jobs rejected with 503, because a guard hears nobody for longer than all leases. Cause: a message of 6 MB can carry 150,000 orders, and each new run is put in its place in the queue by a search from the front. The ends of runs are kept until the entry acknowledges them, in any number.

Ruled out: the decoded frame, which is limited to 64 MB and freed after the message.

Change: a message that would bring the runs of a guard above 16,384 (twice the tasks of the largest job) ends its connection, and the next hello tells the entry that those orders will not run, as for a message for which there is no memory. At most 65,536 ends are kept for an entry, which acknowledges them with each message; further ones are logged as end-lost.

--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -19,6 +19,10 @@
    number of entries. */
 #define REPORT_INTERVAL_PER_PEER (1 * MD_MS)
 #define MAX_REPORT_INTERVAL (32 * MD_MS) /* with many entries */
+/* Waiting and started runs; twice the tasks of the largest job. The queue is searched for the place of
+   each new run, so that without a bound one message keeps the guard busy for longer than its leases. */
+#define MAX_RUNS 16384
+#define MAX_ENDS 65536 /* of an entry, not acknowledged; it acknowledges them with each message */
 
 /* ------------------------------------------------------------------ */
 /* Ends                                                               */
@@ -36,11 +40,12 @@
 add_end (MdRunGuard *guard, MdGuardPeer *peer, const MdGuardRun *run, MdRunResult result,
          MdTime time, const char *checkpoint)
 {
-  MdGuardEnd *end = calloc (1, sizeof *end);
+  MdGuardEnd *end = peer->n_ends < MAX_ENDS ? calloc (1, sizeof *end) : NULL;
 
   if (end == NULL)
     {
-      md_log (MD_LOG_ERROR, "end-lost", "task=%s reason=\"out of memory\"", run->task);
+      md_log (MD_LOG_ERROR, "end-lost", "task=%s ends=%u reason=\"out of memory or over a limit\"",
+              run->task, peer->n_ends);
       return;
     }
   end->number = ++guard->ends;
@@ -53,6 +58,7 @@
   else
     peer->ends = end;
   peer->last_end = end;
+  peer->n_ends++;
   peer->urgent = true;
 }
 
@@ -67,6 +73,7 @@
       peer->ends = end->next;
       if (peer->ends == NULL)
         peer->last_end = NULL;
+      peer->n_ends--;
       free (end);
     }
 }
@@ -583,6 +590,21 @@
   return NULL;
 }
 
+/* Whether there is no room for all runs of a message. Its connection is ended then: the next hello
+   lists none of them, which tells the entry that they will not run here. */
+static bool
+refuse_orders (const MdRunGuard *guard, const MdGuardPeer *peer, const Md__RunOrders *orders)
+{
+  uint32_t runs = guard->queue.waiting.n + guard->queue.running.n;
+
+  if (orders->n_orders + runs <= MAX_RUNS)
+    return false;
+  md_log (MD_LOG_WARN, "orders-refused", "entry=%s orders=%zu runs=%u", peer->name,
+          orders->n_orders, runs);
+  md_link_disconnect (peer->link);
+  return true;
+}
+
 static void
 on_orders (MdRunGuard *guard, MdGuardPeer *peer, const Md__RunOrders *orders)
 {
@@ -595,6 +617,8 @@
               orders->n_orders);
       return;
     }
+  if (refuse_orders (guard, peer, orders))
+    return;
   if (orders->echo_us > peer->echo && orders->echo_us <= guard->now)
     peer->echo = orders->echo_us;
   if (orders->follow_us > 0)
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -84,6 +84,7 @@
   uint64_t last_order;            /* id of the last order received; 0: none */
   MdGuardEnd *ends;               /* unacknowledged ends, oldest first */
   MdGuardEnd *last_end;           /* the newest of them; NULL: none */
+  unsigned n_ends;                /* number of them */
   uint64_t started[256];          /* ids of orders started since the last report */
   unsigned n_started;             /* used elements of started */
   bool urgent;                    /* report without delay: a run has started or ended */
--- a/tests/test-guard-orders.c
+++ b/tests/test-guard-orders.c
@@ -318,6 +318,89 @@
 }
 END_TEST
 
+#define MANY_ORDERS 20000
+
+/* Sends orders with these IDs in one message, and cancels them in it. */
+static void
+send_orders (StandIn *entry, uint64_t first, size_t n)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__RunOrders orders = MD__RUN_ORDERS__INIT;
+  Md__RunOrder *list = calloc (n, sizeof *list);
+  Md__RunOrder **pointers = calloc (n, sizeof *pointers);
+  uint64_t *ids = calloc (n, sizeof *ids);
+  ProtobufCBinaryData spec = { 4, (uint8_t *)"ms=1" };
+
+  for (size_t i = 0; i < n; i++)
+    {
+      md__run_order__init (&list[i]);
+      list[i].id = ids[i] = first + i;
+      list[i].task = "a1.0.0.0";
+      pointers[i] = &list[i];
+    }
+  orders.guard = guard.incarnation;
+  orders.echo_us = md_now ();
+  orders.specs = &spec;
+  orders.n_specs = 1;
+  orders.orders = pointers;
+  orders.n_orders = n;
+  orders.cancels = ids;
+  orders.n_cancels = n;
+  frame.msg_case = MD__FRAME__MSG_RUN_ORDERS;
+  frame.run_orders = &orders;
+  md_link_send (entry->link, &frame);
+  free (list);
+  free (pointers);
+  free (ids);
+}
+
+/* Guards against a guard that is busy for longer than its leases after one message
+   with very many orders. */
+START_TEST (orders_in_a_message_are_bounded)
+{
+  MdGuardPeer *peer;
+  uint64_t connections;
+
+  connect_guard ();
+  for (int i = 0; i < PASSES && entries[0].reports < 2; i++)
+    poll_all ();
+  for (peer = guard.peers; peer != NULL && peer->incarnation != 1; peer = peer->next)
+    ;
+  ck_assert_ptr_nonnull (peer);
+  guard.queue.accepting = true;
+  connections = guard.connections;
+  send_orders (&entries[0], 1, MANY_ORDERS);
+  for (int i = 0; i < PASSES && guard.connections == connections; i++)
+    poll_all ();
+  ck_assert_uint_gt (guard.connections, connections); /* dialled again */
+  ck_assert_uint_eq (guard.queue.waiting.n, 0);
+  ck_assert_uint_eq (guard.ends, 0);
+}
+END_TEST
+
+/* Guards against the same by an entry that never acknowledges an end. */
+START_TEST (ends_of_an_entry_are_bounded)
+{
+  MdGuardPeer *peer;
+  uint64_t sent = 0;
+
+  connect_guard ();
+  for (int i = 0; i < PASSES && entries[0].reports < 2; i++)
+    poll_all ();
+  for (peer = guard.peers; peer != NULL && peer->incarnation != 1; peer = peer->next)
+    ;
+  ck_assert_ptr_nonnull (peer);
+  while (sent < 70000)
+    {
+      send_orders (&entries[0], sent + 1, 1000); /* not accepted, so that each one ends at once */
+      sent += 1000;
+      for (int i = 0; i < PASSES && peer->last_order < sent; i++)
+        poll_all ();
+    }
+  ck_assert_uint_eq (peer->n_ends, 65536);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -331,5 +414,7 @@
   tcase_add_test (tc, entry_gets_full_reports_for_a_while);
   tcase_add_test (tc, old_entries_get_full_reports);
   tcase_add_test (tc, addresses_in_a_message_are_bounded);
+  tcase_add_test (tc, orders_in_a_message_are_bounded);
+  tcase_add_test (tc, ends_of_an_entry_are_bounded);
   return run_suite ("guard-orders", tc);
 }
