Limit the unfinished frames of all connections

Callers saw: an entry or guard that is killed for its memory. Cause: the length of a frame is limited to 16 MB and the connections to 8,192, but not what all of them hold together. A peer that sends parts of large frames and finishes none costs as much as it sends, and is not silent.

Ruled out: decoded frames, which are freed before the next one is decoded.

Change: when a connection has part of a frame above 16 KB and all connections together hold more than 32 MB, two of the largest frames, it is closed, with a line input-limited.

--- a/net/link-io.c
+++ b/net/link-io.c
@@ -22,6 +22,10 @@
 #define READ_CHUNK_BYTES ((size_t)64 << 10)     /* requested by one recv */
 #define READ_BUDGET_BYTES ((size_t)1 << 20)     /* read from one link per event, for fairness */
 #define MAX_IDLE_BUFFER_BYTES ((size_t)1 << 20) /* larger buffers are freed when empty */
+/* Unfinished frames on all connections; two of the largest. A peer could open many connections and
+   finish none. */
+#define MAX_INPUT_BYTES ((size_t)32 << 20)
+#define SMALL_INPUT_BYTES ((size_t)16 << 10) /* an unfinished frame that is not looked at */
 #define ACK_TIMEOUT_RESET (10 * MD_SECOND) /* a connection that lasted is not on a congested way */
 #define MAX_ACK_TIMEOUTS 4                 /* times the acknowledgement timeout */
 
@@ -320,6 +324,24 @@
   return 0;
 }
 
+/* Ends the connection if it has part of a large frame and all connections together hold too much. */
+static void
+limit_input (MdLink *link)
+{
+  size_t total = 0;
+
+  if (link->state != MD_LINK_UP || link->in.len <= SMALL_INPUT_BYTES)
+    return;
+  for (const MdLink *other = link->links->links; other != NULL; other = other->next)
+    total += other->in.len;
+  if (total <= MAX_INPUT_BYTES)
+    return;
+  md_count (MD_M_LINKS_ABANDONED, 1);
+  md_log (MD_LOG_WARN, "input-limited", "peer=%s bytes=%zu total=%zu", link->peer, link->in.len,
+          total);
+  md_link_end (link, MD_E_LIMIT, "too many unfinished frames");
+}
+
 void
 md_link_read (MdLink *link)
 {
@@ -332,6 +354,7 @@
       total += n;
       if (n > 0)
         handle_frames (link);
+      limit_input (link);
       if (n < READ_CHUNK_BYTES)
         return;
     }
--- a/tests/test-link.c
+++ b/tests/test-link.c
@@ -383,6 +383,74 @@
 }
 END_TEST
 
+#define STALLED_PEERS 8
+
+static size_t
+input_bytes (const MdLinks *links)
+{
+  size_t total = 0;
+
+  for (const MdLink *link = links->links; link != NULL; link = link->next)
+    total += link->in.len;
+  return total;
+}
+
+/* Guards against a process that is killed for its memory because many peers send parts of large
+   frames and finish none, and against one that then takes frames from nobody. */
+START_TEST (test_unfinished_frames_are_bounded)
+{
+  Side a = { 0 };
+  Side b = { 0 };
+  MdError error = { 0 };
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__Leaving leaving = MD__LEAVING__INIT;
+  char address[MD_ADDRESS_BYTES];
+  char host[MD_ADDRESS_BYTES];
+  static char zeros[64 << 10];
+  int peer[STALLED_PEERS];
+  int port;
+  MdLink *link;
+
+  open_side (&a);
+  open_side (&b);
+  ck_assert_int_eq (md_links_listen (a.links, MD_STR ("127.0.0.1:0"), address, &error), MD_OK);
+  ck_assert_int_eq (md_address_split (md_str (address), host, &port), MD_OK);
+  for (int i = 0; i < STALLED_PEERS; i++)
+    {
+      struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
+
+      inet_pton (AF_INET, host, &sa.sin_addr);
+      peer[i] = socket (AF_INET, SOCK_STREAM, 0);
+      ck_assert_int_eq (connect (peer[i], (struct sockaddr *)&sa, sizeof sa), 0);
+      ck_assert_int_eq (send (peer[i], "\1\0\0\0", 4, 0), 4); /* a frame of 16 MB */
+    }
+  for (int round = 0; round < 15 * 16; round++) /* 15 MB each */
+    {
+      for (int i = 0; i < STALLED_PEERS; i++)
+        (void)!send (peer[i], zeros, sizeof zeros, MSG_DONTWAIT | MSG_NOSIGNAL);
+      for (int i = 0; i < 4; i++)
+        md_links_poll (a.links, 0);
+      ck_assert_uint_le (input_bytes (a.links), (32u << 20) + (1u << 20));
+    }
+  ck_assert_int_gt (a.downs, 0);
+  ck_assert_int_eq (a.code, MD_E_LIMIT);
+  link = md_links_dial (b.links, md_str (address), NULL);
+  for (int i = 0; b.ups == 0 && i < PASSES; i++)
+    poll_both (&a, &b);
+  leaving.incarnation = 77;
+  frame.msg_case = MD__FRAME__MSG_LEAVING;
+  frame.leaving = &leaving;
+  md_link_send (link, &frame);
+  for (int i = 0; a.frames == 0 && i < PASSES; i++)
+    poll_both (&a, &b);
+  ck_assert_int_eq (a.frames, 1);
+  for (int i = 0; i < STALLED_PEERS; i++)
+    close (peer[i]);
+  md_links_free (b.links);
+  md_links_free (a.links);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -397,5 +465,6 @@
   tcase_add_test (tc, test_close_with_output);
   tcase_add_test (tc, test_close_while_in_use);
   tcase_add_test (tc, test_wake);
+  tcase_add_test (tc, test_unfinished_frames_are_bounded);
   return run_suite ("link", tc);
 }
