--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -359,6 +359,38 @@
       "\"/p/q/\",\"service\":\"calc\",\"advisor\":{\"decision_ms\":3}},{\"host\":7}],"
       "\"limits\":{\"max_body_bytes\":262144}}";
 
+/* Guards against a limit that is none: a negative number became the largest size, and every body was
+   read. */
+START_TEST (body_limit_out_of_range_is_not_used)
+{
+  static const struct
+  {
+    const char *limit;
+    size_t bytes;
+  } cases[] = { { "-1", 0 },
+                { "-9223372036854775808", 0 },
+                { "0", 0 },
+                { "\"1\"", 0 },
+                { "8388608", 8388608 },
+                { "8388609", 8388608 },
+                { "1e15", 8388608 },
+                { "9223372036854775807", 8388608 } };
+
+  for (size_t i = 0; i < MD_ARRAY_SIZE (cases); i++)
+    {
+      MD_AUTO_BUF text = { 0 };
+      MdRoutes *routes;
+
+      md_buf_printf (&text, "{\"version\":1,\"routes\":[],\"limits\":{\"max_body_bytes\":%s}}",
+                     cases[i].limit);
+      routes = md_platform_parse_config (md_buf_str (&text), NULL);
+      ck_assert_ptr_nonnull (routes);
+      ck_assert_uint_eq (routes->max_body_bytes, cases[i].bytes);
+      md_routes_free (routes);
+    }
+}
+END_TEST
+
 START_TEST (longest_prefix_wins)
 {
   MdRoutes *routes = md_platform_parse_config (md_str (config_text), NULL);
@@ -509,6 +541,7 @@
   tcase_add_test (tc, odd_entries_leave_the_others);
   tcase_add_test (tc, odd_rows_leave_the_others);
   tcase_add_test (tc, key_is_escaped_in_the_query);
+  tcase_add_test (tc, body_limit_out_of_range_is_not_used);
   tcase_add_test (tc, longest_prefix_wins);
   tcase_add_test (tc, memory_of_a_worker_is_kept_whole);
   tcase_add_test (tc, any_bytes_are_survived);
