Accept responses of at most 4 MB from store, workers and advisor

A peer whose response does not end made a daemon buffer up to 64 MB of it, for each call in progress, and the 16 handles that are kept for reuse kept their buffers at that size. Guards and small entries may use far less than that in all and are killed beyond their limit.

The largest response that the platform documents has 500 records or 1 MB in base64, and reads ask for at most 320 KB. Responses now end with an error beyond 4 MB, as they did beyond 64 MB, and a handle keeps a buffer of at most 64 KB. Ruled out: a limit for each kind of call, since the largest is small enough for all. The values of a response are bounded by its parser.

--- a/net/http-async.c
+++ b/net/http-async.c
@@ -20,12 +20,13 @@
 #include <stdio.h>
 #include <sys/epoll.h>
 
-#define MAX_WATCHES 4096                       /* descriptors supported, 0 to MAX_WATCHES - 1 */
-#define MAX_IDLE_CALLS 16                      /* handles kept for reuse */
-#define MAX_RESPONSE_BYTES (64u * 1024 * 1024) /* largest body of a response */
-#define MAX_CONNECT_TIMEOUT (400 * MD_MS)      /* then a silent peer is dialled again */
-#define MAX_IDLE_TIME (60 * MD_SECOND)         /* idle connections are reused for this long */
-#define MIN_SILENCE (1 * MD_SECOND)            /* shorter time-outs are those of a slow peer */
+#define MAX_WATCHES 4096                  /* descriptors supported, 0 to MAX_WATCHES - 1 */
+#define MAX_IDLE_CALLS 16                 /* handles kept for reuse */
+#define MAX_RESPONSE_BYTES (4u << 20)     /* of a response; the store's have 1 MB in base64 */
+#define MAX_IDLE_BYTES (64u << 10)        /* of a buffer that an idle call keeps */
+#define MAX_CONNECT_TIMEOUT (400 * MD_MS) /* then a silent peer is dialled again */
+#define MAX_IDLE_TIME (60 * MD_SECOND)    /* idle connections are reused for this long */
+#define MIN_SILENCE (1 * MD_SECOND)       /* shorter time-outs are those of a slow peer */
 
 typedef struct Call Call;
 
@@ -240,6 +241,14 @@
   return NULL;
 }
 
+static void
+empty_buffer (MdBuf *buf)
+{
+  buf->len = 0;
+  if (buf->cap > MAX_IDLE_BYTES)
+    md_buf_clear (buf);
+}
+
 static void
 recycle_call (Call *call)
 {
@@ -253,8 +262,8 @@
   curl_easy_reset (call->easy);
   curl_slist_free_all (call->headers);
   call->headers = NULL;
-  call->request.len = 0;
-  call->response.len = 0;
+  empty_buffer (&call->request);
+  empty_buffer (&call->response);
   call->next = http->idle;
   http->idle = call;
   http->n_idle++;
--- a/tests/test-http-async.c
+++ b/tests/test-http-async.c
@@ -206,6 +206,34 @@
 }
 END_TEST
 
+static const char *
+respond_with_large_body (void *user, int number MD_UNUSED, const char *request MD_UNUSED)
+{
+  return user;
+}
+
+/* Guards against a peer whose responses take more memory than the process may use. */
+START_TEST (response_beyond_the_limit_ends_the_call)
+{
+  static const size_t sizes[] = { 4u << 20, (4u << 20) + 1 };
+
+  scripted_server_stop (&server);
+  for (size_t i = 0; i < MD_ARRAY_SIZE (sizes); i++)
+    {
+      MD_AUTO_BUF response = { 0 };
+
+      md_buf_printf (&response, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", sizes[i]);
+      ck_assert (md_buf_reserve (&response, sizes[i]));
+      memset (response.data + response.len, 'x', sizes[i]);
+      response.data[response.len + sizes[i]] = '\0';
+      scripted_server_start (&server, respond_with_large_body, response.data);
+      make_call ("GET", true);
+      ck_assert_int_eq (status, i == 0 ? 200 : 0);
+      scripted_server_stop (&server); /* it reads the response until then */
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -218,5 +246,6 @@
   tcase_add_test (tc, idempotent_call_is_sent_again);
   tcase_add_test (tc, end_of_a_call_asks_for_another_pass);
   tcase_add_test (tc, one_timeout_is_enough_for_silent_connections);
+  tcase_add_test (tc, response_beyond_the_limit_ends_the_call);
   return run_suite ("http-async", tc);
 }
