Bound the memory for jobs on the own interface

12 callers that sent jobs of 1.1 MB, within the limits, at once raised an entry's memory to 580 MB; nodes may use 256 MB for control. Each of up to 252 threads could hold a body of 4 MB and the value parsed from it, up to 80 MB, and kept the body until the job had ended.

Bodies of more than 16 KB share 64 MB, jobs that are being parsed another 64 MB. What does not fit is answered 503 (overload) with Retry-After as when no thread is free, with outcome unknown if the request has a submission id, because the submission may run already. A job that needs more than all of it is parsed alone. The body is released once it is parsed or copied.

Ruled out: the server for operators, whose bodies have at most 68 KB and which has 16 threads by default.

--- a/entry/caller-json.c
+++ b/entry/caller-json.c
@@ -268,6 +268,15 @@
   return sub;
 }
 
+size_t
+md_job_memory (MdStr text)
+{
+  size_t values;
+  size_t memory = md_json_memory (text, &values);
+
+  return values <= MD_JSON_MAX_VALUES ? memory : 0;
+}
+
 MdSubmission *
 md_job_parse (MdStr text, uint32_t max_tasks, MdError *error)
 {
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -8,6 +8,7 @@
 
 #include "entry-private.h"
 #include "http-server.h"
+#include "memory-budget.h"
 
 #include <civetweb.h>
 #include <stdio.h>
@@ -19,13 +20,21 @@
 #define KEEP_ALIVE_MS "5000"    /* idle connections give their thread back */
 #define GRACE (2 * MD_SECOND)   /* past the deadline before a wait gives up */
 
+/* Smaller bodies are not counted, so that they are read while callers send large ones. */
+#define SMALL_BODY (16u << 10)     /* bytes */
+#define BODY_MEMORY (64u << 20)    /* bytes, of larger bodies; an entry may use 256 MB in all */
+#define PARSE_MEMORY (64u << 20)   /* bytes, of jobs that are being parsed */
+#define PARSE_WAIT (1 * MD_SECOND) /* for others to be parsed, which takes milliseconds */
+
 struct MdCallers
 {
-  MdEntry *entry;            /* engine */
-  struct mg_context *server; /* CivetWeb */
-  _Atomic int in_progress;   /* requests being handled */
-  _Atomic int connections;   /* open connections */
-  int threads;               /* CivetWeb threads */
+  MdEntry *entry;              /* engine */
+  struct mg_context *server;   /* CivetWeb */
+  _Atomic int in_progress;     /* requests being handled */
+  _Atomic int connections;     /* open connections */
+  int threads;                 /* CivetWeb threads */
+  MdMemoryBudget body_memory;  /* of bodies that are being read or parsed */
+  MdMemoryBudget parse_memory; /* of jobs that are being parsed */
 };
 
 /* One request on its way through the handlers. */
@@ -36,6 +45,7 @@
   const struct mg_request_info *info; /* parsed head */
   const MdToken *token;               /* who asks */
   MdBuf body;                         /* request body */
+  size_t counted;                     /* bytes taken of the memory for bodies */
 } Call;
 
 static MdStr
@@ -252,14 +262,55 @@
    submission id is proven not to have run: one with an id may be a resubmission
    of work that runs elsewhere. */
 static int
-refuse_overload (Call *call)
+refuse_overload (Call *call, const char *detail)
 {
   MdOutcome outcome
       = header_of (call, "Idempotency-Key").len > 0 ? MD_OUTCOME_UNKNOWN : MD_OUTCOME_NOT_RUN;
 
   mg_disable_connection_keep_alive (call->conn);
   md_count (MD_M_REFUSED, 1);
-  return send_problem (call, 503, MD_REASON_OVERLOAD, outcome, "no free thread", MD_SECOND);
+  return send_problem (call, 503, MD_REASON_OVERLOAD, outcome, detail, MD_SECOND);
+}
+
+/* Takes memory for the body; false when others use it. */
+static bool
+acquire_body (Call *call, size_t max_body)
+{
+  long long announced = call->info->content_length;
+  size_t size = announced >= 0 && (size_t)announced < max_body ? (size_t)announced : max_body;
+
+  call->counted = size > SMALL_BODY ? size : 0;
+  if (md_memory_budget_take (&call->callers->body_memory, call->counted, 0))
+    return true;
+  call->counted = 0;
+  return false;
+}
+
+/* Frees the body, which is not kept while the caller waits for the result. */
+static void
+release_body (Call *call)
+{
+  md_buf_clear (&call->body);
+  md_memory_budget_return (&call->callers->body_memory, call->counted);
+  call->counted = 0;
+}
+
+/* Parses the job in the body within the memory for that and releases the body. Returns 0, or the status of
+   the refusal that was sent. */
+static int
+parse_job (Call *call, MdSubmission **sub)
+{
+  const MdSettings *settings = md_entry_settings (call->callers->entry);
+  MdMemoryBudget *budget = &call->callers->parse_memory;
+  size_t memory = md_job_memory (md_buf_str (&call->body));
+  MdError error = { 0 };
+
+  if (!md_memory_budget_take (budget, memory, PARSE_WAIT))
+    return refuse_overload (call, "jobs of other callers use the memory");
+  *sub = md_job_parse (md_buf_str (&call->body), settings->tuning.max_tasks, &error);
+  md_memory_budget_return (budget, memory);
+  release_body (call);
+  return *sub != NULL ? 0 : send_bad_request (call, 400, error.detail);
 }
 
 /* Reads the submission id and looks the pool up. Returns 0, or the status of the
@@ -284,17 +335,15 @@
 static int
 submit_job (Call *call)
 {
-  const MdSettings *settings = md_entry_settings (call->callers->entry);
   MdTime deadline = DEFAULT_DEADLINE;
-  MdError error = { 0 };
-  MdSubmission *sub;
+  MdSubmission *sub = NULL;
   MdResult *result;
   int status;
 
   md_count (MD_M_JOBS, 1);
-  sub = md_job_parse (md_buf_str (&call->body), settings->tuning.max_tasks, &error);
+  status = parse_job (call, &sub);
   if (sub == NULL)
-    return send_bad_request (call, 400, error.detail);
+    return status;
   status = admit (call, sub, &deadline);
   if (status != 0)
     {
@@ -478,8 +527,9 @@
       || (slash[9] != '/' && slash[9] != '\0'))
     return send_bad_request (call, 404, "use /v1/pools/POOL/requests/PATH");
   sub = make_request (call, slash + 9);
+  release_body (call);
   if (sub == NULL)
-    return refuse_overload (call);
+    return refuse_overload (call, "no memory");
   md_str_copy (sub->pool, sizeof sub->pool, md_str_n (pool, (size_t)(slash - pool)));
   status = admit (call, sub, &deadline);
   if (status != 0)
@@ -508,9 +558,15 @@
 
   md_gauge (MD_M_CALLERS, busy);
   if (busy > callers->threads - RESERVED_THREADS)
-    status = refuse_overload (&call);
+    status = refuse_overload (&call, "no free thread");
   else if (!authenticate (&call))
     status = send_bad_request (&call, 401, "a customer's bearer token is needed");
+  else if (!acquire_body (&call, settings->max_body_bytes))
+    {
+      status = refuse_overload (&call, "bodies of other callers use the memory");
+      /* Closing a connection with unread data resets it, and the caller may lose the response. */
+      md_http_skip_body (conn, settings->max_body_bytes);
+    }
   else
     {
       status = md_http_read_body (conn, settings->max_body_bytes, &call.body);
@@ -521,7 +577,7 @@
       else
         status = handler (&call);
     }
-  md_buf_clear (&call.body);
+  release_body (&call);
   atomic_fetch_sub (&callers->in_progress, 1);
   return status;
 }
@@ -607,6 +663,14 @@
   return 1;
 }
 
+static void
+free_callers (MdCallers *callers)
+{
+  md_memory_budget_destroy (&callers->body_memory);
+  md_memory_budget_destroy (&callers->parse_memory);
+  free (callers);
+}
+
 MdCallers *
 md_callers_start (MdEntry *entry, MdError *error)
 {
@@ -636,13 +700,15 @@
     return NULL;
   callers->entry = entry;
   callers->threads = (int)settings->caller_threads;
+  md_memory_budget_init (&callers->body_memory, BODY_MEMORY);
+  md_memory_budget_init (&callers->parse_memory, PARSE_MEMORY);
   snprintf (threads, sizeof threads, "%u", (unsigned)settings->caller_threads);
   callers->server = mg_start (&callbacks, callers, options);
   if (callers->server == NULL)
     {
       md_error_set (error, MD_E_IO, "listen", settings->caller_address,
                     "cannot serve callers on this address");
-      free (callers);
+      free_callers (callers);
       return NULL;
     }
   mg_set_request_handler (callers->server, "/v1/jobs", on_jobs, callers);
@@ -664,5 +730,5 @@
   if (callers == NULL)
     return;
   mg_stop (callers->server);
-  free (callers);
+  free_callers (callers);
 }
