Bound the number of tasks of a job

One job of 64 steps with 4,096 tasks each, a body of 5 KB with an estimated run time of a millisecond, was admitted, raised the memory of an entry from 12 to 177 MB and occupied its engine: neither that request nor eight later ones were answered within 20 s each, and the guards were given up. Small entries may use 120 MB and are killed beyond that.

Steps and tasks of a step were bounded, their product was not. A job may now have 32,768 tasks in all, eight full steps; jobs of the users have up to 890. More is refused with 503 before anything is allocated, as other jobs that are not supported. Ruled out: admission as the bound; it goes by the estimate of the caller and rejected the same job only with an honest one.

Not mended: such a job still takes the entry long enough that guards are given up for a while, and a guard peaked at 192 MB while it started thousands of its tasks at a time.

--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -443,8 +443,11 @@
 /* ------------------------------------------------------------------ */
 /* Jobs of tasks at an entry (runjob.c)                               */
 
-#define MD_MAX_STEPS 64         /* of a job */
-#define MD_MAX_STEP_TASKS 4096  /* of a step */
+#define MD_MAX_STEPS 64        /* of a job */
+#define MD_MAX_STEP_TASKS 4096 /* of a step */
+/* Of a job. Each task takes about 600 bytes at an entry and a look at each pass of its engine; jobs
+   have up to 890. */
+#define MD_MAX_JOB_TASKS 32768
 #define MD_RUN_NAME_BYTES 64    /* name of a task on the platform, with the null byte */
 #define MD_CHECKPOINT_BYTES 128 /* reference to a saved state, with the null byte */
 
--- a/sched/runjob.c
+++ b/sched/runjob.c
@@ -44,6 +44,8 @@
 static int
 validate_spec (const MdRunSpec *spec, MdError *error)
 {
+  uint32_t tasks = 0;
+
   if (spec->n_steps == 0 || spec->n_steps > MD_MAX_STEPS)
     return md_error_set (error, MD_E_INVALID, "job", "", "1 to %d steps are possible",
                          MD_MAX_STEPS);
@@ -54,6 +56,7 @@
       if (step->n_tasks == 0 || step->n_tasks > MD_MAX_STEP_TASKS)
         return md_error_set (error, MD_E_INVALID, "job", "", "step %u: 1 to %d tasks are possible",
                              i, MD_MAX_STEP_TASKS);
+      tasks += step->n_tasks;
       if (i < 63 && (step->depends_on >> i) != 0)
         return md_error_set (error, MD_E_INVALID, "job", "",
                              "step %u depends on a step that is not before it", i);
@@ -61,6 +64,9 @@
         return md_error_set (error, MD_E_INVALID, "job", "",
                              "step %u: long-running and repeated steps are not supported", i);
     }
+  if (tasks > MD_MAX_JOB_TASKS)
+    return md_error_set (error, MD_E_INVALID, "job", "", "at most %d tasks are possible",
+                         MD_MAX_JOB_TASKS);
   return MD_OK;
 }
 
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -543,6 +543,26 @@
 }
 END_TEST
 
+/* Guards against a job that stops its entry: 64 steps of 4,096 tasks took 165 MB and the engine for more
+   than half a minute. */
+START_TEST (job_with_too_many_tasks_is_refused)
+{
+  for (uint32_t steps = 8; steps <= 9; steps++)
+    {
+      MdRunSpec spec = { .n_steps = steps };
+      MdError error = { 0 };
+      MdRunJob job;
+
+      spec.steps = calloc (steps, sizeof *spec.steps);
+      for (uint32_t i = 0; i < steps; i++)
+        spec.steps[i].n_tasks = i < 8 ? MD_MAX_STEP_TASKS : 1;
+      ck_assert_int_eq (md_runjob_init (&job, &spec, 1, &error), steps == 8 ? MD_OK : MD_E_INVALID);
+      ck_assert_str_eq (error.detail, steps == 8 ? "" : "at most 32768 tasks are possible");
+      md_runjob_clear (&job);
+    }
+}
+END_TEST
+
 /* Load pattern: a step whose tasks slow each other down when they are spread, on racks of
    which the one with the fastest worker has no room for all. Guards against tasks that go
    one by one to the best worker of any rack. */
@@ -602,6 +622,7 @@
   tcase_add_test (tc, gang_goes_together);
   tcase_add_test (tc, gang_ends_as_one);
   tcase_add_test (tc, unsupported_jobs_are_told_apart);
+  tcase_add_test (tc, job_with_too_many_tasks_is_refused);
   tcase_add_test (tc, tasks_of_one_rack_stay_together);
   return run_suite ("placement", tc);
 }
