--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -28,11 +28,9 @@
 
 /* md_daemon_open: parse "--config FILE", wait for usable settings (md_settings_wait) and open the
    log. Errors are printed to stderr. Returns MD_EXIT_OK, or the exit code of the process. When
-   daemon->stopped is set the process ends with that code in any case. */
+   daemon->stopped is set the process ends with that code in any case.
+   daemon has to last as long as the process, which frees nothing of it, see process.h. */
 int md_daemon_open (MdDaemon *daemon, int argc, const char **argv);
-/* md_daemon_close: free the links, the connections to the store and the settings, and stop the
-   log writer. */
-void md_daemon_close (MdDaemon *daemon);
 
 /* md_daemon_reload: read the settings file again after SIGHUP, or if it has changed, once it has
    not changed for 300 ms (md_settings_file_changed). Must be called by daemon->file.check_due.
