Wait for the log of the process that is stopped in run-settings.sh

The case that stops a start while it waits looked for settings-wait in a file that still had the lines of an earlier process, so that SIGTERM could reach the shell before it had become the process; the shell then ran the EXIT trap of the script and removed its directory. The file is removed first; the case checks what it checked before.

--- a/tests/run-settings.sh
+++ b/tests/run-settings.sh
@@ -98,9 +98,10 @@
   echo "check-config of a missing file: exit $?, $(sed "s|$RUN/||" "$out")"
   "$BIN/mulberrydrift" run-guard --config "$RUN/none.yaml" > "$out" 2>&1
   echo "a start whose file stays missing: exit $?, $(grep -o 'event=start step=settings .*' "$out" | sed "s|$RUN/||")"
+  rm -f "$out" # lines of an earlier process would end the wait below
   "$BIN/mulberrydrift" run-guard --config "$RUN/none.yaml" > "$out" 2>&1 &
   local pid=$! status
-  wait_for 10 grep -q settings-wait "$out"
+  wait_for 10 grep -qs settings-wait "$out"
   kill -TERM "$pid"
   wait "$pid"
   status=$?
