Wait at a start for ports that are busy or not there yet

A start ended with exit 1 within milliseconds when another socket held one of its ports, as a former process does until its grace period is over, or when the machine did not have its address yet. The HTTP servers told "cannot listen" without errno, and a port for metrics alone ended the process.

The first failed bind was final. A start now tests all of its ports with a socket that has the options of CivetWeb, because CivetWeb gives no errno, and opens them when all are free, so that nobody reaches a process that cannot serve; failing that it tries again every 100 ms for the grace period plus 5 s, after which a former process is gone, and logs each reason once for each port (listen-wait). EACCES and malformed addresses stay final. SIGTERM ends the wait with status 0. metrics_address has a server of its own, tried once a second beside the work. The same for the entry of the own interface; guard listens on no port. A listener that cannot be watched is closed.

--- a/entry/callers.c
+++ b/entry/callers.c
@@ -640,8 +640,8 @@
   callers->server = mg_start (&callbacks, callers, options);
   if (callers->server == NULL)
     {
-      md_error_set (error, MD_E_IO, "listen", settings->caller_address,
-                    "cannot serve callers on this address");
+      md_error_set (error, MD_E_IO, "listen-callers", settings->caller_address,
+                    "the HTTP server cannot start");
       free (callers);
       return NULL;
     }
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -6,6 +6,7 @@
    order without locks on the path of a request. */
 
 #include "entry-private.h"
+#include "listen.h"
 
 #include <popt.h>
 #include <signal.h>
@@ -327,10 +328,38 @@
   sigaction (SIGINT, &action, NULL);
 }
 
+/* Opens the ports for operators, callers and other processes, or none of them. */
+static int
+open_ports (void *user, MdError *error)
+{
+  MdEntry *entry = user;
+
+  entry->operator_http = md_operator_start (&entry->settings, entry->store, entry->observed, error);
+  if (entry->operator_http != NULL)
+    entry->callers = md_callers_start (entry, error);
+  if (entry->callers != NULL
+      && md_links_listen (entry->links, md_str (entry->settings.internal_address),
+                          entry->bound_internal, error)
+             == MD_OK)
+    return MD_OK;
+  md_callers_stop (entry->callers);
+  md_operator_stop (entry->operator_http);
+  entry->callers = NULL;
+  entry->operator_http = NULL;
+  return MD_E_IO;
+}
+
 static int
 start_entry (MdEntry *entry, MdError *error)
 {
   MdSettings *settings = &entry->settings;
+  MdListen listen = { .ports = { { "listen-internal", settings->internal_address },
+                                 { "listen-operators", settings->operator_address },
+                                 { "listen-callers", settings->caller_address } },
+                      .n_ports = 3,
+                      .timeout = md_listen_timeout (settings),
+                      .open = open_ports,
+                      .user = entry };
 
   entry->incarnation = md_new_incarnation ();
   entry->started = md_now ();
@@ -340,18 +369,10 @@
   entry->observed = md_observed_new (settings->tuning.watch_changes);
   if (entry->links == NULL || entry->members == NULL || entry->observed == NULL)
     return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
-  if (md_links_listen (entry->links, md_str (settings->internal_address), entry->bound_internal,
-                       error)
-      != MD_OK)
-    return MD_E_IO;
   entry->store = md_store_new (settings, on_store_event, entry);
   if (entry->store == NULL)
     return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
-  entry->operator_http = md_operator_start (settings, entry->store, entry->observed, error);
-  entry->callers = md_callers_start (entry, error);
-  if (entry->operator_http == NULL || entry->callers == NULL)
-    return MD_E_IO;
-  return MD_OK;
+  return md_listen (&listen, error);
 }
 
 static void
--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -56,6 +56,28 @@
 /* md_daemon_is_stopping: whether SIGTERM or SIGINT has been received. */
 bool md_daemon_is_stopping (void);
 
+/* ------------------------------------------------------------------ */
+/* Metrics (metrics-server.c)                                         */
+
+struct mg_context; /* of CivetWeb */
+
+/* Owner sets address, start and user; the rest is zero-initialized. */
+typedef struct
+{
+  const char *address; /* metrics_address; empty: no server */
+  /* Starts the server; NULL on failure. */
+  struct mg_context *(*start) (void *user, const char *address, MdError *error);
+  void *user;                /* first argument of start */
+  struct mg_context *server; /* NULL: not started */
+  MdTime due;                /* next attempt */
+  int logged;                /* errno of the last failure, -1 without one, 0 none */
+} MdMetricsServer;
+
+/* md_metrics_server_poll: start the server if it has not been started, at most once a second. A
+   failure is logged. Returns when it must be called again. */
+MdTime md_metrics_server_poll (MdMetricsServer *server, MdTime now);
+void md_metrics_server_stop (MdMetricsServer *server);
+
 /* ------------------------------------------------------------------ */
 /* Keyed records of the store (keyed.c)                               */
 
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -2,8 +2,8 @@
 
    Each connection is served by one CivetWeb thread. The thread reads and checks a
    request, posts it to the engine and waits until the engine answers or the caller
-   disconnects. Probes and metrics have a separate server, so that they are served even
-   when all threads for callers are busy. */
+   disconnects. Probes and metrics have separate servers, so that they are served even
+   when all threads for callers are busy, and an entry serves without its metrics. */
 
 #define _GNU_SOURCE /* POLLRDHUP */
 
@@ -35,10 +35,10 @@
 {
   MdRunEntry *entry;               /* the engine, borrowed */
   struct mg_context *callers;      /* server for callers */
-  struct mg_context *probes;       /* server for readiness probes and metrics */
+  struct mg_context *probes;       /* server for readiness probes; metrics as well */
   atomic_bool keep_alive_disabled; /* each response closes its connection */
   atomic_bool stopping;            /* the engine answers no more requests */
-  atomic_int connections;          /* open connections of both servers */
+  atomic_int connections;          /* open connections of all servers */
   int threads;                     /* threads of the server for callers */
   MdCallerSockets sockets;         /* of callers whose requests have been read */
   /* Jobs that have been posted to the engine and not answered, by a hash of the ID. */
@@ -557,7 +557,7 @@
 }
 
 static struct mg_context *
-start_server (MdFront *front, const char *address, const char *threads,
+start_server (MdFront *front, const char *step, const char *address, const char *threads,
               int (*handler) (struct mg_connection *, void *), MdError *error)
 {
   const char *options[] = { "listening_ports",
@@ -585,7 +585,7 @@
   struct mg_context *server = mg_start (&callbacks, front, options);
 
   if (server == NULL)
-    md_error_set (error, MD_E_IO, "listen", address, "cannot listen");
+    md_error_set (error, MD_E_IO, step, address, "the HTTP server cannot start");
   else
     mg_set_request_handler (server, "/", handler, front);
   return server;
@@ -597,24 +597,29 @@
   const MdSettings *settings = &entry->daemon.settings;
   MdFront *front = calloc (1, sizeof *front);
   char threads[16];
-  char probes[2 * MD_ADDRESS_BYTES + 2];
 
   if (front == NULL)
     return NULL;
   front->entry = entry;
   front->threads = (int)settings->caller_threads;
   snprintf (threads, sizeof threads, "%u", settings->caller_threads);
-  front->callers = start_server (front, settings->caller_address, threads, handle_caller, error);
-  snprintf (probes, sizeof probes, "%s%s%s", settings->ready_address,
-            settings->metrics_address[0] != '\0' ? "," : "", settings->metrics_address);
+  front->callers = start_server (front, "listen-callers", settings->caller_address, threads,
+                                 handle_caller, error);
   if (front->callers != NULL)
-    front->probes = start_server (front, probes, "3", handle_probe, error);
+    front->probes = start_server (front, "listen-readiness", settings->ready_address, "3",
+                                  handle_probe, error);
   if (front->probes != NULL)
     return front;
   md_front_stop (front);
   return NULL;
 }
 
+struct mg_context *
+md_front_start_metrics (void *user, const char *address, MdError *error)
+{
+  return start_server (user, "listen-metrics", address, "2", handle_probe, error);
+}
+
 void
 md_front_disable_keep_alive (MdFront *front)
 {
--- a/fleet/guard-registrar.c
+++ b/fleet/guard-registrar.c
@@ -2,12 +2,12 @@
 
    The worker beside the guard sends a report of its state every second or two. The handler,
    which runs in a thread of CivetWeb, checks a report and queues it for the engine thread
-   before it acknowledges it. The same server answers metrics requests. */
+   before it acknowledges it. Metrics have a server of their own (metrics-server.c) and are
+   served here as well. */
 
 #include "run-guard.h"
 
 #include <civetweb.h>
-#include <stdio.h>
 
 #define JSON_TYPE "application/json"
 #define REPORT_MAX_BYTES (64u << 10) /* of a report; the rest is not read */
@@ -88,15 +88,14 @@
   return respond (conn, 200, "text/plain; version=0.0.4", text.data != NULL ? text.data : "");
 }
 
-MdRegistrarServer *
-md_registrar_server_start (const MdSettings *settings, MdInbox *inbox, MdLinks *links,
-                           MdError *error)
+static struct mg_context *
+start_server (MdRegistrarServer *server, const char *step, const char *address, const char *threads,
+              MdError *error)
 {
-  char address[2 * MD_ADDRESS_BYTES + 2];
   const char *options[] = { "listening_ports",
                             address,
                             "num_threads",
-                            "4",
+                            threads,
                             "enable_keep_alive",
                             "yes",
                             "keep_alive_timeout_ms",
@@ -105,27 +104,46 @@
                             "1",
                             NULL };
   struct mg_callbacks callbacks = { 0 };
+  struct mg_context *context = mg_start (&callbacks, server, options);
+
+  if (context == NULL)
+    md_error_set (error, MD_E_IO, step, address, "the HTTP server cannot start");
+  else
+    mg_set_request_handler (context, MD_METRICS_PATH, handle_metrics, server);
+  return context;
+}
+
+MdRegistrarServer *
+md_registrar_server_start (const MdSettings *settings, MdInbox *inbox, MdLinks *links,
+                           MdError *error)
+{
   MdRegistrarServer *server = calloc (1, sizeof *server);
 
   if (server == NULL)
-    return NULL;
-  snprintf (address, sizeof address, "%s%s%s", settings->register_address,
-            settings->metrics_address[0] != '\0' ? "," : "", settings->metrics_address);
+    {
+      md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
+      return NULL;
+    }
   server->inbox = inbox;
   server->links = links;
-  server->server = mg_start (&callbacks, server, options);
+  server->server
+      = start_server (server, "listen-registration", settings->register_address, "4", error);
   if (server->server == NULL)
     {
-      md_error_set (error, MD_E_IO, "listen", address, "the registration server cannot listen");
       free (server);
       return NULL;
     }
   mg_set_request_handler (server->server, MD_PLATFORM_WORKER_PREFIX "*", handle_registration,
                           server);
-  mg_set_request_handler (server->server, MD_METRICS_PATH, handle_metrics, server);
   return server;
 }
 
+struct mg_context *
+md_registrar_start_metrics (void *user, const char *address, MdError *error)
+{
+  return start_server (user, "listen-metrics", address, "2", error);
+}
+
 void
 md_registrar_server_stop (MdRegistrarServer *server)
 {
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -8,6 +8,7 @@
 
 #include "run-entry.h"
 #include "http-client.h"
+#include "listen.h"
 
 #include <stdio.h>
 #include <time.h>
@@ -189,6 +190,7 @@
       if (entry->leaving && entry->now < entry->reject_after)
         due = md_time_min (due, entry->reject_after);
       due = md_time_min (due, poll_registration (entry));
+      due = md_time_min (due, md_metrics_server_poll (&entry->metrics, entry->now));
       due = md_time_min (due, md_http_poll (entry->daemon.store));
       if (entry->advisor != NULL)
         due = md_time_min (due, poll_advisor (entry));
@@ -233,15 +235,56 @@
   md_links_wake (entry->daemon.links);
 }
 
+/* Opens the ports for callers, probes and guards, or none of them. */
 static int
-start_components (MdRunEntry *entry, MdError *error)
+open_ports (void *user, MdError *error)
 {
-  const MdSettings *settings = &entry->daemon.settings;
+  MdRunEntry *entry = user;
   char bound[MD_ADDRESS_BYTES];
-  int rc = md_links_listen (entry->daemon.links, md_str (settings->internal_address), bound, error);
+  int rc;
+
+  if (entry->config == NULL)
+    entry->config = md_config_reader_start (&entry->daemon.settings, wake_engine, entry, error);
+  if (entry->config != NULL)
+    entry->front = md_front_start (entry, error);
+  if (entry->front == NULL)
+    return MD_E_IO;
+  rc = md_links_listen (entry->daemon.links, md_str (entry->daemon.settings.internal_address),
+                        bound, error);
+  if (rc == MD_OK)
+    return MD_OK;
+  md_front_stop (entry->front);
+  entry->front = NULL;
+  return rc;
+}
+
+static int
+wait_for_ports (MdRunEntry *entry, MdError *error)
+{
+  const MdSettings *settings = &entry->daemon.settings;
+  MdListen listen = { .ports = { { "listen-internal", settings->internal_address },
+                                 { "listen-callers", settings->caller_address },
+                                 { "listen-readiness", settings->ready_address } },
+                      .n_ports = 3,
+                      .timeout = md_listen_timeout (settings),
+                      .is_stopping = md_daemon_is_stopping,
+                      .open = open_ports,
+                      .user = entry };
+  int rc = md_listen (&listen, error);
 
   if (rc != MD_OK)
     return rc;
+  entry->metrics = (MdMetricsServer){ .address = settings->metrics_address,
+                                      .start = md_front_start_metrics,
+                                      .user = entry->front };
+  return MD_OK;
+}
+
+static int
+start_components (MdRunEntry *entry, MdError *error)
+{
+  const MdSettings *settings = &entry->daemon.settings;
+
   md_directory_add (&entry->directory, md_str (own_address (settings)), entry->now);
   apply_settings (entry);
   entry->daemon.store = md_http_new (entry->daemon.links, MD_STORE_CONNECTIONS);
@@ -250,11 +293,7 @@
   if (entry->daemon.store == NULL
       || (settings->advisor_address[0] != '\0' && entry->advisor == NULL))
     return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
-  entry->config = md_config_reader_start (settings, wake_engine, entry, error);
-  if (entry->config == NULL)
-    return MD_E_IO;
-  entry->front = md_front_start (entry, error);
-  return entry->front != NULL ? MD_OK : MD_E_IO;
+  return wait_for_ports (entry, error);
 }
 
 static int
@@ -280,6 +319,8 @@
               (long long)atomic_load (&md_metrics[MD_M_JOBS_FAILED]),
               (long long)atomic_load (&md_metrics[MD_M_REFUSED]));
     }
+  else if (md_daemon_is_stopping ())
+    md_log (MD_LOG_INFO, "stopped", "step=%s reason=\"before the ports were open\"", error.step);
   else
     md_log (MD_LOG_ERROR, "start", "step=%s peer=%s detail=\"%s\"", error.step, error.peer,
             error.detail);
@@ -293,7 +334,7 @@
   md_front_stop (entry->front);
   md_config_reader_stop (entry->config);
   urcu_memb_unregister_thread ();
-  return rc == MD_OK ? MD_EXIT_OK : MD_EXIT_FAILED;
+  return rc == MD_OK || md_daemon_is_stopping () ? MD_EXIT_OK : MD_EXIT_FAILED;
 }
 
 int
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -212,6 +212,7 @@
   MdInbox inbox;                         /* requests of callers */
   MdInboxNode *backlog;                  /* taken from the inbox, not handled yet, oldest first */
   struct MdFront *front;                 /* HTTP front end, owned */
+  MdMetricsServer metrics;               /* its server for metrics */
   MdWorkers workers;                     /* workers of all known guards */
   uint32_t allocated_workers;            /* capacity of workers, saved_resources and excluded */
   MdSavedResources *saved_resources;     /* scratch for trial placements */
@@ -251,9 +252,11 @@
 
 /* front.c */
 typedef struct MdFront MdFront;
-/* md_front_start: start the HTTP servers for callers, probes and metrics on the addresses in
-   the settings. entry must outlive the front end. Returns NULL on failure. */
+/* md_front_start: start the HTTP servers for callers and probes on the addresses in the settings.
+   entry must outlive the front end. Returns NULL on failure. */
 MdFront *md_front_start (MdRunEntry *entry, MdError *error);
+/* md_front_start_metrics: MdMetricsServer.start, user is the MdFront. */
+struct mg_context *md_front_start_metrics (void *user, const char *address, MdError *error);
 /* md_front_stop: stop the servers and free the front end; does nothing for NULL. */
 void md_front_stop (MdFront *front);
 /* md_front_disable_keep_alive: close each connection after its next response. */
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -8,6 +8,7 @@
 
 #include "run-guard.h"
 #include "http-client.h"
+#include "listen.h"
 
 #include <civetweb.h>
 
@@ -120,6 +121,7 @@
       if (seeds_added)
         due = md_time_min (due, md_keyed_reader_poll (guard->entries, guard->now));
       due = md_time_min (due, md_guard_orders_poll (guard));
+      due = md_time_min (due, md_metrics_server_poll (&guard->metrics, guard->now));
       if (guard->leaving)
         due = md_time_min (due, guard->leave_until);
       due = md_time_min (due, md_http_poll (guard->http));
@@ -132,6 +134,36 @@
     }
 }
 
+static int
+open_ports (void *user, MdError *error)
+{
+  MdRunGuard *guard = user;
+
+  guard->registrar = md_registrar_server_start (&guard->daemon.settings, &guard->inbox,
+                                                guard->daemon.links, error);
+  return guard->registrar != NULL ? MD_OK : MD_E_IO;
+}
+
+static int
+wait_for_ports (MdRunGuard *guard, MdError *error)
+{
+  const MdSettings *settings = &guard->daemon.settings;
+  MdListen listen = { .ports = { { "listen-registration", settings->register_address } },
+                      .n_ports = 1,
+                      .timeout = md_listen_timeout (settings),
+                      .is_stopping = md_daemon_is_stopping,
+                      .open = open_ports,
+                      .user = guard };
+  int rc = md_listen (&listen, error);
+
+  if (rc != MD_OK)
+    return rc;
+  guard->metrics = (MdMetricsServer){ .address = settings->metrics_address,
+                                      .start = md_registrar_start_metrics,
+                                      .user = guard->registrar };
+  return MD_OK;
+}
+
 static int
 start_components (MdRunGuard *guard, MdError *error)
 {
@@ -145,9 +177,7 @@
   if (guard->http == NULL || guard->daemon.store == NULL || guard->entries == NULL
       || md_guard_worker_record_init (guard) != MD_OK)
     return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
-  guard->registrar
-      = md_registrar_server_start (settings, &guard->inbox, guard->daemon.links, error);
-  return guard->registrar != NULL ? MD_OK : MD_E_IO;
+  return wait_for_ports (guard, error);
 }
 
 static int
@@ -172,9 +202,12 @@
       run_loop (guard);
       md_log (MD_LOG_INFO, "stopped", "runs=%u", guard->queue.running.n);
     }
+  else if (md_daemon_is_stopping ())
+    md_log (MD_LOG_INFO, "stopped", "step=%s reason=\"before the ports were open\"", error.step);
   else
     md_log (MD_LOG_ERROR, "start", "step=%s peer=%s detail=\"%s\"", error.step, error.peer,
             error.detail);
+  md_metrics_server_stop (&guard->metrics);
   md_registrar_server_stop (guard->registrar);
   md_http_free (guard->http);
   md_keyed_reader_free (guard->entries);
@@ -184,7 +217,7 @@
       next = node->next;
       free (node);
     }
-  return rc == MD_OK ? MD_EXIT_OK : MD_EXIT_FAILED;
+  return rc == MD_OK || md_daemon_is_stopping () ? MD_EXIT_OK : MD_EXIT_FAILED;
 }
 
 int
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -148,6 +148,7 @@
   uint64_t incarnation;              /* identifies this process to entries */
   MdHttp *http;                      /* client for calls to the worker */
   MdRegistrarServer *registrar;      /* receives the worker's reports */
+  MdMetricsServer metrics;           /* server on metrics_address */
   MdKeyedReader *entries;            /* reads the entries' addresses from the store */
   MdGuardWorkerRecord worker_record; /* the worker's record in the store */
   MdDirectory directory;             /* addresses of the entries found so far */
@@ -201,12 +202,14 @@
 
 /* guard-registrar.c */
 
-/* md_registrar_server_start: listen for the worker's reports, and for metrics requests when
-   settings give an address for them. Reports are pushed to inbox, and links is woken. NULL when
-   memory is short, or with error set when the server cannot listen. */
+/* md_registrar_server_start: listen for the worker's reports. They are pushed to inbox, and links
+   is woken. NULL, with error set, when memory is short or the server cannot listen. */
 MdRegistrarServer *md_registrar_server_start (const MdSettings *settings, MdInbox *inbox,
                                               MdLinks *links, MdError *error);
 
+/* md_registrar_start_metrics: MdMetricsServer.start, user is the MdRegistrarServer. */
+struct mg_context *md_registrar_start_metrics (void *user, const char *address, MdError *error);
+
 /* md_registrar_server_stop: stop the server's threads and free it. server may be NULL. */
 void md_registrar_server_stop (MdRegistrarServer *server);
 
--- a/net/link.c
+++ b/net/link.c
@@ -188,7 +188,12 @@
   if (links->listen_fd < 0)
     return md_error_set (error, MD_E_IO, "listen", peer, "%s", strerror (errno));
   if (!md_link_watch (links, EPOLL_CTL_ADD, links->listen_fd, EPOLLIN, &links->listen_fd))
-    return md_error_set (error, MD_E_IO, "listen", peer, "%s", strerror (errno));
+    {
+      md_error_set (error, MD_E_IO, "listen", peer, "%s", strerror (errno));
+      close (links->listen_fd);
+      links->listen_fd = -1;
+      return MD_E_IO;
+    }
   len = sizeof sa;
   getsockname (links->listen_fd, (struct sockaddr *)&sa, &len);
   format_address ((struct sockaddr *)&sa, len, bound);
--- a/operator/operator.c
+++ b/operator/operator.c
@@ -194,8 +194,8 @@
   server->ctx = start_server (server, n);
   if (server->ctx == NULL)
     {
-      md_error_set (error, MD_E_IO, "operator-listen", settings->operator_address,
-                    "cannot listen on this address");
+      md_error_set (error, MD_E_IO, "listen-operators", settings->operator_address,
+                    "the HTTP server cannot start");
       free (server);
       return NULL;
     }
--- /dev/null
+++ b/tests/run-start.sh
@@ -0,0 +1,131 @@
+#!/usr/bin/env bash
+# Starts of real processes on a host that is not ready: each port held by another socket for a
+# while, or an address that the host does not have. Guards against a process that ends at once,
+# without the reason, where the reason passes, against one that its metrics port stops, and against
+# one that announces itself before its ports are open. Expected output stands in run-start.expected.
+cd "$(dirname "$0")/.."
+ENTRIES=1 GUARDS=1
+. tests/platform.sh
+
+ABSENT=192.0.2.1 # reserved for documentation, so no host has it
+ended () { ! running "$1"; }
+has_started () { seen "$1" event=started; }
+
+hold () { # address: another process listens there
+  launch holder "$BIN/tests/platform-store" --listen "$1"
+  wait_for 5 curl -s -m 1 -o /dev/null "http://$1/control" || fail "$1 cannot be held"
+}
+release () { send_signal KILL holder; wait_for 5 ended holder; }
+# clear NAME: stops the process and forgets its lines.
+clear_process () {
+  send_signal KILL "$1"
+  wait_for 5 ended "$1"
+  rm -f "$RUN/$1.log"
+}
+
+# busy NAME ADDRESS STEP COMMAND...: start NAME by COMMAND while ADDRESS is held.
+busy () {
+  local name=$1 address=$2 step=$3
+  shift 3
+  hold "$address"
+  "$@"
+  wait_for 10 seen "$name" "listen-wait step=$step address=$address errno=98 reason=\"Address already in use\"" \
+    || echo "$name does not tell that $step waits"
+  # Ten attempts later.
+  sleep 1
+  running "$name" && ! has_started "$name" && echo "$name waits: $step" || echo "$name does not wait: $step"
+  grep -qE 'event=(registered|readiness|started|entry-reached)' "$RUN/$name.log" && echo "$name announced itself"
+  echo "lines about it: $(grep -c listen-wait "$RUN/$name.log")"
+  release
+  wait_for 20 has_started "$name" && echo "$name starts" || echo "$name does not start: $step"
+  clear_process "$name"
+}
+
+again () { # name role: start on the settings file that is there
+  launch "$1" "$BIN/mulberrydrift" "$2" --config "$RUN/$1.yaml"
+}
+with () { # name role lines: the same with these lines added to the file
+  clear_process "$1"
+  printf '%s\n' "$3" >> "$RUN/$1.yaml"
+  again "$1" "$2"
+}
+
+metrics () { # name role address
+  hold "$3"
+  with "$1" "$2" "metrics_address: $3"
+  wait_for 10 has_started "$1" && echo "$1 starts while its metrics port is held" || echo "$1 does not start without metrics"
+  wait_for 10 seen "$1" "metrics-unavailable address=$3 errno=98" && echo "$1 warns"
+  release
+  wait_for 10 curl -sf -m 2 -o /dev/null "http://$3/metrics" && echo "$1 serves metrics later" || echo "$1 has no metrics"
+  clear_process "$1"
+  sed -i '/^metrics_address/d' "$RUN/$1.yaml"
+  with "$1" "$2" "metrics_address: $ABSENT:9464"
+  wait_for 10 has_started "$1" && echo "$1 starts without the address of its metrics" || echo "$1 does not start without it"
+  wait_for 10 seen "$1" "metrics-unavailable address=$ABSENT:9464 errno=99" && echo "$1 warns"
+  clear_process "$1"
+  sed -i '/^metrics_address/d' "$RUN/$1.yaml"
+}
+
+# absent NAME ROLE SETTING STEP: the host has no such address. No grace period, so that the wait is
+# short.
+absent () {
+  clear_process "$1"
+  sed -e "s/^$3: .*/$3: $ABSENT:7000/" -e 's/^grace_s: .*/grace_s: 0/' "$RUN/$1.yaml" > "$RUN/absent.yaml"
+  "$BIN/mulberrydrift" "$2" --config "$RUN/absent.yaml" > "$RUN/absent.log" 2>&1
+  echo "$1 without its $3: exit $?, $(grep -c listen-wait "$RUN/absent.log") warning, $(grep -o "event=start step=$4 peer=$ABSENT:7000 detail=.*errno 99\"" "$RUN/absent.log")"
+}
+
+stopped_while_waiting () { # name role setting
+  local pid
+  sed -e "s/^$3: .*/$3: $ABSENT:7000/" "$RUN/$1.yaml" > "$RUN/absent.yaml"
+  rm -f "$RUN/absent.log" # lines of an earlier process would end the wait below
+  "$BIN/mulberrydrift" "$2" --config "$RUN/absent.yaml" > "$RUN/absent.log" 2>&1 &
+  pid=$!
+  wait_for 10 grep -qs listen-wait "$RUN/absent.log"
+  kill -TERM "$pid"
+  wait "$pid"
+  echo "$1 is stopped while it waits: exit $?"
+}
+
+# The daemons of the own interface start through the same code.
+own_entry () {
+  set -- $("$BIN/tests/freeport" 4)
+  cat > "$RUN/own.yaml" <<YAML
+role: entry
+name: own
+region: r
+failure_domain: r-a
+log_address: 127.0.0.1:$1
+internal_address: 127.0.0.1:$2
+caller_address: 127.0.0.1:$3
+operator_address: 127.0.0.1:$4
+caller_threads: 8
+YAML
+  busy own "127.0.0.1:$2" listen-internal again own entry
+  busy own "127.0.0.1:$3" listen-callers again own entry
+  busy own "127.0.0.1:$4" listen-operators again own entry
+}
+
+run () {
+  plan_ports
+  start_store
+  wait_for 5 curl -s -m 1 -o /dev/null "http://$STORE/control" || fail "the store did not start"
+  put_config 3 /calc/
+  local ip=127.0.0.11
+  busy entry-1 "$ip:$INNER" listen-internal start_entry 1
+  busy entry-1 "$ip:$CALLERS" listen-callers start_entry 1
+  busy entry-1 "$ip:$READY" listen-readiness start_entry 1
+  busy guard-1 "$REGISTER_1" listen-registration start_guard 1
+  metrics entry-1 run-entry "$VIA_1"
+  metrics guard-1 run-guard "$VIA_1"
+  absent entry-1 run-entry internal_address listen-internal
+  absent entry-1 run-entry ready_address listen-readiness
+  absent guard-1 run-guard register_address listen-registration
+  stopped_while_waiting entry-1 run-entry caller_address
+  stopped_while_waiting guard-1 run-guard register_address
+  own_entry
+}
+
+run > "$RUN/out" || { cat "$RUN/out"; exit 1; }
+if [ -n "${UPDATE:-}" ]; then cp "$RUN/out" tests/run-start.expected; exit; fi
+diff -u tests/run-start.expected "$RUN/out" || { KEEP=1; exit 1; }
