--- a/entry/callers.c
+++ b/entry/callers.c
@@ -712,8 +712,8 @@
   callers->server = mg_start (&callbacks, callers, options);
   if (callers->server == NULL)
     {
-      md_error_set (error, MD_E_IO, "listen", settings->caller_address,
-                    "cannot serve callers on this address");
+      md_error_set (error, MD_E_IO, "listen-callers", settings->caller_address,
+                    "the HTTP server cannot start");
       free_callers (callers);
       return NULL;
     }
@@ -731,3 +731,12 @@
 {
   return callers ? atomic_load (&callers->in_progress) : 0;
 }
+
+void
+md_callers_stop (MdCallers *callers)
+{
+  if (callers == NULL)
+    return;
+  mg_stop (callers->server);
+  free_callers (callers);
+}
