--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -320,7 +320,8 @@
     work[i] = md_entry_expected_work (job, i)
               + (double)md_advice_call_time (&job->route.advisor, MD_ADVICE_MAX_WORKERS);
   job->critical_path = md_runjob_critical_path (&job->runjob, work);
-  objective = md_span (job->route.slack_factor * job->critical_path) + job->route.target_latency;
+  objective = md_limit_time (job->route.slack_factor * job->critical_path, MD_MAX_GOAL)
+              + job->route.target_latency;
   job->arrived = caller_request->arrived;
   job->goal = caller_request->arrived + objective - NETWORK_MARGIN;
   job->limit = caller_request->arrived + MD_LIMIT_GOAL_MULTIPLE * objective - NETWORK_MARGIN;
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -26,14 +26,24 @@
    into MdTime. */
 #define MD_MAX_SPAN (366 * 24 * 3600 * MD_SECOND)
 
+/* Longest response-time goal of a job: of 64 steps, each of MD_MAX_SPAN, with a slack factor of 100. */
+#define MD_MAX_GOAL (6400 * MD_MAX_SPAN)
+
+/* md_limit_time: a computed time, limited to 0 and max. 0 for NaN. */
+static inline MdTime
+md_limit_time (double us, MdTime max)
+{
+  if (!(us > 0))
+    return 0;
+  return us < (double)max ? (MdTime)us : max;
+}
+
 /* md_span: a time that was computed from numbers of callers, guards or workers, limited to 0 and
    MD_MAX_SPAN. 0 for NaN. */
 static inline MdTime
 md_span (double us)
 {
-  if (!(us > 0))
-    return 0;
-  return us < (double)MD_MAX_SPAN ? (MdTime)us : MD_MAX_SPAN;
+  return md_limit_time (us, MD_MAX_SPAN);
 }
 
 static inline bool
