--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -39,9 +39,6 @@
   MD_AUTO_BUF faults = { 0 };
   int rc = parse_options (argc, argv, &daemon->path);
 
-  /* SIGHUP must not end the process before its handler is installed. Nothing is missed: a
-     change of the file is found by the periodic check. */
-  signal (SIGHUP, SIG_IGN);
   if (rc != MD_EXIT_OK)
     return rc;
   md_process_set_step (MD_STEP_SETTINGS);
--- a/main.c
+++ b/main.c
@@ -88,6 +88,43 @@
   return -1;
 }
 
+/* ------------------------------------------------------------------ */
+/* Before the libraries are initialized                               */
+
+static bool sighup_was_ignored; /* when the process started */
+
+/* Signals that end a process by default and that a supervisor, a log rotation or the kernel may
+   send to a daemon that has no use for them. SIGHUP: run-entry and run-guard reload their settings once
+   they have a handler; an earlier one is not missed, as the file is checked for changes.  SIGXFSZ: the log is a file at its size limit; the write fails instead. */
+static void
+ignore_stray_signals (void)
+{
+  static const int numbers[] = { SIGHUP, SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM, SIGXFSZ };
+  struct sigaction ignore = { .sa_handler = SIG_IGN };
+  struct sigaction former = { 0 };
+
+  sigaction (SIGHUP, NULL, &former);
+  sighup_was_ignored = former.sa_handler == SIG_IGN;
+  for (size_t i = 0; i < MD_ARRAY_SIZE (numbers); i++)
+    sigaction (numbers[i], &ignore, NULL);
+}
+
+/* Called by the loader before the constructors of the libraries, which take milliseconds in which a
+   SIGHUP would end the process. Calls the C library only. */
+static void
+prepare_process (int argc, char **argv, char **environment MD_UNUSED)
+{
+  if (daemon_log_fd (argc, argv) >= 0)
+    ignore_stray_signals ();
+}
+
+__attribute__ ((section (".preinit_array"), used)) static void (*const preinit) (int, char **,
+                                                                                 char **)
+    = prepare_process;
+
+/* ------------------------------------------------------------------ */
+/* Commands                                                           */
+
 static int
 run_command (const Command *command, int argc, char **argv)
 {
@@ -95,7 +132,7 @@
   int status;
 
   if (log_fd >= 0)
-    md_process_begin (command->name, log_fd, false);
+    md_process_begin (command->name, log_fd, sighup_was_ignored);
   status = command->run (argc - 1, (const char **)argv + 1);
   if (log_fd >= 0)
     md_process_end (status);
--- a/tests/run-ends.sh
+++ b/tests/run-ends.sh
@@ -11,7 +11,8 @@
 export ASAN_OPTIONS="handle_segv=0:handle_sigbus=0:handle_sigfpe=0:handle_sigill=0${ASAN_OPTIONS:+:$ASAN_OPTIONS}"
 
 # await NAME: wait for a process that this script started and set status.
-ended () { ! running "$1"; }
+# A process that ended before its start time could be read has none in its file.
+ended () { local start; read -r _ start < "$RUN/$1.pid"; [ -z "$start" ] || ! running "$1"; }
 await () {
   wait_for 60 ended "$1" || fail "$1 does not end"
   { wait "$(pid_of "$1")"; status=$?; } 2> /dev/null
@@ -129,6 +130,77 @@
   echo "an idle connection does not delay the end of a guard"
 }
 
+STRAY="HUP USR1 USR2 ALRM PIPE XFSZ"
+
+# Sends signals that a daemon has no use for, or that reload its settings, from its first line on.
+endure () { # name pattern-of-readiness
+  local name=$1 round=0 signal
+  wait_for 20 seen "$name" event=process-begin || fail "$name has no first line"
+  until [ $round -ge 200 ] && seen "$name" "$2"; do
+    for signal in $STRAY; do
+      kill "-$signal" "$(pid_of "$name")" 2> /dev/null || break 2
+    done
+    round=$((round + 1))
+    [ $round -lt 20000 ] || fail "$name does not start while it gets signals"
+  done
+  running "$name" || fail "$name ended by a signal that it has no use for"
+  kill -TERM "$(pid_of "$name")"
+  await "$name"
+  [ "$status" = 0 ] || fail "$name ended with $status"
+}
+
+stray_signals () {
+  local name
+  for name in entry-1 guard-1; do
+    : > "$RUN/$name.log"
+    "start_${name%-1}" 1
+    endure "$name" event=started
+  done
+  set -- $("$BIN/tests/freeport" 4)
+  cat > "$RUN/entry.yaml" <<YAML
+role: entry
+name: entry-9
+region: lusitania
+failure_domain: lusitania-a
+log_address: 127.0.0.1:$4
+internal_address: 127.0.0.1:$1
+caller_address: 127.0.0.1:$2
+operator_address: 127.0.0.1:$3
+drain_timeout_ms: 500
+YAML
+  cat > "$RUN/guard.yaml" <<YAML
+role: guard
+name: worker-09
+region: lusitania
+failure_domain: lusitania-a
+log_address: 127.0.0.1:$4
+upstream_address: 127.0.0.1:$1
+pool: relogio-calc
+drain_timeout_ms: 500
+YAML
+  for name in entry guard; do
+    launch "$name" "$BIN/mulberrydrift" "$name" --config "$RUN/$name.yaml"
+    endure "$name" event=started
+  done
+  echo "stray signals end none of the four daemons"
+}
+
+# A log that is a file at its size limit must not end the process.
+full_log () {
+  start_both
+  kill -KILL "$(pid_of entry-1)"
+  await entry-1
+  (ulimit -f 1; exec "$BIN/mulberrydrift" run-entry --config "$RUN/entry-1.yaml") \
+    > "$RUN/full.log" 2>&1 &
+  echo "$! $(start_time $!)" > "$RUN/full.pid"
+  wait_for 20 ready 1 || fail "an entry whose log is full is not ready"
+  curl -s -m 5 -o /dev/null -H 'Host: jobs.example' -d nonsense "http://127.0.0.11:$CALLERS/calc/1"
+  sleep 0.2
+  running full || fail "a log at its size limit ends the process"
+  kill -KILL "$(pid_of full)" "$(pid_of guard-1)"
+  echo "a log at its size limit ends no process"
+}
+
 plan_ports
 start_store
 wait_for 5 curl -s -m 1 -o /dev/null "http://$STORE/control" || fail "the store did not start"
@@ -138,3 +210,5 @@
 failed_start
 ends_under_load
 idle_connection
+stray_signals
+full_log
