Open standard descriptors that are closed at the start

Callers would see log lines in their connections: when a supervisor starts a process with descriptors 0 to 2 closed, the event loop, the listening sockets and the first connections get these numbers, and lines for standard output or standard error are written to whatever has the number. An entry's descriptor 0 was its epoll instance.

The function in .preinit_array now opens the null device for each closed one, in all commands, before a library can open a descriptor in its constructor. Ruled out: doing so in main, which is after the constructors.

--- a/main.c
+++ b/main.c
@@ -5,6 +5,8 @@
 
 #include "process.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
@@ -93,6 +95,16 @@
 
 static bool sighup_was_ignored; /* when the process started */
 
+/* A closed standard descriptor would be the number of the first socket, and lines meant for the
+   terminal or the log would go to a peer. */
+static void
+open_standard_descriptors (void)
+{
+  for (int fd = STDIN_FILENO; fd <= STDERR_FILENO; fd++)
+    if (fcntl (fd, F_GETFD) < 0 && errno == EBADF && open ("/dev/null", O_RDWR) < 0)
+      return; /* it does not exist here either */
+}
+
 /* Signals that end a process by default and that a supervisor, a log rotation or the kernel may
    send to a daemon that has no use for them. SIGHUP: run-entry and run-guard reload their settings once
    they have a handler; an earlier one is not missed, as the file is checked for changes.  SIGXFSZ: the log is a file at its size limit; the write fails instead. */
@@ -114,6 +126,7 @@
 static void
 prepare_process (int argc, char **argv, char **environment MD_UNUSED)
 {
+  open_standard_descriptors ();
   if (daemon_log_fd (argc, argv) >= 0)
     ignore_stray_signals ();
 }
--- a/tests/run-ends.sh
+++ b/tests/run-ends.sh
@@ -185,11 +185,26 @@
   echo "stray signals end none of the four daemons"
 }
 
-# A log that is a file at its size limit must not end the process.
-full_log () {
+# Guards against lines of the log that go to a peer, whose socket got a closed descriptor's number.
+closed_descriptors () {
+  local fd target
   start_both
   kill -KILL "$(pid_of entry-1)"
   await entry-1
+  "$BIN/mulberrydrift" run-entry --config "$RUN/entry-1.yaml" <&- >&- 2>&- &
+  echo "$! $(start_time $!)" > "$RUN/entry-1.pid"
+  wait_for 20 ready 1 || fail "an entry without standard descriptors is not ready"
+  for fd in 0 1 2; do
+    target=$(readlink "/proc/$(pid_of entry-1)/fd/$fd")
+    [ "$target" = /dev/null ] || fail "descriptor $fd of an entry is $target"
+  done
+  kill -KILL "$(pid_of entry-1)"
+  await entry-1
+  echo "closed standard descriptors are opened"
+}
+
+# A log that is a file at its size limit must not end the process.
+full_log () {
   (ulimit -f 1; exec "$BIN/mulberrydrift" run-entry --config "$RUN/entry-1.yaml") \
     > "$RUN/full.log" 2>&1 &
   echo "$! $(start_time $!)" > "$RUN/full.pid"
@@ -211,4 +226,5 @@
 ends_under_load
 idle_connection
 stray_signals
+closed_descriptors
 full_log
