--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -18,10 +18,12 @@
   echo "${20}"
 }
 # Whether the process NAME still runs. The id of one that has ended may belong to another
-# program's process or thread by now, so that its start time is compared as well.
+# program's process or thread by now, so that its start time is compared as well. It is empty for one
+# that ended while it was launched.
 running () { # name
   local pid start
-  [ -f "$RUN/$1.pid" ] && read -r pid start < "$RUN/$1.pid" && [ "$(start_time "$pid")" = "$start" ]
+  [ -f "$RUN/$1.pid" ] && read -r pid start < "$RUN/$1.pid" && [ -n "$start" ] \
+    && [ "$(start_time "$pid")" = "$start" ]
 }
 send_signal () { # signal name
   running "$2" || return 0
