--- a/entry/entry.c
+++ b/entry/entry.c
@@ -7,6 +7,7 @@
 
 #include "entry-private.h"
 #include "host-limits.h"
+#include "listen.h"
 #include "process.h"
 
 #include <popt.h>
@@ -21,7 +22,9 @@
 #define SNAPSHOT_AFTER (2 * MD_SECOND) /* without a configuration, ask a peer */
 #define IDLE_BEFORE_STOP (200 * MD_MS) /* without requests, before the server stops */
 
-static MdEntry *signal_target; /* the process has one entry */
+#define WATCH_END_TIMEOUT (500 * MD_MS) /* for the last chunks of open watches */
+
+static MdEntry *signal_target; /* the process has one entry; never freed */
 
 MdStore *
 md_entry_store (MdEntry *entry)
@@ -331,10 +334,38 @@
   sigaction (SIGINT, &action, NULL);
 }
 
+/* Opens the ports for operators, callers and other processes, or none of them. */
+static int
+open_ports (void *user, MdError *error)
+{
+  MdEntry *entry = user;
+
+  entry->operator_http = md_operator_start (&entry->settings, entry->store, entry->observed, error);
+  if (entry->operator_http != NULL)
+    entry->callers = md_callers_start (entry, error);
+  if (entry->callers != NULL
+      && md_links_listen (entry->links, md_str (entry->settings.internal_address),
+                          entry->bound_internal, error)
+             == MD_OK)
+    return MD_OK;
+  md_callers_stop (entry->callers);
+  md_operator_stop (entry->operator_http);
+  entry->callers = NULL;
+  entry->operator_http = NULL;
+  return MD_E_IO;
+}
+
 static int
 start_entry (MdEntry *entry, MdError *error)
 {
   MdSettings *settings = &entry->settings;
+  MdListen listen = { .ports = { { "listen-internal", settings->internal_address },
+                                 { "listen-operators", settings->operator_address },
+                                 { "listen-callers", settings->caller_address } },
+                      .n_ports = 3,
+                      .timeout = md_listen_timeout (settings),
+                      .open = open_ports,
+                      .user = entry };
 
   entry->incarnation = md_new_incarnation ();
   entry->started = md_now ();
@@ -344,36 +375,10 @@
   entry->observed = md_observed_new (settings->tuning.watch_changes);
   if (entry->links == NULL || entry->members == NULL || entry->observed == NULL)
     return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
-  if (md_links_listen (entry->links, md_str (settings->internal_address), entry->bound_internal,
-                       error)
-      != MD_OK)
-    return MD_E_IO;
   entry->store = md_store_new (settings, on_store_event, entry);
   if (entry->store == NULL)
     return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
-  entry->operator_http = md_operator_start (settings, entry->store, entry->observed, error);
-  entry->callers = md_callers_start (entry, error);
-  if (entry->operator_http == NULL || entry->callers == NULL)
-    return MD_E_IO;
-  return MD_OK;
-}
-
-static void
-stop_entry (MdEntry *entry)
-{
-  md_callers_stop (entry->callers);
-  md_operator_stop (entry->operator_http);
-  md_store_free (entry->store);
-  drain_events (entry, md_now ());
-  release_held (entry, md_now ());
-  md_forward_free (entry);
-  md_shards_free (entry);
-  md_links_free (entry->links);
-  md_peers_free (entry);
-  md_reports_free (entry);
-  md_members_free (entry->members);
-  md_observed_free (entry->observed);
-  md_settings_clear (&entry->settings);
+  return md_listen (&listen, error);
 }
 
 static void
@@ -385,34 +390,39 @@
     md_store_remove_member (entry->store, entry->incarnation, true, &error);
 }
 
+/* Detached: at the end of the process it may sit in a call to a silent log. */
+static int
+start_registrar (MdEntry *entry, MdError *error)
+{
+  pthread_t thread;
+  int rc = md_thread_create (&thread, NULL, register_thread, entry);
+
+  if (rc != 0)
+    return md_error_set (error, MD_E_IO, "registrar", "", "%s", strerror (rc));
+  pthread_detach (thread);
+  return MD_OK;
+}
+
 static int
 run_entry (MdEntry *entry)
 {
   MdError error = { 0 };
-  pthread_t registrar;
-  int result;
 
   urcu_memb_register_thread ();
-  result = start_entry (entry, &error);
-  if (result != MD_OK)
+  if (start_entry (entry, &error) != MD_OK || start_registrar (entry, &error) != MD_OK)
     {
       md_log (MD_LOG_ERROR, "start-failed", "step=%s peer=%s detail=\"%s\"", error.step, error.peer,
               error.detail);
-      urcu_memb_unregister_thread ();
       return MD_EXIT_FAILED;
     }
   install_signals (entry);
   md_log (MD_LOG_INFO, "started", "role=entry internal=%s callers=%s operators=%s",
           entry->bound_internal, entry->settings.caller_address, entry->settings.operator_address);
-  md_thread_create (&registrar, NULL, register_thread, entry);
   md_process_set_step (MD_STEP_RUNNING);
   run_engine (entry);
-  pthread_join (registrar, NULL);
   leave_members (entry);
-  signal_target = NULL;
+  md_operator_end_watches (entry->operator_http, WATCH_END_TIMEOUT);
   md_log (MD_LOG_INFO, "stopped", "role=entry");
-  stop_entry (entry);
-  urcu_memb_unregister_thread ();
   return MD_EXIT_OK;
 }
 
@@ -426,7 +436,6 @@
   poptContext context = poptGetContext ("mulberrydrift entry", argc, argv, options, 0);
   MD_AUTO_BUF faults = { 0 };
   MdEntry *entry;
-  int result;
 
   md_limit_arenas ();
   if (poptGetNextOpt (context) < -1 || config == NULL)
@@ -453,7 +462,5 @@
   md_process_set_step (MD_STEP_COMPONENTS);
   md_log_open (STDERR_FILENO, entry->settings.name, entry->settings.log_level);
   md_host_limits_open (&entry->settings);
-  result = run_entry (entry);
-  free (entry);
-  return result;
+  return run_entry (entry); /* its threads still use the entry */
 }
--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -28,11 +28,9 @@
 
 /* md_daemon_open: parse "--config FILE", wait for usable settings (md_settings_wait) and open the
    log. Errors are printed to stderr. Returns MD_EXIT_OK, or the exit code of the process. When
-   daemon->stopped is set the process ends with that code in any case. */
+   daemon->stopped is set the process ends with that code in any case.
+   daemon has to last as long as the process, which frees nothing of it, see process.h. */
 int md_daemon_open (MdDaemon *daemon, int argc, const char **argv);
-/* md_daemon_close: free the links, the connections to the store and the settings, and stop the
-   log writer. */
-void md_daemon_close (MdDaemon *daemon);
 
 /* md_daemon_reload: read the settings file again after SIGHUP, or if it has changed, once it has
    not changed for 300 ms (md_settings_file_changed). Must be called by daemon->file.check_due.
@@ -56,6 +54,27 @@
 /* md_daemon_is_stopping: whether SIGTERM or SIGINT has been received. */
 bool md_daemon_is_stopping (void);
 
+/* ------------------------------------------------------------------ */
+/* Metrics (metrics-server.c)                                         */
+
+struct mg_context; /* of CivetWeb */
+
+/* Owner sets address, start and user; the rest is zero-initialized. */
+typedef struct
+{
+  const char *address; /* metrics_address; empty: no server */
+  /* Starts the server; NULL on failure. */
+  struct mg_context *(*start) (void *user, const char *address, MdError *error);
+  void *user;                /* first argument of start */
+  struct mg_context *server; /* NULL: not started */
+  MdTime due;                /* next attempt */
+  int logged;                /* errno of the last failure, -1 without one, 0 none */
+} MdMetricsServer;
+
+/* md_metrics_server_poll: start the server if it has not been started, at most once a second. A
+   failure is logged. Returns when it must be called again. */
+MdTime md_metrics_server_poll (MdMetricsServer *server, MdTime now);
+
 /* ------------------------------------------------------------------ */
 /* Keyed records of the store (keyed.c)                               */
 
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -2,8 +2,8 @@
 
    Each connection is served by one CivetWeb thread. The thread reads and checks a
    request, posts it to the engine and waits until the engine answers or the caller
-   disconnects. Probes and metrics have a separate server, so that they are served even
-   when all threads for callers are busy. */
+   disconnects. Probes and metrics have separate servers, so that they are served even
+   when all threads for callers are busy, and an entry serves without its metrics. */
 
 #define _GNU_SOURCE /* POLLRDHUP */
 
@@ -46,10 +46,10 @@
 {
   MdRunEntry *entry;               /* the engine, borrowed */
   struct mg_context *callers;      /* server for callers */
-  struct mg_context *probes;       /* server for readiness probes and metrics */
+  struct mg_context *probes;       /* server for readiness probes; metrics as well */
   atomic_bool keep_alive_disabled; /* each response closes its connection */
   atomic_bool stopping;            /* the engine answers no more requests */
-  atomic_int connections;          /* open connections of both servers */
+  atomic_int connections;          /* open connections of all servers */
   atomic_int threads;              /* threads of the server for callers */
   MdCallerSockets sockets;         /* of callers whose requests have been read */
   MdMemoryBudget body_memory;      /* of bodies that are being read or parsed */
@@ -655,7 +655,7 @@
 }
 
 static struct mg_context *
-start_server (MdFront *front, const char *address, MdHostShare share,
+start_server (MdFront *front, const char *step, const char *address, MdHostShare share,
               int (*handler) (struct mg_connection *, void *), MdError *error)
 {
   char threads[16];
@@ -689,7 +689,7 @@
   server = mg_start (&callbacks, front, options);
 
   if (server == NULL)
-    md_error_set (error, MD_E_IO, "listen", address, "cannot listen");
+    md_error_set (error, MD_E_IO, step, address, "the HTTP server cannot start");
   else
     mg_set_request_handler (server, "/", handler, front);
   return server;
@@ -703,7 +703,6 @@
   const MdHostShare probe_share = { .threads = 3, .waiting = 16 };
   MdHostShare share = md_host_own_share (settings->caller_threads);
   unsigned threads = md_host_thread_count ();
-  char probes[2 * MD_ADDRESS_BYTES + 2];
 
   if (front == NULL)
     return NULL;
@@ -711,20 +710,28 @@
   md_memory_budget_init (&front->body_memory, BODY_MEMORY);
   md_memory_budget_init (&front->parse_memory, PARSE_MEMORY);
   atomic_init (&front->threads, (int)share.threads);
-  front->callers = start_server (front, settings->caller_address, share, handle_caller, error);
+  front->callers = start_server (front, "listen-callers", settings->caller_address, share,
+                                 handle_caller, error);
   if (front->callers != NULL)
     atomic_store (&front->threads,
                   (int)md_host_check_threads (threads, share.threads, settings->caller_address));
-  snprintf (probes, sizeof probes, "%s%s%s", settings->ready_address,
-            settings->metrics_address[0] != '\0' ? "," : "", settings->metrics_address);
   if (front->callers != NULL)
-    front->probes = start_server (front, probes, probe_share, handle_probe, error);
+    front->probes = start_server (front, "listen-readiness", settings->ready_address, probe_share,
+                                  handle_probe, error);
   if (front->probes != NULL)
     return front;
   md_front_stop (front);
   return NULL;
 }
 
+struct mg_context *
+md_front_start_metrics (void *user, const char *address, MdError *error)
+{
+  const MdHostShare share = { .threads = 2, .waiting = 16 };
+
+  return start_server (user, "listen-metrics", address, share, handle_probe, error);
+}
+
 void
 md_front_disable_keep_alive (MdFront *front)
 {
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -8,9 +8,11 @@
 
 #include "run-guard.h"
 #include "http-client.h"
+#include "listen.h"
 #include "process.h"
 
 #include <civetweb.h>
+#include <errno.h>
 
 #define WORKER_CONNECTIONS 6L             /* one for the hold, the others for starts and stops */
 #define ENTRIES_READ_WAIT (5 * MD_SECOND) /* long poll of the entries topic */
@@ -122,6 +124,7 @@
       if (seeds_added)
         due = md_time_min (due, md_keyed_reader_poll (guard->entries, guard->now));
       due = md_time_min (due, md_guard_orders_poll (guard));
+      due = md_time_min (due, md_metrics_server_poll (&guard->metrics, guard->now));
       if (guard->leaving)
         due = md_time_min (due, guard->leave_until);
       due = md_time_min (due, md_http_poll (guard->http));
@@ -134,6 +137,36 @@
     }
 }
 
+static int
+open_ports (void *user, MdError *error)
+{
+  MdRunGuard *guard = user;
+
+  guard->registrar = md_registrar_server_start (&guard->daemon.settings, &guard->inbox,
+                                                guard->daemon.links, error);
+  return guard->registrar != NULL ? MD_OK : MD_E_IO;
+}
+
+static int
+wait_for_ports (MdRunGuard *guard, MdError *error)
+{
+  const MdSettings *settings = &guard->daemon.settings;
+  MdListen listen = { .ports = { { "listen-registration", settings->register_address } },
+                      .n_ports = 1,
+                      .timeout = md_listen_timeout (settings),
+                      .is_stopping = md_daemon_is_stopping,
+                      .open = open_ports,
+                      .user = guard };
+  int rc = md_listen (&listen, error);
+
+  if (rc != MD_OK)
+    return rc;
+  guard->metrics = (MdMetricsServer){ .address = settings->metrics_address,
+                                      .start = md_registrar_start_metrics,
+                                      .user = guard->registrar };
+  return MD_OK;
+}
+
 static int
 start_components (MdRunGuard *guard, MdError *error)
 {
@@ -147,9 +180,7 @@
   if (guard->http == NULL || guard->daemon.store == NULL || guard->entries == NULL
       || md_guard_worker_record_init (guard) != MD_OK)
     return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
-  guard->registrar
-      = md_registrar_server_start (settings, &guard->inbox, guard->daemon.links, error);
-  return guard->registrar != NULL ? MD_OK : MD_E_IO;
+  return wait_for_ports (guard, error);
 }
 
 static int
@@ -162,7 +193,10 @@
   tuning.reconnect_max = RECONNECT_MAX;
   guard->daemon.links = md_links_new (&tuning, &md_run_guard_handler, guard);
   if (guard->daemon.links == NULL)
-    return MD_EXIT_FAILED;
+    {
+      md_log (MD_LOG_ERROR, "start", "step=links peer= detail=\"%s\"", strerror (errno));
+      return MD_EXIT_FAILED;
+    }
   md_links_set_connect_timeout (guard->daemon.links, CONNECT_TIMEOUT);
   md_links_set_ack_timeout (guard->daemon.links, ACK_TIMEOUT);
   md_daemon_catch_signals (guard->daemon.links);
@@ -175,25 +209,20 @@
       run_loop (guard);
       md_log (MD_LOG_INFO, "stopped", "runs=%u", guard->queue.running.n);
     }
+  else if (md_daemon_is_stopping ())
+    md_log (MD_LOG_INFO, "stopped", "step=%s reason=\"before the ports were open\"", error.step);
   else
     md_log (MD_LOG_ERROR, "start", "step=%s peer=%s detail=\"%s\"", error.step, error.peer,
             error.detail);
-  md_registrar_server_stop (guard->registrar);
-  md_http_free (guard->http);
-  md_keyed_reader_free (guard->entries);
-  md_guard_worker_record_clear (guard);
-  for (MdInboxNode *node = md_inbox_take (&guard->inbox), *next; node != NULL; node = next)
-    {
-      next = node->next;
-      free (node);
-    }
-  return rc == MD_OK ? MD_EXIT_OK : MD_EXIT_FAILED;
+  return rc == MD_OK || md_daemon_is_stopping () ? MD_EXIT_OK : MD_EXIT_FAILED;
 }
 
+/* The threads of the HTTP server run until the process ends, so that nothing that they use may be on
+   this stack or freed. */
 int
 md_run_guard_main (int argc, const char **argv)
 {
-  MdRunGuard guard = { 0 };
+  static MdRunGuard guard;
   int rc;
 
   md_limit_arenas ();
@@ -206,9 +235,5 @@
   guard.worker.report.born_ms = -1;
   /* Wall-clock time exceeds the tokens of earlier processes unless the clock was set back. */
   guard.worker.token = (uint64_t)md_wall_ms ();
-  rc = run_guard (&guard);
-  md_guard_free_runs (&guard);
-  md_guard_free_peers (&guard);
-  md_daemon_close (&guard.daemon);
-  return rc;
+  return run_guard (&guard);
 }
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -84,6 +84,7 @@
   uint64_t last_order;            /* id of the last order received; 0: none */
   MdGuardEnd *ends;               /* unacknowledged ends, oldest first */
   MdGuardEnd *last_end;           /* the newest of them; NULL: none */
+  unsigned n_ends;                /* number of them */
   uint64_t started[256];          /* ids of orders started since the last report */
   unsigned n_started;             /* used elements of started */
   bool urgent;                    /* report without delay: a run has started or ended */
@@ -148,6 +149,7 @@
   uint64_t incarnation;              /* identifies this process to entries */
   MdHttp *http;                      /* client for calls to the worker */
   MdRegistrarServer *registrar;      /* receives the worker's reports */
+  MdMetricsServer metrics;           /* server on metrics_address */
   MdKeyedReader *entries;            /* reads the entries' addresses from the store */
   MdGuardWorkerRecord worker_record; /* the worker's record in the store */
   MdDirectory directory;             /* addresses of the entries found so far */
@@ -194,23 +196,19 @@
 /* md_guard_worker_record_init: create the reader of the record. MD_E_MEMORY. */
 int md_guard_worker_record_init (MdRunGuard *guard);
 
-/* md_guard_worker_record_clear: free the reader. */
-void md_guard_worker_record_clear (MdRunGuard *guard);
-
 /* md_guard_worker_record_poll: restore the worker's state from the record of the previous
    process, or write the record, if due. Returns the time of the next call. */
 MdTime md_guard_worker_record_poll (MdRunGuard *guard);
 
 /* guard-registrar.c */
 
-/* md_registrar_server_start: listen for the worker's reports, and for metrics requests when
-   settings give an address for them. Reports are pushed to inbox, and links is woken. NULL when
-   memory is short, or with error set when the server cannot listen. */
+/* md_registrar_server_start: listen for the worker's reports. They are pushed to inbox, and links
+   is woken. NULL, with error set, when memory is short or the server cannot listen. */
 MdRegistrarServer *md_registrar_server_start (const MdSettings *settings, MdInbox *inbox,
                                               MdLinks *links, MdError *error);
 
-/* md_registrar_server_stop: stop the server's threads and free it. server may be NULL. */
-void md_registrar_server_stop (MdRegistrarServer *server);
+/* md_registrar_start_metrics: MdMetricsServer.start, user is the MdRegistrarServer. */
+struct mg_context *md_registrar_start_metrics (void *user, const char *address, MdError *error);
 
 /* guard-lifetime.c */
 
@@ -275,7 +273,7 @@
    lease. */
 void md_guard_check_leases (MdRunGuard *guard);
 
-/* md_guard_free_runs: free all runs without reporting their ends, when the process exits. */
+/* md_guard_free_runs: free all runs without reporting their ends, for tests. */
 void md_guard_free_runs (MdRunGuard *guard);
 
 /* md_guard_orders_poll: send the reports that are due and remove peers that stay silent. Returns
--- a/operator/operator.c
+++ b/operator/operator.c
@@ -203,8 +203,8 @@
   server->ctx = start_server (server, n);
   if (server->ctx == NULL)
     {
-      md_error_set (error, MD_E_IO, "operator-listen", settings->operator_address,
-                    "cannot listen on this address");
+      md_error_set (error, MD_E_IO, "listen-operators", settings->operator_address,
+                    "the HTTP server cannot start");
       free (server);
       return NULL;
     }
@@ -215,6 +215,20 @@
   return server;
 }
 
+void
+md_operator_end_watches (MdOperator *server, MdTime timeout)
+{
+  MdTime deadline = md_now () + timeout;
+
+  atomic_store (&server->stopping, true);
+  while (atomic_load (&server->watches) > 0 && md_now () < deadline)
+    {
+      struct timespec pause = { 0, 5 * 1000 * 1000 };
+
+      nanosleep (&pause, NULL);
+    }
+}
+
 void
 md_operator_stop (MdOperator *server)
 {
