Write settings files byte by byte at real processes

tests/run-settings.sh wrote files whole, cut short or empty, but not slowly, which only the unit test did in a thread. It now writes the marked file one byte with each call, at a running entry and guard and at their starts, and checks that it is taken over when it is whole. The file that comes back after it was missing has the grace period in force, so that its reading cannot be taken for that of the next change; the check is stricter than before.

--- a/tests/run-settings.sh
+++ b/tests/run-settings.sh
@@ -11,6 +11,11 @@
 counted () { [ "$(count "$1" "$2")" -ge "$3" ]; } # name pattern at-least
 in_place () { cat > "$RUN/$1.yaml"; } # name: writes standard input to the file without replacing it
 ended () { ! running "$1"; }
+# byte_by_byte NAME: writes standard input to the file in place, one byte with each call.
+byte_by_byte () {
+  local byte
+  while IFS= read -r -N 1 byte; do printf '%s' "$byte"; sleep 0.005; done > "$RUN/$1.yaml"
+}
 
 # rejected NAME WHAT: the process reads the file as it is now and keeps its settings.
 rejected () {
@@ -29,7 +34,7 @@
 }
 
 running_processes () {
-  local name lines n
+  local name lines n before
   for name in entry-1 guard-1; do
     cp "$RUN/$name.yaml" "$RUN/$name.whole"
     : | in_place "$name"
@@ -45,9 +50,12 @@
       head -n "$n" "$RUN/$name.marked" | in_place "$name"
       rejected "$name" "$((lines - n)) of its lines missing, with an end marker"
     done
+    before=$(count "$name" 'settings-read.*applied=grace_s')
+    sed 's/^grace_s: .*/grace_s: 3/' "$RUN/$name.marked" | byte_by_byte "$name"
+    wait_for 10 counted "$name" 'settings-read.*applied=grace_s' $((before + 1)) && echo "$name takes over: a file written byte by byte"
     mv "$RUN/$name.yaml" "$RUN/$name.away"
     wait_for 10 seen "$name" settings-missing && echo "$name reports that the file is missing"
-    cp "$RUN/$name.whole" "$RUN/$name.new"
+    sed 's/^grace_s: .*/grace_s: 3/' "$RUN/$name.whole" > "$RUN/$name.new" # as in force
     mv "$RUN/$name.new" "$RUN/$name.yaml"
     taken "$name" 4 "a file that was missing"
     grep -q 'settings-read.*deferred=[^-]' "$RUN/$name.log" && echo "$name took over a part of a file"
@@ -63,12 +71,12 @@
   esac
 }
 stop () { send_signal TERM "$1"; wait_for 15 ended "$1" || fail "$1 does not stop"; }
-starts () { # name what: the file is written while the process waits for it
+starts () { # name what [writer]: the file is written while the process waits for it
   local waits starts
   waits=$(count "$1" settings-wait) starts=$(count "$1" event=started)
   start_again "$1"
   wait_for 10 counted "$1" settings-wait $((waits + 1)) || { echo "$1 ended: $2"; return; }
-  in_place "$1" < "$RUN/$1.marked"
+  "${3:-in_place}" "$1" < "$RUN/$1.marked"
   wait_for 10 counted "$1" event=started $((starts + 1)) || { echo "$1 does not start: $2"; return; }
   echo "$1 starts: $2"
   stop "$1"
@@ -82,6 +90,8 @@
     starts "$name" "the file is missing for a while"
     : | in_place "$name"
     starts "$name" "the file is empty for a while"
+    : | in_place "$name"
+    starts "$name" "the file is written byte by byte" byte_by_byte
     head -n 6 "$RUN/$name.marked" | in_place "$name"
     starts "$name" "the file is cut short for a while"
     head -n -1 "$RUN/$name.marked" | in_place "$name"
