Take a settings file that is cut within a value for an incomplete one

A guard that started while its settings file was being written ended with status 1 after 0.3 s, although the rest came 0.9 s later. The file was cut in its second line ("role: r"), so that the value looked wrong, and a wrong value is final once the file has not changed for 300 ms. Ruled out: a port that is held; the log says "role: must be".

Whether a file is incomplete follows from its text now, not from the kind of its faults: without the end of the document it is incomplete if it begins like a file with an end marker, or does not end with a line end. test_cut_anywhere asks this of every length and failed before, as did test_cut_within_line; 9 of 9 after.

--- a/common/settings.c
+++ b/common/settings.c
@@ -550,10 +550,7 @@
       if (!md_str_equal (value, MD_STR ("required")))
         add_fault (reader, node, "end_marker: must be required");
       else if (!settings->end_marked)
-        {
-          add_fault (reader, node, "end_marker: the file does not end with a line \"...\"");
-          reader->incomplete = true;
-        }
+        add_fault (reader, node, "end_marker: the file does not end with a line \"...\"");
     }
 }
 
@@ -620,6 +617,17 @@
   settings->log_level = MD_LOG_INFO;
 }
 
+/* Whether a text without the end of a YAML document may be the beginning of a longer one, whatever
+   its faults are: a cut within a value looks like a wrong value. */
+static bool
+may_be_cut_short (MdStr text)
+{
+  static const char marked[] = "end_marker: required\n";
+  size_t len = text.len < sizeof marked - 1 ? text.len : sizeof marked - 1;
+
+  return memcmp (text.data, marked, len) == 0 || text.data[text.len - 1] != '\n';
+}
+
 int
 md_settings_parse (MdSettings *settings, const char *path, MdStr text, MdBuf *faults)
 {
@@ -642,7 +650,7 @@
     }
   settings->end_marked = !doc.end_implicit;
   read_root (&reader, settings);
-  settings->incomplete = reader.incomplete;
+  settings->incomplete = reader.incomplete || (!settings->end_marked && may_be_cut_short (text));
   yaml_document_delete (&doc);
   yaml_parser_delete (&parser);
   return reader.failed ? MD_E_INVALID : MD_OK;
--- a/tests/test-settings-file.c
+++ b/tests/test-settings-file.c
@@ -123,7 +123,8 @@
 END_TEST
 
 /* Guards against a file with an end marker that is accepted although it is cut short, at any byte:
-   its missing settings would have their defaults. */
+   its missing settings would have their defaults. Guards as well against a start that takes such a
+   file for one with a wrong value, and ends instead of waiting for the rest. */
 START_TEST (test_cut_anywhere)
 {
   size_t whole = strlen (MARKED);
@@ -137,11 +138,27 @@
       /* The line end behind the marker may be missing. */
       ck_assert_int_eq (rc, len < whole - 1 ? MD_E_INVALID : MD_OK);
       ck_assert (rc != MD_OK || settings.end_marked);
+      ck_assert (rc == MD_OK || settings.incomplete);
       md_settings_clear (&settings);
     }
 }
 END_TEST
 
+/* Guards against a start that ends at a file without an end marker that is cut within a line. */
+START_TEST (test_cut_within_line)
+{
+  MD_AUTO_BUF faults = { 0 };
+  MdSettings settings;
+
+  ck_assert_int_eq (md_settings_parse (&settings, "f.yaml", MD_STR ("role: gu"), &faults),
+                    MD_E_INVALID);
+  ck_assert (settings.incomplete);
+  ck_assert_int_eq (md_settings_parse (&settings, "f.yaml", MD_STR ("role: gu\n"), &faults),
+                    MD_E_INVALID);
+  ck_assert (!settings.incomplete);
+}
+END_TEST
+
 /* Guards against a file that ends with the marker although none is required. */
 START_TEST (test_marker_is_optional)
 {
@@ -223,6 +240,7 @@
   tcase_add_test (tc, test_requested);
   tcase_add_test (tc, test_requested_early);
   tcase_add_test (tc, test_cut_anywhere);
+  tcase_add_test (tc, test_cut_within_line);
   tcase_add_test (tc, test_marker_is_optional);
   tcase_add_test (tc, test_start_while_written);
   tcase_add_test (tc, test_start_is_stopped);
