Give a job of the longest run time its slack

Change: the time to the goal is limited to a thousand times that of a run, of which three times, the limit of a job, still fit into 64 bits.

The new test job_of_the_longest_run_time_is_admitted of build/release/tests/test-entry-tasks failed before (2 of 3 passed), and passes with the others, release and asan.

--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -8,6 +8,9 @@
 #define NETWORK_MARGIN (8 * MD_MS)               /* part of the goal: round trip to the caller */
 #define DEFAULT_RESPONSE_TIMEOUT (2 * MD_SECOND) /* for callers that do not state one */
 #define RETRY_SAFETY_FACTOR 1.25                 /* run times vary by a factor of about exp (0.4) */
+/* Of the time to the goal. A multiple of the longest run, so that a job of such runs still has slack;
+   the limit, which is a multiple of the goal, fits into MdTime. */
+#define MAX_OBJECTIVE (1000 * MD_MAX_SPAN)
 #define ADMISSION_PATIENCE (20 * MD_MS) /* a round trip to guards in other failure domains */
 
 /* ------------------------------------------------------------------ */
@@ -320,7 +323,8 @@
     work[i] = md_entry_expected_work (job, i)
               + (double)md_advice_call_time (&job->route.advisor, MD_ADVICE_MAX_WORKERS);
   job->critical_path = md_runjob_critical_path (&job->runjob, work);
-  objective = md_span (job->route.slack_factor * job->critical_path) + job->route.target_latency;
+  objective = md_span_to (job->route.slack_factor * job->critical_path, MAX_OBJECTIVE)
+              + job->route.target_latency;
   job->arrived = caller_request->arrived;
   job->goal = caller_request->arrived + objective - NETWORK_MARGIN;
   job->limit = caller_request->arrived + MD_LIMIT_GOAL_MULTIPLE * objective - NETWORK_MARGIN;
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -26,14 +26,21 @@
    into MdTime. */
 #define MD_MAX_SPAN (366 * 24 * 3600 * MD_SECOND)
 
-/* md_span: a time that was computed from numbers of callers, guards or workers, limited to 0 and
-   MD_MAX_SPAN. 0 for NaN. */
+/* md_span_to: a time that was computed from numbers of callers, guards or workers, limited to 0 and
+   max. 0 for NaN. */
 static inline MdTime
-md_span (double us)
+md_span_to (double us, MdTime max)
 {
   if (!(us > 0))
     return 0;
-  return us < (double)MD_MAX_SPAN ? (MdTime)us : MD_MAX_SPAN;
+  return us < (double)max ? (MdTime)us : max;
+}
+
+/* md_span: the same, limited to MD_MAX_SPAN. */
+static inline MdTime
+md_span (double us)
+{
+  return md_span_to (us, MD_MAX_SPAN);
 }
 
 static inline bool
--- a/tests/test-entry-tasks.c
+++ b/tests/test-entry-tasks.c
@@ -21,6 +21,8 @@
 static MdCallerRequest requests[MAX_JOBS];
 static int caller[2]; /* the entry's and the caller's end of a connection */
 static int event;
+static MdTime declared_time; /* of the tasks that are submitted */
+static uint32_t cpu;         /* of each task */
 
 static void
 init_guard (MdEntryGuard *guard, const char *name)
@@ -40,6 +42,8 @@
 {
   ck_assert_int_eq (socketpair (AF_UNIX, SOCK_STREAM, 0, caller), 0);
   event = eventfd (0, EFD_NONBLOCK);
+  declared_time = 100 * MD_MS;
+  cpu = 0;
   entry = (MdRunEntry){ .now = NOW, .next_order_id = 1, .saved_resources = saved };
   md_leases_set (&entry.daemon.leases, 1300 * MD_MS, 50 * MD_MS);
   md_tuning_default (&entry.daemon.settings.tuning);
@@ -89,7 +93,8 @@
   for (uint32_t k = 0; k < steps; k++)
     {
       request->spec.steps[k].n_tasks = tasks;
-      request->spec.steps[k].declared_time = 100 * MD_MS;
+      request->spec.steps[k].declared_time = declared_time;
+      request->spec.steps[k].resources.cpu = cpu;
     }
   md_str_copy (request->route.name, sizeof request->route.name, MD_STR ("queue"));
   md_str_copy (request->route.pool, sizeof request->route.pool, MD_STR ("calc"));
@@ -127,6 +132,23 @@
 }
 END_TEST
 
+/* Guards against a job that is rejected because its run time is out of range: the goal was limited to
+   the time of one run, which left no slack. */
+START_TEST (job_of_the_longest_run_time_is_admitted)
+{
+  declared_time = MD_JSON_MAX_DURATION;
+  cpu = 1000;
+  for (int i = 0; i < 2; i++)
+    {
+      guards[i].worker.free.cpu = 0;
+      guards[i].worker.wait = 60 * MD_MS; /* less than any bound */
+    }
+  submit_job (0, 1, 1);
+  ck_assert (!requests[0].answered);
+  ck_assert_uint_eq (entry.jobs->runjob.ordered, 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -136,5 +158,6 @@
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, job_of_too_many_tasks_is_rejected);
   tcase_add_test (tc, tasks_of_all_jobs_are_bounded);
+  tcase_add_test (tc, job_of_the_longest_run_time_is_admitted);
   return run_suite ("entry-tasks", tc);
 }
