Wait for the rest of a settings file that is cut inside its role or its marker

What callers saw: a guard that was started while its settings file was being written ended with status 1 after 300 ms ("role: must be entry, guard, run-entry or run-guard", 29 bytes read), although the file requires an end marker that was not there yet.

Cause: a role that is cut short ("role: ru") ended the reading before the end marker was looked for, and so did a cut value of end_marker itself; the file counted as whole and faulty, which a start reports after it has been unchanged for 300 ms, instead of waiting up to 10 s for an incomplete one.

Ruled out: other values; the marker is looked for after them.

Change: a file that begins with end_marker, with any value, and lacks the marker is incomplete, whatever else is wrong with it.

--- a/common/settings.c
+++ b/common/settings.c
@@ -550,10 +550,10 @@
       if (!md_str_equal (value, MD_STR ("required")))
         add_fault (reader, node, "end_marker: must be required");
       else if (!settings->end_marked)
-        {
-          add_fault (reader, node, "end_marker: the file does not end with a line \"...\"");
-          reader->incomplete = true;
-        }
+        add_fault (reader, node, "end_marker: the file does not end with a line \"...\"");
+      /* The value itself may be cut short. */
+      if (!settings->end_marked)
+        reader->incomplete = true;
     }
 }
 
@@ -588,7 +588,10 @@
     }
   read_role (reader, settings, root);
   if (reader->failed)
-    return;
+    {
+      check_end_marker (reader, settings, root);
+      return;
+    }
   for (yaml_node_pair_t *pair = root->data.mapping.pairs.start; pair < root->data.mapping.pairs.top;
        pair++)
     read_pair (reader, settings, root, pair, seen);
--- a/tests/test-settings-file.c
+++ b/tests/test-settings-file.c
@@ -142,6 +142,23 @@
 }
 END_TEST
 
+/* Guards against a start that gives up on a file with an end marker that is cut short, at any byte, for
+   a fault of its last value: a file that is being written may stay so for a while. */
+START_TEST (test_cut_is_incomplete)
+{
+  for (size_t len = 0; len < strlen (MARKED) - 1; len++)
+    {
+      MD_AUTO_BUF faults = { 0 };
+      MdSettings settings;
+
+      ck_assert_int_eq (md_settings_parse (&settings, "f.yaml", md_str_n (MARKED, len), &faults),
+                        MD_E_INVALID);
+      ck_assert_msg (settings.incomplete, "%zu bytes: %s", len, faults.data);
+      md_settings_clear (&settings);
+    }
+}
+END_TEST
+
 /* Guards against a file that ends with the marker although none is required. */
 START_TEST (test_marker_is_optional)
 {
@@ -223,6 +240,7 @@
   tcase_add_test (tc, test_requested);
   tcase_add_test (tc, test_requested_early);
   tcase_add_test (tc, test_cut_anywhere);
+  tcase_add_test (tc, test_cut_is_incomplete);
   tcase_add_test (tc, test_marker_is_optional);
   tcase_add_test (tc, test_start_while_written);
   tcase_add_test (tc, test_start_is_stopped);
