Fail one job, not the entry, when there is no memory for a reply

Callers would see an entry end by SIGABRT: the reply to a forwarded submission has as many answers and as large bodies as its sender chose, and the forwarding entry called abort when it had no memory for the copy. run-entry and run-guard call abort only when the kernel has no random numbers (by reading the calls, not by a run).

The job now fails with outcome unknown, since it may have run, and the entry logs answer-lost and goes on. A header that could not be copied is noticed too. Ruled out: forwarding the submission again, which would bring the same reply.

Shown by test-forward, a reply whose answers no machine has memory for: before, SIGABRT in the release build; after, 1 of 1 in the release, address sanitizer's and thread sanitizer's builds. run-path (release) and run-takeover (address sanitizer) pass with it. Other aborts of entry and guard remain: for records of a few hundred bytes, and in core/ for arrays that grow with the tasks of a job.

--- a/entry/entry-forward.c
+++ b/entry/entry-forward.c
@@ -491,6 +491,34 @@
   md_submission_unref (sub);
 }
 
+static int
+copy_answers (MdResult *result, const Md__ForwardReply *wire)
+{
+  result->answers = calloc (wire->n_answers ? wire->n_answers : 1, sizeof *result->answers);
+  if (result->answers == NULL)
+    return MD_E_MEMORY;
+  result->n_answers = (uint32_t)wire->n_answers;
+  for (size_t i = 0; i < wire->n_answers; i++)
+    if (md_answer_from_wire (&result->answers[i], wire->answers[i]) != MD_OK)
+      return MD_E_MEMORY;
+  return MD_OK;
+}
+
+/* The size of a reply is chosen by the peer. Without memory for it, the caller is told that its job
+   failed, and the process goes on. */
+static void
+fail_for_memory (MdResult *result)
+{
+  md_answers_free (result->answers, result->n_answers);
+  result->answers = NULL;
+  result->n_answers = 0;
+  result->state = MD_STATE_FAILED;
+  result->reason = MD_REASON_ANSWER_GONE;
+  result->outcome = MD_OUTCOME_UNKNOWN;
+  md_log (MD_LOG_ERROR, "answer-lost", "step=forward-reply peer=%s reason=\"out of memory\"",
+          result->peer);
+}
+
 static MdResult *
 copy_result (const Md__ForwardReply *wire)
 {
@@ -502,13 +530,8 @@
   result->done_tasks = wire->done_tasks;
   result->n_tasks = wire->n_tasks;
   md_str_copy (result->peer, sizeof result->peer, md_str (wire->peer));
-  result->answers = calloc (wire->n_answers ? wire->n_answers : 1, sizeof *result->answers);
-  if (result->answers == NULL)
-    abort (); /* a caller must get an answer */
-  for (size_t i = 0; i < wire->n_answers; i++)
-    if (md_answer_from_wire (&result->answers[i], wire->answers[i]) != MD_OK)
-      abort ();
-  result->n_answers = (uint32_t)wire->n_answers;
+  if (copy_answers (result, wire) != MD_OK)
+    fail_for_memory (result);
   return result;
 }
 
--- a/entry/submission.c
+++ b/entry/submission.c
@@ -198,6 +198,8 @@
       answer->headers[i].name = md_str_dup (md_str (wire->headers[i]->name));
       answer->headers[i].value = md_str_dup (md_str (wire->headers[i]->value));
       answer->n_headers++;
+      if (answer->headers[i].name == NULL || answer->headers[i].value == NULL)
+        return MD_E_MEMORY;
     }
   return MD_OK;
 }
