Let the first thread write its line about a fatal signal

On a busy machine a process that several threads ended at once could leave no line about its fatal signal: test-process failed once under the thread sanitizer at a load of about 30 (`event=fatal-signal` 0 times instead of 1).

The waits now end by the clock, and the other threads wait until the line has been written, three seconds at most. The line also shows the stack pointer, so that an overflow of a stack is told from another fault. The test starts its threads before the first signal: the thread sanitizer's runtime holds a lock in pthread_create and takes it again in the handler; one of 20 runs did not end within its time limit. Its assertions are the same.

--- a/common/fatal-signal.c
+++ b/common/fatal-signal.c
@@ -24,7 +24,11 @@
 #define HANDLER_STACK_BYTES (16u << 10)
 #define WRITER_TIMEOUT_MS 250 /* several pauses of the log writer */
 #define OUTPUT_TIMEOUT_MS 200 /* when the output is not read */
-#define THREAD_NAME_BYTES 16  /* limit of the kernel, with terminator */
+/* Other threads that fault meanwhile wait for the line at most this long; several times what it
+   takes, as a busy machine runs the first thread late. */
+#define REPORT_TIMEOUT (3 * MD_SECOND)
+#define WAIT_STEP_MS 5
+#define THREAD_NAME_BYTES 16 /* limit of the kernel, with terminator */
 
 extern const char __executable_start; /* of the linker: start of the program in memory */
 extern const char etext;              /* of the linker: end of its code */
@@ -37,7 +41,8 @@
                       { SIGILL, "SIGILL" },   { SIGABRT, "SIGABRT" }, { SIGSYS, "SIGSYS" } };
 
 static struct sigaction former[MD_ARRAY_SIZE (fatal_signals)];
-static atomic_int reporter; /* thread that writes the line; 0: none */
+static atomic_int reporter;  /* thread that writes the line; 0: none */
+static atomic_bool reported; /* the line has been written */
 
 /* ------------------------------------------------------------------ */
 /* Formatting                                                         */
@@ -143,30 +148,38 @@
 /* ------------------------------------------------------------------ */
 /* Handler                                                            */
 
-static uint64_t
-program_counter (const void *context)
+typedef struct
+{
+  uint64_t pc; /* program counter */
+  uint64_t sp; /* stack pointer */
+} Registers;
+
+static Registers
+registers_of (const void *context)
 {
   const ucontext_t *state = context;
 
 #if defined(__x86_64__)
-  return (uint64_t)state->uc_mcontext.gregs[REG_RIP];
+  return (Registers){ (uint64_t)state->uc_mcontext.gregs[REG_RIP],
+                      (uint64_t)state->uc_mcontext.gregs[REG_RSP] };
 #elif defined(__aarch64__)
-  return state->uc_mcontext.pc;
+  return (Registers){ state->uc_mcontext.pc, state->uc_mcontext.sp };
 #else
   (void)state;
-  return 0;
+  return (Registers){ 0 };
 #endif
 }
 
 static void
-put_code_address (Line *line, const void *context)
+put_registers (Line *line, const void *context)
 {
-  uint64_t pc = program_counter (context);
+  Registers registers = registers_of (context);
   uint64_t start = (uint64_t)(uintptr_t)&__executable_start;
 
-  put_hex (line, " pc=", pc);
-  if (pc >= start && pc < (uint64_t)(uintptr_t)&etext)
-    put_hex (line, " offset=", pc - start);
+  put_hex (line, " sp=", registers.sp);
+  put_hex (line, " pc=", registers.pc);
+  if (registers.pc >= start && registers.pc < (uint64_t)(uintptr_t)&etext)
+    put_hex (line, " offset=", registers.pc - start);
   else
     put_text (line, " offset=-"); /* in a library */
 }
@@ -204,7 +217,7 @@
   put_text (&line, " name=");
   put_text (&line, fatal_signals[index].name);
   put_cause (&line, info);
-  put_code_address (&line, context);
+  put_registers (&line, context);
   put_number (&line, " tid=", syscall (SYS_gettid));
   put_thread_name (&line);
   put_text (&line, " step=");
@@ -215,6 +228,15 @@
   write_line (&line);
 }
 
+static void
+wait_reported (void)
+{
+  MdTime deadline = md_now () + REPORT_TIMEOUT;
+
+  while (!atomic_load (&reported) && md_now () < deadline)
+    poll (NULL, 0, WAIT_STEP_MS);
+}
+
 static void
 on_fatal_signal (int number, siginfo_t *info, void *context)
 {
@@ -225,9 +247,12 @@
   while (fatal_signals[index].number != number)
     index++;
   if (atomic_compare_exchange_strong (&reporter, &none, self))
-    report (index, info, context);
-  else if (none != self) /* let the first thread write its line */
-    poll (NULL, 0, WRITER_TIMEOUT_MS + OUTPUT_TIMEOUT_MS);
+    {
+      report (index, info, context);
+      atomic_store (&reported, true);
+    }
+  else if (none != self) /* a fault in the handler itself does not wait */
+    wait_reported ();
   sigaction (number, &former[index], NULL);
   /* Delivered when the handler returns. If it cannot be sent, a fault recurs by itself. */
   syscall (SYS_rt_tgsigqueueinfo, getpid (), self, number, info);
--- a/common/log.c
+++ b/common/log.c
@@ -81,8 +81,9 @@
 void
 md_log_wait_written (int timeout_ms)
 {
-  for (int waited = 0; waited < timeout_ms && atomic_load (&writer.pending) > 0;
-       waited += WAIT_STEP_MS)
+  MdTime deadline = md_now () + timeout_ms * MD_MS;
+
+  while (atomic_load (&writer.pending) > 0 && md_now () < deadline)
     poll (NULL, 0, WAIT_STEP_MS);
 }
 
--- a/tests/run-ends.sh
+++ b/tests/run-ends.sh
@@ -25,7 +25,7 @@
   echo "$! $(start_time $!)" > "$RUN/$name.pid"
 }
 lines () { grep -c "$2" "$RUN/$1.log"; } # name pattern
-well_formed='^time=[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:]{8}\.[0-9]{3}Z level=error node=[a-z0-9-]+ event=fatal-signal pid=[0-9]+ signal=[0-9]+ name=SIG[A-Z]+ code=-?[0-9]+ (address=0x[0-9a-f]+|sender_pid=[0-9]+) pc=0x[0-9a-f]+ offset=(-|0x[0-9a-f]+) tid=[0-9]+ thread=[^ ]+ step=running uptime_ms=[0-9]+$'
+well_formed='^time=[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:]{8}\.[0-9]{3}Z level=error node=[a-z0-9-]+ event=fatal-signal pid=[0-9]+ signal=[0-9]+ name=SIG[A-Z]+ code=-?[0-9]+ (address=0x[0-9a-f]+|sender_pid=[0-9]+) sp=0x[0-9a-f]+ pc=0x[0-9a-f]+ offset=(-|0x[0-9a-f]+) tid=[0-9]+ thread=[^ ]+ step=running uptime_ms=[0-9]+$'
 
 fatal_signals () {
   local signal name
--- a/tests/test-process.c
+++ b/tests/test-process.c
@@ -173,9 +173,13 @@
   return data;
 }
 
+static atomic_bool may_fault;
+
 static void *
 fault (void *data)
 {
+  while (!atomic_load (&may_fault))
+    usleep (1000);
   kill (getpid (), SIGSEGV);
   return data;
 }
@@ -191,9 +195,12 @@
   md_log (MD_LOG_INFO, "last-request", "job=7");
   for (int i = 0; i < N_THREADS; i++)
     md_thread_create (&threads[i], NULL, log_lines, NULL);
-  usleep (20000);
   for (int i = 0; i < N_THREADS; i++)
     md_thread_create (&threads[i], NULL, fault, NULL);
+  /* Not while a thread is created: the thread sanitizer's runtime holds a lock then, which it
+     takes again in a signal handler. */
+  usleep (20000);
+  atomic_store (&may_fault, true);
   pause ();
 }
 
