Start the server for probes before the one for callers

On a host that runs out of threads an entry ended at its start, or ran without an answer to the balancer: the server for callers took all threads that could still be created, and the server for probes, which has three, got none.

Ruled out: a limit of memory, since starts under 90 to 150 MB of address space have all threads. The probes' server starts first now; that of the callers runs with the threads it gets, and says so (threads-missing).

--- a/fleet/front.c
+++ b/fleet/front.c
@@ -702,7 +702,7 @@
   MdFront *front = calloc (1, sizeof *front);
   const MdHostShare probe_share = { .threads = 3, .waiting = 16 };
   MdHostShare share = md_host_own_share (settings->caller_threads);
-  unsigned threads = md_host_thread_count ();
+  unsigned threads;
 
   if (front == NULL)
     return NULL;
@@ -710,15 +710,17 @@
   md_memory_budget_init (&front->body_memory, BODY_MEMORY);
   md_memory_budget_init (&front->parse_memory, PARSE_MEMORY);
   atomic_init (&front->threads, (int)share.threads);
-  front->callers = start_server (front, "listen-callers", settings->caller_address, share,
-                                 handle_caller, error);
+  /* Before the server for callers, which takes all threads that the host still offers. */
+  front->probes = start_server (front, "listen-readiness", settings->ready_address, probe_share,
+                                handle_probe, error);
+  threads = md_host_thread_count ();
+  if (front->probes != NULL)
+    front->callers = start_server (front, "listen-callers", settings->caller_address, share,
+                                   handle_caller, error);
   if (front->callers != NULL)
     atomic_store (&front->threads,
                   (int)md_host_check_threads (threads, share.threads, settings->caller_address));
   if (front->callers != NULL)
-    front->probes = start_server (front, "listen-readiness", settings->ready_address, probe_share,
-                                  handle_probe, error);
-  if (front->probes != NULL)
     return front;
   md_front_stop (front);
   return NULL;
