Ask whether a job is repeated when it is refused

A caller could be told "not run" of a job that runs: its first attempt's body was on its way while the repeated request was posted to the engine, the entry became late, and the first attempt was answered 429. Cause: counted a request when its body was still to be read and kept what it found then; before, it was counted after the body. Ruled out: the engine, which is not asked in that case.

What remains, as before: a job that has already ended at this entry is known to the engine only.

--- a/fleet/front.c
+++ b/fleet/front.c
@@ -458,10 +458,25 @@
   return rc;
 }
 
+/* Posted or about to be, of a job with this ID. */
+static atomic_uint *
+submissions_of (MdFront *front, const char *id)
+{
+  return &front->submissions[XXH64 (id, strlen (id), 0) % SUBMISSION_SLOTS];
+}
+
+/* Whether another request of the same job is being handled. It may have come while the body of this
+   one was read, or while this one waited for memory. */
+static bool
+is_repeated (const Request *request, const char *id)
+{
+  return atomic_load (submissions_of (request->front, id)) > 1;
+}
+
 /* Reads the body, for which memory has been taken, and submits the job in it. */
 static int
 submit_body (const Request *request, const MdRoute *route, const char *id, Body *body,
-             size_t max_body, bool repeated)
+             size_t max_body)
 {
   int status = md_http_read_body (request->conn, max_body, &body->text);
   MdError error = { 0 };
@@ -473,14 +488,14 @@
       mg_disable_connection_keep_alive (request->conn);
       return reject (request, status, "the request body is too large or incomplete", 0);
     }
-  if (rejects_job (request->front, repeated))
+  if (rejects_job (request->front, is_repeated (request, id)))
     return reject_job (request, route, id);
   switch (parse_body (request->front, body, &spec, &error))
     {
     case MD_OK:
       return post_job (request, route, id, spec);
     case MD_E_LIMIT:
-      return refuse_for_memory (request, repeated, max_body);
+      return refuse_for_memory (request, is_repeated (request, id), max_body);
     default:
       return reject (request, 400, error.detail, 0);
     }
@@ -490,15 +505,15 @@
 submit (const Request *request, const MdRoute *route, const char *id, size_t max_body)
 {
   MdFront *front = request->front;
-  atomic_uint *submissions = &front->submissions[XXH64 (id, strlen (id), 0) % SUBMISSION_SLOTS];
-  bool repeated = atomic_fetch_add (submissions, 1) > 0;
+  atomic_uint *submissions = submissions_of (front, id);
   Body body = { 0 };
   int status;
 
+  atomic_fetch_add (submissions, 1);
   if (acquire_body (request, &body, max_body))
-    status = submit_body (request, route, id, &body, max_body, repeated);
+    status = submit_body (request, route, id, &body, max_body);
   else
-    status = refuse_for_memory (request, repeated, max_body);
+    status = refuse_for_memory (request, is_repeated (request, id), max_body);
   release_body (front, &body);
   atomic_fetch_sub (submissions, 1);
   return status;
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -381,6 +381,34 @@
 }
 END_TEST
 
+/* Guards against "not run" for a job that runs: the repeated request was posted to the engine while
+   the body of the first one was on its way, and the entry became late. */
+START_TEST (body_that_ends_after_the_repeated_request)
+{
+  int first = connect_caller ();
+  int second = connect_caller ();
+  char request[1024];
+  int len = snprintf (request, sizeof request,
+                      "POST /calc/00000000000000a1 HTTP/1.1\r\nHost: jobs.example\r\n"
+                      "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
+                      strlen (JOB), JOB);
+
+  ck_assert_int_eq (write (first, request, (size_t)len - 5), len - 5);
+  for (int i = 0; i < 20000 && atomic_load (&entry.active_requests) == 0; i++)
+    usleep (1000);
+  post_job (second);
+  wait_for_requests (1);
+  atomic_store (&entry.load.overloaded, true);
+  ck_assert_int_eq (write (first, request + len - 5, 5), 5);
+  wait_for_requests (2);
+  md_entry_reject_requests (&entry);
+  ck_assert_int_eq (read_rejection (first), 503);
+  ck_assert_int_eq (read_rejection (second), 503);
+  close (first);
+  close (second);
+}
+END_TEST
+
 static void
 post_large_job (int fd, const char *id)
 {
@@ -437,6 +465,7 @@
   tcase_add_test (tc, configuration_does_not_wait_for_the_engine);
   tcase_add_test (tc, outdated_configuration_denies_no_queue);
   tcase_add_test (tc, bodies_beyond_the_memory_are_refused);
+  tcase_add_test (tc, body_that_ends_after_the_repeated_request);
   tcase_add_test (tc, memory_of_a_body_is_free_while_its_job_runs);
   return run_suite ("front", tc);
 }
