Start the log writer before the first line of a daemon

An entry whose log was not read at the moment of its start did not start: process-begin is written before the settings are read, and the writer that never waits for the reader came after them. Ruled out: later lines, which the writer has.

run-entry and run-guard start the writer before anything else. A new part of run-start fails on the former build ("waits for the reader of its log") and passes now.

--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -49,7 +49,6 @@
       return daemon->stopped ? MD_EXIT_OK : MD_EXIT_FAILED;
     }
   md_log_open (STDOUT_FILENO, daemon->settings.name, daemon->settings.log_level);
-  md_log_start_writer ();
   md_process_set_step (MD_STEP_COMPONENTS);
   md_host_limits_open (&daemon->settings);
   if (md_leases_set (&daemon->leases, daemon->settings.resend_after, daemon->settings.stop_timeout)
--- a/main.c
+++ b/main.c
@@ -144,6 +144,9 @@
   int log_fd = daemon_log_fd (argc, argv);
   int status;
 
+  /* The log of run-entry and run-guard never waits for its reader, from the first line on. */
+  if (log_fd == STDOUT_FILENO)
+    md_log_start_writer ();
   if (log_fd >= 0)
     md_process_begin (command->name, log_fd, sighup_was_ignored);
   status = command->run (argc - 1, (const char **)argv + 1);
--- a/tests/run-start.sh
+++ b/tests/run-start.sh
@@ -87,6 +87,21 @@
   echo "$1 is stopped while it waits: exit $?"
 }
 
+# Nobody reads the log, and the pipe is full.
+unread_log () {
+  clear_process entry-1
+  mkfifo "$RUN/pipe"
+  exec 8<> "$RUN/pipe"
+  dd if=/dev/zero of="$RUN/pipe" oflag=nonblock bs=4096 count=10000 2> /dev/null
+  "$BIN/mulberrydrift" run-entry --config "$RUN/entry-1.yaml" >&8 2> /dev/null &
+  local pid=$!
+  wait_for 10 curl -s -m 1 -o /dev/null "http://127.0.0.11:$READY/v1/readyz" \
+    && echo "entry-1 starts while its log is not read" || echo "entry-1 waits for the reader of its log"
+  kill -KILL "$pid"
+  wait "$pid" 2> /dev/null
+  exec 8>&-
+}
+
 # The daemons of the own interface start through the same code.
 own_entry () {
   set -- $("$BIN/tests/freeport" 4)
@@ -123,6 +138,7 @@
   absent guard-1 run-guard register_address listen-registration
   stopped_while_waiting entry-1 run-entry caller_address
   stopped_while_waiting guard-1 run-guard register_address
+  unread_log
   own_entry
 }
 
