Open the port for callers last

A start that could not open a later port hung for good, and SIGTERM did not end it: the server for callers was open already, its threads waited for the engine, which does not run yet, and stopping the server waits for its threads. Ruled out: a port that is busy before the start, which is tested first; what is left is a race or a host short of threads.

The internal port and the probes come first, that of callers last, in run-entry and entry; what is open already stays open for the next attempt. run-start, run-platform and run-ends pass; the race itself has no test.

--- a/entry/callers.c
+++ b/entry/callers.c
@@ -731,12 +731,3 @@
 {
   return callers ? atomic_load (&callers->in_progress) : 0;
 }
-
-void
-md_callers_stop (MdCallers *callers)
-{
-  if (callers == NULL)
-    return;
-  mg_stop (callers->server);
-  free_callers (callers);
-}
--- a/entry/entry-private.h
+++ b/entry/entry-private.h
@@ -383,7 +383,6 @@
 typedef struct MdCallers MdCallers;
 MdCallers *md_callers_start (MdEntry *entry, MdError *error);
 int md_callers_in_progress (MdCallers *callers);
-void md_callers_stop (MdCallers *callers); /* after a failed start; waits for idle connections */
 
 /* caller-json.c: bodies of the callers' API */
 
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -334,23 +334,26 @@
   sigaction (SIGINT, &action, NULL);
 }
 
-/* Opens the ports for operators, callers and other processes, or none of them. */
+/* Opens the ports for other processes, operators and callers. That for callers is the last: the
+   threads of its server wait for the engine, which does not run yet, so that the server could not be
+   stopped. The internal port stays open after an error. */
 static int
 open_ports (void *user, MdError *error)
 {
   MdEntry *entry = user;
 
-  entry->operator_http = md_operator_start (&entry->settings, entry->store, entry->observed, error);
-  if (entry->operator_http != NULL)
-    entry->callers = md_callers_start (entry, error);
-  if (entry->callers != NULL
+  if (entry->bound_internal[0] == '\0'
       && md_links_listen (entry->links, md_str (entry->settings.internal_address),
                           entry->bound_internal, error)
-             == MD_OK)
+             != MD_OK)
+    return MD_E_IO;
+  entry->operator_http = md_operator_start (&entry->settings, entry->store, entry->observed, error);
+  if (entry->operator_http == NULL)
+    return MD_E_IO;
+  entry->callers = md_callers_start (entry, error);
+  if (entry->callers != NULL)
     return MD_OK;
-  md_callers_stop (entry->callers);
   md_operator_stop (entry->operator_http);
-  entry->callers = NULL;
   entry->operator_http = NULL;
   return MD_E_IO;
 }
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -238,7 +238,9 @@
   md_links_wake (entry->daemon.links);
 }
 
-/* Opens the ports for callers, probes and guards, or none of them. */
+/* Opens the ports for guards, probes and callers. That for callers is the last: the threads of its
+   server wait for the engine, which does not run yet, so that the server could not be stopped.
+   A port that was opened before an error stays open. */
 static int
 open_ports (void *user, MdError *error)
 {
@@ -248,17 +250,14 @@
 
   if (entry->config == NULL)
     entry->config = md_config_reader_start (&entry->daemon.settings, wake_engine, entry, error);
-  if (entry->config != NULL)
-    entry->front = md_front_start (entry, error);
-  if (entry->front == NULL)
+  if (entry->config == NULL)
     return MD_E_IO;
   rc = md_links_listen (entry->daemon.links, md_str (entry->daemon.settings.internal_address),
                         bound, error);
-  if (rc == MD_OK)
-    return MD_OK;
-  md_front_stop (entry->front);
-  entry->front = NULL;
-  return rc;
+  if (rc != MD_OK && rc != MD_E_EXISTS)
+    return rc;
+  entry->front = md_front_start (entry, error);
+  return entry->front != NULL ? MD_OK : MD_E_IO;
 }
 
 static int
