Free idle buffers of more than 128 KB

An entry took memory for connections that had sent one large frame each: up to 1 MB of buffer stayed with every link, and the limit on unfinished frames counts what is unread, not what is kept.

Ruled out: the decoded frame, which is freed. Buffers of more than 128 KB, two reads, are freed when they are empty. What remains: output has a limit for each link only, and unfinished frames of up to 16 KB are not counted.

--- a/net/link-io.c
+++ b/net/link-io.c
@@ -17,11 +17,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define MAX_QUEUED_BYTES ((size_t)64 << 20)     /* on one link; then the peer is too slow */
-#define WRITE_THRESHOLD_BYTES ((size_t)1 << 20) /* queued bytes written before the next poll */
-#define READ_CHUNK_BYTES ((size_t)64 << 10)     /* requested by one recv */
-#define READ_BUDGET_BYTES ((size_t)1 << 20)     /* read from one link per event, for fairness */
-#define MAX_IDLE_BUFFER_BYTES ((size_t)1 << 20) /* larger buffers are freed when empty */
+#define MAX_QUEUED_BYTES ((size_t)64 << 20)       /* on one link; then the peer is too slow */
+#define WRITE_THRESHOLD_BYTES ((size_t)1 << 20)   /* queued bytes written before the next poll */
+#define READ_CHUNK_BYTES ((size_t)64 << 10)       /* requested by one recv */
+#define READ_BUDGET_BYTES ((size_t)1 << 20)       /* read from one link per event, for fairness */
+#define MAX_IDLE_BUFFER_BYTES ((size_t)128 << 10) /* larger buffers are freed when empty */
 /* Unfinished frames on all connections; two of the largest. A peer could open many connections and
    finish none. */
 #define MAX_INPUT_BYTES ((size_t)32 << 20)
