Read a changed settings file again when it could not be read

A change of the settings was lost when the process had no descriptor to read the file at that moment: the file counted as loaded before it was read. Ruled out: a file that is cut short, whose next write is a change of its own.

A new part of run-settings fails on the former build for entry and guard and passes now.

--- a/common/md-private.h
+++ b/common/md-private.h
@@ -200,6 +200,7 @@
   bool end_marked;                         /* the text ended with the end marker "..." */
   bool incomplete;                         /* after an error: the file may be cut short, empty,
                                                 missing or being written */
+  bool unreadable;                         /* after an error: the file could not be read */
   MdToken *tokens;                         /* n_tokens elements, owned */
   size_t n_tokens;
   MdTuning tuning; /* defaults with the overrides of "tuning:" */
--- a/common/settings-file.c
+++ b/common/settings-file.c
@@ -111,6 +111,7 @@
     return md_settings_parse (settings, path, md_buf_str (&text), faults);
   memset (settings, 0, sizeof *settings);
   settings->incomplete = rc == MD_E_IO;
+  settings->unreadable = rc == MD_E_IO;
   md_buf_printf (faults, "%s:1: %s\n", path, md_buf_str (&reason).data);
   return MD_E_INVALID;
 }
--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -81,6 +81,8 @@
               applied.len > 0 ? applied.data : "-", deferred.len > 0 ? deferred.data : "-",
               (long long)daemon->file.loaded.size);
     }
+  /* Descriptors or memory may be short for a moment; the change is not looked for again. */
+  daemon->file.requested |= fresh.unreadable;
   md_settings_clear (&fresh);
   return applied.len > 0;
 }
--- a/tests/run-settings.sh
+++ b/tests/run-settings.sh
@@ -33,6 +33,19 @@
   wait_for 10 counted "$1" 'settings-read.*applied=grace_s' $((before + 1)) && echo "$1 takes over: $3" || echo "$1 does not take over: $3"
 }
 
+# The file changes while the process has no descriptor to read it.
+unreadable () { # name
+  local pid limit before
+  pid=$(pid_of "$1")
+  limit=$(prlimit --pid "$pid" --nofile --noheadings --output SOFT)
+  prlimit --pid "$pid" --nofile=3:
+  sed 's/^grace_s: .*/grace_s: 6/' "$RUN/$1.whole" | in_place "$1"
+  wait_for 10 seen "$1" 'settings-rejected.*Too many open files' && echo "$1 cannot read a changed file"
+  before=$(count "$1" 'settings-read.*applied=grace_s')
+  prlimit --pid "$pid" --nofile="${limit// /}:"
+  wait_for 10 counted "$1" 'settings-read.*applied=grace_s' $((before + 1)) && echo "$1 takes it over later"
+}
+
 running_processes () {
   local name lines n before
   for name in entry-1 guard-1; do
@@ -59,6 +72,7 @@
     mv "$RUN/$name.new" "$RUN/$name.yaml"
     taken "$name" 4 "a file that was missing"
     grep -q 'settings-read.*deferred=[^-]' "$RUN/$name.log" && echo "$name took over a part of a file"
+    unreadable "$name"
   done
   echo "a job after that: $(post 00000000000000a1 '{"best_effort":true,"spec":"ms=30 cpu=1000","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimated_ms":30}]}')"
 }
