--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -320,6 +320,33 @@
 }
 END_TEST
 
+/* Guards against a worker that counts as unreachable because its list is too long: a guard orders up to
+   16,384 runs, and 500 ends are listed. */
+START_TEST (longest_list_is_decoded)
+{
+  enum
+  {
+    RUNS = 16384,
+    ENDS = 500
+  };
+  MD_AUTO_BUF text = { 0 };
+  MdHoldResponse held;
+
+  md_buf_append (&text, MD_STR ("{\"clock_ms\":482113,\"born\":99,\"running\":["));
+  for (int i = 0; i < RUNS; i++)
+    md_buf_printf (&text, "%s[\"0123456789abcdef.0.63.%d\",1,\"\",100,1.5]", i > 0 ? "," : "", i);
+  md_buf_append (&text, MD_STR ("],\"finished\":["));
+  for (int i = 0; i < ENDS; i++)
+    md_buf_printf (&text, "%s[%d,\"0123456789abcdef.0.1.%d\",1,\"done\",\"\"]", i > 0 ? "," : "", i,
+                   i);
+  md_buf_append (&text, MD_STR ("]}"));
+  ck_assert_int_eq (md_platform_parse_hold_response (md_buf_str (&text), &held, NULL), MD_OK);
+  ck_assert_uint_eq (held.n_runs, RUNS);
+  ck_assert_uint_eq (held.n_ends, ENDS);
+  md_hold_response_clear (&held);
+}
+END_TEST
+
 /* Guards against the same in the lists of a worker, and against a number that is cut to 32 bits and
    then names another run. */
 START_TEST (odd_rows_leave_the_others)
@@ -541,6 +568,7 @@
   tcase_add_test (tc, odd_entries_leave_the_others);
   tcase_add_test (tc, odd_rows_leave_the_others);
   tcase_add_test (tc, key_is_escaped_in_the_query);
+  tcase_add_test (tc, longest_list_is_decoded);
   tcase_add_test (tc, body_limit_out_of_range_is_not_used);
   tcase_add_test (tc, longest_prefix_wins);
   tcase_add_test (tc, memory_of_a_worker_is_kept_whole);
