Read random numbers from the device where getrandom is refused

A daemon ended with SIGABRT at its start on a host that refuses getrandom, as a filter of system calls may, and could end so when a signal interrupted the call early in a boot. Ruled out: continuing without random numbers; incarnations could collide.

The call is repeated when it is interrupted, and /dev/urandom is read where it is refused; the abort remains for a host that has neither.

--- a/common/clock.c
+++ b/common/clock.c
@@ -5,6 +5,7 @@
 
 #include "md-private.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <sys/random.h>
 #include <time.h>
@@ -27,12 +28,29 @@
   return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
+/* For hosts that refuse getrandom, as a filter of system calls may. */
+static bool
+read_random_device (uint64_t *value)
+{
+  FILE *file = fopen ("/dev/urandom", "rbe");
+  bool ok = file != NULL && fread (value, sizeof *value, 1, file) == 1;
+
+  if (file != NULL)
+    fclose (file);
+  return ok;
+}
+
 uint64_t
 md_random (void)
 {
   uint64_t value = 0;
 
-  if (getrandom (&value, sizeof value, 0) != (ssize_t)sizeof value)
+  ssize_t n;
+
+  do
+    n = getrandom (&value, sizeof value, 0);
+  while (n < 0 && errno == EINTR);
+  if (n != (ssize_t)sizeof value && !read_random_device (&value))
     abort (); /* incarnations could collide without random numbers */
   return value;
 }
