--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -337,7 +337,7 @@
     md_buf_printf (&text, "%s[\"0123456789abcdef.0.63.%d\",1,\"\",100,1.5]", i > 0 ? "," : "", i);
   md_buf_append (&text, MD_STR ("],\"finished\":["));
   for (int i = 1; i <= ENDS; i++)
-    md_buf_printf (&text, "%s[%d,\"0123456789abcdef.0.1.%d\",1,\"done\",\"\"]", i > 0 ? "," : "", i,
+    md_buf_printf (&text, "%s[%d,\"0123456789abcdef.0.1.%d\",1,\"done\",\"\"]", i > 1 ? "," : "", i,
                    i);
   md_buf_append (&text, MD_STR ("]}"));
   ck_assert_int_eq (md_platform_parse_hold_response (md_buf_str (&text), &held, NULL), MD_OK);
