--- a/common/allocator.c
+++ b/common/allocator.c
@@ -1,8 +1,8 @@
 /* allocator.c -- the settings of the allocator
 
    glibc gives threads arenas of their own, up to eight for each core, and each arena keeps what its
-   threads have freed. An entry has hundreds of threads, of which few allocate at a time, so that most of its
-   memory would be free memory of arenas. */
+   threads have freed. An entry has hundreds of threads, of which few allocate at a time, so that
+   most of its memory would be free memory of arenas. */
 
 #include "md-private.h"
 
--- a/common/host-limits.c
+++ b/common/host-limits.c
@@ -1,8 +1,8 @@
 /* host-limits.c -- limits of descriptors, threads and memory
 
-   Without descriptors a server for callers cannot accept connections, and CivetWeb tries again at once
-   as long as one waits. The number of connections that it accepts is therefore bounded by what the
-   limit leaves, so that further ones wait in the kernel. */
+   Without descriptors a server for callers cannot accept connections, and CivetWeb tries again at
+   once as long as one waits. The number of connections that it accepts is therefore bounded by what
+   the limit leaves, so that further ones wait in the kernel. */
 
 #include "host-limits.h"
 
@@ -112,8 +112,8 @@
 
   if (limits->descriptors == MD_NO_LIMIT)
     return share;
-  /* Half of the descriptors for threads, half of the rest for connections that wait; what remains is
-     for links, the store and the log. */
+  /* Half of the descriptors for threads, half of the rest for connections that wait; what remains
+     is for links, the store and the log. */
   if (limits->descriptors / 2 < (long long)wanted * DESCRIPTORS_PER_THREAD)
     share.threads = (unsigned)(limits->descriptors / 2 / DESCRIPTORS_PER_THREAD);
   if (share.threads == 0)
--- a/common/log.c
+++ b/common/log.c
@@ -125,8 +125,9 @@
   return level >= MD_LOG_WARN || writer.window_lines++ < LINES_PER_SECOND;
 }
 
-/* Returns false when the caller has to write the line, as there is no writer. A line that does not fit is dropped. The pointer is
-   tested under the lock, because md_log_stop_writer takes the buffer away while threads log. */
+/* Returns false when the caller has to write the line, as there is no writer. A line that does not
+   fit is dropped. The pointer is tested under the lock, because md_log_stop_writer takes the buffer
+   away while threads log. */
 static bool
 buffer_line (MdLogLevel level, const char *line, size_t len)
 {
--- a/common/md-private.h
+++ b/common/md-private.h
@@ -237,9 +237,9 @@
 
 /* md_settings_wait: load the settings of a daemon that starts. A file that is missing, empty, cut
    short or being written is loaded again for up to 10 s; other errors are final once the file has
-   not changed for 300 ms. is_stopping, which may be NULL, ends the wait. file, which may be
-   NULL, receives the state of the file. Writes to stderr what it waits for. Returns what md_settings_load returns, and
-   MD_E_TIMEOUT after is_stopping. */
+   not changed for 300 ms. is_stopping, which may be NULL, ends the wait. file, which may be NULL,
+   receives the state of the file. Writes to stderr what it waits for. Returns what md_settings_load
+   returns, and MD_E_TIMEOUT after is_stopping. */
 int md_settings_wait (MdSettings *settings, const char *path, MdSettingsFile *file,
                       bool (*is_stopping) (void), MdBuf *faults);
 
--- a/core/json-text.c
+++ b/core/json-text.c
@@ -1,8 +1,8 @@
 /* json-text.c -- parsing of JSON texts with bounds
 
-   A scan of the text finds its depth and counts its values without recursion and without memory. It only has to
-   know strings and their escapes: up to the first fault of the text it sees the same brackets as the
-   parser, which does not read further. */
+   A scan of the text finds its depth and counts its values without recursion and without memory. It
+   only has to know strings and their escapes: up to the first fault of the text it sees the same
+   brackets as the parser, which does not read further. */
 
 #include "json-text.h"
 
@@ -60,8 +60,8 @@
   return scan->max_depth <= bounds.depth && scan->values <= bounds.values;
 }
 
-/* Scans the text until it ends or exceeds the bounds. Returns the position after the last byte that was
-   scanned. */
+/* Scans the text until it ends or exceeds the bounds. Returns the position after the last byte that
+   was scanned. */
 static size_t
 scan_text (Scan *scan, MdStr text, MdJsonBounds bounds)
 {
--- a/core/json-text.h
+++ b/core/json-text.h
@@ -1,8 +1,8 @@
 /* json-text.h -- parsing of JSON texts with bounds
 
-   jansson parses, writes and frees nested values by recursion, up to 2,048 levels. A thread of the HTTP
-   server has a stack of 100 KB, which 900 levels exceed. A parsed value takes
-   up to eighty times as much memory as its text. Every JSON text that the program reads is therefore loaded
+   jansson parses, writes and frees nested values by recursion, up to 2,048 levels. A thread of the
+   HTTP server has a stack of 100 KB, which 900 levels exceed. A parsed value takes up to eighty
+   times as much memory as its text. Every JSON text that the program reads is therefore loaded
    here, where its nesting and the number of its values are checked before it is parsed. */
 
 #ifndef MD_JSON_TEXT_H
@@ -12,16 +12,17 @@
 
 #include <jansson.h>
 
-/* Levels of arrays and objects in a text. Messages have 5; the bodies and specs of callers and operators
-   may be any JSON. Writing a value of this depth takes less than half of the smallest stack. */
+/* Levels of arrays and objects in a text. Messages have 5; the bodies and specs of callers and
+   operators may be any JSON. Writing a value of this depth takes less than half of the smallest
+   stack. */
 #define MD_JSON_MAX_DEPTH 128
 
 /* Levels of a value that is embedded in other texts, such as a spec in a record in a snapshot in a
    response of the log. */
 #define MD_JSON_EMBEDDED_DEPTH 64
 
-/* Values of a text whose size follows from no other bound, and of an answer that is embedded. They take
-   at most 80 MB; numbers, of which large bodies consist, an eighth of that. */
+/* Values of a text whose size follows from no other bound, and of an answer that is embedded. They
+   take at most 80 MB; numbers, of which large bodies consist, an eighth of that. */
 #define MD_JSON_MAX_VALUES (256u << 10)
 
 /* What a text may contain. */
@@ -35,8 +36,8 @@
    reads the text, whether or not the text is valid. */
 size_t md_json_depth (MdStr text);
 
-/* md_json_memory: bytes that parsing the text takes at most, the value included. Its number of values is
-   stored in values. */
+/* md_json_memory: bytes that parsing the text takes at most, the value included. Its number of
+   values is stored in values. */
 size_t md_json_memory (MdStr text, size_t *values);
 
 /* md_json_load: parse a text, as json_loadb does with these flags; the caller releases the value.
--- a/entry/caller-json.c
+++ b/entry/caller-json.c
@@ -347,8 +347,8 @@
     }
 }
 
-/* A body is embedded as JSON when it is JSON within the bounds of an embedded text, as a string when it is UTF-8, and
-   as base64 otherwise. */
+/* A body is embedded as JSON when it is JSON within the bounds of an embedded text, as a string
+   when it is UTF-8, and as base64 otherwise. */
 static void
 write_answer (MdBuf *out, const MdTaskAnswer *answer)
 {
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -298,8 +298,8 @@
   call->counted = 0;
 }
 
-/* Parses the job in the body within the memory for that and releases the body. Returns 0, or the status of
-   the refusal that was sent. */
+/* Parses the job in the body within the memory for that and releases the body. Returns 0, or the
+   status of the refusal that was sent. */
 static int
 parse_job (Call *call, MdSubmission **sub)
 {
--- a/entry/entry-peers.c
+++ b/entry/entry-peers.c
@@ -210,8 +210,8 @@
   md_link_set_data (link, peer);
 }
 
-/* A connection belongs to the peer that it was first used by, because only one is told when it ends.
-   Dialled ones have theirs from the start. */
+/* A connection belongs to the peer that it was first used by, because only one is told when it
+   ends. Dialled ones have theirs from the start. */
 static bool
 is_hello_acceptable (const MdLink *link, const Peer *peer, const Md__Hello *hello)
 {
--- a/entry/entry-private.h
+++ b/entry/entry-private.h
@@ -386,7 +386,8 @@
 
 /* caller-json.c: bodies of the callers' API */
 
-/* md_job_memory: bytes that md_job_parse takes at most; 0 when it refuses the text without parsing it. */
+/* md_job_memory: bytes that md_job_parse takes at most; 0 when it refuses the text without parsing
+   it. */
 size_t md_job_memory (MdStr text);
 /* md_job_parse: a job from JSON text; error->detail names the field. max_tasks is
    the configured cap. */
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -335,8 +335,8 @@
 }
 
 /* Opens the ports for other processes, operators and callers. That for callers is the last: the
-   threads of its server wait for the engine, which does not run yet, so that the server could not be
-   stopped. The internal port stays open after an error. */
+   threads of its server wait for the engine, which does not run yet, so that the server could not
+   be stopped. The internal port stays open after an error. */
 static int
 open_ports (void *user, MdError *error)
 {
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -8,8 +8,8 @@
 #define NETWORK_MARGIN (8 * MD_MS)               /* part of the goal: round trip to the caller */
 #define DEFAULT_RESPONSE_TIMEOUT (2 * MD_SECOND) /* for callers that do not state one */
 #define RETRY_SAFETY_FACTOR 1.25                 /* run times vary by a factor of about exp (0.4) */
-/* Of the time to the goal. A multiple of the longest run, so that a job of such runs still has slack;
-   the limit, which is a multiple of the goal, fits into MdTime. */
+/* Of the time to the goal. A multiple of the longest run, so that a job of such runs still has
+   slack; the limit, which is a multiple of the goal, fits into MdTime. */
 #define MAX_OBJECTIVE (1000 * MD_MAX_SPAN)
 #define ADMISSION_PATIENCE (20 * MD_MS) /* a round trip to guards in other failure domains */
 
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -394,8 +394,8 @@
   return !repeated && atomic_load (&front->entry->load.overloaded);
 }
 
-/* Rejects a job because others use the memory for bodies. repeated: its first attempt may be running, so
-   that "not run" may be false; the caller repeats the job after status 504. */
+/* Rejects a job because others use the memory for bodies. repeated: its first attempt may be
+   running, so that "not run" may be false; the caller repeats the job after status 504. */
 static int
 refuse_for_memory (const Request *request, bool repeated, size_t max_body)
 {
@@ -441,8 +441,8 @@
   return false;
 }
 
-/* Parses the body within the memory for that, and releases it. Returns MD_E_LIMIT when others use that
-   memory. */
+/* Parses the body within the memory for that, and releases it. Returns MD_E_LIMIT when others use
+   that memory. */
 static int
 parse_body (MdFront *front, Body *body, MdRunSpec *spec, MdError *error)
 {
--- a/fleet/guard-memory.c
+++ b/fleet/guard-memory.c
@@ -83,9 +83,9 @@
          || memcmp (capacity, &written->report.capacity, sizeof *capacity) != 0;
 }
 
-/* Whether a write is possible and due. A change of the lifetime, the state or the capacity is written
-   at once: a guard that is restarted must not use a worker that was leaving, nor start more than
-   fits on one that has shrunk. */
+/* Whether a write is possible and due. A change of the lifetime, the state or the capacity is
+   written at once: a guard that is restarted must not use a worker that was leaving, nor start more
+   than fits on one that has shrunk. */
 static bool
 should_write (MdRunGuard *guard)
 {
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -19,8 +19,9 @@
    number of entries. */
 #define REPORT_INTERVAL_PER_PEER (1 * MD_MS)
 #define MAX_REPORT_INTERVAL (32 * MD_MS) /* with many entries */
-/* Waiting and started runs; twice the tasks of the largest job. The queue is searched for the place of
-   each new run, so that without a bound one message keeps the guard busy for longer than its leases. */
+/* Waiting and started runs; twice the tasks of the largest job. The queue is searched for the place
+   of each new run, so that without a bound one message keeps the guard busy for longer than its
+   leases. */
 #define MAX_RUNS 16384
 #define MAX_ENDS 65536 /* of an entry, not acknowledged; it acknowledges them with each message */
 
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -240,7 +240,8 @@
   return guard->order_calls < MAX_ORDER_CALLS;
 }
 
-/* Does nothing when too many calls are in progress; callers repeat stops until the run has ended. */
+/* Does nothing when too many calls are in progress; callers repeat stops until the run has ended.
+   */
 static void
 send_stop (MdRunGuard *guard, MdStr task, uint32_t run_number)
 {
@@ -314,8 +315,8 @@
   return false;
 }
 
-/* Whether a start may have been executed by the lifetime that sent the response, after it listed its
-   runs, or may still be. */
+/* Whether a start may have been executed by the lifetime that sent the response, after it listed
+   its runs, or may still be. */
 static bool
 may_start_later (const MdRunGuard *guard, const MdGuardRun *run)
 {
@@ -686,9 +687,9 @@
   return worker->reachable ? worker->last_response_at + UNREACHABLE_AFTER : INT64_MAX;
 }
 
-/* Rejects the runs that must not wait and could not be started. If members of gangs waited, the gangs
-   of two entries could each hold the capacity that the other one waits for. Those that wait for the
-   calls in progress may still start. */
+/* Rejects the runs that must not wait and could not be started. If members of gangs waited, the
+   gangs of two entries could each hold the capacity that the other one waits for. Those that wait
+   for the calls in progress may still start. */
 static void
 reject_delayed (MdRunGuard *guard)
 {
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -304,7 +304,8 @@
 void md_entry_free_advice (MdRunEntry *entry, MdEntryJob *job);
 
 /* entry-requests.c */
-/* md_entry_is_rejection: whether an HTTP status says that nothing of the job has run or will run. */
+/* md_entry_is_rejection: whether an HTTP status says that nothing of the job has run or will run.
+   */
 bool md_entry_is_rejection (int status);
 /* md_entry_answer_request: answer a request. status and state are as for md_entry_finish_job. The
    request belongs to its thread again afterwards. */
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -217,8 +217,8 @@
   return rc == MD_OK || md_daemon_is_stopping () ? MD_EXIT_OK : MD_EXIT_FAILED;
 }
 
-/* The threads of the HTTP server run until the process ends, so that nothing that they use may be on
-   this stack or freed. */
+/* The threads of the HTTP server run until the process ends, so that nothing that they use may be
+   on this stack or freed. */
 int
 md_run_guard_main (int argc, const char **argv)
 {
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -1,10 +1,10 @@
 /* run-guard.h -- internal declarations of the guard daemon
 
-   run-guard.c holds the process life cycle and the event loop, guard-orders.c the links to
-   entries and the orders received on them, guard-worker.c the calls to the worker,
-   guard-lifetime.c the worker's reports and lifetimes, guard-memory.c the record of the worker in the store, and guard-registrar.c the HTTP server
-   to which the worker reports. The handlers of that server run in its own threads; everything
-   else runs in the engine thread. */
+   run-guard.c holds the process life cycle and the event loop, guard-orders.c the links to entries
+   and the orders received on them, guard-worker.c the calls to the worker, guard-lifetime.c the
+   worker's reports and lifetimes, guard-memory.c the record of the worker in the store, and
+   guard-registrar.c the HTTP server to which the worker reports. The handlers of that server run in
+   its own threads; everything else runs in the engine thread. */
 
 #ifndef MD_RUN_GUARD_H
 #define MD_RUN_GUARD_H
--- a/main.c
+++ b/main.c
@@ -106,8 +106,9 @@
 }
 
 /* Signals that end a process by default and that a supervisor, a log rotation or the kernel may
-   send to a daemon that has no use for them. SIGHUP: run-entry and run-guard reload their settings once
-   they have a handler; an earlier one is not missed, as the file is checked for changes.  SIGXFSZ: the log is a file at its size limit; the write fails instead. */
+   send to a daemon that has no use for them. SIGHUP: run-entry and run-guard reload their settings
+   once they have a handler; an earlier one is not missed, as the file is checked for changes.
+   SIGXFSZ: the log is a file at its size limit; the write fails instead. */
 static void
 ignore_stray_signals (void)
 {
--- a/net/http-server.h
+++ b/net/http-server.h
@@ -19,8 +19,9 @@
    that the rest of the body is not parsed as the next request. */
 int md_http_read_body (struct mg_connection *conn, size_t max, MdBuf *body);
 
-/* md_http_skip_body: read and drop the body of a request, of which at most max bytes are left. Returns false when
-   it does not end within them; the rest must not be parsed as the next request. */
+/* md_http_skip_body: read and drop the body of a request, of which at most max bytes are left.
+   Returns false when it does not end within them; the rest must not be parsed as the next request.
+   */
 bool md_http_skip_body (struct mg_connection *conn, size_t max);
 
 /* md_socket_find: the lowest descriptor in [first, end) that is connected to the address peer
--- a/net/link-io.c
+++ b/net/link-io.c
@@ -324,7 +324,8 @@
   return 0;
 }
 
-/* Ends the connection if it has part of a large frame and all connections together hold too much. */
+/* Ends the connection if it has part of a large frame and all connections together hold too much.
+   */
 static void
 limit_input (MdLink *link)
 {
--- a/net/link-wait.c
+++ b/net/link-wait.c
@@ -1,7 +1,7 @@
 /* link-wait.c -- the wait of the event loop
 
-   epoll_pwait2 waits with a resolution of microseconds. Kernels before 5.11 do not have it, and a filter
-   of system calls may forbid it; epoll_wait with whole milliseconds takes its place then. */
+   epoll_pwait2 waits with a resolution of microseconds. Kernels before 5.11 do not have it, and a
+   filter of system calls may forbid it; epoll_wait with whole milliseconds takes its place then. */
 
 #define _GNU_SOURCE /* epoll_pwait2 */
 
--- a/net/md-link.h
+++ b/net/md-link.h
@@ -72,8 +72,8 @@
 /* md_link_watch: call epoll_ctl; false when it fails. */
 bool md_link_watch (MdLinks *links, int operation, int fd, uint32_t events, void *data);
 
-/* md_link_close_socket: remove the socket from the epoll set and close it; does nothing when there is
-   none. */
+/* md_link_close_socket: remove the socket from the epoll set and close it; does nothing when there
+   is none. */
 void md_link_close_socket (MdLink *link);
 
 /* md_link_end: close the connection and have the next poll report its end with this error. Has no
@@ -88,8 +88,9 @@
 
 struct epoll_event;
 
-/* md_link_wait: wait for events for this long, or less. Returns their number, or -1 when there are none
-   because of a signal or an error; an error is logged, and the call takes some milliseconds. */
+/* md_link_wait: wait for events for this long, or less. Returns their number, or -1 when there are
+   none because of a signal or an error; an error is logged, and the call takes some milliseconds.
+   */
 int md_link_wait (MdLinks *links, struct epoll_event *events, int max, MdTime wait);
 
 /* link.c */
--- a/net/memory-budget.h
+++ b/net/memory-budget.h
@@ -22,7 +22,8 @@
 void md_memory_budget_destroy (MdMemoryBudget *budget);
 
 /* md_memory_budget_take: wait for at most this time until the memory is available, and take it.
-   Returns false when it is not. A use that is larger than the limit is possible while there is no other. */
+   Returns false when it is not. A use that is larger than the limit is possible while there is no
+   other. */
 bool md_memory_budget_take (MdMemoryBudget *budget, size_t bytes, MdTime wait);
 
 /* md_memory_budget_return: return what has been taken. */
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -6,19 +6,19 @@
    the last report. Those of other entries show in the next report, and a run that arrives
    together with theirs waits in the guard's queue.
 
-   The expected end is the reported wait plus the run time at the estimated speed. At a peak,
-   a slow worker that is free is better than waiting for a fast one, as long as it meets the
-   goal: this leaves the fast ones to tasks that need them. The last free slots of a fast
-   worker are likewise left to long tasks, which meet their goals nowhere else. If all entries
-   ranked the workers alike, they would all send to the same one between two reports. A
-   small bias that differs for each pair of entry and worker prevents this: each entry fills
-   other workers first. A task under which a worker has crashed is placed on an idle worker only,
-   where it runs alone: a second crash takes nothing else with it and tells whether the task is to
-   blame. Another one has to be idle as well: near a peak, where it is not, the loss of the
-   worker would cost others more than the task is worth. The members of a gang make progress only
-   together, so that all of them are placed where there is room at once, or none: one that waits
-   behind the others holds up all, and they it. A worker that failed runs of several jobs in a row, of any entry, is
-   avoided for some time and then tried again with one run at a time. */
+   The expected end is the reported wait plus the run time at the estimated speed. At a peak, a slow
+   worker that is free is better than waiting for a fast one, as long as it meets the goal: this
+   leaves the fast ones to tasks that need them. The last free slots of a fast worker are likewise
+   left to long tasks, which meet their goals nowhere else. If all entries ranked the workers alike,
+   they would all send to the same one between two reports. A small bias that differs for each pair
+   of entry and worker prevents this: each entry fills other workers first. A task under which a
+   worker has crashed is placed on an idle worker only, where it runs alone: a second crash takes
+   nothing else with it and tells whether the task is to blame. Another one has to be idle as well:
+   near a peak, where it is not, the loss of the worker would cost others more than the task is
+   worth. The members of a gang make progress only together, so that all of them are placed where
+   there is room at once, or none: one that waits behind the others holds up all, and they it. A
+   worker that failed runs of several jobs in a row, of any entry, is avoided for some time and then
+   tried again with one run at a time. */
 
 #include "run-sched.h"
 
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -22,8 +22,8 @@
   uint32_t accelerators; /* whole devices */
 } MdResources;
 
-/* Longest time that decisions are made with, microseconds. The sum of a hundred thousand of them fits
-   into MdTime. */
+/* Longest time that decisions are made with, microseconds. The sum of a hundred thousand of them
+   fits into MdTime. */
 #define MD_MAX_SPAN (366 * 24 * 3600 * MD_SECOND)
 
 /* md_span_to: a time that was computed from numbers of callers, guards or workers, limited to 0 and
@@ -348,8 +348,8 @@
 const char *md_place_rack (const MdWorkers *workers, const MdTaskRequirements *need, uint32_t count,
                            MdSavedResources *saved, MdTime now);
 
-/* md_place_possible: whether the workers for which md_worker_can_run holds have room for count tasks
-   at a time, if nothing else runs there. */
+/* md_place_possible: whether the workers for which md_worker_can_run holds have room for count
+   tasks at a time, if nothing else runs there. */
 bool md_place_possible (const MdWorkers *workers, const MdTaskRequirements *need, uint32_t count);
 
 /* md_worker_set_failures: store the number of consecutive failures that the guard reports.
@@ -585,7 +585,8 @@
    ended; the blame for a crash at once. */
 void md_runjob_record_end (MdRunJob *job, uint32_t step, uint32_t task, MdRunResult result);
 
-/* md_runjob_is_suspect: whether two workers or more have crashed under a task that has not ended. */
+/* md_runjob_is_suspect: whether two workers or more have crashed under a task that has not ended.
+   */
 bool md_runjob_is_suspect (const MdRunJob *job);
 
 #endif
--- a/tests/early-signal.c
+++ b/tests/early-signal.c
@@ -3,8 +3,8 @@
    usage: early-signal SIGNAL COUNT MAX_US COMMAND [ARGUMENT...]
 
    Starts COMMAND COUNT times. Once the kernel has replaced the process's image, it waits from 0 to
-   MAX_US microseconds, more with each start, sends SIGNAL, and then SIGKILL. Prints how many processes
-   were ended by SIGNAL and the longest delay among them. */
+   MAX_US microseconds, more with each start, sends SIGNAL, and then SIGKILL. Prints how many
+   processes were ended by SIGNAL and the longest delay among them. */
 
 #include <errno.h>
 #include <fcntl.h>
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -441,8 +441,8 @@
 }
 END_TEST
 
-/* Guards against a cancellation that waits for the next heartbeat, and against a look at every guard
-   in each pass of the engine. */
+/* Guards against a cancellation that waits for the next heartbeat, and against a look at every
+   guard in each pass of the engine. */
 START_TEST (guards_are_looked_at_when_due)
 {
   MdEntryGuard *known;
--- a/tests/test-entry-peers.c
+++ b/tests/test-entry-peers.c
@@ -1,4 +1,5 @@
-/* test-entry-peers.c -- connections of guards and other entries at an entry, over the loopback interface
+/* test-entry-peers.c -- connections of guards and other entries at an entry, over the loopback
+   interface
 
    The test plays the peer that dialled. */
 
--- a/tests/test-entry-tasks.c
+++ b/tests/test-entry-tasks.c
@@ -132,8 +132,8 @@
 }
 END_TEST
 
-/* Guards against a job that is rejected because its run time is out of range: the goal was limited to
-   the time of one run, which left no slack. */
+/* Guards against a job that is rejected because its run time is out of range: the goal was limited
+   to the time of one run, which left no slack. */
 START_TEST (job_of_the_longest_run_time_is_admitted)
 {
   declared_time = MD_JSON_MAX_DURATION;
--- a/tests/test-frame-fuzz.c
+++ b/tests/test-frame-fuzz.c
@@ -1,8 +1,9 @@
 /* test-frame-fuzz.c -- frames that decode and whose fields are extreme, at an entry and at a guard
 
-   Anything inside the network can send such frames. A generator with a fixed seed plays guards to an
-   entry with jobs, and entries to a guard with a worker. The sanitizer builds are the judges; the
-   checks here find numbers that leave their range. SEED and ROUNDS choose a longer run by hand. */
+   Anything inside the network can send such frames. A generator with a fixed seed plays guards to
+   an entry with jobs, and entries to a guard with a worker. The sanitizer builds are the judges;
+   the checks here find numbers that leave their range. SEED and ROUNDS choose a longer run by hand.
+   */
 
 #include "run-entry.h"
 #include "run-guard.h"
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -206,8 +206,8 @@
   close (fd);
 }
 
-/* Guards against an entry whose engine, late as it is, has to reject each job itself: it did nothing
-   else any more, and its callers had left when it came to them (issue 26). */
+/* Guards against an entry whose engine, late as it is, has to reject each job itself: it did
+   nothing else any more, and its callers had left when it came to them (issue 26). */
 START_TEST (overloaded_entry_rejects_before_the_engine)
 {
   int fd = connect_caller ();
@@ -226,8 +226,8 @@
 }
 END_TEST
 
-/* Guards against a caller that is told "not run" of a job whose first attempt runs: it had no answer
-   to that and repeats the job at the same entry, which is overloaded by now. */
+/* Guards against a caller that is told "not run" of a job whose first attempt runs: it had no
+   answer to that and repeats the job at the same entry, which is overloaded by now. */
 START_TEST (repeated_job_reaches_the_engine)
 {
   int first = connect_caller ();
@@ -349,9 +349,9 @@
   return -1;
 }
 
-/* Guards against callers whose bodies take more memory than the entry may use, and against small jobs
-   that are refused because of them. A job whose first attempt may be running must not be called
-   "not run". */
+/* Guards against callers whose bodies take more memory than the entry may use, and against small
+   jobs that are refused because of them. A job whose first attempt may be running must not be
+   called "not run". */
 START_TEST (bodies_beyond_the_memory_are_refused)
 {
   static const char *const ids[]
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -390,7 +390,8 @@
   peer->echo = guard.now + 3600 * MD_SECOND; /* its entry is always heard */
 }
 
-/* Guards against gangs of two entries that each hold a part of the workers and wait for the rest. */
+/* Guards against gangs of two entries that each hold a part of the workers and wait for the rest.
+   */
 START_TEST (run_that_must_not_wait_is_rejected)
 {
   peer->echo = guard.now;
@@ -408,8 +409,8 @@
 }
 END_TEST
 
-/* Guards against starts that are sent to a worker whose process has ended, and wait for the end of its
-   lease although they were never received (issue 29). */
+/* Guards against starts that are sent to a worker whose process has ended, and wait for the end of
+   its lease although they were never received (issue 29). */
 START_TEST (refused_start_is_rejected_at_once)
 {
   crash_worker ();
@@ -442,8 +443,8 @@
 }
 END_TEST
 
-/* Guards against a guard that starts again with the capacity that its worker had before it shrank, and
-   starts more runs than fit (issue 29). */
+/* Guards against a guard that starts again with the capacity that its worker had before it shrank,
+   and starts more runs than fit (issue 29). */
 START_TEST (shrunk_capacity_is_recorded_at_once)
 {
   start_worker ();
@@ -473,9 +474,9 @@
 }
 END_TEST
 
-/* Guards against two runs of a task at once: a report of another writer was taken for a new lifetime
-   of the worker, whose runs were reported as crashed and started elsewhere while they still ran
-   (review 2). */
+/* Guards against two runs of a task at once: a report of another writer was taken for a new
+   lifetime of the worker, whose runs were reported as crashed and started elsewhere while they
+   still ran (review 2). */
 START_TEST (report_of_another_writer_ends_no_run)
 {
   static const struct
--- a/tests/test-host-limits.c
+++ b/tests/test-host-limits.c
@@ -1,7 +1,8 @@
 /* test-host-limits.c -- limits of the host and what a daemon makes of them
 
-   Guards against a server for callers that accepts more connections than the process has descriptors
-   for, so that its accept loop spins and callers wait, and against limits that nobody is told about. */
+   Guards against a server for callers that accepts more connections than the process has
+   descriptors for, so that its accept loop spins and callers wait, and against limits that nobody
+   is told about. */
 
 #include "host-limits.h"
 #include "suite.h"
--- a/tests/test-http-async.c
+++ b/tests/test-http-async.c
@@ -145,8 +145,8 @@
 }
 END_TEST
 
-/* Guards against a request that is taken for one that was never sent: it was sent, the server ended, and
-   libcurl found nobody listening when it tried again (issue 29). */
+/* Guards against a request that is taken for one that was never sent: it was sent, the server
+   ended, and libcurl found nobody listening when it tried again (issue 29). */
 START_TEST (broken_call_is_not_refused)
 {
   ending = true;
--- a/tests/test-json-text.c
+++ b/tests/test-json-text.c
@@ -1,8 +1,8 @@
 /* test-json-text.c -- nesting of JSON texts, and the number of their values
 
    Guards against an end of the process by a nested text: each reader of JSON is called on a thread
-   with the stack of an HTTP thread, which jansson's recursion exceeds at about 900 levels. Guards against a text whose values take eighty times
-   its size when they are parsed. */
+   with the stack of an HTTP thread, which jansson's recursion exceeds at about 900 levels. Guards
+   against a text whose values take eighty times its size when they are parsed. */
 
 #include "config-check.h"
 #include "entry-private.h"
--- a/tests/test-link-wait.c
+++ b/tests/test-link-wait.c
@@ -1,8 +1,9 @@
 /* test-link-wait.c -- waiting for events where the host answers the wait with an error
 
-   The system calls of the event loop are replaced by functions of this file, which answer with an error
-   or pass the call on. Guards against an event loop that spins and serves nobody on a kernel without
-   epoll_pwait2 or under a filter of system calls, and against errors of the wait without a log line. */
+   The system calls of the event loop are replaced by functions of this file, which answer with an
+   error or pass the call on. Guards against an event loop that spins and serves nobody on a kernel
+   without epoll_pwait2 or under a filter of system calls, and against errors of the wait without a
+   log line. */
 
 #define _GNU_SOURCE /* syscall */
 
--- a/tests/test-link.c
+++ b/tests/test-link.c
@@ -332,9 +332,10 @@
 }
 END_TEST
 
-/* Guards against a crash: the socket of a link is closed while another thread is in a system call on
-   its descriptor, so that the kernel keeps it. It stayed in the epoll set, and its next event was
-   reported for a link that had been freed (review 3). A duplicate takes the place of that call. */
+/* Guards against a crash: the socket of a link is closed while another thread is in a system call
+   on its descriptor, so that the kernel keeps it. It stayed in the epoll set, and its next event
+   was reported for a link that had been freed (review 3). A duplicate takes the place of that call.
+   */
 START_TEST (test_close_while_in_use)
 {
   Side s = { 0 };
--- a/tests/test-listen.c
+++ b/tests/test-listen.c
@@ -67,7 +67,8 @@
   return true;
 }
 
-/* Guards against a failed start that does not tell why, and against a wait for what does not pass. */
+/* Guards against a failed start that does not tell why, and against a wait for what does not pass.
+   */
 START_TEST (test_reasons)
 {
   MdPort port = { "listen-test", address };
--- a/tests/test-memory-budget.c
+++ b/tests/test-memory-budget.c
@@ -1,7 +1,7 @@
 /* test-memory-budget.c -- the bound on the memory that threads use at the same time
 
-   Guards against a sum above the limit, against a use that waits for ever or never, and against a large
-   use that is never possible. */
+   Guards against a sum above the limit, against a use that waits for ever or never, and against a
+   large use that is never possible. */
 
 #include "memory-budget.h"
 #include "suite.h"
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -285,8 +285,8 @@
 }
 END_TEST
 
-/* Guards against a second crash that takes down the runs of others as well, and does not tell who is
-   to blame (issue 29). */
+/* Guards against a second crash that takes down the runs of others as well, and does not tell who
+   is to blame (issue 29). */
 START_TEST (suspect_runs_on_an_idle_worker)
 {
   Fleet fleet;
@@ -543,8 +543,8 @@
 }
 END_TEST
 
-/* Guards against a job that stops its entry: 64 steps of 4,096 tasks took 165 MB and the engine for more
-   than half a minute. */
+/* Guards against a job that stops its entry: 64 steps of 4,096 tasks took 165 MB and the engine for
+   more than half a minute. */
 START_TEST (job_with_too_many_tasks_is_refused)
 {
   for (uint32_t steps = 2; steps <= 3; steps++)
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -70,8 +70,9 @@
 }
 END_TEST
 
-/* Guards against a task on a worker without the label that it requires, and a step that starts before
-   those that it depends on: what did not fit was dropped, and the job accepted without it. */
+/* Guards against a task on a worker without the label that it requires, and a step that starts
+   before those that it depends on: what did not fit was dropped, and the job accepted without it.
+   */
 START_TEST (requirements_that_do_not_fit_are_refused)
 {
   static const char *const members[]
@@ -320,8 +321,8 @@
 }
 END_TEST
 
-/* Guards against a worker that counts as unreachable because its list is too long: a guard orders up to
-   16,384 runs, and 500 ends are listed. */
+/* Guards against a worker that counts as unreachable because its list is too long: a guard orders
+   up to 16,384 runs, and 500 ends are listed. */
 START_TEST (longest_list_is_decoded)
 {
   enum
@@ -386,8 +387,8 @@
       "\"/p/q/\",\"service\":\"calc\",\"advisor\":{\"decision_ms\":3}},{\"host\":7}],"
       "\"limits\":{\"max_body_bytes\":262144}}";
 
-/* Guards against a limit that is none: a negative number became the largest size, and every body was
-   read. */
+/* Guards against a limit that is none: a negative number became the largest size, and every body
+   was read. */
 START_TEST (body_limit_out_of_range_is_not_used)
 {
   static const struct
--- a/tests/test-settings-file.c
+++ b/tests/test-settings-file.c
@@ -95,7 +95,8 @@
 }
 END_TEST
 
-/* Guards against a SIGHUP without effect: the file is loaded even if it has not changed, and once. */
+/* Guards against a SIGHUP without effect: the file is loaded even if it has not changed, and once.
+   */
 START_TEST (test_requested)
 {
   const char *reason = md_settings_file_changed (&file, path, true, clock_now);
