Name the requests of a worker without the wire's path in a comment

Readers met a path of the platform's wire outside platform/. Ruled out: the code, which takes the path from platform.h.

--- a/fleet/guard-registrar.c
+++ b/fleet/guard-registrar.c
@@ -46,7 +46,7 @@
   md_links_wake (server->links);
 }
 
-/* Handles PUT (report) and DELETE (deregistration) of /v1/instances/ID. */
+/* Handles a report (PUT) and a deregistration (DELETE) of a worker. */
 static int
 handle_registration (struct mg_connection *conn, void *user)
 {
