Remove a flag that could not be set during the settings wait

Readers were told of a stop during the wait for the settings that cannot be seen: the handlers of SIGTERM are installed later, so that the flag was never true and SIGTERM ends the process by the signal, as before. Ruled out: earlier handlers, which would change behaviour now.

run_entry and run_guard no longer ask for it.

--- a/fleet/daemon.c
+++ b/fleet/daemon.c
@@ -39,14 +39,12 @@
   if (rc != MD_EXIT_OK)
     return rc;
   md_process_set_step (MD_STEP_SETTINGS);
-  rc = md_settings_wait (&daemon->settings, daemon->path, &daemon->file, md_daemon_is_stopping,
-                         &faults);
+  rc = md_settings_wait (&daemon->settings, daemon->path, &daemon->file, NULL, &faults);
   if (rc != MD_OK)
     {
       fputs (md_buf_str (&faults).data, stderr);
       md_settings_clear (&daemon->settings);
-      daemon->stopped = md_daemon_is_stopping ();
-      return daemon->stopped ? MD_EXIT_OK : MD_EXIT_FAILED;
+      return MD_EXIT_FAILED;
     }
   md_log_open (STDOUT_FILENO, daemon->settings.name, daemon->settings.log_level);
   md_process_set_step (MD_STEP_COMPONENTS);
--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -21,14 +21,12 @@
   MdLeases leases;     /* derived from the settings at startup; not reloaded */
   char *path;          /* of the settings file, owned */
   MdSettingsFile file; /* state of the settings file */
-  bool stopped;        /* SIGTERM or SIGINT was received while the settings were awaited */
   MdLinks *links;      /* event loop of the engine thread, owned */
   MdHttp *store;       /* calls to the platform's store, owned */
 } MdDaemon;
 
 /* md_daemon_open: parse "--config FILE", wait for usable settings (md_settings_wait) and open the
-   log. Errors are printed to stderr. Returns MD_EXIT_OK, or the exit code of the process. When
-   daemon->stopped is set the process ends with that code in any case.
+   log. Errors are printed to stderr. Returns MD_EXIT_OK, or the exit code of the process.
    daemon has to last as long as the process, which frees nothing of it, see process.h. */
 int md_daemon_open (MdDaemon *daemon, int argc, const char **argv);
 
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -343,7 +343,7 @@
 
   md_limit_arenas ();
   rc = md_daemon_open (&entry.daemon, argc, argv);
-  if (rc != MD_EXIT_OK || entry.daemon.stopped)
+  if (rc != MD_EXIT_OK)
     return rc;
   md_http_init ();
   entry.incarnation = md_new_incarnation ();
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -227,7 +227,7 @@
 
   md_limit_arenas ();
   rc = md_daemon_open (&guard.daemon, argc, argv);
-  if (rc != MD_EXIT_OK || guard.daemon.stopped)
+  if (rc != MD_EXIT_OK)
     return rc;
   md_http_init ();
   guard.incarnation = md_new_incarnation ();
