Share the taking of memory for a body

Readers met the same rule twice: how much of the memory for bodies a request takes stood in fleet/front.c and entry/callers.c, with the size of small bodies under one name in each. Cause: the two servers were written after one another. Ruled out: sharing the release, which ends in different structs.

--- a/entry/callers.c
+++ b/entry/callers.c
@@ -22,8 +22,6 @@
 #define KEEP_ALIVE_MS "5000"    /* idle connections give their thread back */
 #define GRACE (2 * MD_SECOND)   /* past the deadline before a wait gives up */
 
-/* Smaller bodies are not counted, so that they are read while callers send large ones. */
-#define SMALL_BODY (16u << 10)     /* bytes */
 #define BODY_MEMORY (64u << 20)    /* bytes, of larger bodies; an entry may use 256 MB in all */
 #define PARSE_MEMORY (64u << 20)   /* bytes, of jobs that are being parsed */
 #define PARSE_WAIT (1 * MD_SECOND) /* for others to be parsed, which takes milliseconds */
@@ -279,14 +277,8 @@
 static bool
 acquire_body (Call *call, size_t max_body)
 {
-  long long announced = call->info->content_length;
-  size_t size = announced >= 0 && (size_t)announced < max_body ? (size_t)announced : max_body;
-
-  call->counted = size > SMALL_BODY ? size : 0;
-  if (md_memory_budget_take (&call->callers->body_memory, call->counted, 0))
-    return true;
-  call->counted = 0;
-  return false;
+  return md_memory_budget_take_body (&call->callers->body_memory, call->info->content_length,
+                                     max_body, &call->counted);
 }
 
 /* Frees the body, which is not kept while the caller waits for the result. */
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -32,9 +32,6 @@
 #define RETRY_AFTER_LATE (1 * MD_SECOND)      /* Retry-After while the entry is late */
 #define DEFAULT_MAX_BODY (256u << 10)         /* bytes, if the configuration states no limit */
 
-/* Smaller bodies are not counted, so that jobs, most of which have a few kilobytes, are read while
-   callers send large bodies. Each thread can hold one. */
-#define SMALL_BODY (16u << 10)   /* bytes */
 #define BODY_MEMORY (24u << 20)  /* bytes, of larger bodies; small entries may use 120 MB in all */
 #define PARSE_MEMORY (16u << 20) /* bytes, of bodies that are being parsed */
 #define PARSE_WAIT (1 * MD_SECOND)   /* for others to be parsed, which takes milliseconds */
@@ -431,14 +428,8 @@
 static bool
 acquire_body (const Request *request, Body *body, size_t max_body)
 {
-  long long announced = request->info->content_length;
-  size_t size = announced >= 0 && (size_t)announced < max_body ? (size_t)announced : max_body;
-
-  body->counted = size > SMALL_BODY ? size : 0;
-  if (md_memory_budget_take (&request->front->body_memory, body->counted, 0))
-    return true;
-  body->counted = 0;
-  return false;
+  return md_memory_budget_take_body (&request->front->body_memory, request->info->content_length,
+                                     max_body, &body->counted);
 }
 
 /* Parses the body within the memory for that, and releases it. Returns MD_E_LIMIT when others use
--- a/net/memory-budget.c
+++ b/net/memory-budget.c
@@ -4,6 +4,8 @@
 
 #include <time.h>
 
+#define SMALL_BODY (16u << 10) /* bytes; each thread of a server may hold one */
+
 void
 md_memory_budget_init (MdMemoryBudget *budget, size_t limit)
 {
@@ -73,3 +75,16 @@
   pthread_cond_broadcast (&budget->returned);
   pthread_mutex_unlock (&budget->lock);
 }
+
+bool
+md_memory_budget_take_body (MdMemoryBudget *budget, long long announced, size_t max_body,
+                            size_t *counted)
+{
+  size_t size = announced >= 0 && (size_t)announced < max_body ? (size_t)announced : max_body;
+
+  *counted = size > SMALL_BODY ? size : 0;
+  if (md_memory_budget_take (budget, *counted, 0))
+    return true;
+  *counted = 0;
+  return false;
+}
--- a/net/memory-budget.h
+++ b/net/memory-budget.h
@@ -26,6 +26,13 @@
    other. */
 bool md_memory_budget_take (MdMemoryBudget *budget, size_t bytes, MdTime wait);
 
+/* md_memory_budget_take_body: take memory for the body of a request without a wait. announced is its
+   length, negative when unknown; it has at most max_body bytes. Small bodies are not counted, so
+   that they are read while callers send large ones. *counted receives what was taken, bytes; 0 when
+   the function returns false because others use the memory. */
+bool md_memory_budget_take_body (MdMemoryBudget *budget, long long announced, size_t max_body,
+                                 size_t *counted);
+
 /* md_memory_budget_return: return what has been taken. */
 void md_memory_budget_return (MdMemoryBudget *budget, size_t bytes);
 
