Keep a refused task of a recovered job until its submission arrives

An entry that took a shard over could end by SIGSEGV, or start a task twice. A task that is known from the record of a guard only was placed again as soon as its guard refused it, although the submission had not arrived: the start decision has no request, and entry/entry-jobs.c reads it from the submission. The attempt of the former owner also counted as one of this owner, so that a later record of a start elsewhere was taken for its own.

--- a/core/dispatch-private.h
+++ b/core/dispatch-private.h
@@ -471,6 +471,10 @@
 /* md_task_record_refusal: records that the guard refused the task and will never
    run it. */
 void md_task_record_refusal (MdTask *task, uint64_t guard);
+
+/* md_task_withdraw_recovered: undoes an attempt that is known from a record only, after its guard
+   has refused it and the task is detached. */
+void md_task_withdraw_recovered (MdTask *task);
 /* md_task_record_result: records the end of an attempt. Returns true when the
    answer is to be kept. */
 bool md_task_record_result (MdDispatch *d, MdTask *task, MdTaskResult result, MdReason reason,
--- a/core/jobs.c
+++ b/core/jobs.c
@@ -468,6 +468,15 @@
   task->refused = true;
 }
 
+/* Without the submission there is no request to send. Whether the task may start elsewhere is
+   decided when the submission arrives, as for a task without a record. */
+void
+md_task_withdraw_recovered (MdTask *task)
+{
+  task->state = MD_TASK_STATE_ABSENT;
+  task->attempts--;
+}
+
 static bool
 may_retry (MdDispatch *d, const MdActiveJob *active)
 {
@@ -575,7 +584,10 @@
       return true;
     case MD_TASK_NOT_RUN:
       md_task_record_refusal (task, id);
-      requeue (d, task);
+      if (job->submitted)
+        requeue (d, task);
+      else
+        md_task_withdraw_recovered (task);
       return false;
     default:
       attempt_failed (d, task, result, failure_reason (result, reason), id, now);
