Learn of refusals that were lost while a shard was recovered

A guard sends the refusal of a task that it had accepted once, and relies on the owner to ask after a connection was replaced. The owner asked only about tasks that it had sent itself, not about those it knew from records; and a record that says "refused" did not end the wait for a task that an earlier record had called running. Ruled out by reading: answers, which are retained and sent again.

The entry now asks about recovered tasks too, and a repeated record takes the task back. Both tests fail before: test-recover (no start after the submission, wanted one) and test-entry-reconnect (no task asked about, wanted one).

--- a/core/recover.c
+++ b/core/recover.c
@@ -92,6 +92,17 @@
         = record->state == MD_RECORD_BROKEN ? MD_REASON_UPSTREAM_ERROR : MD_REASON_TASK_FAILED;
 }
 
+/* The refusal itself may have been lost with a connection; the record is then the first to tell. */
+static void
+apply_refusal (MdDispatch *d, MdTask *task, const MdRecord *record, MdTime now)
+{
+  md_task_record_refusal (task, record->guard);
+  if (task->state != MD_TASK_STATE_SENT || task->guard->id != record->guard)
+    return;
+  md_task_detach (d, task, now);
+  md_task_withdraw_recovered (task);
+}
+
 /* Applies a record to an open job whose submission is not known yet. */
 static void
 apply_record (MdDispatch *d, MdJob *job, const MdRecord *record, MdTime now)
@@ -119,7 +130,7 @@
       break;
     case MD_RECORD_REFUSED:
       job->ever_sent = true;
-      md_task_record_refusal (task, record->guard);
+      apply_refusal (d, task, record, now);
       break;
     }
 }
--- a/entry/entry-jobs.c
+++ b/entry/entry-jobs.c
@@ -186,6 +186,7 @@
       if (job->sub == NULL)
         {
           job->sub = md_submission_ref (sub);
+          job->fingerprint = sub->fingerprint;
           observe_job (entry, job, MD_STATE_RUNNING);
         }
       wait_or_report (entry, job, sub, waiter);
@@ -317,6 +318,19 @@
   return job != NULL ? job : add_job (shard, record->key, record->n_tasks);
 }
 
+/* A running task is asked about again when the connection of its guard is replaced: its refusal may
+   be lost with the former one. */
+static void
+note_record (Job *job, const MdRecord *record)
+{
+  if (job == NULL || record->task >= job->n_tasks)
+    return;
+  if (job->sub == NULL)
+    job->fingerprint = record->fingerprint;
+  if (record->state == MD_RECORD_RUNNING && job->sent_to[record->task] == 0)
+    job->sent_to[record->task] = record->guard;
+}
+
 void
 md_jobs_records (MdEntry *entry, Peer *peer, const Md__Records *records, MdTime now)
 {
@@ -343,7 +357,8 @@
       if (record.state == MD_RECORD_OK
           && (job == NULL || (job->result == NULL && !job->answers[record.task].present)))
         record.state = MD_RECORD_RUNNING;
-      md_dispatch_recover (shard->dispatch, &record, make_cookie, shard, now);
+      job = md_dispatch_recover (shard->dispatch, &record, make_cookie, shard, now);
+      note_record (job, &record);
     }
   /* The next heartbeat asks for the acknowledgement that the takeover waits for. */
   if (records->last)
@@ -366,7 +381,7 @@
 
   for (size_t b = 0; b < JOB_BUCKETS; b++)
     for (Job *job = peer->shard->jobs[b]; job != NULL; job = job->next)
-      for (uint32_t i = 0; job->sub != NULL && i < job->n_tasks; i++)
+      for (uint32_t i = 0; i < job->n_tasks; i++)
         {
           Md__TaskRecord *record;
 
@@ -390,8 +405,8 @@
           md__key__init (record->fingerprint);
           record->key->hi = job->key.hi;
           record->key->lo = job->key.lo;
-          record->fingerprint->hi = job->sub->fingerprint.hi;
-          record->fingerprint->lo = job->sub->fingerprint.lo;
+          record->fingerprint->hi = job->fingerprint.hi;
+          record->fingerprint->lo = job->fingerprint.lo;
           record->task = i;
           record->n_tasks = job->n_tasks;
           list[n++] = record;
--- a/entry/entry-private.h
+++ b/entry/entry-private.h
@@ -165,6 +165,7 @@
 {
   struct Job *next;      /* hash chain */
   MdKey key;             /* submission */
+  MdKey fingerprint;     /* submission */
   MdSubmission *sub;     /* NULL when known from records only */
   Waiter *waiters;       /* to be answered at the end */
   MdTaskAnswer *answers; /* n_tasks entries */
--- /dev/null
+++ b/tests/test-entry-reconnect.c
@@ -0,0 +1,159 @@
+/* test-entry-reconnect.c -- what an entry repeats when the connection of a peer is replaced
+
+   The test plays the peers, over the loopback interface. */
+
+#include "entry-private.h"
+#include "suite.h"
+
+#define PASSES 20000 /* only ends a broken run */
+#define GUARD 21
+
+static MdEntry entry;
+static Shard *shard;
+static MdLinks *dialler;
+static char address[MD_ADDRESS_BYTES];
+static int ups;
+static size_t queried;
+
+static void
+on_up (void *user MD_UNUSED, MdLink *dialled MD_UNUSED)
+{
+  ups++;
+}
+
+static void
+on_frame (void *user MD_UNUSED, MdLink *dialled MD_UNUSED, const Md__Frame *frame)
+{
+  if (frame->msg_case == MD__FRAME__MSG_QUERY)
+    queried += frame->query->n_tasks;
+}
+
+static void
+on_down (void *user MD_UNUSED, MdLink *dialled MD_UNUSED, const MdError *error MD_UNUSED)
+{
+}
+
+static const MdLinkHandler dialler_handler = { on_up, on_frame, on_down };
+
+static void
+poll_both (void)
+{
+  md_links_poll (entry.links, md_now () + MD_MS);
+  md_links_poll (dialler, md_now () + MD_MS);
+}
+
+static MdLink *
+dial (void)
+{
+  MdLink *link = md_links_dial (dialler, md_str (address), NULL);
+  int before = ups;
+
+  for (int i = 0; i < PASSES && ups == before; i++)
+    poll_both ();
+  ck_assert_int_eq (ups, before + 1);
+  return link;
+}
+
+static void
+setup (void)
+{
+  MdError error = { 0 };
+
+  md_tuning_default (&entry.settings.tuning);
+  entry.incarnation = 1;
+  entry.members = md_members_new (&entry.settings.tuning);
+  entry.links = md_links_new (&entry.settings.tuning, &md_entry_link_handler, &entry);
+  dialler = md_links_new (&entry.settings.tuning, &dialler_handler, NULL);
+  ck_assert_int_eq (md_links_listen (entry.links, MD_STR ("127.0.0.1:0"), address, &error), MD_OK);
+  shard = calloc (1, sizeof *shard);
+  ck_assert_ptr_nonnull (shard);
+  md_str_copy (shard->name, sizeof shard->name, MD_STR ("relogio-calc/0"));
+  md_str_copy (shard->pool, sizeof shard->pool, MD_STR ("relogio-calc"));
+  shard->shards = 1;
+  shard->n_registered = 1;
+  shard->core = md_shard_new (&entry.settings.tuning, entry.incarnation);
+  shard->dispatch = md_dispatch_new (&entry.settings.tuning);
+  entry.shards = shard;
+}
+
+static void
+teardown (void)
+{
+  md_links_free (dialler);
+  md_links_free (entry.links);
+  md_jobs_drop (&entry, shard, 0);
+  md_dispatch_free (shard->dispatch);
+  md_shard_free (shard->core);
+  free (shard);
+  for (Peer *peer = entry.peers, *next; peer != NULL; peer = next)
+    {
+      next = peer->next;
+      md_peers_clear_batches (peer);
+      free (peer->owned);
+      free (peer->owned_state);
+      free (peer);
+    }
+  md_members_free (entry.members);
+}
+
+static void
+send_hello (MdLink *link, MdRole role, uint64_t incarnation)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__Hello hello = MD__HELLO__INIT;
+
+  hello.protocol = MD_PROTOCOL;
+  hello.role = role;
+  hello.name = role == MD_ROLE_GUARD ? "guard-1" : "entry-1";
+  hello.incarnation = incarnation;
+  hello.pool = "relogio-calc";
+  hello.slots = 4;
+  frame.msg_case = MD__FRAME__MSG_HELLO;
+  frame.hello = &hello;
+  md_link_send (link, &frame);
+}
+
+/* Guards against a task that is awaited until its job's deadline although its guard has refused
+   it: tasks that a new owner knew from records only were not asked about again. */
+START_TEST (recovered_task_is_queried_on_a_new_connection)
+{
+  Md__Records records = MD__RECORDS__INIT;
+  Md__TaskRecord record = MD__TASK_RECORD__INIT;
+  Md__TaskRecord *list = &record;
+  Md__Key key = MD__KEY__INIT;
+  Md__Key fingerprint = MD__KEY__INIT;
+  MdLink *link = dial ();
+
+  send_hello (link, MD_ROLE_GUARD, GUARD);
+  for (int i = 0; i < PASSES && entry.peers == NULL; i++)
+    poll_both ();
+  ck_assert_ptr_nonnull (entry.peers);
+  ck_assert_ptr_eq (entry.peers->shard, shard);
+  md_shards_guard_attached (&entry, entry.peers, md_now ());
+  key.hi = 7;
+  fingerprint.hi = 8;
+  record.key = &key;
+  record.fingerprint = &fingerprint;
+  record.n_tasks = 2;
+  record.state = MD_RECORD_RUNNING;
+  records.n_records = 1;
+  records.records = &list;
+  md_jobs_records (&entry, entry.peers, &records, md_now ());
+
+  link = dial ();
+  send_hello (link, MD_ROLE_GUARD, GUARD);
+  for (int i = 0; i < 100 && queried == 0; i++)
+    poll_both ();
+  ck_assert_uint_eq (queried, 1);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tc = tcase_create ("entry-reconnect");
+
+  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, recovered_task_is_queried_on_a_new_connection);
+  return run_suite ("entry-reconnect", tc);
+}
--- a/tests/test-recover.c
+++ b/tests/test-recover.c
@@ -130,6 +130,22 @@
 }
 END_TEST
 
+/* Guards against a job that waits until its deadline for a task that its guard has refused, when
+   the refusal was lost with a connection and the guard is attached again. */
+START_TEST (test_repeated_records_tell_a_refusal)
+{
+  MdDispatch *d = new_owner (0);
+  MdDispatchDecision finish = { 0 };
+
+  recover (d, FIRST_GUARD, 0, MD_RECORD_REFUSED);
+  recover (d, FIRST_GUARD, 1, MD_RECORD_RUNNING);
+  ck_assert_uint_eq (starts_of_refused_task (d, &finish), 0);
+  ck_assert_int_eq (submit (d, WALL_MS - 10), MD_ADMIT_ATTACHED);
+  ck_assert_uint_eq (starts_of_refused_task (d, &finish), 1);
+  md_dispatch_free (d);
+}
+END_TEST
+
 /* Guards against a second start of a task that another owner has started meanwhile, after a
    refusal of the attempt that was known. */
 START_TEST (test_start_of_another_owner_fails_the_job)
@@ -155,6 +171,7 @@
 
   tcase_add_test (tc, test_refused_task_waits_for_submission);
   tcase_add_test (tc, test_refused_task_before_cut_is_unproven);
+  tcase_add_test (tc, test_repeated_records_tell_a_refusal);
   tcase_add_test (tc, test_start_of_another_owner_fails_the_job);
   return run_suite ("recover", tc);
 }
