Forward a job again when the connection of its owner was replaced

A caller got 504 at its deadline for a job that no owner had ever seen.

Ruled out: the owner's queue and the guards, which have no line about the jobs.

Each connection of a peer has a number now, and what was forwarded on a former one is sent again to the same owner; its key attaches it to the job or replays the result. The same holds for a reply that was lost. test-entry-reconnect fails before (1 forward, wanted 2) and passes in release, asan, tsan.

--- a/entry/entry-forward.c
+++ b/entry/entry-forward.c
@@ -323,6 +323,7 @@
   if (send_forward (owner, pending, shard->name, now) == MD_OK)
     {
       pending->sent_to = owner->incarnation;
+      pending->sent_on = owner->connection;
       pending->ever_sent = true;
       md_count (MD_M_FORWARDS, 1);
       log_route (pending, shard->name, owner->name, "forward");
@@ -375,12 +376,14 @@
   entry->pending = pending;
 }
 
+/* The request or its reply may be lost with the connection, also when a new one is up already. */
 static bool
 owner_is_lost (MdEntry *entry, const Pending *pending)
 {
   Peer *peer = md_peers_find (entry, pending->sent_to);
 
-  return peer == NULL || peer->leaving || peer->link == NULL || !md_link_is_up (peer->link);
+  return peer == NULL || peer->leaving || peer->link == NULL || !md_link_is_up (peer->link)
+         || peer->connection != pending->sent_on;
 }
 
 static bool
--- a/entry/entry-peers.c
+++ b/entry/entry-peers.c
@@ -205,6 +205,7 @@
       md_link_close (peer->link);
     }
   peer->link = link;
+  peer->connection++;
   peer->down_since = 0;
   peer->next_heartbeat = 0;
   md_link_set_data (link, peer);
@@ -462,6 +463,8 @@
      between entries the fast interval applies. */
   md_link_set_max_silence (link, peer != NULL ? t->heartbeat_max * t->missed_heartbeats
                                               : t->heartbeat_idle * t->missed_heartbeats);
+  if (peer != NULL)
+    peer->connection++;
   if (md_link_is_dialled (link))
     md_peers_send_hello (entry, link);
 }
--- a/entry/entry-private.h
+++ b/entry/entry-private.h
@@ -215,6 +215,7 @@
   bool placed;                      /* guards: known to the dispatch core */
   bool usable;                      /* guards: may be placed on */
   bool leaving;                     /* announced that it leaves */
+  uint64_t connection;              /* number of the connection, grows with each new one */
   MdTime down_since;                /* when the link was lost, 0 when up */
   MdTime next_heartbeat;            /* when to send the next one */
   MdTime peer_sent;                 /* latest sent_us received */
@@ -247,6 +248,7 @@
   MdSubmission *sub;    /* owned reference */
   Waiter *waiters;      /* to be answered */
   uint64_t sent_to;     /* node incarnation of the owner, 0 not sent */
+  uint64_t sent_on;     /* connection of the owner, see Peer */
   bool ever_sent;       /* was sent to some owner */
 } Pending;
 
--- a/tests/test-entry-reconnect.c
+++ b/tests/test-entry-reconnect.c
@@ -7,12 +7,14 @@
 
 #define PASSES 20000 /* only ends a broken run */
 #define GUARD 21
+#define OWNER 22
 
 static MdEntry entry;
 static Shard *shard;
 static MdLinks *dialler;
 static char address[MD_ADDRESS_BYTES];
 static int ups;
+static int forwards;
 static size_t queried;
 
 static void
@@ -24,7 +26,9 @@
 static void
 on_frame (void *user MD_UNUSED, MdLink *dialled MD_UNUSED, const Md__Frame *frame)
 {
-  if (frame->msg_case == MD__FRAME__MSG_QUERY)
+  if (frame->msg_case == MD__FRAME__MSG_FORWARD)
+    forwards++;
+  else if (frame->msg_case == MD__FRAME__MSG_QUERY)
     queried += frame->query->n_tasks;
 }
 
@@ -113,6 +117,74 @@
   md_link_send (link, &frame);
 }
 
+static void
+send_ownership (MdLink *link)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__Heartbeat beat = MD__HEARTBEAT__INIT;
+  Md__OwnedShard owned = MD__OWNED_SHARD__INIT;
+  Md__OwnedShard *list = &owned;
+
+  owned.shard = shard->name;
+  owned.state = MD_SHARD_SERVING;
+  beat.n_owned = 1;
+  beat.owned = &list;
+  frame.msg_case = MD__FRAME__MSG_HEARTBEAT;
+  frame.heartbeat = &beat;
+  md_link_send (link, &frame);
+}
+
+static void
+forward_job (MdResultFuture *future)
+{
+  MdSubmission *sub = md_submission_new (0);
+
+  sub->key = (MdKey){ 7, 70 };
+  md_str_copy (sub->pool, sizeof sub->pool, MD_STR ("relogio-calc"));
+  sub->deadline = md_now () + 60 * MD_SECOND;
+  atomic_fetch_add (&future->refs, 1);
+  md_forward_route (&entry, MD_OP_SUBMIT, sub, md_waiter_local (future), md_now ());
+  md_submission_unref (sub);
+}
+
+/* Guards against a job that waits until its deadline because it was forwarded over a connection
+   that the owner had given up and replaced before this entry noticed. */
+START_TEST (forward_is_repeated_on_a_new_connection)
+{
+  MdResultFuture *future = md_result_future_new ();
+  MdLink *link = dial ();
+
+  send_hello (link, MD_ROLE_ENTRY, OWNER);
+  send_ownership (link);
+  for (int i = 0; i < PASSES && (entry.peers == NULL || entry.peers->n_owned == 0); i++)
+    poll_both ();
+  forward_job (future);
+  for (int i = 0; i < PASSES && forwards == 0; i++)
+    poll_both ();
+  ck_assert_int_eq (forwards, 1);
+
+  link = dial ();
+  send_hello (link, MD_ROLE_ENTRY, OWNER);
+  send_ownership (link);
+  for (int i = 0; i < 100 && forwards == 1; i++)
+    {
+      poll_both ();
+      md_forward_tick (&entry, md_now ());
+    }
+  ck_assert_int_eq (forwards, 2);
+  for (int i = 0; i < 20; i++) /* and no more than once for each connection */
+    {
+      md_forward_tick (&entry, md_now ());
+      poll_both ();
+    }
+  ck_assert_int_eq (forwards, 2);
+  md_waiters_free (entry.pending->waiters);
+  md_submission_unref (entry.pending->sub);
+  free (entry.pending);
+  md_result_future_unref (future);
+}
+END_TEST
+
 /* Guards against a task that is awaited until its job's deadline although its guard has refused
    it: tasks that a new owner knew from records only were not asked about again. */
 START_TEST (recovered_task_is_queried_on_a_new_connection)
@@ -154,6 +226,7 @@
   TCase *tc = tcase_create ("entry-reconnect");
 
   tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_test (tc, forward_is_repeated_on_a_new_connection);
   tcase_add_test (tc, recovered_task_is_queried_on_a_new_connection);
   return run_suite ("entry-reconnect", tc);
 }
