Show what is logged about an unanswered job in run-links

The logs were gone with the run, so that the cause had to be found by repeating the test. The failing run now prints the lines about the first such job and the last changes of links and owners. The check itself is as it was.

--- a/tests/cluster.sh
+++ b/tests/cluster.sh
@@ -160,3 +160,11 @@
 
 # doubles: tasks that started more than once, by the judge's file.
 doubles () { awk '{print $1, $2}' "$RUN/journal" 2>/dev/null | sort | uniq -d | wc -l; }
+
+# show_job KEY: what the processes logged about a job, and the changes of links and
+# owners during its last seconds; for the report of a run that fails.
+show_job () {
+  grep -hE "(job|key)=$1" "$RUN"/entry-*.log "$RUN"/guard-*.log | sort | tail -n 30
+  grep -hE 'event=(shard-|attach|query|peer-|guard-|entry-)' "$RUN"/entry-*.log "$RUN"/guard-*.log |
+    sort | tail -n 25 | cut -c 1-160
+}
--- a/tests/run-links.sh
+++ b/tests/run-links.sh
@@ -38,7 +38,8 @@
     END { for (k in last) n += last[k] ~ /outcome=not_run/; print n + 0 }' "$RUN/results")))
   if [ "$missing" -gt $(($(explained) - $3)) ]; then
     awk '{ split($1, kv, "="); last[kv[2]] = $0 } END { for (k in last) if (last[k] !~ /status=200/) print last[k] }' \
-      "$RUN/results"
+      "$RUN/results" | tee "$RUN/unanswered"
+    show_job "$(sed -n '1s/^key=\([^ ]*\) .*/\1/p' "$RUN/unanswered")"
     fail "$1: $missing jobs without an answer"
   fi
 }
