Use a guard again that was given up and comes back

A worker stayed idle for good after its guard had been silent for more than 10 s, for instance while the process was paused: operators saw the guard connected and attached, and nothing placed on it, until the guard or the owner was restarted. The entry gives the attempts up and takes the guard from the dispatch core, but the core of the shard still held it as attached, recovered and in use, so that neither an attach nor a decision to use it followed.

Found by reading the code around the lost refusals. Ruled out: a new process of the guard, which has another incarnation and is attached anew.

--- a/core/mulberrydrift.h
+++ b/core/mulberrydrift.h
@@ -613,6 +613,10 @@
   void md_shard_guard_lost (MdShard *shard, uint64_t guard, int64_t lost_ms, int64_t wall_ms,
                             MdTime now);
 
+  /* md_shard_guard_given_up: the owner has given up its attempts at a guard that was silent. If the
+   same process comes back, it is attached again for its records, then a USE decision follows. */
+  void md_shard_guard_given_up (MdShard *shard, uint64_t guard, MdTime now);
+
   /* md_shard_acquire: starts to acquire the shard, fencing n incarnations: former
    owners that are considered dead or are leaving. While the entry acquires or owns
    the shard, it only adds fences. */
--- a/core/shard.c
+++ b/core/shard.c
@@ -530,6 +530,19 @@
   update (shard, now);
 }
 
+void
+md_shard_guard_given_up (MdShard *shard, uint64_t id, MdTime now)
+{
+  MdShardGuard *guard = md_shard_find_guard (shard, id);
+
+  if (guard == NULL)
+    return;
+  guard->attached = guard->confirmed = false;
+  guard->recovered = guard->use_emitted = false;
+  guard->retry_at = now;
+  update (shard, now);
+}
+
 void
 md_shard_attach_reply (MdShard *shard, uint64_t id, const MdAttachResult *result,
                        uint64_t known_offset, MdTime now)
--- a/entry/entry-shards.c
+++ b/entry/entry-shards.c
@@ -274,13 +274,22 @@
   md_shards_run (entry, peer->shard, now);
 }
 
+/* The same process may come back, after a pause for instance. */
+static void
+give_up_guard (MdEntry *entry, Peer *peer, MdTime now)
+{
+  peer->attached = false;
+  md_shard_guard_given_up (peer->shard->core, peer->incarnation, now);
+  md_shards_guard_lost (entry, peer, now);
+}
+
 static void
 check_lost_guards (MdEntry *entry, MdTime now)
 {
   for (Peer *p = entry->peers; p != NULL; p = p->next)
     if (p->role == MD_ROLE_GUARD && p->placed && p->down_since > 0
         && now - p->down_since > LOST_AFTER)
-      md_shards_guard_lost (entry, p, now);
+      give_up_guard (entry, p, now);
 }
 
 /* ------------------------------------------------------------------ */
--- a/tests/test-shard.c
+++ b/tests/test-shard.c
@@ -582,6 +582,29 @@
 }
 END_TEST
 
+/* Guards against a guard that is not used again after it was silent for so long that its attempts
+   were given up. */
+START_TEST (test_given_up_guard_is_used_again)
+{
+  Entry *e = &entries[0];
+  unsigned attaches;
+
+  serve (e, 7, 0);
+  pass (MD_SECOND);
+  attaches = e->attaches;
+  e->used = 0;
+  cut_links (e, 3);
+  md_shard_guard_given_up (e->shard, guard_id (2), now);
+  pass (MD_SECOND);
+  ck_assert_uint_eq (e->attaches, attaches);
+  cut_links (e, 7);
+  pass (MD_SECOND);
+  ck_assert_uint_eq (e->attaches, attaches + 1);
+  ck_assert_uint_eq (e->used, 4);
+  ck_assert_int_eq (md_shard_state (e->shard), MD_SHARD_SERVING);
+}
+END_TEST
+
 /* Guards against lifting the cut of a takeover when a guard that was missing was
    restarted: its new process is reached, but what the former one ran is lost. */
 START_TEST (test_cut_outlives_restart)
@@ -728,6 +751,7 @@
   tcase_add_test (tc, test_successor_needs_old_view);
   tcase_add_test (tc, test_straggler_does_not_block);
   tcase_add_test (tc, test_detached_guard_is_attached_again);
+  tcase_add_test (tc, test_given_up_guard_is_used_again);
   tcase_add_test (tc, test_cut_outlives_restart);
   tcase_add_test (tc, test_most_guards_restart);
   tcase_add_test (tc, test_two_acquire);
