Place recovered tasks that were refused before the queue

Callers of a whole pool waited until their deadlines while its workers were idle. After a takeover, a task that all guards had refused stood at the head of the queue; nothing could run it, and a queue whose first job has no free guard places no other job of the customer.

Ruled out: a lost answer (every task of the job has a record), and the normal refusals, which are placed before the queue already.

A task of a merged submission that a guard has refused goes the same way now: other tasks pass it, and with no guard left its job fails at once.

--- a/core/dispatch-private.h
+++ b/core/dispatch-private.h
@@ -472,6 +472,11 @@
    run it. */
 void md_task_record_refusal (MdTask *task, uint64_t guard);
 
+/* md_task_requeue: puts a task that did not start into the list that is placed before the queue.
+   There a task that some guards have refused holds up no other, and fails its job at once when no
+   guard is left. */
+void md_task_requeue (MdDispatch *d, MdTask *task);
+
 /* md_task_withdraw_recovered: undoes an attempt that is known from a record only, after its guard
    has refused it and the task is detached. */
 void md_task_withdraw_recovered (MdTask *task);
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -245,7 +245,7 @@
   if (sized_tasks == NULL)
     abort ();
   for (uint32_t i = 0; i < active->n_tasks; i++)
-    if (active->tasks[i].state == MD_TASK_STATE_WAITING)
+    if (active->tasks[i].state == MD_TASK_STATE_WAITING && !active->tasks[i].requeued)
       {
         sized_tasks[n++] = (SizedTask){ active->tasks[i].size, i };
         active->waiting_work += active->tasks[i].size;
--- a/core/jobs.c
+++ b/core/jobs.c
@@ -179,8 +179,8 @@
   d->waiting_tasks--;
 }
 
-static void
-requeue (MdDispatch *d, MdTask *task)
+void
+md_task_requeue (MdDispatch *d, MdTask *task)
 {
   task->requeued = true;
   task->state = MD_TASK_STATE_WAITING;
@@ -494,7 +494,7 @@
   if (result != MD_TASK_FAILED && may_retry (d, active))
     {
       task->retry = true;
-      requeue (d, task);
+      md_task_requeue (d, task);
       return;
     }
   task->state = result == MD_TASK_UNKNOWN ? MD_TASK_STATE_UNKNOWN : MD_TASK_STATE_FAILED;
@@ -585,7 +585,7 @@
     case MD_TASK_NOT_RUN:
       md_task_record_refusal (task, id);
       if (job->submitted)
-        requeue (d, task);
+        md_task_requeue (d, task);
       else
         md_task_withdraw_recovered (task);
       return false;
--- a/core/recover.c
+++ b/core/recover.c
@@ -274,7 +274,9 @@
         continue;
       /* A task that one guard refused may have been placed again on a guard whose
          records are lost; therefore only the cut decides, not the refusal. */
-      if (fresh)
+      if (fresh && task->refused)
+        md_task_requeue (d, task);
+      else if (fresh)
         task->state = MD_TASK_STATE_WAITING;
       else if (missing == UINT32_MAX)
         missing = i;
--- a/tests/test-recover.c
+++ b/tests/test-recover.c
@@ -164,6 +164,41 @@
 }
 END_TEST
 
+/* Guards against a pool that starts nothing although its workers are idle: a recovered task that
+   every guard had refused stayed at the head of the queue until its deadline. */
+START_TEST (test_task_refused_everywhere_holds_up_no_other)
+{
+  MdTaskSpec task = { .declared = 10 * MD_MS };
+  MdJobSpec other = { .key = { 9, 90 },
+                      .fingerprint = { 9, 91 },
+                      .customer = MD_STR ("alentejo"),
+                      .tasks = &task,
+                      .n_tasks = 1,
+                      .deadline = T0 + 20 * MD_SECOND,
+                      .submitted_ms = WALL_MS };
+  MdDispatch *d = new_owner (0);
+  MdDispatchDecision decision;
+  MdAdmission admission;
+  bool started = false;
+  bool failed = false;
+
+  refuse_at_first_guard (d);
+  recover (d, SECOND_GUARD, 0, MD_RECORD_REFUSED);
+  submit (d, WALL_MS - 10);
+  md_dispatch_submit (d, &other, T0, WALL_MS, &admission);
+  while (md_dispatch_next (d, T0, &decision))
+    {
+      started = started || decision.kind == MD_DISPATCH_START;
+      failed = failed
+               || (decision.kind == MD_DISPATCH_FINISH
+                   && decision.u.finish.reason == MD_REASON_NO_UPSTREAM);
+    }
+  ck_assert (started);
+  ck_assert (failed);
+  md_dispatch_free (d);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -173,5 +208,6 @@
   tcase_add_test (tc, test_refused_task_before_cut_is_unproven);
   tcase_add_test (tc, test_repeated_records_tell_a_refusal);
   tcase_add_test (tc, test_start_of_another_owner_fails_the_job);
+  tcase_add_test (tc, test_task_refused_everywhere_holds_up_no_other);
   return run_suite ("recover", tc);
 }
