Let starts of former owners arrive late in the recovery model

The model lost all messages of an owner with it, so that nothing tested the leases and the cut: a start that is still on its way may run at a guard that the successor has not reached. Such starts now arrive at random, and only the owner that sent one hears of its refusal.

Leaving out the check of fences at a start, or of a record of another owner, is not seen by the model: the age of the nonce and the cut cover them.

--- a/tests/test-recovery-model.c
+++ b/tests/test-recovery-model.c
@@ -32,6 +32,7 @@
   Kind kind;
   uint32_t job;
   uint32_t task;
+  uint64_t owner;      /* that sent it */
   MdTime nonce;        /* start */
   MdTaskResult result; /* answer */
   MdReason reason;     /* answer */
@@ -61,6 +62,7 @@
   bool recovered;      /* the owner has its records */
   Queue to_guard;      /* on the connection */
   Queue to_owner;      /* on the connection */
+  Queue late;          /* starts of former owners that are still on their way */
   Message waiting[64]; /* accepted starts without a slot */
   uint32_t n_waiting;
   Message running[SLOTS];
@@ -155,7 +157,7 @@
 reply (Guard *g, uint32_t job, uint32_t task, MdTaskResult result, MdReason reason)
 {
   if (g->up)
-    push (&g->to_owner, (Message){ MESSAGE_ANSWER, job, task, 0, result, reason });
+    push (&g->to_owner, (Message){ MESSAGE_ANSWER, job, task, 0, 0, result, reason });
 }
 
 static void
@@ -217,7 +219,7 @@
                              .fingerprint = fingerprint_of (start->job),
                              .task = start->task,
                              .n_tasks = m->jobs[start->job].n,
-                             .owner = m->owner,
+                             .owner = start->owner,
                              .guard = g->id,
                              .nonce = start->nonce };
   MdStartResult result = { 0 };
@@ -228,6 +230,8 @@
       g->waiting[g->n_waiting++] = *start;
       fill_slots (m, g);
     }
+  else if (start->owner != m->owner)
+    return; /* the reply goes to the connection that brought the start */
   else if (result.kind == MD_START_REFUSED)
     reply (g, start->job, start->task, MD_TASK_NOT_RUN, result.reason);
   else
@@ -335,8 +339,8 @@
       return;
     }
   m->jobs[job].sent_to[d->u.start.task] = g->id;
-  push (&g->to_guard,
-        (Message){ MESSAGE_START, job, d->u.start.task, m->now, MD_TASK_OK, MD_REASON_NONE });
+  push (&g->to_guard, (Message){ MESSAGE_START, job, d->u.start.task, m->owner, m->now, MD_TASK_OK,
+                                 MD_REASON_NONE });
 }
 
 static void
@@ -507,6 +511,24 @@
   decide (m);
 }
 
+/* Starts of an owner that has died may still arrive; a guard that its successor has not reached
+   accepts them until its lease ends. */
+static void
+take_late_start (Model *m, Guard *g)
+{
+  Message start = pop (&g->late);
+
+  if (start.kind == MESSAGE_START)
+    take_start (m, g, &start);
+}
+
+static void
+keep_late (Guard *g)
+{
+  for (uint32_t i = 0; i < g->to_guard.n && g->late.n < QUEUE; i++)
+    push (&g->late, g->to_guard.list[i]);
+}
+
 /* The owner gives the attempts at a silent guard up; the same process comes back later. */
 static void
 give_up (Model *m, Guard *g)
@@ -539,6 +561,7 @@
   m->now += m->tuning.fence_after;
   for (uint32_t i = 0; i < GUARDS; i++)
     {
+      keep_late (&m->guards[i]);
       break_link (m, &m->guards[i]);
       m->guards[i].recovered = false;
     }
@@ -579,6 +602,8 @@
     md_dispatch_cancel (m->core, key_of (draw (m, m->submitted)), m->now);
   else if (event < 25 && draw (m, 6) == 0)
     take_over (m);
+  else if (event < 28 && g->late.n > 0)
+    take_late_start (m, g);
   else if (event < 50 && g->to_guard.n > 0)
     take_order (m, g);
   else if (event < 75 && g->to_owner.n > 0)
