Start one entry in run-deadly and run-config-late

Both tests name the number of their entries and guards before they source platform.sh, which sets its own: they ran with two entries and three guards. The numbers stand after the source line now, as in the other tests, so that the workers that crash and the configuration that is late are those of the entry that the test asks.

--- a/tests/run-config-late.sh
+++ b/tests/run-config-late.sh
@@ -2,8 +2,8 @@
 # An entry whose configuration is late. Guards against superseded versions that are read and applied
 # one after the other while the newest one is overdue.
 cd "$(dirname "$0")/.."
-ENTRIES=1 GUARDS=0
 . tests/platform.sh
+ENTRIES=1 GUARDS=0
 
 # As large as the platform permits: the newest versions do not fit into one response of the store.
 large_config () { put_config "$1" /calc/ $(seq -f '/filler-%g/' 1000); }
--- a/tests/run-deadly.sh
+++ b/tests/run-deadly.sh
@@ -2,8 +2,8 @@
 # A task that crashes each worker that starts it, and whose caller is patient. Guards against a task
 # that takes down one worker after another, with the runs of other jobs there.
 cd "$(dirname "$0")/.."
-ENTRIES=1
 . tests/platform.sh
+ENTRIES=1
 
 JOB='{"best_effort":true,"spec":"ms=30 cpu=1000","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimated_ms":30}]}'
 
