Open the two circles of files in the coordination library

What a submission needs to enter the queue is in enqueue.c now, registration and removal of guards in guard-registry.c, and the ring of decisions in decisions.c; calls go one way, as docs/design.md says. Functions are moved, and three get a public name of the module; no statement is changed.

--- a/core/dispatch-private.h
+++ b/core/dispatch-private.h
@@ -460,9 +460,6 @@
    horizon. */
 void md_job_expire (MdDispatch *d, MdTime now);
 void md_job_table_clear (MdDispatch *d);
-/* md_decision_push: appends a zeroed decision to the ring. job may be NULL. The
-   pointer is valid until the next call. */
-MdDispatchDecision *md_decision_push (MdDispatch *d, MdDispatchKind kind, const MdJob *job);
 /* md_task_sent: sets the state to SENT and adds the task to the guard's list. */
 void md_task_sent (MdDispatch *d, MdTask *task, MdDispatchGuard *guard);
 /* md_task_detach: frees the slot of an attempt that has ended and charges its
@@ -494,6 +491,11 @@
   return (uint32_t)(task - task->active->tasks);
 }
 
+/* decisions.c */
+/* md_decision_push: appends a zeroed decision to the ring. job may be NULL. The
+   pointer is valid until the next call. */
+MdDispatchDecision *md_decision_push (MdDispatch *d, MdDispatchKind kind, const MdJob *job);
+
 /* guards.c */
 MdDispatchGuard *md_guard_find (const MdDispatch *d, uint64_t id);
 /* md_guard_record_success: updates speed, correction and health after a complete
@@ -508,6 +510,8 @@
 /* md_guard_record_refusal: starts a backoff of the guard, unless the reason concerns
    only the task. */
 void md_guard_record_refusal (MdDispatch *d, MdDispatchGuard *guard, MdReason reason, MdTime now);
+/* md_guard_readmit: ends the ejection of a guard. */
+void md_guard_readmit (MdDispatch *d, MdDispatchGuard *guard);
 /* md_guards_update_capacity: computes the capacity and the highest speed again. */
 void md_guards_update_capacity (MdDispatch *d);
 /* md_guard_stalled: returns whether the guard has tasks but has not answered for
@@ -523,7 +527,7 @@
 /* md_place_next: chooses the next start. Returns false when no task can be placed. */
 bool md_place_next (MdDispatch *d, MdTime now, MdDispatchDecision *out);
 
-/* dispatch.c */
+/* enqueue.c */
 /* md_customer_get: returns the customer with this name, which is created if it does
    not exist. Aborts when memory runs out. */
 MdCustomer *md_customer_get (MdDispatch *d, MdStr name);
@@ -532,6 +536,11 @@
 void md_job_apply_spec (MdDispatch *d, MdJob *job, const MdJobSpec *spec, MdTime now);
 /* md_job_enqueue: queues the tasks that are in state WAITING. */
 void md_job_enqueue (MdDispatch *d, MdJob *job);
+/* md_customer_rate: returns the work per microsecond that a customer gets while all other customers
+   with waiting work use their shares. */
+double md_customer_rate (const MdDispatch *d, const MdCustomer *customer);
+/* md_worker_resources_raise: raises what a job needs to the needs of a task. */
+void md_worker_resources_raise (MdWorkerResources *need, const MdTaskSpec *task);
 
 /* recover.c */
 /* md_recover_end_job: ends a recovered job if its records are sufficient to decide
