Do not forward a job back to the entry that it came from

An entry's memory could grow by a copy of a job's body for each pass while two entries took each other for the owner of a shard, which lasts until one of their heartbeats arrives (up to a second by default, hundreds of passes). From reading; not seen in a run of real processes.

A submission that another entry has forwarded now waits until the owner that this entry knows is not the one that sent it. Ruled out: the hop from a leaving owner to its successor, which still works (run-takeover). test-entry-reconnect fails before (1 forward back, wanted 0) and passes in release, asan and tsan.

--- a/entry/entry-forward.c
+++ b/entry/entry-forward.c
@@ -285,6 +285,17 @@
   md_result_unref (result);
 }
 
+/* Two entries that each take the other for the owner would pass a submission to and fro, with a copy
+   of its body each time, until one of their heartbeats arrives. */
+static bool
+came_from (const Pending *pending, const Peer *owner)
+{
+  for (const Waiter *w = pending->waiters; w != NULL; w = w->next)
+    if (w->kind == WAITER_REMOTE && w->u.remote.entry == owner->incarnation)
+      return true;
+  return false;
+}
+
 /* Sends a pending submission to the owner. Returns true when it was taken over
    locally and no longer has to be kept. */
 static bool
@@ -318,7 +329,8 @@
       return true;
     }
   owner = md_peers_shard_owner (entry, shard->name, true);
-  if (owner == NULL || owner->leaving || owner->incarnation == pending->sent_to)
+  if (owner == NULL || owner->leaving || owner->incarnation == pending->sent_to
+      || came_from (pending, owner))
     return false;
   if (send_forward (owner, pending, shard->name, now) == MD_OK)
     {
--- a/tests/test-entry-reconnect.c
+++ b/tests/test-entry-reconnect.c
@@ -185,6 +185,54 @@
 }
 END_TEST
 
+static void
+send_forward (MdLink *link)
+{
+  Md__Frame frame = MD__FRAME__INIT;
+  Md__Forward forward = MD__FORWARD__INIT;
+  Md__ForwardTask task = MD__FORWARD_TASK__INIT;
+  Md__ForwardTask *list = &task;
+  Md__Key key = MD__KEY__INIT;
+
+  task.method = "GET";
+  task.path = "/compute";
+  key.hi = 7;
+  forward.request = 9;
+  forward.shard = shard->name;
+  forward.key = &key;
+  forward.fingerprint = &key;
+  forward.time_left_us = 60 * 1000000;
+  forward.n_tasks = 1;
+  forward.tasks = &list;
+  frame.msg_case = MD__FRAME__MSG_FORWARD;
+  frame.forward = &forward;
+  md_link_send (link, &frame);
+}
+
+/* Guards against a submission that two entries pass to and fro while each takes the other for the
+   owner: every pass keeps a copy of its body. */
+START_TEST (forward_is_not_sent_back)
+{
+  MdLink *link = dial ();
+
+  send_hello (link, MD_ROLE_ENTRY, OWNER);
+  send_ownership (link);
+  send_forward (link);
+  for (int i = 0; i < PASSES && entry.pending == NULL; i++)
+    poll_both ();
+  ck_assert_ptr_nonnull (entry.pending);
+  for (int i = 0; i < 20; i++)
+    {
+      md_forward_tick (&entry, md_now ());
+      poll_both ();
+    }
+  ck_assert_int_eq (forwards, 0);
+  md_waiters_free (entry.pending->waiters);
+  md_submission_unref (entry.pending->sub);
+  free (entry.pending);
+}
+END_TEST
+
 /* Guards against a task that is awaited until its job's deadline although its guard has refused
    it: tasks that a new owner knew from records only were not asked about again. */
 START_TEST (recovered_task_is_queried_on_a_new_connection)
@@ -227,6 +275,7 @@
 
   tcase_add_checked_fixture (tc, setup, teardown);
   tcase_add_test (tc, forward_is_repeated_on_a_new_connection);
+  tcase_add_test (tc, forward_is_not_sent_back);
   tcase_add_test (tc, recovered_task_is_queried_on_a_new_connection);
   return run_suite ("entry-reconnect", tc);
 }
