Do not deny at the front that an ended job has run

A caller whose answer was lost and that repeated its job while the entry was late got 429, or 503 while others used the memory for bodies, with "not run", although the job had ended there; a caller that believes it starts the work again. Cause: threads reject before the engine sees the request, know the requests in progress, and only the engine knows ended jobs. The same for a job that was given up when its caller left. Ruled out: asking the engine, which is late; a lock.

Nothing is displaced; jobs of one slot are not told apart, which can only pass a request on or call its outcome unknown. A late entry passes the request on, and the engine answers with the recorded state; for want of memory the answer is 504 as for jobs in progress.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -24,10 +24,16 @@
 /* ------------------------------------------------------------------ */
 /* Hash table and statistics                                          */
 
+uint64_t
+md_entry_hash_id (const char *id)
+{
+  return XXH64 (id, strlen (id), 0);
+}
+
 static uint32_t
 bucket_of (const char *id)
 {
-  return (uint32_t)(XXH64 (id, strlen (id), 0) % MD_JOB_BUCKETS);
+  return (uint32_t)(md_entry_hash_id (id) % MD_JOB_BUCKETS);
 }
 
 MdEntryJob *
@@ -50,12 +56,15 @@
   return (MdJobKey){ hash.low64, hash.high64 };
 }
 
-/* Remembers a job that was answered with its final state. */
+/* Remembers a job that has a final state, or of which a part may have run. The threads that read the
+   table of recent jobs use the present time, not that of the engine's pass. */
 static void
 record_end (MdRunEntry *entry, const MdEntryJob *job, const char *state)
 {
   MdFinalState end = MD_FINAL_FAILED;
 
+  if (state != NULL || job->runjob.started || job->runjob.ordered > 0)
+    md_recent_jobs_add (&entry->recent_jobs, md_entry_hash_id (job->id), md_now ());
   if (state == NULL)
     return;
   if (strcmp (state, MD_PLATFORM_COMPLETED) == 0)
@@ -234,6 +243,8 @@
 {
   log_answer (entry, job, status, state, reason, retry_after);
   count_answer (entry, job, status, state);
+  /* Before the answers: a thread that has one no longer counts as handling the job. */
+  record_end (entry, job, state);
   while (job->requests != NULL)
     {
       MdCallerRequest *caller_request = job->requests;
@@ -241,7 +252,6 @@
       job->requests = caller_request->next;
       md_entry_answer_request (caller_request, status, state, retry_after);
     }
-  record_end (entry, job, state);
   cancel_orders (job);
   unlink_job (entry, job);
   free_job (entry, job);
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -26,7 +26,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include <urcu/urcu-memb.h>
-#include <xxhash.h>
 
 #define RETRY_AFTER_NO_CONFIG (1 * MD_SECOND) /* Retry-After while the configuration is not known */
 #define RETRY_AFTER_LATE (1 * MD_SECOND)      /* Retry-After while the entry is late */
@@ -51,7 +50,7 @@
   MdCallerSockets sockets;         /* of callers whose requests have been read */
   MdMemoryBudget body_memory;      /* of bodies that are being read or parsed */
   MdMemoryBudget parse_memory;     /* of parsed bodies that are being decoded */
-  /* Jobs that have been posted to the engine and not answered, by a hash of the ID. */
+  /* Jobs that have been posted to the engine and not answered, by a hash of their IDs. */
   atomic_uint submissions[SUBMISSION_SLOTS];
 };
 
@@ -62,6 +61,7 @@
   struct mg_connection *conn;         /* borrowed from CivetWeb */
   const struct mg_request_info *info; /* of conn, borrowed */
   MdTime arrived;                     /* when CivetWeb had read the header */
+  uint64_t job;                       /* hash of the ID of its job */
 } Request;
 
 static __thread int thread_event = -1; /* eventfd that wakes this thread, -1: not created yet */
@@ -145,6 +145,30 @@
   return fd;
 }
 
+/* ------------------------------------------------------------------ */
+/* Jobs that may have run                                             */
+
+/* Posted or about to be, of the job of the request. */
+static atomic_uint *
+submissions_of (const Request *request)
+{
+  return &request->front->submissions[request->job % SUBMISSION_SLOTS];
+}
+
+/* Whether another request of the same job is being handled, or the job has ended here within the
+   time in which its caller may repeat it. Such a request may have come while the body of this one
+   was read, or while this one waited for memory. It is counted until its job is among the recent
+   ones, so that these are looked at last. */
+static bool
+may_have_run (const Request *request)
+{
+  return atomic_load (submissions_of (request)) > 1
+         || md_recent_jobs_find (&request->front->entry->recent_jobs, request->job, md_now ());
+}
+
+/* ------------------------------------------------------------------ */
+/* Waiting for the engine                                             */
+
 static int
 thread_eventfd (void)
 {
@@ -383,24 +407,25 @@
   return post_and_respond (request, &caller_request);
 }
 
-/* Whether the job is rejected without the engine. A repeated job may be running for its first
-   attempt; only the engine can tell, so that the answer "not run" is true. */
+/* Whether the job is rejected without the engine. A repeated job may be running or have run for its
+   first attempt; only the engine can tell, so that the answer "not run" is true. */
 static bool
-rejects_job (MdFront *front, bool repeated)
+rejects_job (const Request *request)
 {
-  return !repeated && atomic_load (&front->entry->load.overloaded);
+  return atomic_load (&request->front->entry->load.overloaded) && !may_have_run (request);
 }
 
-/* Rejects a job because others use the memory for bodies. repeated: its first attempt may be
-   running, so that "not run" may be false; the caller repeats the job after status 504. */
+/* Rejects a job because others use the memory for bodies. When it may have run, "not run" may be
+   false; the caller repeats the job after status 504. */
 static int
-refuse_for_memory (const Request *request, bool repeated, size_t max_body)
+refuse_for_memory (const Request *request, size_t max_body)
 {
-  int status = repeated ? 504 : 503;
+  bool unknown = may_have_run (request);
+  int status = unknown ? 504 : 503;
 
   md_count (MD_M_MEMORY_REJECTIONS, 1);
   mg_disable_connection_keep_alive (request->conn);
-  if (repeated)
+  if (unknown)
     respond (request, status, MD_STR ("{}"), 0);
   else
     reject (request, status, "bodies of other requests use the memory", RETRY_AFTER_MEMORY);
@@ -449,21 +474,6 @@
   return rc;
 }
 
-/* Posted or about to be, of a job with this ID. */
-static atomic_uint *
-submissions_of (MdFront *front, const char *id)
-{
-  return &front->submissions[XXH64 (id, strlen (id), 0) % SUBMISSION_SLOTS];
-}
-
-/* Whether another request of the same job is being handled. It may have come while the body of this
-   one was read, or while this one waited for memory. */
-static bool
-is_repeated (const Request *request, const char *id)
-{
-  return atomic_load (submissions_of (request->front, id)) > 1;
-}
-
 /* Reads the body, for which memory has been taken, and submits the job in it. */
 static int
 submit_body (const Request *request, const MdRoute *route, const char *id, Body *body,
@@ -479,14 +489,14 @@
       mg_disable_connection_keep_alive (request->conn);
       return reject (request, status, "the request body is too large or incomplete", 0);
     }
-  if (rejects_job (request->front, is_repeated (request, id)))
+  if (rejects_job (request))
     return reject_job (request, route, id);
   switch (parse_body (request->front, body, &spec, &error))
     {
     case MD_OK:
       return post_job (request, route, id, spec);
     case MD_E_LIMIT:
-      return refuse_for_memory (request, is_repeated (request, id), max_body);
+      return refuse_for_memory (request, max_body);
     default:
       return reject (request, 400, error.detail, 0);
     }
@@ -496,7 +506,7 @@
 submit (const Request *request, const MdRoute *route, const char *id, size_t max_body)
 {
   MdFront *front = request->front;
-  atomic_uint *submissions = submissions_of (front, id);
+  atomic_uint *submissions = submissions_of (request);
   Body body = { 0 };
   int status;
 
@@ -504,7 +514,7 @@
   if (acquire_body (request, &body, max_body))
     status = submit_body (request, route, id, &body, max_body);
   else
-    status = refuse_for_memory (request, is_repeated (request, id), max_body);
+    status = refuse_for_memory (request, max_body);
   release_body (front, &body);
   atomic_fetch_sub (submissions, 1);
   return status;
@@ -531,7 +541,7 @@
 }
 
 static int
-handle_routed (const Request *request, const MdRoute *route, size_t max_body)
+handle_routed (Request *request, const MdRoute *route, size_t max_body)
 {
   const char *method = request->info->request_method;
   const char *id = request->info->local_uri + route->prefix_len;
@@ -540,6 +550,7 @@
     return query (request, MD_CALLER_REQUEST_PENDING, route, "");
   if (!is_job_id (id))
     return reject (request, 404, "invalid job ID", 0);
+  request->job = md_entry_hash_id (id);
   if (strcmp (method, "POST") == 0)
     return submit (request, route, id, max_body);
   if (strcmp (method, "GET") == 0)
@@ -550,7 +561,7 @@
 }
 
 static int
-handle_request (const Request *request)
+handle_request (Request *request)
 {
   Lookup lookup = { 0 };
 
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -15,6 +15,7 @@
 #include "config-reader.h"
 #include "ended-jobs.h"
 #include "inbox.h"
+#include "recent-jobs.h"
 
 #include "wire.pb-c.h"
 
@@ -222,6 +223,7 @@
   uint32_t n_jobs;                       /* active jobs */
   uint64_t n_tasks;                      /* of the active jobs */
   MdEndedJobs ended_jobs;                /* of jobs that were answered with their final state */
+  MdRecentJobs recent_jobs;              /* that may have run; other threads read it */
   uint64_t next_order_id;                /* starts at 1 */
   MdQueueStats *stats[MD_MAX_QUEUES];    /* n_stats entries, owned; never removed */
   _Atomic uint32_t n_stats;              /* other threads read it */
@@ -323,6 +325,8 @@
 void md_entry_reject_requests (MdRunEntry *entry);
 
 /* entry-jobs.c */
+/* md_entry_hash_id: hash of a job's ID, for tables. Can be called from any thread. */
+uint64_t md_entry_hash_id (const char *id);
 /* md_entry_find_job: the active job with this ID and queue, NULL if there is none. */
 MdEntryJob *md_entry_find_job (const MdRunEntry *entry, const char *id, const MdRoute *route);
 /* md_entry_find_end: state in which the job with this ID and queue has ended here, NULL if that is
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -27,7 +27,13 @@
 #define LARGE_BODY 7340032 /* bytes; the memory for bodies is enough for three */
 #define GONE "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
 
+#define ID "00000000000000a1"
+
 static MdRunEntry entry;
+static MdEntryGuard guard; /* the only one; its worker has room for any job of these tests */
+static MdWorker *workers[] = { &guard.worker };
+static MdSavedResources saved[1];
+static bool excluded[1];
 static ScriptedServer store;
 static atomic_bool config_changed; /* the store has a second version and dropped the first */
 
@@ -89,17 +95,23 @@
 }
 
 static void
-post_job (int fd)
+post_body (int fd, const char *id, const char *body)
 {
   char request[1024];
   int len = snprintf (request, sizeof request,
-                      "POST /calc/00000000000000a1 HTTP/1.1\r\nHost: jobs.example\r\n"
+                      "POST /calc/%s HTTP/1.1\r\nHost: jobs.example\r\n"
                       "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
-                      strlen (JOB), JOB);
+                      id, strlen (body), body);
 
   ck_assert_int_eq (write (fd, request, (size_t)len), len);
 }
 
+static void
+post_job (int fd)
+{
+  post_body (fd, ID, JOB);
+}
+
 /* Reads a response whose body is MD_BODY_NOT_RUN; returns its status. */
 static int
 read_rejection (int fd)
@@ -173,6 +185,83 @@
   urcu_memb_unregister_thread ();
 }
 
+/* Gives the entry an engine, which these tests run step by step, and a worker. */
+static void
+add_engine (void)
+{
+  entry.now = md_now ();
+  entry.next_order_id = 1;
+  md_leases_set (&entry.daemon.leases, 1300 * MD_MS, 50 * MD_MS);
+  guard.worker = (MdWorker){ .speed = 1,
+                             .connected = true,
+                             .state = MD_WORKER_READY,
+                             .capacity = { 16000, 32768, 0 },
+                             .free = { 16000, 32768, 0 },
+                             .reported_at = entry.now };
+  md_str_copy (guard.worker.pool, sizeof guard.worker.pool, MD_STR ("calc"));
+  entry.workers = (MdWorkers){ .workers = workers, .n = 1, .remote_factor = 1.5 };
+  entry.saved_resources = saved;
+  entry.excluded = excluded;
+}
+
+static void
+run_engine (void)
+{
+  md_links_poll (entry.daemon.links, md_now () + 10 * MD_MS);
+  entry.now = md_now ();
+  md_entry_handle_requests (&entry, MD_SECOND);
+}
+
+/* Runs the engine until the caller has a response, or the connection ends. response[0] is 0 then. */
+static void
+wait_for_caller (int fd, char response[1024])
+{
+  struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+  MdTime end = md_now () + 60 * MD_SECOND;
+  ssize_t n;
+
+  while (poll (&poll_fd, 1, 0) == 0 && md_now () < end)
+    run_engine ();
+  ck_assert_int_ne (poll_fd.revents, 0);
+  n = read (fd, response, 1023);
+  response[n > 0 ? n : 0] = '\0';
+}
+
+static int
+status_of (const char *response)
+{
+  return atoi (response + strlen ("HTTP/1.1 "));
+}
+
+/* Posts a job and runs the engine until the guard has the order of its task. */
+static MdEntryOrder *
+start_job (int fd)
+{
+  MdTime end = md_now () + 60 * MD_SECOND;
+
+  post_job (fd);
+  while (guard.orders == NULL && md_now () < end)
+    run_engine ();
+  ck_assert_ptr_nonnull (guard.orders);
+  guard.orders->sent = true;
+  md_entry_order_started (&entry, guard.orders);
+  return guard.orders;
+}
+
+/* Has a job run and its caller answered. */
+static void
+complete_job (void)
+{
+  char response[1024];
+  int fd = connect_caller ();
+
+  md_entry_order_ended (&entry, start_job (fd), MD_RUN_DONE, 30 * MD_MS, "");
+  wait_for_caller (fd, response);
+  ck_assert_int_eq (status_of (response), 200);
+  ck_assert_ptr_nonnull (strstr (response, MD_PLATFORM_COMPLETED));
+  close (fd);
+}
+
 /* Number of requests in the inbox, which keeps them. */
 static int
 count_requests (void)
@@ -452,6 +541,89 @@
 }
 END_TEST
 
+/* Guards against "not run" for a job that has run: the answer to its first attempt was lost, and the
+   entry is late when the repeated request comes. */
+START_TEST (late_entry_knows_ended_jobs)
+{
+  char response[1024];
+  int repeated = connect_caller ();
+  int other = connect_caller ();
+
+  add_engine ();
+  complete_job ();
+  atomic_store (&entry.load.overloaded, true);
+  post_job (repeated);
+  wait_for_caller (repeated, response);
+  ck_assert_msg (status_of (response) == 200, "%s", response);
+  ck_assert_ptr_nonnull (strstr (response, MD_PLATFORM_COMPLETED));
+  /* The engine of this test is in time. */
+  atomic_store (&entry.load.overloaded, true);
+  post_body (other, "00000000000000a2", JOB);
+  ck_assert_int_eq (read_rejection (other), 429);
+  close (repeated);
+  close (other);
+}
+END_TEST
+
+/* Guards against the same for a job that was given up when its caller left: part of it has run. */
+START_TEST (late_entry_knows_jobs_of_callers_that_left)
+{
+  MdTime end = md_now () + 60 * MD_SECOND;
+  char response[1024];
+  int left = connect_caller ();
+  int repeated = connect_caller ();
+
+  add_engine ();
+  start_job (left);
+  close (left);
+  while (entry.n_jobs > 0 && md_now () < end)
+    run_engine ();
+  atomic_store (&entry.load.overloaded, true);
+  post_job (repeated);
+  for (end = md_now () + 60 * MD_SECOND; entry.n_jobs == 0 && md_now () < end;)
+    {
+      struct pollfd poll_fd = { .fd = repeated, .events = POLLIN };
+
+      run_engine ();
+      if (poll (&poll_fd, 1, 0) == 0)
+        continue;
+      wait_for_caller (repeated, response);
+      ck_abort_msg ("%s", response);
+    }
+  ck_assert_uint_eq (entry.n_jobs, 1);
+  md_entry_fail_all (&entry);
+  wait_for_caller (repeated, response);
+  close (repeated);
+}
+END_TEST
+
+/* Guards against the same while the memory for bodies is used by others. */
+START_TEST (short_memory_denies_no_ended_job)
+{
+  static const char *const ids[]
+      = { "00000000000000b0", "00000000000000b1", "00000000000000b2", "00000000000000b3" };
+  char response[1024];
+  int callers[4];
+  int repeated = connect_caller ();
+
+  add_engine ();
+  complete_job ();
+  for (int i = 0; i < 4; i++)
+    {
+      callers[i] = connect_caller ();
+      announce_large_body (callers[i], ids[i]);
+    }
+  ck_assert_int_eq (read_rejection (callers[wait_for_response (callers, 4)]), 503);
+  announce_large_body (repeated, ID);
+  wait_for_caller (repeated, response);
+  ck_assert_msg (status_of (response) == 504, "%s", response);
+  ck_assert_ptr_null (strstr (response, MD_BODY_NOT_RUN));
+  for (int i = 0; i < 4; i++)
+    close (callers[i]);
+  close (repeated);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -467,5 +639,8 @@
   tcase_add_test (tc, bodies_beyond_the_memory_are_refused);
   tcase_add_test (tc, body_that_ends_after_the_repeated_request);
   tcase_add_test (tc, memory_of_a_body_is_free_while_its_job_runs);
+  tcase_add_test (tc, late_entry_knows_ended_jobs);
+  tcase_add_test (tc, late_entry_knows_jobs_of_callers_that_left);
+  tcase_add_test (tc, short_memory_denies_no_ended_job);
   return run_suite ("front", tc);
 }
