Do not reject a repeated job of which a part has run as not run

A caller that left, or got 504 at the deadline, and repeated its job at the same entry got 429 (late, overload) or 503 (no usable worker, entry that ends) with "not run", although tasks of the first attempt had run. Cause: the engine remembered jobs with a final state only; one that was given up was forgotten with its answer. Ruled out: refusing to start such a job again, which callers rely on after a 504.

Jobs that were given up after an order are remembered as such, in the table of ended jobs. A full set of the table remembers until when a displaced end would have been kept, and rejections of its jobs are weakened until then. It has 16 places a set instead of 4 (2 MB instead of 0.5), so that a set is seldom full.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -19,7 +19,6 @@
    declare no resources are bounded by nothing else. 16,000 starts a second of tasks that take four
    seconds are fewer. */
 #define MAX_ACTIVE_TASKS 65536
-#define STATUS_GIVEN_UP 504 /* HTTP status: part of the job may have run */
 
 /* ------------------------------------------------------------------ */
 /* Hash table and statistics                                          */
@@ -63,14 +62,15 @@
 {
   MdFinalState end = MD_FINAL_FAILED;
 
-  if (state != NULL || job->runjob.started || job->runjob.ordered > 0)
-    md_recent_jobs_add (&entry->recent_jobs, md_entry_hash_id (job->id), md_now ());
-  if (state == NULL)
+  if (state == NULL && !job->runjob.started && job->runjob.ordered == 0)
     return;
-  if (strcmp (state, MD_PLATFORM_COMPLETED) == 0)
+  if (state == NULL)
+    end = MD_FINAL_GIVEN_UP;
+  else if (strcmp (state, MD_PLATFORM_COMPLETED) == 0)
     end = MD_FINAL_COMPLETED;
   else if (strcmp (state, MD_PLATFORM_CANCELLED) == 0)
     end = MD_FINAL_CANCELLED;
+  md_recent_jobs_add (&entry->recent_jobs, md_entry_hash_id (job->id), md_now ());
   md_ended_jobs_add (&entry->ended_jobs, job_key (job->id, &job->route), end, entry->now);
 }
 
@@ -85,12 +85,19 @@
       return MD_PLATFORM_FAILED;
     case MD_FINAL_CANCELLED:
       return MD_PLATFORM_CANCELLED;
+    case MD_FINAL_GIVEN_UP:
     case MD_FINAL_UNKNOWN:
       break;
     }
   return NULL;
 }
 
+bool
+md_entry_may_have_run (const MdRunEntry *entry, const char *id, const MdRoute *route)
+{
+  return md_ended_jobs_may_have (&entry->ended_jobs, job_key (id, route), entry->now);
+}
+
 static void
 link_job (MdRunEntry *entry, MdEntryJob *job)
 {
@@ -241,6 +248,12 @@
 md_entry_finish_job (MdRunEntry *entry, MdEntryJob *job, int status, const char *state,
                      const char *reason, MdTime retry_after)
 {
+  if (md_entry_is_rejection (status) && md_entry_may_have_run (entry, job->id, &job->route))
+    {
+      /* Nothing of this attempt has run, but perhaps of an earlier one. */
+      status = MD_STATUS_GIVEN_UP;
+      retry_after = 0;
+    }
   log_answer (entry, job, status, state, reason, retry_after);
   count_answer (entry, job, status, state);
   /* Before the answers: a thread that has one no longer counts as handling the job. */
@@ -264,8 +277,7 @@
   md_log (MD_LOG_WARN, "job-rejected", "job=%s queue=%s reason=\"too many tasks\" active=%llu",
           caller_request->id, caller_request->route.name, (unsigned long long)entry->n_tasks);
   md_count (MD_M_REFUSED, 1);
-  md_run_spec_clear (&caller_request->spec);
-  md_entry_answer_request (caller_request, 429, NULL, MD_RETRY_AFTER_NO_WORKER);
+  md_entry_reject_request (entry, caller_request, 429, MD_RETRY_AFTER_NO_WORKER);
 }
 
 void
@@ -287,7 +299,7 @@
   if (job == NULL || (caller_request->route.advisor.present && job->advice == NULL))
     {
       free (job);
-      md_entry_reject_request (caller_request);
+      md_entry_reject_request (entry, caller_request, 503, MD_RETRY_AFTER_NO_WORKER);
       return;
     }
   if (md_runjob_init (&job->runjob, &caller_request->spec, caller_request->route.max_attempts,
@@ -297,7 +309,7 @@
       md_log (MD_LOG_WARN, "job-rejected", "job=%s queue=%s reason=\"%s\"", caller_request->id,
               caller_request->route.name, error.detail);
       free_job (entry, job);
-      md_entry_answer_request (caller_request, 503, NULL, 0);
+      md_entry_reject_request (entry, caller_request, 503, 0);
       return;
     }
   md_str_copy (job->id, sizeof job->id, md_str (caller_request->id));
@@ -363,7 +375,7 @@
   if (job->runjob.ordered > 0)
     return;
   if (job->runjob.started)
-    md_entry_finish_job (entry, job, STATUS_GIVEN_UP, NULL, "given-up", 0);
+    md_entry_finish_job (entry, job, MD_STATUS_GIVEN_UP, NULL, "given-up", 0);
   else
     md_entry_finish_job (entry, job, 429, NULL, "overload", MD_RETRY_AFTER_NO_WORKER / 2);
 }
@@ -613,7 +625,7 @@
       if (md_runjob_is_suspect (&job->runjob))
         md_entry_finish_job (entry, job, 200, MD_PLATFORM_FAILED, "task-crashes-workers", 0);
       else if (job->runjob.started || job->runjob.ordered > 0)
-        md_entry_finish_job (entry, job, STATUS_GIVEN_UP, NULL, "deadline", 0);
+        md_entry_finish_job (entry, job, MD_STATUS_GIVEN_UP, NULL, "deadline", 0);
       else
         md_entry_finish_job (entry, job, 503, NULL, "deadline", MD_RETRY_AFTER_NO_WORKER);
       return;
@@ -661,7 +673,7 @@
       MdEntryJob *job = entry->jobs;
 
       if (job->runjob.ordered > 0 || job->runjob.started)
-        md_entry_finish_job (entry, job, STATUS_GIVEN_UP, NULL, "leaving", 0);
+        md_entry_finish_job (entry, job, MD_STATUS_GIVEN_UP, NULL, "leaving", 0);
       else
         md_entry_finish_job (entry, job, 503, NULL, "leaving", MD_RETRY_AFTER_NO_WORKER);
     }
--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -88,10 +88,14 @@
 }
 
 void
-md_entry_reject_request (MdCallerRequest *caller_request)
+md_entry_reject_request (const MdRunEntry *entry, MdCallerRequest *caller_request, int status,
+                         MdTime retry_after)
 {
   md_run_spec_clear (&caller_request->spec);
-  md_entry_answer_request (caller_request, 503, NULL, MD_RETRY_AFTER_NO_WORKER);
+  if (md_entry_may_have_run (entry, caller_request->id, &caller_request->route))
+    md_entry_answer_request (caller_request, MD_STATUS_GIVEN_UP, NULL, 0);
+  else
+    md_entry_answer_request (caller_request, status, NULL, retry_after);
 }
 
 /* Answers the repeated request for a job that has ended; false if there is no such job. */
@@ -260,7 +264,7 @@
 }
 
 static void
-reject_all (MdInboxNode *list)
+reject_all (const MdRunEntry *entry, MdInboxNode *list)
 {
   for (MdInboxNode *node = list, *next; node != NULL; node = next)
     {
@@ -270,14 +274,14 @@
       if (caller_request->kind == MD_CALLER_REQUEST_ABANDON)
         acknowledge_abandon (caller_request);
       else
-        md_entry_reject_request (caller_request);
+        md_entry_reject_request (entry, caller_request, 503, MD_RETRY_AFTER_NO_WORKER);
     }
 }
 
 void
 md_entry_reject_requests (MdRunEntry *entry)
 {
-  reject_all (entry->backlog);
+  reject_all (entry, entry->backlog);
   entry->backlog = NULL;
-  reject_all (md_inbox_take (&entry->inbox));
+  reject_all (entry, md_inbox_take (&entry->inbox));
 }
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -253,6 +253,7 @@
 
 /* Response body for a job of which nothing has run. */
 #define MD_BODY_NOT_RUN "{\"outcome\":\"not_run\"}"
+#define MD_STATUS_GIVEN_UP 504 /* HTTP status: part of the job may have run */
 
 /* front.c */
 typedef struct MdFront MdFront;
@@ -313,15 +314,18 @@
    request belongs to its thread again afterwards. */
 void md_entry_answer_request (MdCallerRequest *caller_request, int status, const char *state,
                               MdTime retry_after);
-/* md_entry_reject_request: answer a request with 503; nothing of its job has been ordered. */
-void md_entry_reject_request (MdCallerRequest *caller_request);
+/* md_entry_reject_request: answer a request whose job is not active with 429 or 503, or with
+   MD_STATUS_GIVEN_UP if an earlier attempt may have run. */
+void md_entry_reject_request (const MdRunEntry *entry, MdCallerRequest *caller_request, int status,
+                              MdTime retry_after);
 /* md_entry_handle_requests: handle requests from the inbox, oldest first, for about this time; at
    least one. Returns false if some are left, which the next call handles first. */
 bool md_entry_handle_requests (MdRunEntry *entry, MdTime budget);
 /* md_entry_record_dropped: log and count a request whose caller has left before anything of it was
    ordered. Can be called from any thread. */
 void md_entry_record_dropped (const MdCallerRequest *caller_request, MdTime now);
-/* md_entry_reject_requests: answer all requests in the inbox with 503 without handling them. */
+/* md_entry_reject_requests: reject all requests in the inbox, as md_entry_reject_request does,
+   without handling them. */
 void md_entry_reject_requests (MdRunEntry *entry);
 
 /* entry-jobs.c */
@@ -332,10 +336,14 @@
 /* md_entry_find_end: state in which the job with this ID and queue has ended here, NULL if that is
    not known. */
 const char *md_entry_find_end (const MdRunEntry *entry, const char *id, const MdRoute *route);
+/* md_entry_may_have_run: whether a job with this ID and queue that is not active may have run here
+   within the time in which its caller may repeat it. */
+bool md_entry_may_have_run (const MdRunEntry *entry, const char *id, const MdRoute *route);
 /* md_entry_start_job: begin the job of a request, or answer the request if that is not possible. */
 void md_entry_start_job (MdRunEntry *entry, MdCallerRequest *caller_request);
 /* md_entry_finish_job: answer all waiting requests, cancel the runs that are left, and free the
-   job. status is the HTTP status, 0 if no caller is left. state is the state of the job for
+   job. status is the HTTP status, 0 if no caller is left; a rejection becomes MD_STATUS_GIVEN_UP if
+   an earlier attempt may have run. state is the state of the job for
    the response body, or NULL. reason is for the log. */
 void md_entry_finish_job (MdRunEntry *entry, MdEntryJob *job, int status, const char *state,
                           const char *reason, MdTime retry_after);
--- a/sched/ended-jobs.c
+++ b/sched/ended-jobs.c
@@ -5,8 +5,12 @@
    again, and one that has ended need not run again. The entry that answered it remembers the end
    for as long as a repeat may come.
 
-   The table has a fixed size. Sixteen thousand jobs are what an entry answers in two minutes at a
-   hundred jobs a second; beyond that, the oldest are forgotten first. */
+   A job that was given up is remembered as well. It may start again, but when it is rejected
+   instead, "not run" would be false.
+
+   The table has a fixed size of 65,536 jobs in 4,096 sets. At a hundred jobs a second, a set has
+   three in two minutes. Of a full set, the oldest is forgotten first. Nothing is known then of the
+   other jobs of this set until the forgotten one would have been over. */
 
 #include "ended-jobs.h"
 
@@ -19,29 +23,38 @@
 void
 md_ended_jobs_add (MdEndedJobs *jobs, MdJobKey key, MdFinalState state, MdTime now)
 {
-  MdEndedJob *set = jobs->slots[key.low % MD_ENDED_JOB_SETS];
-  MdEndedJob *chosen = &set[0];
+  MdEndedJobSet *set = &jobs->sets[key.low % MD_ENDED_JOB_SETS];
+  MdEndedJob *chosen = &set->jobs[0];
 
   for (unsigned i = 0; i < MD_ENDED_JOB_WAYS; i++)
     {
-      if (is_key (&set[i], key))
+      if (is_key (&set->jobs[i], key))
         {
-          chosen = &set[i];
+          chosen = &set->jobs[i];
           break;
         }
-      if (set[i].ended_at < chosen->ended_at)
-        chosen = &set[i];
+      if (set->jobs[i].ended_at < chosen->ended_at)
+        chosen = &set->jobs[i];
     }
+  if (chosen->state != MD_FINAL_UNKNOWN && !is_key (chosen, key))
+    set->forgotten_until = chosen->ended_at + MD_ENDED_JOB_RETENTION;
   *chosen = (MdEndedJob){ .key = key, .ended_at = now, .state = state };
 }
 
 MdFinalState
 md_ended_jobs_find (const MdEndedJobs *jobs, MdJobKey key, MdTime now)
 {
-  const MdEndedJob *set = jobs->slots[key.low % MD_ENDED_JOB_SETS];
+  const MdEndedJob *set = jobs->sets[key.low % MD_ENDED_JOB_SETS].jobs;
 
   for (unsigned i = 0; i < MD_ENDED_JOB_WAYS; i++)
     if (is_key (&set[i], key) && now < set[i].ended_at + MD_ENDED_JOB_RETENTION)
       return set[i].state;
   return MD_FINAL_UNKNOWN;
 }
+
+bool
+md_ended_jobs_may_have (const MdEndedJobs *jobs, MdJobKey key, MdTime now)
+{
+  return md_ended_jobs_find (jobs, key, now) != MD_FINAL_UNKNOWN
+         || now < jobs->sets[key.low % MD_ENDED_JOB_SETS].forgotten_until;
+}
--- a/tests/test-ended-jobs.c
+++ b/tests/test-ended-jobs.c
@@ -72,6 +72,30 @@
 }
 END_TEST
 
+/* Guards against "not run" for a job whose end was displaced by others, and against jobs that are
+   taken for such a one for longer than it would have been kept, or in the two minutes after the
+   clock's start. */
+START_TEST (displaced_end_is_not_denied)
+{
+  MdTime over = NOW + 1 + MD_ENDED_JOB_RETENTION;
+  MdJobKey other = { .low = 1, .high = 1 };
+
+  ck_assert (!md_ended_jobs_may_have (&ends, colliding_key (1), 0));
+  for (unsigned i = 1; i <= MD_ENDED_JOB_WAYS; i++)
+    md_ended_jobs_add (&ends, colliding_key (i), MD_FINAL_GIVEN_UP, NOW + i);
+  ck_assert (md_ended_jobs_may_have (&ends, colliding_key (1), NOW + 20));
+  ck_assert (!md_ended_jobs_may_have (&ends, colliding_key (100), NOW + 20));
+  md_ended_jobs_add (&ends, colliding_key (2), MD_FINAL_COMPLETED, NOW + 20);
+  ck_assert (!md_ended_jobs_may_have (&ends, colliding_key (100), NOW + 20));
+  md_ended_jobs_add (&ends, colliding_key (50), MD_FINAL_COMPLETED, NOW + 21);
+  ck_assert_int_eq (md_ended_jobs_find (&ends, colliding_key (1), NOW + 21), MD_FINAL_UNKNOWN);
+  ck_assert (md_ended_jobs_may_have (&ends, colliding_key (1), NOW + 21));
+  ck_assert (md_ended_jobs_may_have (&ends, colliding_key (100), over - 1));
+  ck_assert (!md_ended_jobs_may_have (&ends, colliding_key (1), over));
+  ck_assert (!md_ended_jobs_may_have (&ends, other, NOW + 21));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -83,5 +107,6 @@
   tcase_add_test (tc, end_is_forgotten_after_the_retention);
   tcase_add_test (tc, later_end_replaces_an_earlier_one);
   tcase_add_test (tc, oldest_of_a_full_set_is_forgotten);
+  tcase_add_test (tc, displaced_end_is_not_denied);
   return run_suite ("ended-jobs", tc);
 }
--- a/tests/test-entry-late.c
+++ b/tests/test-entry-late.c
@@ -47,7 +47,7 @@
 }
 
 static void
-submit_job (MdTime arrived)
+post_job (MdTime arrived)
 {
   MdRunStep *step = calloc (1, sizeof *step);
 
@@ -69,6 +69,12 @@
   request.route.slack_factor = 4;
   request.route.target_latency = 60 * MD_MS;
   md_inbox_push (&entry.inbox, &request.node);
+}
+
+static void
+submit_job (MdTime arrived)
+{
+  post_job (arrived);
   md_entry_handle_requests (&entry, MD_SECOND);
 }
 
@@ -253,6 +259,76 @@
 }
 END_TEST
 
+/* Guards against "not run" for a job of which a part has run: it was given up at its deadline, and its
+   caller repeats it. */
+START_TEST (late_entry_denies_no_job_that_was_given_up)
+{
+  MdEntryOrder *order;
+
+  submit_job (entry.now);
+  order = sent_order ();
+  md_entry_order_started (&entry, order);
+  entry.now += 60 * MD_SECOND;
+  md_entry_jobs_tick (&entry);
+  ck_assert_int_eq (request.status, 504);
+  entry.now = run_short (&entry.load, entry.now);
+  submit_job (entry.now);
+  ck_assert_int_eq (request.status, 504);
+  ck_assert_uint_eq (request.body.len, 0);
+  /* Its caller repeats it for two minutes at most. */
+  entry.now = run_short (&entry.load, entry.now + MD_ENDED_JOB_RETENTION);
+  submit_job (entry.now);
+  ck_assert_int_eq (request.status, 429);
+}
+END_TEST
+
+static void
+abandon_job (void)
+{
+  MdCallerRequest *abandon = calloc (1, sizeof *abandon);
+
+  abandon->kind = MD_CALLER_REQUEST_ABANDON;
+  abandon->abandoned = &request;
+  md_inbox_push (&entry.inbox, &abandon->node);
+  md_entry_handle_requests (&entry, MD_SECOND);
+  ck_assert_uint_eq (entry.n_jobs, 0);
+}
+
+/* Guards against the same for a job whose caller left after its orders were sent. No worker is usable
+   when it is repeated, or the entry ends. */
+START_TEST (job_of_a_caller_that_left_is_not_denied)
+{
+  submit_job (entry.now);
+  sent_order ();
+  abandon_job ();
+  guards[0].worker.connected = guards[1].worker.connected = false;
+  submit_job (entry.now);
+  ck_assert_int_eq (request.status, 504);
+  ck_assert_uint_eq (request.body.len, 0);
+  post_job (entry.now);
+  md_entry_reject_requests (&entry);
+  ck_assert_int_eq (request.status, 504);
+  ck_assert_uint_eq (request.body.len, 0);
+}
+END_TEST
+
+/* Guards against an entry that calls the outcome of jobs unknown of which nothing has run: their
+   callers could repeat them elsewhere at once. */
+START_TEST (job_that_no_guard_started_is_rejected)
+{
+  guards[1].worker.connected = false;
+  submit_job (entry.now);
+  guards[0].worker.connected = false;
+  md_entry_order_ended (&entry, sent_order (), MD_RUN_REJECTED, 0, "");
+  entry.now += 60 * MD_SECOND;
+  md_entry_jobs_tick (&entry);
+  ck_assert_int_eq (request.status, 503);
+  md_buf_clear (&request.body);
+  submit_job (entry.now);
+  ck_assert_int_eq (request.status, 503);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -267,5 +343,8 @@
   tcase_add_test (tc, request_that_waited_is_rejected);
   tcase_add_test (tc, requests_are_handled_in_several_passes);
   tcase_add_test (tc, request_without_a_caller_is_dropped);
+  tcase_add_test (tc, late_entry_denies_no_job_that_was_given_up);
+  tcase_add_test (tc, job_of_a_caller_that_left_is_not_denied);
+  tcase_add_test (tc, job_that_no_guard_started_is_rejected);
   return run_suite ("entry-late", tc);
 }
