Give the end of the log one deadline

Operators saw a process that got SIGTERM outlive its grace period when the reader of its log, a pipe, was slow: each write had a time limit of 200 ms, and a reader that takes a little now and then never exceeds it, so that the end lasted until the backlog of up to 512 KB had been read. A signal that interrupted the wait even led to a write without any limit.

All lines that are left at the end now have 300 ms in all, then the count of dropped lines (log-dropped) and the last line have 150 ms. Unwritten lines are counted, also those that a failed write loses. A writer thread whose write blocks although the pipe polled as writable (other processes fill it too) is not waited for. The other steps at the end were looked at: the daemons' loops end at the drain deadline, an entry gives its callers 300 ms, and fleet/daemon.c and common/process.c wait for nothing else. The daemons entry and guard write to standard error directly, as before; that is not changed.

--- a/common/log.c
+++ b/common/log.c
@@ -5,7 +5,10 @@
    so it copies its lines to a buffer of fixed size that a background thread writes out.
    When the buffer is three quarters full or more than LINES_PER_SECOND lines arrive in a
    second, lines below the level of a warning are dropped; the last quarter is reserved
-   for warnings and errors. The number of dropped lines is logged. */
+   for warnings and errors. The number of dropped lines is logged.
+
+   At the end of a process, everything that is left has one deadline: a time limit for each write
+   would let a slow reader delay the end beyond the supervisor's kill. */
 
 #define _GNU_SOURCE /* memrchr */
 
@@ -23,8 +26,12 @@
 #define BUFFER_BYTES (256u << 10)   /* lines not yet taken by the writer */
 #define LINES_PER_SECOND 4000u      /* ten lines for each job at the peak load of one entry */
 #define BATCH_INTERVAL (50 * MD_MS) /* pause between writes, to write lines in batches */
-#define FLUSH_TIMEOUT_MS 200        /* at shutdown, when the output is not read */
-#define WAIT_STEP_MS 5              /* between checks of md_log_wait_written */
+#define WRITE_WAIT_MS 200           /* for the reader, before the writer looks at its state again */
+/* At shutdown; together less than what the daemons leave between their loops and the supervisor's
+   kill (900 ms, of which an entry gives 300 to its callers). */
+#define FLUSH_TIMEOUT (300 * MD_MS)     /* for all buffered lines */
+#define LAST_LINE_TIMEOUT (150 * MD_MS) /* then for the count of dropped lines and the last line */
+#define WAIT_STEP_MS 5                  /* between checks of md_log_wait_written */
 
 static struct
 {
@@ -36,17 +43,20 @@
 /* The buffer and thread of md_log_start_writer. */
 static struct
 {
-  pthread_mutex_t lock;  /* protects all fields but filled, thread and pending */
-  pthread_cond_t filled; /* used became positive, or stopping was set */
-  char *bytes;           /* BUFFER_BYTES, owned; NULL: no writer */
-  size_t used;           /* bytes of buffered lines */
-  bool stopping;         /* the thread writes what is buffered and ends */
-  bool closed;           /* md_log_end was called: lines are discarded */
-  pthread_t thread;      /* valid while bytes is not NULL */
-  MdTime window_start;   /* start of the second in which lines are counted */
-  unsigned window_lines; /* lines below a warning in that second */
-  uint64_t dropped;      /* lines since the last log-dropped line */
-  atomic_size_t pending; /* bytes that are buffered or being written */
+  pthread_mutex_t lock;    /* protects the fields up to dropped, but filled and thread */
+  pthread_cond_t filled;   /* used became positive, or stopping was set */
+  char *bytes;             /* BUFFER_BYTES, owned; NULL: no writer */
+  size_t used;             /* bytes of buffered lines */
+  bool stopping;           /* the thread writes what is buffered and ends */
+  bool closed;             /* md_log_end was called: lines are discarded */
+  pthread_t thread;        /* valid while bytes is not NULL */
+  MdTime window_start;     /* start of the second in which lines are counted */
+  unsigned window_lines;   /* lines below a warning in that second */
+  uint64_t dropped;        /* lines since the last log-dropped line */
+  atomic_size_t pending;   /* bytes that are buffered or being written */
+  atomic_bool ended;       /* the thread has written its last line */
+  _Atomic MdTime deadline; /* no write starts later; 0: none. Not under the lock, which threads
+                              that log hold most of the time. */
 } writer = { .lock = PTHREAD_MUTEX_INITIALIZER, .filled = PTHREAD_COND_INITIALIZER };
 
 static const char *const level_names[] = { "debug", "info", "warn", "error" };
@@ -188,15 +198,16 @@
 /* ------------------------------------------------------------------ */
 /* Background writer                                                  */
 
-static bool
-is_stopping (void)
+/* How long the next write may wait for the reader, ms; negative: it is given up. */
+static int
+write_wait (void)
 {
-  bool stopping;
+  MdTime deadline = atomic_load (&writer.deadline);
+  MdTime wait = WRITE_WAIT_MS * MD_MS;
 
-  pthread_mutex_lock (&writer.lock);
-  stopping = writer.stopping;
-  pthread_mutex_unlock (&writer.lock);
-  return stopping;
+  if (deadline != 0 && deadline - md_now () < wait)
+    wait = deadline - md_now ();
+  return wait < 0 ? -1 : (int)((wait + MD_MS - 1) / MD_MS);
 }
 
 /* The length of the whole lines in the first PIPE_BUF bytes, or PIPE_BUF when there is none. */
@@ -211,33 +222,45 @@
   return end != NULL ? (size_t)(end - bytes) + 1 : PIPE_BUF;
 }
 
-/* Waits for a slow reader, but at shutdown only while it reads within
-   FLUSH_TIMEOUT_MS. A pipe that polls as writable accepts PIPE_BUF bytes without blocking. Each
-   call writes whole lines, so that a line of a signal handler does not get into another one. */
-static void
+static uint64_t
+count_lines (const char *bytes, size_t n)
+{
+  uint64_t lines = 0;
+
+  for (size_t i = 0; i < n; i++)
+    lines += bytes[i] == '\n';
+  return lines;
+}
+
+/* Waits for a slow reader, but at shutdown only until the deadline. A pipe that polls as writable
+   accepts PIPE_BUF bytes without blocking. Each call writes whole lines, so that a line of a signal
+   handler does not get into another one. Returns the number of lines that were not written. */
+static uint64_t
 write_all (const char *bytes, size_t n)
 {
   while (n > 0)
     {
       struct pollfd fd = { .fd = logger.fd, .events = POLLOUT };
       size_t len = whole_lines (bytes, n);
+      int wait = write_wait ();
       ssize_t written;
+      int ready;
 
-      if (poll (&fd, 1, FLUSH_TIMEOUT_MS) == 0)
-        {
-          if (is_stopping ())
-            return;
-          continue;
-        }
+      if (wait < 0)
+        break;
+      ready = poll (&fd, 1, wait);
+      if (ready == 0 || (ready < 0 && errno == EINTR))
+        continue;
       written = write (logger.fd, bytes, len);
       if (written < 0 && errno != EINTR && errno != EAGAIN)
-        return; /* there is no other place to report the error */
+        break; /* there is no other place to report the error */
       if (written > 0)
         {
           bytes += written;
           n -= (size_t)written;
         }
     }
+  return count_lines (bytes, n);
 }
 
 /* Moves the buffered lines to out and returns their size. The caller holds the lock. */
@@ -251,24 +274,43 @@
   return used;
 }
 
-/* Written like a batch: the buffer may be full or gone, and the output may not be read. */
-static void
+/* Written like a batch: the buffer may be full or gone, and the output may not be read. Returns
+   false when the line was not written. */
+static bool
 write_event (MdLogLevel level, const char *event, const char *format, ...)
 {
   char line[LINE_BYTES];
+  size_t len;
   va_list args;
 
   va_start (args, format);
-  write_all (line, format_line (line, level, event, format, args));
+  len = format_line (line, level, event, format, args);
   va_end (args);
+  return write_all (line, len) == 0;
+}
+
+static void
+count_dropped (uint64_t lines)
+{
+  pthread_mutex_lock (&writer.lock);
+  writer.dropped += lines;
+  pthread_mutex_unlock (&writer.lock);
 }
 
+/* Lines that could not be reported are counted again for the next report. */
 static void
-report_dropped (uint64_t dropped)
+report_dropped (void)
 {
-  if (dropped > 0)
-    write_event (MD_LOG_WARN, "log-dropped", "lines=%llu reason=\"volume or slow reader\"",
-                 (unsigned long long)dropped);
+  uint64_t dropped;
+
+  pthread_mutex_lock (&writer.lock);
+  dropped = writer.dropped;
+  writer.dropped = 0;
+  pthread_mutex_unlock (&writer.lock);
+  if (dropped > 0
+      && !write_event (MD_LOG_WARN, "log-dropped", "lines=%llu reason=\"volume or slow reader\"",
+                       (unsigned long long)dropped))
+    count_dropped (dropped);
 }
 
 static void *
@@ -280,7 +322,7 @@
 
   while (!stopping)
     {
-      uint64_t dropped;
+      uint64_t unwritten;
       size_t used;
 
       pthread_mutex_lock (&writer.lock);
@@ -288,16 +330,19 @@
         pthread_cond_wait (&writer.filled, &writer.lock);
       stopping = writer.stopping;
       used = drain_buffer (batch);
-      dropped = writer.dropped;
-      writer.dropped = 0;
       pthread_mutex_unlock (&writer.lock);
-      write_all (batch, used);
+      unwritten = write_all (batch, used);
+      if (unwritten > 0)
+        count_dropped (unwritten);
       atomic_fetch_sub (&writer.pending, used);
-      report_dropped (dropped);
       if (!stopping)
-        nanosleep (&pause, NULL);
+        {
+          report_dropped ();
+          nanosleep (&pause, NULL);
+        }
     }
   free (batch);
+  atomic_store (&writer.ended, true);
   return NULL;
 }
 
@@ -307,6 +352,7 @@
   char *batch = malloc (BUFFER_BYTES);
   char *bytes = malloc (BUFFER_BYTES);
 
+  atomic_store (&writer.ended, false);
   if (bytes != NULL && batch != NULL
       && md_thread_create (&writer.thread, NULL, run_writer, batch) == 0)
     {
@@ -319,20 +365,41 @@
   free (batch);
 }
 
-/* Ends the thread and writes what was buffered after its last pass. With closing set, lines of
-   other threads are discarded from then on, and writes no longer wait for the reader. */
 static void
+set_deadline (MdTime timeout)
+{
+  atomic_store (&writer.deadline, md_now () + timeout);
+}
+
+/* Whether the thread has ended by the deadline, or at most one wait after it. A write to a pipe that
+   other processes fill as well can block for longer, although the pipe polled as writable. */
+static bool
+wait_ended (void)
+{
+  MdTime until = atomic_load (&writer.deadline) + WRITE_WAIT_MS * MD_MS;
+
+  while (!atomic_load (&writer.ended) && md_now () < until)
+    poll (NULL, 0, 1);
+  return atomic_load (&writer.ended);
+}
+
+/* Ends the thread and writes what was buffered after its last pass. With closing set, lines of
+   other threads are discarded from then on. Returns false when the thread does not end because its
+   output is blocked; it then keeps its memory. */
+static bool
 stop_writer (bool closing)
 {
   char *bytes;
-  uint64_t dropped;
   size_t used;
 
+  set_deadline (FLUSH_TIMEOUT);
   pthread_mutex_lock (&writer.lock);
   bytes = writer.bytes;
   writer.stopping = bytes != NULL || closing;
   pthread_cond_signal (&writer.filled);
   pthread_mutex_unlock (&writer.lock);
+  if (bytes != NULL && closing && !wait_ended ())
+    return false;
   if (bytes != NULL)
     pthread_join (writer.thread, NULL);
   pthread_mutex_lock (&writer.lock);
@@ -340,23 +407,24 @@
   writer.closed = closing;
   used = writer.used;
   writer.used = 0;
-  dropped = writer.dropped;
-  writer.dropped = 0;
   pthread_mutex_unlock (&writer.lock);
   if (bytes != NULL)
-    write_all (bytes, used);
+    count_dropped (write_all (bytes, used));
   atomic_fetch_sub (&writer.pending, used);
-  report_dropped (dropped);
   free (bytes);
-  pthread_mutex_lock (&writer.lock);
-  writer.stopping = closing;
-  pthread_mutex_unlock (&writer.lock);
+  set_deadline (LAST_LINE_TIMEOUT);
+  report_dropped ();
+  return true;
 }
 
 void
 md_log_stop_writer (void)
 {
   stop_writer (false);
+  pthread_mutex_lock (&writer.lock);
+  writer.stopping = false;
+  pthread_mutex_unlock (&writer.lock);
+  atomic_store (&writer.deadline, 0);
 }
 
 void
@@ -365,8 +433,9 @@
   char line[LINE_BYTES];
   va_list args;
 
+  if (!stop_writer (true))
+    return;
   va_start (args, format);
-  stop_writer (true);
   write_all (line, format_line (line, level, event, format, args));
   va_end (args);
 }
--- a/common/md-private.h
+++ b/common/md-private.h
@@ -48,8 +48,9 @@
 void md_log_stop_writer (void);
 
 /* md_log_end: write the buffered lines and then this one, as the last line of the process, whatever
-   its level. Lines that other threads log later are discarded. Output that is not read is given up
-   after a fraction of a second. */
+   its level. Lines that other threads log later are discarded. Takes at most half a second, however
+   slowly the output is read; lines that are not written by then are counted in a log-dropped line
+   before the last one. */
 void md_log_end (MdLogLevel level, const char *event, const char *format, ...) MD_PRINTF (3, 4);
 
 /* For a handler of fatal signals; all three are async-signal-safe. md_log_descriptor: the
--- a/tests/run-ends.sh
+++ b/tests/run-ends.sh
@@ -2,7 +2,8 @@
 # Ends of real processes: what the log says about them and with which status they end.
 #
 # Guards against processes that end without a trace, against a handler that changes the exit
-# status, and against ends that fail because threads still run.
+# status, against ends that fail because threads still run, and against ends that wait for a slow
+# reader of the log for longer than the grace period.
 cd "$(dirname "$0")/.."
 . tests/platform.sh
 ENTRIES=1 GUARDS=1
@@ -130,6 +131,41 @@
   echo "an idle connection does not delay the end of a guard"
 }
 
+# Takes 4 KB every 150 ms: less than an entry under load logs.
+read_slowly () { while [ -n "$(head -c 4096 | tr -d '\0')" ]; do sleep 0.15; done; }
+
+# Guards against a time limit for each write only: with a reader that takes a little now and then,
+# the end took as long as the backlog, here 8.4 s. The platform kills after 6 s (grace_s).
+slow_reader () {
+  local round load began took best=999999
+  for round in 1 2 3; do
+    start_both
+    kill -KILL "$(pid_of entry-1)"
+    await entry-1
+    mkfifo "$RUN/fifo.$round"
+    read_slowly < "$RUN/fifo.$round" > /dev/null &
+    "$BIN/mulberrydrift" run-entry --config "$RUN/entry-1.yaml" > "$RUN/fifo.$round" 2> /dev/null &
+    echo "$! $(start_time $!)" > "$RUN/entry-1.pid"
+    wait_for 20 ready 1 || fail "entry-1 is not ready"
+    "$BIN/tests/jobload" --servers "127.0.0.11:$CALLERS" --threads 48 --jobs 20000 --ms 1 \
+      --attempts 1 --seed "$round" --results "$RUN/load" > "$RUN/load.out" 2>&1 &
+    load=$!
+    sleep 4
+    kill "$load" 2> /dev/null
+    wait "$load" 2> /dev/null
+    began=$(date +%s%3N)
+    kill -TERM "$(pid_of entry-1)"
+    await entry-1
+    [ "$status" = 0 ] || fail "entry-1 ended with $status"
+    took=$(($(date +%s%3N) - began))
+    [ "$took" -ge "$best" ] || best=$took
+    kill -KILL "$(pid_of guard-1)"
+    await guard-1
+  done
+  [ "$best" -lt 6000 ] || fail "an entry whose log is read slowly ended after $best ms"
+  echo "a slow reader of the log does not delay the end beyond the grace period"
+}
+
 STRAY="HUP USR1 USR2 ALRM PIPE XFSZ"
 
 # Sends signals that a daemon has no use for, or that reload its settings, from its first line on.
@@ -225,6 +261,7 @@
 failed_start
 ends_under_load
 idle_connection
+slow_reader
 stray_signals
 closed_descriptors
 full_log
--- a/tests/test-process.c
+++ b/tests/test-process.c
@@ -1,7 +1,8 @@
 /* test-process.c -- lines that tell how a process ended
 
    Guards against processes that end without a trace: by a fatal signal, by an overflow of a
-   thread's stack, or before their settings are read. */
+   thread's stack, or before their settings are read; and against an end that waits for a slow
+   reader of the log. */
 
 #define _GNU_SOURCE /* memmem */
 
@@ -271,6 +272,79 @@
 }
 END_TEST
 
+#define BACKLOG_LINES 5000
+#define SLOW_READ_BYTES 8192
+#define SLOW_READ_INTERVAL 50000 /* us */
+#define MAX_SLOW_READS 25        /* the backlog of 512 KB takes 64 */
+
+/* Fills the batch that is being written and the buffer behind it. */
+static void
+end_with_backlog (int log_fd)
+{
+  md_log_open (log_fd, "test", MD_LOG_INFO);
+  md_log_start_writer ();
+  for (int i = 0; i < BACKLOG_LINES; i++)
+    {
+      md_log (MD_LOG_WARN, "backlog", "i=%d text=%0150d", i, 7);
+      if (i % (BACKLOG_LINES / 2) == 0)
+        usleep (100000); /* the writer takes what is buffered */
+    }
+  md_process_end (MD_EXIT_OK);
+}
+
+static long long
+count_reported (const char *text)
+{
+  static const char wanted[] = "event=log-dropped lines=";
+  long long n = 0;
+
+  for (const char *at = strstr (text, wanted); at != NULL; at = strstr (at + 1, wanted))
+    n += strtoll (at + strlen (wanted), NULL, 10);
+  return n;
+}
+
+/* Guards against a time limit for each write only: with a reader that takes a little now and then,
+   a process took the backlog's time to end, longer than its supervisor waits. Lines that are left
+   out have to be counted. */
+START_TEST (an_end_does_not_wait_for_a_slow_reader)
+{
+  MD_AUTO_BUF text = { 0 };
+  char chunk[SLOW_READ_BYTES];
+  int reads = 0;
+  int status;
+  int fds[2];
+  ssize_t n;
+  pid_t pid;
+
+  ck_assert_int_eq (pipe (fds), 0);
+  pid = fork ();
+  ck_assert_int_ge (pid, 0);
+  if (pid == 0)
+    {
+      close (fds[0]);
+      end_with_backlog (fds[1]);
+    }
+  close (fds[1]);
+  while (waitpid (pid, &status, WNOHANG) == 0)
+    {
+      usleep (SLOW_READ_INTERVAL);
+      n = read (fds[0], chunk, sizeof chunk);
+      if (n > 0)
+        md_buf_append (&text, md_str_n (chunk, (size_t)n));
+      reads++;
+    }
+  while ((n = read (fds[0], chunk, sizeof chunk)) > 0)
+    md_buf_append (&text, md_str_n (chunk, (size_t)n));
+  close (fds[0]);
+  md_buf_append (&text, MD_STR ("\n"));
+  ck_assert_int_eq (status, 0);
+  ck_assert_msg (reads <= MAX_SLOW_READS, "the process ended after %d reads", reads);
+  assert_whole_lines (text.data);
+  ck_assert_int_eq (count (text.data, "event=process-end"), 1);
+  ck_assert_int_eq (count (text.data, "event=backlog") + count_reported (text.data), BACKLOG_LINES);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -282,5 +356,6 @@
   tcase_add_test (tc, lines_of_other_threads_stay_whole);
   tcase_add_test (tc, lines_before_a_fault_are_written);
   tcase_add_test (tc, an_orderly_end_tells_status_and_reason);
+  tcase_add_test (tc, an_end_does_not_wait_for_a_slow_reader);
   return run_suite ("process", tc);
 }
