Do not count orders as sent that never left the entry

Callers saw jobs with large bodies end at their deadline although guards were free: all orders for one guard in a pass went into one message. With more than 16 MB of specifications (three bodies of 6 MB) the message was longer than a frame, md_link_send returned MD_E_LIMIT, and the result was ignored: the orders counted as sent and nobody waited for anything that could come. More than 64 MB at once closed the connection as too slow.

A message now has at most 4 MB of specifications (or one larger one) and 8,192 orders. Orders count as sent, and the guard's lease as extended, only after md_link_send succeeded. While more than 16 MB wait for the guard to read, orders stay unsent and are looked at every 10 ms; when the connection ends they are placed elsewhere at once, as other unsent ones. An order that alone does not fit is logged (order-too-long) and placed again. A guard whose report cannot be sent closes the connection, as its comment assumed, and sends everything again; its largest report, 65,536 ends, takes about 10 MB and fits.

Before: tests/test-entry-guards.c, "large_orders_are_all_sent: Assertion 'ordered == 24' failed: ordered == 0". After: 24 of 24 orders of 3 MB each arrive with increasing ids, in release, asan and tsan.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -21,6 +21,14 @@
 #define MAX_GUARDS 4096
 #define MAX_HELLO_ORDERS 131072    /* in a hello; twice the tasks that are active at a time */
 #define IDLE_INTERVAL_HEARTBEATS 2 /* between messages to a guard without runs of this entry */
+/* Specifications in one message, unless one alone is larger. A frame has at most MD_FRAME_MAX_BYTES,
+   and the specification of a job at most 8 MB. */
+#define MAX_SPEC_BYTES ((size_t)4 << 20)
+#define MAX_ORDERS_PER_MESSAGE 8192 /* of at most 500 bytes without their specifications */
+/* Output of a link beyond which orders wait for the guard to read. Below the limit of a link, at
+   which the connection is closed and orders that were sent are lost. */
+#define MAX_QUEUED_ORDERS ((size_t)16 << 20)
+#define QUEUE_RETRY_DELAY (10 * MD_MS) /* until orders that wait for that are looked at again */
 /* Messages that are due within this time are sent with those that are due now. */
 #define SEND_AHEAD (10 * MD_MS)
 
@@ -212,16 +220,6 @@
     append_id (&order->guard->withdraws, order->id);
 }
 
-static uint32_t
-count_unsent (const MdEntryGuard *guard)
-{
-  uint32_t n = 0;
-
-  for (const MdEntryOrder *order = guard->unsent; order != NULL; order = order->next_unsent)
-    n++;
-  return n;
-}
-
 /* Returns the index of the specification in the message, which is added if it is not yet
    there. */
 static uint32_t
@@ -262,7 +260,6 @@
   out->alone = order->alone;
   out->at_once = order->at_once;
   out->checkpoint = job->runjob.tasks[order->step][order->task].checkpoint;
-  order->sent = true;
 }
 
 /* Ends the unsent orders that were cancelled or whose job has ended. The guard has never
@@ -296,25 +293,50 @@
   md_count (MD_M_GUARDS_FOLLOWED, 1);
 }
 
-static void
-send_message (MdRunEntry *entry, MdEntryGuard *guard)
+/* Returns the longest time between two messages to a guard. A guard without runs has no lease
+   to extend, but it closes the link after five heartbeats of silence. */
+static MdTime
+message_interval (const MdRunEntry *entry, const MdEntryGuard *guard)
+{
+  if (guard->worker.sparse && guard->orders == NULL)
+    return MD_SPARSE_INTERVAL;
+  return entry->daemon.leases.heartbeat_interval
+         * (guard->orders != NULL ? 1 : IDLE_INTERVAL_HEARTBEATS);
+}
+
+/* Whether an order fits into a message with the specifications and orders that it has already. */
+static bool
+fits (const Md__RunOrders *orders, const MdRunSpec *spec)
+{
+  size_t bytes = spec->spec_len;
+
+  for (size_t i = 0; i < orders->n_specs; i++)
+    if (orders->specs[i].data == (uint8_t *)spec->spec)
+      return orders->n_orders < MAX_ORDERS_PER_MESSAGE;
+    else
+      bytes += orders->specs[i].len;
+  return orders->n_orders == 0
+         || (orders->n_orders < MAX_ORDERS_PER_MESSAGE && bytes <= MAX_SPEC_BYTES);
+}
+
+/* Sends one message with the first of the n orders, as many as fit, and sets *sent to their number.
+   On failure nothing has reached the guard, and *sent is the number of orders that did not fit into
+   a frame. */
+static int
+send_part (MdRunEntry *entry, MdEntryGuard *guard, MdEntryOrder **unsent, uint32_t n,
+           uint32_t *sent)
 {
   Md__Frame frame = MD__FRAME__INIT;
   Md__RunOrders orders = MD__RUN_ORDERS__INIT;
-  uint32_t n;
-  md_autofree Md__RunOrder *list = NULL;
-  md_autofree Md__RunOrder **pointers = NULL;
-  md_autofree TaskName *names = NULL;
-  md_autofree ProtobufCBinaryData *specs = NULL;
+  md_autofree Md__RunOrder *list = calloc (n + 1, sizeof *list);
+  md_autofree Md__RunOrder **pointers = calloc (n + 1, sizeof *pointers);
+  md_autofree TaskName *names = calloc (n + 1, sizeof *names);
+  md_autofree ProtobufCBinaryData *specs = calloc (n + 1, sizeof *specs);
+  int rc;
 
-  drop_cancelled_orders (entry, guard);
-  n = count_unsent (guard);
-  list = calloc (n + 1, sizeof *list);
-  pointers = calloc (n + 1, sizeof *pointers);
-  names = calloc (n + 1, sizeof *names);
-  specs = calloc (n + 1, sizeof *specs);
+  *sent = 0;
   if (list == NULL || pointers == NULL || names == NULL || specs == NULL)
-    return; /* retried with the next message */
+    return MD_E_MEMORY; /* retried with the next message */
   orders.guard = guard->worker.guard;
   orders.echo_us = guard->stamp;
   orders.ends_seen = guard->ends_seen;
@@ -329,23 +351,89 @@
   else if (guard->follow_until > entry->now)
     orders.follow_us = (uint64_t)(guard->follow_until - entry->now);
   orders.report_interval_us = (uint64_t)entry->report_interval;
-  /* The list is newest first, but the IDs in a message must increase. */
-  orders.n_orders = n;
-  for (MdEntryOrder *order = guard->unsent; order != NULL; order = order->next_unsent)
+  for (uint32_t i = 0; i < n && fits (&orders, &unsent[i]->job->runjob.spec); i++)
     {
-      n--;
-      fill_order (&orders, &list[n], &names[n], order, entry->now);
-      pointers[n] = &list[n];
+      fill_order (&orders, &list[i], &names[i], unsent[i], entry->now);
+      pointers[orders.n_orders++] = &list[i];
     }
   frame.msg_case = MD__FRAME__MSG_RUN_ORDERS;
   frame.run_orders = &orders;
+  rc = md_link_send (guard->link, &frame);
+  *sent = (uint32_t)orders.n_orders;
+  if (rc != MD_OK)
+    return rc;
+  for (uint32_t i = 0; i < *sent; i++)
+    unsent[i]->sent = true;
   md_count (MD_M_STARTS, (int64_t)orders.n_orders);
-  md_link_send (guard->link, &frame);
-  guard->unsent = NULL;
   guard->cancels.n = 0;
   guard->withdraws.n = 0;
   guard->sent_at = entry->now;
   guard->echoed_at = guard->stamp_at;
+  return MD_OK;
+}
+
+/* Takes the unsent orders out of their list. Returns them with the oldest first, as the ids in
+   messages must increase; NULL without memory. */
+static MdEntryOrder **
+take_unsent (MdEntryGuard *guard, uint32_t *n)
+{
+  MdEntryOrder **orders;
+  uint32_t i = 0;
+
+  for (const MdEntryOrder *order = guard->unsent; order != NULL; order = order->next_unsent)
+    i++;
+  *n = i;
+  orders = calloc (i + 1, sizeof (MdEntryOrder *));
+  if (orders == NULL)
+    return NULL;
+  for (MdEntryOrder *order = guard->unsent; order != NULL; order = order->next_unsent)
+    orders[--i] = order;
+  guard->unsent = NULL;
+  return orders;
+}
+
+/* Sends a message, or several when there is more to order than fits into one. An order that was
+   not sent stays unsent: it is sent later, or placed elsewhere when the connection has ended.
+   Returns whether the guard has to be looked at again soon. */
+static bool
+send_message (MdRunEntry *entry, MdEntryGuard *guard)
+{
+  md_autofree MdEntryOrder **orders = NULL;
+  uint32_t n;
+  uint32_t sent = 0;
+  uint32_t refused = 0; /* orders that do not fit into a frame */
+  bool reads = md_link_queued (guard->link) < MAX_QUEUED_ORDERS;
+  int rc;
+
+  drop_cancelled_orders (entry, guard);
+  if (!reads && entry->now < guard->sent_at + message_interval (entry, guard))
+    return true;
+  orders = take_unsent (guard, &n);
+  if (orders == NULL)
+    return true;
+  do
+    {
+      uint32_t part;
+
+      rc = send_part (entry, guard, orders + sent, reads ? n - sent : 0, &part);
+      if (rc == MD_OK)
+        sent += part;
+      else if (rc == MD_E_LIMIT && md_link_is_up (guard->link))
+        refused = part;
+    }
+  while (rc == MD_OK && reads && sent < n && md_link_queued (guard->link) < MAX_QUEUED_ORDERS);
+  for (uint32_t i = sent + refused; i < n; i++)
+    {
+      orders[i]->next_unsent = guard->unsent;
+      guard->unsent = orders[i];
+    }
+  for (uint32_t i = sent; i < sent + refused; i++)
+    {
+      md_log (MD_LOG_ERROR, "order-too-long", "guard=%s order=%llu", guard->name,
+              (unsigned long long)orders[i]->id);
+      md_entry_order_ended (entry, orders[i], MD_RUN_REJECTED, 0, "");
+    }
+  return guard->unsent != NULL;
 }
 
 /* ------------------------------------------------------------------ */
@@ -603,17 +691,6 @@
   free_guard (guard);
 }
 
-/* Returns the longest time between two messages to a guard. A guard without runs has no lease
-   to extend, but it closes the link after five heartbeats of silence. */
-static MdTime
-message_interval (const MdRunEntry *entry, const MdEntryGuard *guard)
-{
-  if (guard->worker.sparse && guard->orders == NULL)
-    return MD_SPARSE_INTERVAL;
-  return entry->daemon.leases.heartbeat_interval
-         * (guard->orders != NULL ? 1 : IDLE_INTERVAL_HEARTBEATS);
-}
-
 /* Adjusts how often guards report changes to how late the entry is. They hear of it with the next
    message. */
 static void
@@ -650,8 +727,9 @@
                && (guard->unsent != NULL || guard->cancels.n > 0 || guard->withdraws.n > 0
                    || entry->now + SEND_AHEAD >= next))
         {
-          send_message (entry, guard);
-          next = entry->now + message_interval (entry, guard);
+          bool again = send_message (entry, guard);
+
+          next = entry->now + (again ? QUEUE_RETRY_DELAY : message_interval (entry, guard));
         }
       due = next < due && next > entry->now ? next : due;
     }
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -312,7 +312,10 @@
   frame.msg_case = MD__FRAME__MSG_RUN_REPORT;
   frame.run_report = &report;
   if (md_link_send (peer->link, &frame) != MD_OK)
-    return; /* the link is closing; all of it is sent again on the next connection */
+    {
+      md_link_disconnect (peer->link); /* all of it is sent again on the next connection */
+      return;
+    }
   peer->worker_reported |= guard->worker.has_report;
   peer->n_started = 0;
   peer->urgent = false;
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -18,6 +18,8 @@
 static int ups;
 static int downs[2];
 static uint64_t follow_us; /* in the last message to the guard */
+static uint64_t ordered;   /* orders in all messages to the guard */
+static uint64_t last_id;   /* of the last of them */
 
 static void
 on_up (void *user MD_UNUSED, MdLink *link MD_UNUSED)
@@ -28,8 +30,15 @@
 static void
 on_frame (void *user MD_UNUSED, MdLink *link MD_UNUSED, const Md__Frame *frame)
 {
-  if (frame->msg_case == MD__FRAME__MSG_RUN_ORDERS)
-    follow_us = frame->run_orders->follow_us;
+  if (frame->msg_case != MD__FRAME__MSG_RUN_ORDERS)
+    return;
+  follow_us = frame->run_orders->follow_us;
+  for (size_t i = 0; i < frame->run_orders->n_orders; i++)
+    {
+      ck_assert_uint_gt (frame->run_orders->orders[i]->id, last_id);
+      last_id = frame->run_orders->orders[i]->id;
+      ordered++;
+    }
 }
 
 static void
@@ -591,6 +600,54 @@
 }
 END_TEST
 
+#define LARGE_JOBS 24
+#define LARGE_SPEC_BYTES ((size_t)3 << 20)
+
+/* Guards against orders that count as sent although they never left: jobs with large bodies that
+   were placed on one guard in the same pass made a message of more than a frame, or more output than
+   a link has, and their tasks waited for ends that could not come. */
+START_TEST (large_orders_are_all_sent)
+{
+  static MdEntryJob jobs[LARGE_JOBS];
+  static MdRunTask tasks[LARGE_JOBS];
+  static MdRunTask *steps[LARGE_JOBS];
+  MdEntryGuard *known;
+  char *spec = calloc (LARGE_JOBS, LARGE_SPEC_BYTES);
+
+  ck_assert_ptr_nonnull (spec);
+  send_hello (0);
+  send_sparse_report ();
+  for (int i = 0; i < PASSES && (known_guard () == NULL || known_guard ()->awaiting_report); i++)
+    poll_both ();
+  known = (MdEntryGuard *)entry.workers.workers[0];
+  md_link_set_max_silence (known->link, 0); /* the stand-in sends nothing from now on */
+  entry.next_order_id = 1;
+  for (int i = 0; i < LARGE_JOBS; i++)
+    {
+      MdEntryOrder *order = calloc (1, sizeof *order);
+
+      jobs[i].runjob.spec.spec = spec + (size_t)i * LARGE_SPEC_BYTES;
+      jobs[i].runjob.spec.spec_len = LARGE_SPEC_BYTES;
+      steps[i] = &tasks[i];
+      jobs[i].runjob.tasks = &steps[i];
+      order->guard = known;
+      order->job = &jobs[i];
+      md_entry_send_order (&entry, order);
+    }
+  for (int i = 0; i < PASSES && ordered < LARGE_JOBS; i++)
+    {
+      entry.now = md_now ();
+      md_entry_guards_poll (&entry);
+      poll_both ();
+      if (known->link == NULL)
+        break;
+    }
+  ck_assert_uint_eq (ordered, LARGE_JOBS);
+  ck_assert_ptr_null (known->unsent);
+  free (spec);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -604,6 +661,7 @@
   tcase_add_test (tc, orders_in_a_hello_are_bounded);
   tcase_add_test (tc, names_of_guards_are_bounded);
   tcase_add_test (tc, end_of_an_unsent_order_is_ignored);
+  tcase_add_test (tc, large_orders_are_all_sent);
   tcase_add_test (tc, hello_without_entry_does_not_end_orders);
   tcase_add_test (tc, hello_without_welcome_replaces);
   tcase_add_test (tc, replaced_worker_is_forgotten);
