Check what happens to starts, answers and replies that cannot be sent

Callers of the entry's own interface waited until their deadline when a message was longer than a frame (16 MB): the result of md_link_send was ignored in most places. Starts of several large bodies for one guard in one pass were lost and no query asked for them while the connection stayed up; the reply with all answers of a forwarded job was dropped; a forwarded submission that does not fit was tried again until its deadline; a guard marked answers as sent, and released refusals, whether or not they had left.

Starts now leave in frames of at most 4 MB of starts, or one larger one. If one cannot be sent, the connection is closed, so that the query on the next one settles it. A reply that cannot be sent is replaced by one that says that the job ran and its answers are gone. A submission that is too long is refused at once (too large). A guard that cannot send answers keeps them and closes the connection. md_link_send logs frame-too-long with step and peer.

The refusal of a submission that is too long and the guard's failed send have no test of their own.

--- a/entry/entry-forward.c
+++ b/entry/entry-forward.c
@@ -94,6 +94,40 @@
   return headers;
 }
 
+static void
+fill_reply (Md__ForwardReply *reply, uint64_t request, const MdResult *result)
+{
+  reply->request = request;
+  reply->state = result->state;
+  reply->reason = result->reason;
+  reply->outcome = result->outcome;
+  reply->retry_after_us = (uint64_t)result->retry_after;
+  reply->task = result->task;
+  reply->peer = (char *)result->peer;
+  reply->done_tasks = result->done_tasks;
+  reply->n_tasks = result->n_tasks;
+}
+
+/* The answers of a job may be larger than a frame. The forwarder is told that they are lost, because
+   it would wait for them until the deadline of the job. */
+static void
+send_failed_reply (Peer *peer, uint64_t request, const MdResult *result)
+{
+  Md__ForwardReply reply = MD__FORWARD_REPLY__INIT;
+  Md__Frame frame = MD__FRAME__INIT;
+
+  fill_reply (&reply, request, result);
+  reply.state = MD_STATE_FAILED;
+  reply.reason = MD_REASON_ANSWER_GONE;
+  reply.outcome = MD_OUTCOME_RAN;
+  frame.msg_case = MD__FRAME__MSG_FORWARD_REPLY;
+  frame.forward_reply = &reply;
+  md_log (MD_LOG_ERROR, "answer-lost", "step=forward-reply peer=%s reason=\"cannot be sent\"",
+          peer->name);
+  if (md_link_send (peer->link, &frame) != MD_OK)
+    md_link_disconnect (peer->link); /* the forwarder sends the submission again */
+}
+
 static void
 send_reply (Peer *peer, uint64_t request, const MdResult *result)
 {
@@ -103,16 +137,9 @@
   WireAnswer *answers = calloc (n ? n : 1, sizeof *answers);
   Md__Answer **list = calloc (n ? n : 1, sizeof *list);
   Md__Header **headers = calloc (n ? n : 1, sizeof *headers);
+  bool sent = false;
 
-  reply.request = request;
-  reply.state = result->state;
-  reply.reason = result->reason;
-  reply.outcome = result->outcome;
-  reply.retry_after_us = (uint64_t)result->retry_after;
-  reply.task = result->task;
-  reply.peer = (char *)result->peer;
-  reply.done_tasks = result->done_tasks;
-  reply.n_tasks = result->n_tasks;
+  fill_reply (&reply, request, result);
   for (uint32_t i = 0; answers && list && headers && i < n; i++)
     {
       fill_answer (&answers[i], &result->answers[i], i);
@@ -124,7 +151,9 @@
   frame.msg_case = MD__FRAME__MSG_FORWARD_REPLY;
   frame.forward_reply = &reply;
   if (answers && list && headers)
-    md_link_send (peer->link, &frame);
+    sent = md_link_send (peer->link, &frame) == MD_OK;
+  if (!sent && md_link_is_up (peer->link))
+    send_failed_reply (peer, request, result);
   for (uint32_t i = 0; headers && i < n; i++)
     free (headers[i]);
   free (headers);
@@ -285,8 +314,21 @@
   md_result_unref (result);
 }
 
+/* A submission that does not fit into a frame is refused at once; it cannot be sent later either. */
+static void
+refuse_too_large (MdEntry *entry, Pending *pending)
+{
+  bool proven = !pending->ever_sent && pending->sub->anonymous;
+  MdResult *result = md_result_new (MD_STATE_REFUSED, MD_REASON_TOO_LARGE,
+                                    proven ? MD_OUTCOME_NOT_RUN : MD_OUTCOME_UNKNOWN);
+
+  md_waiters_complete (entry, pending->waiters, result);
+  pending->waiters = NULL;
+  md_result_unref (result);
+}
+
 /* Sends a pending submission to the owner. Returns true when it was taken over
-   locally and no longer has to be kept. */
+   locally or refused and no longer has to be kept. */
 static bool
 try_route (MdEntry *entry, Pending *pending, MdTime now)
 {
@@ -295,6 +337,7 @@
   Shard *shard = known ? md_shards_find (entry, pending->sub->pool, index) : NULL;
   MdShardState state = shard ? md_shard_state (shard->core) : MD_SHARD_FOLLOWER;
   Peer *owner;
+  int rc;
 
   if (shard == NULL)
     return false;
@@ -320,7 +363,13 @@
   owner = md_peers_shard_owner (entry, shard->name, true);
   if (owner == NULL || owner->leaving || owner->incarnation == pending->sent_to)
     return false;
-  if (send_forward (owner, pending, shard->name, now) == MD_OK)
+  rc = send_forward (owner, pending, shard->name, now);
+  if (rc == MD_E_LIMIT && md_link_is_up (owner->link))
+    {
+      refuse_too_large (entry, pending);
+      return true;
+    }
+  if (rc == MD_OK)
     {
       pending->sent_to = owner->incarnation;
       pending->ever_sent = true;
--- a/entry/entry-send.c
+++ b/entry/entry-send.c
@@ -7,6 +7,10 @@
 
 #include "entry-private.h"
 
+/* Starts in one frame, unless one alone is larger. Bodies have at most 8 MB, a frame
+   MD_FRAME_MAX_BYTES. */
+#define MAX_STARTS_BYTES ((size_t)4 << 20)
+
 static void
 free_starts (Peer *peer)
 {
@@ -155,22 +159,50 @@
     md_peers_send_leave (p, p->shard && p->attached ? p->shard->self : entry->incarnation);
 }
 
+/* Number of the starts, from this one on, that go into one frame: at least one. */
+static size_t
+count_part (Md__Start **starts, size_t n)
+{
+  size_t bytes = 0;
+  size_t count = 0;
+
+  while (count < n)
+    {
+      bytes += md__start__get_packed_size (starts[count]);
+      if (count > 0 && bytes > MAX_STARTS_BYTES)
+        break;
+      count++;
+    }
+  return count;
+}
+
+/* Starts that were not sent count as sent. They are settled by the query that follows a new
+   connection, so that the present one is closed. */
 static void
 flush_starts (Peer *peer, MdTime now)
 {
-  Md__Starts starts = MD__STARTS__INIT;
-  Md__Frame frame = MD__FRAME__INIT;
-
   if (peer->n_starts == 0 || now < peer->flush_at)
     return;
-  starts.owner = peer->shard->self;
-  starts.guard = peer->incarnation;
-  starts.nonce_us = peer->nonce;
-  starts.n_starts = peer->n_starts;
-  starts.starts = peer->starts;
-  frame.msg_case = MD__FRAME__MSG_STARTS;
-  frame.starts = &starts;
-  md_link_send (peer->link, &frame);
+  for (size_t sent = 0, part; sent < peer->n_starts && md_link_is_up (peer->link); sent += part)
+    {
+      Md__Starts starts = MD__STARTS__INIT;
+      Md__Frame frame = MD__FRAME__INIT;
+
+      part = count_part (peer->starts + sent, peer->n_starts - sent);
+      starts.owner = peer->shard->self;
+      starts.guard = peer->incarnation;
+      starts.nonce_us = peer->nonce;
+      starts.n_starts = part;
+      starts.starts = peer->starts + sent;
+      frame.msg_case = MD__FRAME__MSG_STARTS;
+      frame.starts = &starts;
+      if (md_link_send (peer->link, &frame) != MD_OK)
+        {
+          md_log (MD_LOG_ERROR, "starts-not-sent", "upstream=%s starts=%zu", peer->name,
+                  peer->n_starts - sent);
+          md_link_disconnect (peer->link);
+        }
+    }
   free_starts (peer);
 }
 
--- a/guard/guard-tasks.c
+++ b/guard/guard-tasks.c
@@ -61,26 +61,31 @@
     md__answer__free_unpacked (answer, NULL); /* the owner asks again with a query */
 }
 
-static void
+static int
 send_answers (MdLink *link, Md__Answer **list, size_t n)
 {
   Md__Frame frame = MD__FRAME__INIT;
   Md__Answers answers = MD__ANSWERS__INIT;
+  int rc;
 
   if (n == 0)
-    return;
+    return MD_OK;
   answers.answers = list;
   answers.n_answers = n;
   frame.msg_case = MD__FRAME__MSG_ANSWERS;
   frame.answers = &answers;
-  if (md_link_send (link, &frame) == MD_OK)
+  rc = md_link_send (link, &frame);
+  if (rc == MD_OK)
     md_count (MD_M_ANSWERS, (int64_t)n);
+  return rc;
 }
 
+/* Refusals that are lost are found by the query of the owner after a new connection. */
 static void
 send_replies (Replies *replies)
 {
-  send_answers (replies->peer->link, replies->answers, replies->n);
+  if (send_answers (replies->peer->link, replies->answers, replies->n) != MD_OK)
+    md_link_disconnect (replies->peer->link);
   for (size_t i = 0; i < replies->n; i++)
     md__answer__free_unpacked (replies->answers[i], NULL);
   free (replies->answers);
@@ -163,7 +168,11 @@
 
   for (size_t i = 0; i < n; i++)
     list[i] = batch[i]->answer;
-  send_answers (owner->link, list, n);
+  if (send_answers (owner->link, list, n) != MD_OK)
+    {
+      md_link_disconnect (owner->link); /* all answers are sent again on the next connection */
+      return;
+    }
   for (size_t i = 0; i < n; i++)
     {
       batch[i]->sent_to = owner->incarnation;
--- a/net/link-io.c
+++ b/net/link-io.c
@@ -234,7 +234,12 @@
     return MD_E_IO;
   rc = md_frame_encode (frame, &link->out);
   if (rc == MD_E_LIMIT)
-    return rc; /* the frame is too long: an error of the caller, the link stays up */
+    {
+      /* An error of the caller; the link stays up. */
+      md_log (MD_LOG_ERROR, "frame-too-long", "step=send peer=%s kind=%d", link->peer,
+              (int)frame->msg_case);
+      return rc;
+    }
   if (rc != MD_OK || md_link_queued (link) > MAX_QUEUED_BYTES)
     {
       md_count (MD_M_LINKS_ABANDONED, 1);
--- a/tests/test-entry-peers.c
+++ b/tests/test-entry-peers.c
@@ -1,7 +1,8 @@
 /* test-entry-peers.c -- connections of guards and other entries at an entry, over the loopback
    interface
 
-   The test plays the peer that dialled. */
+   The test plays the peer that dialled. Guards against messages that are larger than a frame and
+   count as sent. */
 
 #include "entry-private.h"
 #include "suite.h"
@@ -13,6 +14,9 @@
 static MdLink *link;
 static int ups;
 static int downs;
+static size_t starts;               /* received */
+static size_t replies;              /* received */
+static Md__ForwardReply last_reply; /* scalars of the last of them */
 
 static void
 on_up (void *user MD_UNUSED, MdLink *dialled MD_UNUSED)
@@ -21,8 +25,15 @@
 }
 
 static void
-on_frame (void *user MD_UNUSED, MdLink *dialled MD_UNUSED, const Md__Frame *frame MD_UNUSED)
+on_frame (void *user MD_UNUSED, MdLink *dialled MD_UNUSED, const Md__Frame *frame)
 {
+  if (frame->msg_case == MD__FRAME__MSG_STARTS)
+    starts += frame->starts->n_starts;
+  if (frame->msg_case == MD__FRAME__MSG_FORWARD_REPLY)
+    {
+      replies++;
+      last_reply = *frame->forward_reply;
+    }
 }
 
 static void
@@ -105,12 +116,86 @@
 }
 END_TEST
 
+#define PARTS 5
+#define PART_BYTES ((size_t)6 << 20)
+
+static Peer *
+connect_peer (void)
+{
+  send_hello ("entry-1", MD_PROTOCOL);
+  for (int i = 0; i < PASSES && entry.peers == NULL; i++)
+    poll_both ();
+  ck_assert_ptr_nonnull (entry.peers);
+  return entry.peers;
+}
+
+/* Guards against starts that count as sent although their frame was too long to leave: those of
+   large bodies for one guard in the same pass were lost, and their tasks had no end. */
+START_TEST (large_starts_are_all_sent)
+{
+  static Shard shard;
+  Peer *peer = connect_peer ();
+  char *body = calloc (1, PART_BYTES);
+
+  ck_assert_ptr_nonnull (body);
+  peer->shard = &shard;
+  peer->starts = calloc (PARTS, sizeof *peer->starts);
+  for (size_t i = 0; i < PARTS; i++)
+    {
+      Md__Start *start = malloc (sizeof *start);
+
+      md__start__init (start);
+      start->body.data = (uint8_t *)body;
+      start->body.len = PART_BYTES;
+      peer->starts[peer->n_starts++] = start;
+    }
+  md_peers_flush (&entry, md_now ());
+  ck_assert_uint_eq (peer->n_starts, 0);
+  for (int i = 0; i < PASSES && starts < PARTS && downs == 0; i++)
+    poll_both ();
+  ck_assert_uint_eq (starts, PARTS);
+  peer->shard = NULL;
+  free (peer->starts);
+  peer->starts = NULL;
+  free (body);
+}
+END_TEST
+
+/* Guards against a caller who waits until the deadline of a job that was done long ago: the reply
+   with its answers was longer than a frame and was dropped without a word. */
+START_TEST (reply_that_is_too_long_fails_the_job)
+{
+  Peer *peer = connect_peer ();
+  MdResult *result = md_result_new (MD_STATE_DONE, MD_REASON_NONE, MD_OUTCOME_RAN);
+
+  result->answers = calloc (PARTS, sizeof *result->answers);
+  result->n_answers = result->n_tasks = result->done_tasks = PARTS;
+  for (int i = 0; i < PARTS; i++)
+    {
+      result->answers[i].body = calloc (1, PART_BYTES);
+      result->answers[i].body_len = PART_BYTES;
+    }
+  md_waiters_complete (&entry, md_waiter_remote (peer->incarnation, 9), result);
+  for (int i = 0; i < PASSES / 10 && replies == 0 && downs == 0; i++)
+    poll_both ();
+  ck_assert_uint_eq (replies, 1);
+  ck_assert_uint_eq (last_reply.request, 9);
+  ck_assert_int_eq ((int)last_reply.state, MD_STATE_FAILED);
+  ck_assert_int_eq ((int)last_reply.outcome, MD_OUTCOME_RAN);
+  ck_assert_uint_eq (last_reply.n_answers, 0);
+  md_result_unref (result);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tc = tcase_create ("entry-peers");
 
   tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_set_timeout (tc, 120); /* for the thread sanitizer */
   tcase_add_test (tc, connection_belongs_to_one_peer);
+  tcase_add_test (tc, large_starts_are_all_sent);
+  tcase_add_test (tc, reply_that_is_too_long_fails_the_job);
   return run_suite ("entry-peers", tc);
 }
