Keep the ports that a test run has drawn from other runs

Cause: a port was free when tests/freeport drew it, and another run drew the same one and listened first.

Ruled out: outgoing connections, whose ports (32768 to 60999) lie outside the drawn ones; sockets that the shell holds, because daemons would inherit them; a lock for each port, for the same reason.

--- a/tests/cluster.sh
+++ b/tests/cluster.sh
@@ -2,7 +2,8 @@
 #
 # Sourced by the scripted runs and the demonstration. Every process writes its
 # log below $RUN; ports are chosen by the system: a process that must be known
-# by address gets a port that tests/freeport found just before. All processes
+# by address gets a port from tests/freeport, which no other run draws before
+# this shell has ended. All processes
 # that were started here are ended, by id, when the script ends; the id of one that has
 # ended before may belong to another program's process or thread by then.
 
@@ -36,7 +37,7 @@
   done
 }
 
-free_ports () { "$BIN/tests/freeport" "$1"; }
+free_ports () { "$BIN/tests/freeport" "$1" $$; }
 
 listening () { sed -n 's/^listening //p' "$1" | head -n 1; }
 
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -46,9 +46,12 @@
 
 fail () { echo "FAILED: $*" >&2; KEEP=1; exit 1; }
 
+# No other run draws these ports before this shell has ended.
+free_ports () { "$BIN/tests/freeport" "$1" $$; }
+
 # Entries share one internal port, as on the platform, and differ by address.
 plan_ports () {
-  set -- $("$BIN/tests/freeport" $((6 + 3 * GUARDS)))
+  set -- $(free_ports $((6 + 3 * GUARDS)))
   INNER=$1 CALLERS=$2 READY=$3 STORE=127.0.0.1:$4 METRICS=$5
   shift 6
   local n
--- a/tests/run-ends.sh
+++ b/tests/run-ends.sh
@@ -156,7 +156,7 @@
     "start_${name%-1}" 1
     endure "$name" event=started
   done
-  set -- $("$BIN/tests/freeport" 4)
+  set -- $(free_ports 4)
   cat > "$RUN/entry.yaml" <<YAML
 role: entry
 name: entry-9
--- a/tests/run-start.sh
+++ b/tests/run-start.sh
@@ -104,7 +104,7 @@
 
 # The daemons of the own interface start through the same code.
 own_entry () {
-  set -- $("$BIN/tests/freeport" 4)
+  set -- $(free_ports 4)
   cat > "$RUN/own.yaml" <<YAML
 role: entry
 name: own
