End a waiting start of entry in order, and name every failed start

Operators who stopped an entry while it waited for busy ports saw it end by the signal, with status 143 and without a last line. Cause: entry caught SIGTERM after its ports were open. Some failed starts of entry and guard left no line, or a wrong one: an unknown option and a settings file of the other role none of the log's form; a file of run-entry or run-guard "not an address"; an entry without descriptors "out of memory"; and a guard whose log readers got no thread ended by SIGABRT.

Ruled out: catching signals before the settings are read, which would change what ends the wait for them; the wait of guard, which opens no port.

entry catches SIGTERM and SIGINT once its event loop exists and ends the wait with status 0. md_store_new and md_registrar_new return NULL with errno instead of aborting or hiding the reason. Options and roles are checked with a line event=start.

--- a/common/md-private.h
+++ b/common/md-private.h
@@ -426,7 +426,8 @@
 } MdStoreEvent;
 
 /* md_store_new: start one reader thread for each stream ("config", "members"). on_event is
-   called on these threads, in the order of the offsets of a stream. */
+   called on these threads, in the order of the offsets of a stream. Returns NULL with errno when a
+   thread cannot be created or memory is short. */
 MdStore *md_store_new (const MdSettings *settings,
                        void (*on_event) (void *user, const MdStoreEvent *event), void *user);
 void md_store_free (MdStore *store);
--- a/entry/callers.c
+++ b/entry/callers.c
@@ -695,7 +695,11 @@
                             NULL };
 
   if (callers == NULL)
-    return NULL;
+    {
+      md_error_set (error, MD_E_MEMORY, "listen-callers", settings->caller_address,
+                    "out of memory");
+      return NULL;
+    }
   callers->entry = entry;
   atomic_init (&callers->threads, (int)share.threads);
   md_memory_budget_init (&callers->body_memory, BODY_MEMORY);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -10,6 +10,7 @@
 #include "listen.h"
 #include "process.h"
 
+#include <errno.h>
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
@@ -318,8 +319,6 @@
 on_signal (int signo MD_UNUSED, siginfo_t *info, void *context MD_UNUSED)
 {
   md_process_note_signal (info);
-  if (signal_target == NULL)
-    return;
   atomic_store (&signal_target->stopping, true);
   md_links_wake (signal_target->links);
 }
@@ -358,6 +357,14 @@
   return MD_E_IO;
 }
 
+static bool
+is_stopping (void)
+{
+  return atomic_load (&signal_target->stopping);
+}
+
+/* Signals are caught from here on, so that one that comes while ports are awaited ends the start in
+   order. */
 static int
 start_entry (MdEntry *entry, MdError *error)
 {
@@ -367,6 +374,7 @@
                                  { "listen-callers", settings->caller_address } },
                       .n_ports = 3,
                       .timeout = md_listen_timeout (settings),
+                      .is_stopping = is_stopping,
                       .open = open_ports,
                       .user = entry };
 
@@ -374,13 +382,16 @@
   entry->started = md_now ();
   cds_wfcq_init (&entry->queue_head, &entry->queue_tail);
   entry->links = md_links_new (&settings->tuning, &md_entry_link_handler, entry);
+  if (entry->links == NULL)
+    return md_error_set (error, MD_E_IO, "links", "", "%s", strerror (errno));
+  install_signals (entry);
   entry->members = md_members_new (&settings->tuning);
   entry->observed = md_observed_new (settings->tuning.watch_changes);
-  if (entry->links == NULL || entry->members == NULL || entry->observed == NULL)
+  if (entry->members == NULL || entry->observed == NULL)
     return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
   entry->store = md_store_new (settings, on_store_event, entry);
   if (entry->store == NULL)
-    return md_error_set (error, MD_E_MEMORY, "start", "", "out of memory");
+    return md_error_set (error, MD_E_IO, "store", "", "%s", strerror (errno));
   return md_listen (&listen, error);
 }
 
@@ -406,6 +417,20 @@
   return MD_OK;
 }
 
+/* Returns the exit code of a start that did not succeed. */
+static int
+end_start (MdEntry *entry, const MdError *error)
+{
+  if (atomic_load (&entry->stopping))
+    {
+      md_log (MD_LOG_INFO, "stopped", "step=%s reason=\"before the ports were open\"", error->step);
+      return MD_EXIT_OK;
+    }
+  md_log (MD_LOG_ERROR, "start-failed", "step=%s peer=%s detail=\"%s\"", error->step, error->peer,
+          error->detail);
+  return MD_EXIT_FAILED;
+}
+
 static int
 run_entry (MdEntry *entry)
 {
@@ -413,12 +438,7 @@
 
   urcu_memb_register_thread ();
   if (start_entry (entry, &error) != MD_OK || start_registrar (entry, &error) != MD_OK)
-    {
-      md_log (MD_LOG_ERROR, "start-failed", "step=%s peer=%s detail=\"%s\"", error.step, error.peer,
-              error.detail);
-      return MD_EXIT_FAILED;
-    }
-  install_signals (entry);
+    return end_start (entry, &error);
   md_log (MD_LOG_INFO, "started", "role=entry internal=%s callers=%s operators=%s",
           entry->bound_internal, entry->settings.caller_address, entry->settings.operator_address);
   md_process_set_step (MD_STEP_RUNNING);
@@ -429,41 +449,61 @@
   return MD_EXIT_OK;
 }
 
-int
-md_entry_main (int argc, const char **argv)
+/* Stores the path of the settings, which the caller frees. */
+static int
+parse_options (int argc, const char **argv, char **config)
 {
-  char *config = NULL;
   struct poptOption options[]
-      = { { "config", 'c', POPT_ARG_STRING, &config, 0, "settings file", "FILE" },
+      = { { "config", 'c', POPT_ARG_STRING, config, 0, "settings file", "FILE" },
           POPT_AUTOHELP POPT_TABLEEND };
   poptContext context = poptGetContext ("mulberrydrift entry", argc, argv, options, 0);
+  int rc = poptGetNextOpt (context);
+
+  if (rc < -1)
+    md_log (MD_LOG_ERROR, "start", "step=options peer= detail=\"%s: %s\"",
+            poptBadOption (context, POPT_BADOPTION_NOALIAS), poptStrerror (rc));
+  else if (*config == NULL)
+    md_log (MD_LOG_ERROR, "start", "step=options peer= detail=\"--config is missing\"");
+  poptFreeContext (context);
+  return rc == -1 && *config != NULL ? MD_OK : MD_E_INVALID;
+}
+
+static int
+load_settings (MdEntry *entry, const char *path)
+{
   MD_AUTO_BUF faults = { 0 };
-  MdEntry *entry;
+  int rc = md_settings_wait (&entry->settings, path, NULL, NULL, &faults);
+
+  if (faults.len > 0)
+    fputs (faults.data, stderr);
+  if (rc != MD_OK || (entry->settings.is_entry && entry->settings.log_address[0] != '\0'))
+    return rc;
+  md_log (MD_LOG_ERROR, "start", "step=settings peer= detail=\"%s: not the settings of an entry\"",
+          path);
+  return MD_E_INVALID;
+}
+
+int
+md_entry_main (int argc, const char **argv)
+{
+  static MdEntry entry; /* its threads use it until the process ends */
+  char *config = NULL;
+  int rc;
 
   md_limit_arenas ();
-  if (poptGetNextOpt (context) < -1 || config == NULL)
+  if (parse_options (argc, argv, &config) != MD_OK)
     {
       fputs ("usage: mulberrydrift entry --config FILE\n", stderr);
-      poptFreeContext (context);
-      return MD_EXIT_USAGE;
-    }
-  poptFreeContext (context);
-  md_process_set_step (MD_STEP_SETTINGS);
-  entry = calloc (1, sizeof *entry);
-  if (entry == NULL)
-    return MD_EXIT_FAILED;
-  if (md_settings_wait (&entry->settings, config, NULL, NULL, &faults) != MD_OK
-      || !entry->settings.is_entry)
-    {
-      fputs (faults.len > 0 ? faults.data : "the settings are not those of an entry\n", stderr);
-      md_settings_clear (&entry->settings);
-      free (entry);
       free (config);
       return MD_EXIT_USAGE;
     }
+  md_process_set_step (MD_STEP_SETTINGS);
+  rc = load_settings (&entry, config);
   free (config);
+  if (rc != MD_OK)
+    return MD_EXIT_USAGE;
   md_process_set_step (MD_STEP_COMPONENTS);
-  md_log_open (STDERR_FILENO, entry->settings.name, entry->settings.log_level);
-  md_host_limits_open (&entry->settings);
-  return run_entry (entry); /* its threads still use the entry */
+  md_log_open (STDERR_FILENO, entry.settings.name, entry.settings.log_level);
+  md_host_limits_open (&entry.settings);
+  return run_entry (&entry);
 }
--- a/guard/guard-register.c
+++ b/guard/guard-register.c
@@ -8,6 +8,7 @@
 #include "md-guard.h"
 #include "process.h"
 
+#include <errno.h>
 #include <pthread.h>
 #include <time.h>
 
@@ -121,6 +122,7 @@
                   MdLinks *links)
 {
   MdRegistrar *r = calloc (1, sizeof *r);
+  int rc;
 
   if (r == NULL)
     return NULL;
@@ -131,9 +133,11 @@
   r->links = links;
   pthread_mutex_init (&r->lock, NULL);
   pthread_cond_init (&r->asked, NULL);
-  if (md_thread_create (&r->thread, NULL, run, r) == 0)
+  rc = md_thread_create (&r->thread, NULL, run, r);
+  if (rc == 0)
     return r;
   free (r);
+  errno = rc;
   return NULL;
 }
 
--- a/guard/guard.c
+++ b/guard/guard.c
@@ -60,13 +60,15 @@
   int rc = poptGetNextOpt (context);
 
   if (rc < -1)
-    fprintf (stderr, "mulberrydrift guard: %s: %s\n",
-             poptBadOption (context, POPT_BADOPTION_NOALIAS), poptStrerror (rc));
+    md_log (MD_LOG_ERROR, "start", "step=options peer= detail=\"%s: %s\"",
+            poptBadOption (context, POPT_BADOPTION_NOALIAS), poptStrerror (rc));
   else if (poptPeekArg (context) != NULL || options->config == NULL)
     {
-      fputs ("usage: mulberrydrift guard --config FILE\n", stderr);
+      md_log (MD_LOG_ERROR, "start", "step=options peer= detail=\"not --config FILE\"");
       rc = 0;
     }
+  if (rc != -1)
+    fputs ("usage: mulberrydrift guard --config FILE\n", stderr);
   poptFreeContext (context);
   return rc == -1 ? MD_OK : MD_E_INVALID;
 }
@@ -79,12 +81,11 @@
 
   if (faults.len > 0)
     fputs (faults.data, stderr);
-  if (rc == MD_OK && guard->settings.is_entry)
-    {
-      fprintf (stderr, "%s: the settings are those of an entry\n", path);
-      rc = MD_E_INVALID;
-    }
-  return rc;
+  if (rc != MD_OK || (!guard->settings.is_entry && guard->settings.log_address[0] != '\0'))
+    return rc;
+  md_log (MD_LOG_ERROR, "start", "step=settings peer= detail=\"%s: not the settings of a guard\"",
+          path);
+  return MD_E_INVALID;
 }
 
 /* ------------------------------------------------------------------ */
@@ -370,11 +371,11 @@
     return md_error_set (error, MD_E_MEMORY, "start", NULL, "out of memory");
   guard->store = md_store_new (&guard->settings, on_store_event, guard);
   if (guard->store == NULL)
-    return md_error_set (error, MD_E_MEMORY, "start", NULL, "out of memory");
+    return md_error_set (error, MD_E_IO, "store", NULL, "%s", strerror (errno));
   guard->registrar
       = md_registrar_new (guard->store, &info, guard->tuning, &guard->inbox, guard->links);
   if (guard->registrar == NULL)
-    return md_error_set (error, MD_E_MEMORY, "start", NULL, "out of memory");
+    return md_error_set (error, MD_E_IO, "registrar", NULL, "%s", strerror (errno));
   return MD_OK;
 }
 
--- a/guard/md-guard.h
+++ b/guard/md-guard.h
@@ -153,7 +153,7 @@
 } MdEvent;
 
 /* guard-register.c: a thread that registers the guard and removes it again,
-   because both block on the log. */
+   because both block on the log. md_registrar_new returns NULL with errno. */
 MdRegistrar *md_registrar_new (MdStore *store, const MdMemberInfo *info, const MdTuning *tuning,
                                MdInbox *inbox, MdLinks *links);
 /* md_registrar_leave: append the leaving record; MD_EVENT_REMOVED follows. */
--- a/operator/operator.c
+++ b/operator/operator.c
@@ -192,7 +192,11 @@
   struct mg_server_port ports[1];
 
   if (server == NULL)
-    return NULL;
+    {
+      md_error_set (error, MD_E_MEMORY, "listen-operators", settings->operator_address,
+                    "out of memory");
+      return NULL;
+    }
   server->settings = settings;
   server->store = store;
   server->observed = observed;
--- a/store/store-private.h
+++ b/store/store-private.h
@@ -133,7 +133,7 @@
 void store_unref (MdStore *store);
 
 /* store_reader_start: start the detached reader thread of a stream. The caller has
-   added the thread's reference to the store. Returns MD_OK or MD_E_IO. */
+   added the thread's reference to the store. Returns 0 or an error number. */
 int store_reader_start (StoreStream *stream);
 
 /* store_await: wait until done() returns true, the time until or the stop of the store.
--- a/store/store-reader.c
+++ b/store/store-reader.c
@@ -361,9 +361,9 @@
 store_reader_start (StoreStream *stream)
 {
   pthread_t thread;
+  int rc = md_thread_create (&thread, NULL, reader_main, stream);
 
-  if (md_thread_create (&thread, NULL, reader_main, stream) != 0)
-    return MD_E_IO;
-  pthread_detach (thread);
-  return MD_OK;
+  if (rc == 0)
+    pthread_detach (thread);
+  return rc;
 }
--- a/store/store.c
+++ b/store/store.c
@@ -15,6 +15,7 @@
 #include "config-check.h"
 #include "json-text.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <urcu/urcu-memb.h>
 
@@ -259,17 +260,24 @@
   s->poll_wait = wait;
 }
 
-static void
+/* Returns 0 or an error number. */
+static int
 start_readers (MdStore *store)
 {
   for (int i = 0; i < STREAM_COUNT; i++)
     {
+      int rc;
+
       pthread_mutex_lock (&store->lock);
       store->refs++;
       pthread_mutex_unlock (&store->lock);
-      if (store_reader_start (&store->streams[i]) != MD_OK)
-        abort (); /* without reader threads the process cannot work */
+      rc = store_reader_start (&store->streams[i]);
+      if (rc == 0)
+        continue;
+      store_unref (store);
+      return rc;
     }
+  return 0;
 }
 
 MdStore *
@@ -277,6 +285,7 @@
               void *user)
 {
   MdStore *store = calloc (1, sizeof *store);
+  int rc;
 
   if (store == NULL)
     return NULL;
@@ -299,8 +308,12 @@
                store->is_entry ? CONFIG_POLL_WAIT : GUARD_POLL_WAIT);
   init_stream (store, STREAM_MEMBERS, MD_STR ("members"),
                store->is_entry ? MEMBERS_POLL_WAIT : GUARD_POLL_WAIT);
-  start_readers (store);
-  return store;
+  rc = start_readers (store);
+  if (rc == 0)
+    return store;
+  md_store_free (store);
+  errno = rc;
+  return NULL;
 }
 
 /* A reader thread may be blocked in a read for as long as the log does not respond.
--- a/tests/run-start.sh
+++ b/tests/run-start.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
 # Starts of real processes on a host that is not ready: each port held by another socket for a
 # while, or an address that the host does not have. Guards against a process that ends at once,
-# without the reason, where the reason passes, against one that its metrics port stops, and against
-# one that announces itself before its ports are open. Expected output stands in run-start.expected.
+# without the reason, where the reason passes, against one that its metrics port stops, against one
+# that announces itself before its ports are open, against SIGTERM that ends a waiting start without a
+# last line, and against failed starts without a line that says why. Expected output stands in
+# run-start.expected.
 cd "$(dirname "$0")/.."
 ENTRIES=1 GUARDS=1
 . tests/platform.sh
@@ -84,7 +86,7 @@
   wait_for 10 grep -qs listen-wait "$RUN/absent.log"
   kill -TERM "$pid"
   wait "$pid"
-  echo "$1 is stopped while it waits: exit $?"
+  echo "$1 is stopped while it waits: exit $?, $(tail -n 1 "$RUN/absent.log" | grep -o 'event=process-end .*' | sed 's/pid=[0-9]* //; s/ sender_pid=.*//')"
 }
 
 # Nobody reads the log, and the pipe is full.
@@ -119,8 +121,47 @@
   busy own "127.0.0.1:$2" listen-internal again own entry
   busy own "127.0.0.1:$3" listen-callers again own entry
   busy own "127.0.0.1:$4" listen-operators again own entry
+  stopped_while_waiting own entry caller_address
 }
 
+# failed NAME COMMAND...: a start that fails says why, in a line with event=, before its last line.
+failed () {
+  local name=$1
+  shift
+  "$@" > "$RUN/failed.log" 2>&1
+  echo "$name: exit $?, $(grep -oE 'event=(start|start-failed|fatal-signal) .*' "$RUN/failed.log" \
+    | sed "s|$RUN/||g; s/ pid=.*//" | tr '\n' ' ')"
+}
+
+own_failures () {
+  sed -e 's/^role: .*/role: guard/; /^internal/d; /^caller/d; /^operator/d' "$RUN/own.yaml" > "$RUN/own-guard.yaml"
+  printf 'upstream_address: 127.0.0.1:1\npool: p\n' >> "$RUN/own-guard.yaml"
+  failed "entry with the settings of a guard" "$BIN/mulberrydrift" entry --config "$RUN/own-guard.yaml"
+  failed "guard with the settings of an entry" "$BIN/mulberrydrift" guard --config "$RUN/own.yaml"
+  failed "entry with the settings of run-entry" "$BIN/mulberrydrift" entry --config "$RUN/entry-1.yaml"
+  failed "guard with the settings of run-guard" "$BIN/mulberrydrift" guard --config "$RUN/guard-1.yaml"
+  failed "entry with an unknown option" "$BIN/mulberrydrift" entry --nonsense
+  failed "guard with an unknown option" "$BIN/mulberrydrift" guard --nonsense
+  failed "entry without an event loop" own_without_descriptors entry "$RUN/own.yaml"
+  failed "guard without an event loop" own_without_descriptors guard "$RUN/own-guard.yaml"
+  # The address space ends somewhere between the libraries and the last thread.
+  [ "$(basename "$BIN")" = release ] || { echo "guards without memory: a line for each failed start"; return; }
+  local kb silent=
+  for kb in $(seq 40000 2500 90000); do
+    rm -f "$RUN/poor.log"
+    (ulimit -v "$kb"; launch poor "$BIN/mulberrydrift" guard --config "$RUN/own-guard.yaml")
+    wait_for 10 started_or_ended poor
+    send_signal KILL poor
+    grep -q event=process-begin "$RUN/poor.log" || continue # the loader found no memory
+    grep -q event=fatal-signal "$RUN/poor.log" && silent="$silent $kb"
+    grep -qE 'event=(start|started) ' "$RUN/poor.log" || silent="$silent $kb"
+  done
+  echo "guards without memory: ${silent:-a line for each failed start}"
+}
+started_or_ended () { has_started "$1" || ended "$1"; }
+# Descriptors 0 to 3 are the standard ones and that of the settings, which is closed again.
+own_without_descriptors () { (ulimit -n 4; exec "$BIN/mulberrydrift" "$1" --config "$2"); }
+
 run () {
   plan_ports
   start_store
@@ -140,6 +181,7 @@
   stopped_while_waiting guard-1 run-guard register_address
   unread_log
   own_entry
+  own_failures
 }
 
 run > "$RUN/out" || { cat "$RUN/out"; exit 1; }
