--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -231,7 +231,7 @@
   wait_for 5 curl -s -m 1 -o /dev/null "http://$STORE/control" || fail "the store did not start"
   put_config 3 /calc/
   for n in $(seq "$ENTRIES"); do start_proxied_entry "$n"; done
-  for n in $(seq "$GUARDS"); do start_worker "$n" "$((n % 2 + 1))"; start_guard "$n"; done
+  for n in $(seq "$GUARDS"); do start_worker "$n" "${SPEED:-$((n % 2 + 1))}"; start_guard "$n"; done
   for n in $(seq "$ENTRIES"); do
     wait_for 20 workers_seen "$n" "$GUARDS" || fail "seed $1: entry-$n does not see every worker"
   done
