Dial an entry on that was announced just before its address is dropped

An entry that started again at its former address about 30 s after its former process had ended was never used by one of two guards.

Cause: the store's record named an address that guard-1 still knew, so that it added nothing, and 35 ms later it dropped the address because the last frame was 30 s old. The record is written once for a start, so nothing names the address again until the entry, or a guard that knows it, connects somewhere anew.

The guard now counts the 30 s from the last frame or announcement, whichever is later. The new test failed before: "test-guard-orders.c:386: Assertion 'guard.n_peers == 3 + 1' failed: guard.n_peers == 3", and passes in release, asan and tsan.

--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -113,6 +113,8 @@
    full, the address added first is removed. Returns true if the address is new; an invalid
    address is ignored. */
 bool md_directory_add (MdDirectory *directory, MdStr address, MdTime now);
+/* md_directory_last_seen: when the address was added last, 0 if it is unknown. */
+MdTime md_directory_last_seen (const MdDirectory *directory, MdStr address);
 /* md_directory_remove: remove an address; does nothing if it is unknown. */
 void md_directory_remove (MdDirectory *directory, MdStr address);
 /* md_directory_expire: remove the addresses last seen before since. */
--- a/fleet/directory.c
+++ b/fleet/directory.c
@@ -49,6 +49,14 @@
   return true;
 }
 
+MdTime
+md_directory_last_seen (const MdDirectory *directory, MdStr address)
+{
+  int i = find_address (directory, address);
+
+  return i >= 0 ? directory->last_seen[i] : 0;
+}
+
 void
 md_directory_expire (MdDirectory *directory, MdTime since)
 {
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -13,7 +13,7 @@
 #include <stdio.h>
 #include <xxhash.h>
 
-#define DROP_SILENT_PEER_AFTER (30 * MD_SECOND) /* since its last frame */
+#define DROP_SILENT_PEER_AFTER (30 * MD_SECOND) /* since its last frame or announcement */
 #define REPORT_INTERVAL (4 * MD_MS)             /* shortest between reports that are not urgent */
 /* Added for each connected entry, so that the guard's cost does not grow with the square of the
    number of entries. */
@@ -722,7 +722,9 @@
   for (MdGuardPeer *peer = guard->peers, *next; peer != NULL; peer = next)
     {
       next = peer->next;
-      if (peer->connected || guard->now < peer->last_contact + DROP_SILENT_PEER_AFTER)
+      if (peer->connected || guard->now < peer->last_contact + DROP_SILENT_PEER_AFTER
+          || guard->now < md_directory_last_seen (&guard->directory, md_str (peer->address))
+                              + DROP_SILENT_PEER_AFTER)
         continue;
       md_log (MD_LOG_INFO, "entry-dropped", "entry=%s address=%s", peer->name, peer->address);
       remove_peer (guard, peer, false);
--- a/tests/test-guard-orders.c
+++ b/tests/test-guard-orders.c
@@ -353,6 +353,40 @@
 }
 END_TEST
 
+/* Lets 31 s pass for an entry at this address: nothing was heard of it meanwhile. */
+static void
+age_entry (MdStr address)
+{
+  for (MdGuardPeer *peer = guard.peers; peer != NULL; peer = peer->next)
+    if (md_str_equal (md_str (peer->address), address))
+      peer->last_contact -= 31 * MD_SECOND;
+  for (unsigned i = 0; i < guard.directory.n; i++)
+    if (md_str_equal (md_str (guard.directory.address[i]), address))
+      guard.directory.last_seen[i] -= 31 * MD_SECOND;
+}
+
+/* Guards against a guard that never connects to an entry which starts again, at the same address,
+   30 s after its former process ended: the store's record named the address while it was still
+   known, and right after that it was dropped. */
+START_TEST (announced_entry_is_dialled_on)
+{
+  MdStr address = MD_STR ("127.200.0.1:9"); /* nobody listens there */
+
+  connect_guard ();
+  md_guard_add_peer (&guard, address, false);
+  age_entry (address);
+  guard.entries_due = 0;
+  poll_all ();
+  ck_assert_uint_eq (guard.n_peers, ENTRIES); /* dropped */
+  md_guard_add_peer (&guard, address, false);
+  age_entry (address);
+  md_guard_add_peer (&guard, address, false); /* announced again */
+  guard.entries_due = 0;
+  poll_all ();
+  ck_assert_uint_eq (guard.n_peers, ENTRIES + 1);
+}
+END_TEST
+
 #define MANY_ORDERS 20000
 
 /* Sends orders with these IDs in one message, and cancels them in it. */
@@ -450,6 +484,7 @@
   tcase_add_test (tc, old_entries_get_full_reports);
   tcase_add_test (tc, empty_specification_is_read);
   tcase_add_test (tc, addresses_in_a_message_are_bounded);
+  tcase_add_test (tc, announced_entry_is_dialled_on);
   tcase_add_test (tc, orders_in_a_message_are_bounded);
   tcase_add_test (tc, ends_of_an_entry_are_bounded);
   return run_suite ("guard-orders", tc);
