Put each decoder under libFuzzer and run its corpus as a test

Operators rely on one malformed message costing its sender one request at most. Until now that was tested with a fixed number of mutated documents (test-fuzz, test-platform), without coverage to guide the search.

Ruled out: one binary that is linked for each target, which took most of the build.

PACKAGES names clang and libclang-rt-dev, which depends on the package with libFuzzer's run-time library.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # Build, tests and demonstration of mulberrydrift. See README.md.
 
 PACKAGES = gcc make pkg-config libcivetweb-dev libprotobuf-c-dev libpopt-dev libyaml-dev \
-  liburcu-dev libjansson-dev libxxhash-dev libcurl4-openssl-dev libssl-dev check clang-format clang-tidy cppcheck spin curl
+  liburcu-dev libjansson-dev libxxhash-dev libcurl4-openssl-dev libssl-dev check clang-format clang-tidy cppcheck spin curl \
+  clang libclang-rt-dev
 
 CC ?= gcc
 VARIANT ?= release
@@ -10,6 +11,8 @@
 CFLAGS_release = -O2
 CFLAGS_asan = -O1 -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
 CFLAGS_tsan = -O1 -fsanitize=thread -fno-omit-frame-pointer
+# Built by "make fuzz" with clang.
+CFLAGS_fuzz = -O1 -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer
 
 CFLAGS = -std=gnu11 -g -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
   $(CFLAGS_$(VARIANT)) $(INCLUDES) -I$(B) -MMD -MP -pthread
@@ -33,6 +36,10 @@
 DAEMON_DIRS = common net entry guard store operator platform fleet cli model
 DAEMON_SRC = $(filter-out $(GEN_SRC),$(wildcard $(addsuffix /*.c,$(DAEMON_DIRS))))
 TEST_SRC = $(wildcard tests/test-*.c)
+# Decoders as functions of an input; see tests/fuzz/targets.h.
+FUZZ_SRC = $(wildcard tests/fuzz/targets*.c)
+FUZZ_OBJ = $(FUZZ_SRC:%.c=$(B)/%.o)
+FUZZ_NAMES = $(notdir $(wildcard tests/fuzz/corpus/*))
 UTIL_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard tests/*-util.c))
 SHIM_SRC = tests/clock-shim.c
 TOOL_SRC = $(filter-out $(TEST_SRC) $(SHIM_SRC) tests/tsan-rcu.c $(wildcard tests/*-util.c),$(wildcard tests/*.c))
@@ -43,7 +50,7 @@
 TESTS = $(TEST_SRC:tests/%.c=$(B)/tests/%)
 TOOLS = $(TOOL_SRC:tests/%.c=$(B)/tests/%) $(SHIM_SRC:tests/%.c=$(B)/tests/%.so)
 OUR_FILES = $(filter-out net/wire.pb-c.%,$(wildcard *.c \
-  $(addsuffix /*.[ch],core sched $(DAEMON_DIRS) tests)))
+  $(addsuffix /*.[ch],core sched $(DAEMON_DIRS) tests tests/fuzz)))
 
 all: $(BIN) $(TOOLS)
 
@@ -68,6 +75,27 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -o $@ $< $(UTIL_OBJ) $(DAEMON_OBJ) $(LIB) $(RCU) -lcheck -lsubunit -lrt $(LDLIBS)
 
+$(B)/tests/test-corpus: tests/test-corpus.c $(FUZZ_OBJ) $(UTIL_OBJ) $(DAEMON_OBJ) $(LIB) $(filter %.o,$(RCU))
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -o $@ $< $(FUZZ_OBJ) $(UTIL_OBJ) $(DAEMON_OBJ) $(LIB) $(RCU) -lcheck -lsubunit -lrt $(LDLIBS)
+
+$(B)/fuzz/main: tests/fuzz/main.c $(FUZZ_OBJ) $(DAEMON_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -fsanitize=fuzzer -o $@ $< $(FUZZ_OBJ) $(DAEMON_OBJ) $(LIB) $(LDLIBS)
+
+# The names of the settings and of JSON members, which the fuzzer would hardly guess.
+$(B)/fuzz.dict: $(DAEMON_SRC) $(LIB_SRC)
+	@mkdir -p $(@D)
+	cat $^ | grep -o '"[A-Za-z][A-Za-z0-9_./-]\{1,30\}"' | sort -u > $@
+
+fuzz-targets: $(B)/fuzz.dict $(B)/fuzz/main
+	for name in $(FUZZ_NAMES); do ln -sf main $(B)/fuzz/$$name; done
+
+# Runs each decoder under libFuzzer for so long, AT_A_TIME at once; not part of the check.
+fuzz:
+	$(MAKE) CC=clang VARIANT=fuzz fuzz-targets
+	FUZZ_SECONDS=$(FUZZ_SECONDS) AT_A_TIME=$(AT_A_TIME) bash tests/fuzz.sh $(NAMES)
+
 # Preloaded by the soak.
 $(B)/tests/%.so: tests/%.c
 	@mkdir -p $(@D)
@@ -128,7 +156,9 @@
 
 SEED ?= 1
 RUNS ?= 4
+FUZZ_SECONDS ?= 60
+AT_A_TIME ?= 3
 
 .SECONDARY: $(UTIL_OBJ)
-.PHONY: bench faults all tests generate packages format check-format lint check demo clean
--include $(wildcard $(B)/*.d $(B)/*/*.d)
+.PHONY: fuzz fuzz-targets bench faults all tests generate packages format check-format lint check demo clean
+-include $(wildcard $(B)/*.d $(B)/*/*.d $(B)/*/*/*.d)
