Refuse a submission with another number of tasks than its records

An entry that took over a shard read beyond the tasks of a submission, and could end, when a guard's records stated more tasks for its key than the caller sent. With fewer, the caller was told "done" with fewer answers than tasks. Found by the fuzzer in a replayed trace:

ERROR: AddressSanitizer: heap-buffer-overflow core/dispatch.c:222 in md_job_apply_spec, from md_recover_merge and md_dispatch_submit

Cause: the number of tasks in a record was only compared with other records of the key, never with the submission that is merged with them. The wire lets a faulty guard state any number. Ruled out: a caller as the origin, as the fingerprint is taken over all tasks.

A job keeps the number of its tasks; a submission with another one is refused with outcome unknown, because some may have run.

--- a/core/dispatch-private.h
+++ b/core/dispatch-private.h
@@ -276,6 +276,7 @@
   MdActiveJob *active;   /* owned; NULL once released and without running tasks */
   uint64_t failed_guard; /* guard whose answer failed the job, 0 none */
   MdTime ended_at;       /* start of retention and horizon */
+  uint32_t n_tasks;      /* of the submission, or as the first record states */
   MdJobState state;
   MdReason reason;   /* valid when it did not end DONE */
   MdOutcome outcome; /* valid when it did not end DONE */
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -411,6 +411,12 @@
       refuse (admission, MD_REASON_KEY_REUSED, MD_OUTCOME_NOT_RUN, 0);
       return;
     }
+  /* The records of a faulty guard. Tasks of the submission may have run. */
+  if (job->n_tasks != spec->n_tasks)
+    {
+      refuse (admission, MD_REASON_UNPROVEN, MD_OUTCOME_UNKNOWN, 0);
+      return;
+    }
   if (job->state == MD_JOB_STATE_OPEN && !job->submitted)
     {
       if (!d->serving)
--- a/core/jobs.c
+++ b/core/jobs.c
@@ -137,7 +137,9 @@
       free (order);
       return NULL;
     }
-  *job = (MdJob){ .key = key, .fingerprint = fingerprint, .cookie = cookie, .active = active };
+  *job = (MdJob){
+    .key = key, .fingerprint = fingerprint, .cookie = cookie, .active = active, .n_tasks = n_tasks
+  };
   *active = (MdActiveJob){ .job = job,
                            .tasks = tasks,
                            .order = order,
