Refuse a JSON text when memory runs out while it is parsed

Cause: jansson 2.14 ignores the failure of the allocation that makes room for the characters of a token. Ruled out: jansson's own error code, which is not set then, and a check of the result, which comes too late.

core/json-text.c makes jansson's allocations. Three times the text is set aside before it is parsed, and given up at the first failure; after that all allocations for this text fail, and the text is refused. With no memory at all, a long token still ends the process by jansson's assertion; test-alloc accepts that, and nothing else, when all allocations fail.

--- a/Makefile
+++ b/Makefile
@@ -76,7 +76,7 @@
 	$(CC) $(CFLAGS) -o $@ $< $(UTIL_OBJ) $(DAEMON_OBJ) $(LIB) $(RCU) -lcheck -lsubunit -lrt $(LDLIBS)
 
 # Makes allocations fail; see tests/test-alloc.c.
-ALLOC_WRAP = -Wl,--wrap=malloc,--wrap=calloc,--wrap=realloc,--wrap=strdup,--wrap=free,--wrap=abort
+ALLOC_WRAP = -Wl,--wrap=malloc,--wrap=calloc,--wrap=realloc,--wrap=strdup,--wrap=free,--wrap=abort,--wrap=exit
 
 $(B)/tests/test-corpus $(B)/tests/test-alloc: $(B)/tests/%: tests/%.c $(FUZZ_OBJ) $(UTIL_OBJ) $(DAEMON_OBJ) $(LIB) \
   $(filter %.o,$(RCU))
--- a/core/json-text.c
+++ b/core/json-text.c
@@ -2,7 +2,13 @@
 
    A scan of the text finds its depth and counts its values without recursion and without memory. It
    only has to know strings and their escapes: up to the first fault of the text it sees the same
-   brackets as the parser, which does not read further. */
+   brackets as the parser, which does not read further.
+
+   jansson 2.14 ignores the failure of an allocation while it collects the characters of a token: it
+   then reads and writes beyond the token, returns a shortened one, or fails an assertion. Its
+   allocations are therefore made here. Room for the tokens of a text is set aside before the text is
+   parsed, and is given up when an allocation fails. If one fails after that, all further ones of the
+   same text do, so that no value is made of a damaged token, and the text is refused. */
 
 #include "json-text.h"
 
@@ -76,6 +82,91 @@
   return pos < text.len ? pos : text.len;
 }
 
+/* ------------------------------------------------------------------ */
+/* Allocations of jansson                                             */
+
+static _Thread_local struct
+{
+  bool parsing;           /* a text is being parsed */
+  bool failed;            /* an allocation has failed meanwhile */
+  void *reserve;          /* room for the tokens of the text; NULL: none, or given up */
+  unsigned long failures; /* since the start of the thread */
+} allocator;
+
+static void *
+allocate (size_t size)
+{
+  void *memory = allocator.parsing && allocator.failed ? NULL : malloc (size);
+
+  if (memory == NULL && allocator.reserve != NULL)
+    {
+      free (allocator.reserve);
+      allocator.reserve = NULL;
+      memory = malloc (size);
+    }
+  if (memory != NULL)
+    return memory;
+  allocator.failed = true;
+  allocator.failures++;
+  return NULL;
+}
+
+static void
+release (void *memory)
+{
+  free (memory);
+}
+
+/* Before main, as values that were made with another function could not be freed. */
+__attribute__ ((constructor)) static void
+set_allocator (void)
+{
+  json_set_alloc_funcs (allocate, release);
+}
+
+unsigned long
+md_json_failures (void)
+{
+  return allocator.failures;
+}
+
+static json_t *
+refuse_for_memory (json_error_t *error)
+{
+  if (error != NULL)
+    {
+      memset (error, 0, sizeof *error);
+      snprintf (error->text, sizeof error->text - 1, "out of memory");
+    }
+  return NULL;
+}
+
+static json_t *
+parse (MdStr text, size_t flags, json_error_t *error)
+{
+  json_t *root;
+
+  allocator.reserve = malloc ((text.len + 1) * TEXT_FACTOR);
+  if (allocator.reserve == NULL)
+    {
+      allocator.failures++;
+      return refuse_for_memory (error);
+    }
+  allocator.parsing = true;
+  allocator.failed = false;
+  root = json_loadb (text.data != NULL ? text.data : "", text.len, flags, error);
+  allocator.parsing = false;
+  free (allocator.reserve);
+  allocator.reserve = NULL;
+  if (!allocator.failed)
+    return root;
+  json_decref (root);
+  return refuse_for_memory (error);
+}
+
+/* ------------------------------------------------------------------ */
+/* Bounds                                                             */
+
 size_t
 md_json_depth (MdStr text)
 {
@@ -112,7 +203,7 @@
   size_t scanned = scan_text (&scan, text, bounds);
 
   if (is_within (&scan, bounds))
-    return json_loadb (text.data != NULL ? text.data : "", text.len, flags, error);
+    return parse (text, flags, error);
   if (error != NULL)
     {
       memset (error, 0, sizeof *error);
--- a/core/json-text.h
+++ b/core/json-text.h
@@ -32,6 +32,11 @@
   size_t values; /* elements of arrays, members of objects, and the outermost value */
 } MdJsonBounds;
 
+/* md_json_failures: how many allocations of jansson have failed in this thread. Functions that add to
+   an array or object report that by results which are easily overlooked; whoever builds a value from
+   several calls compares the number before and after. */
+unsigned long md_json_failures (void);
+
 /* md_json_depth: the number of levels of arrays and objects that a parser may enter while it
    reads the text, whether or not the text is valid. */
 size_t md_json_depth (MdStr text);
@@ -42,7 +47,8 @@
 
 /* md_json_load: parse a text, as json_loadb does with these flags; the caller releases the value.
    NULL with error set, which may be NULL, when the text is not valid or has more than
-   MD_JSON_MAX_DEPTH levels. An empty MdStr without data is not valid. */
+   MD_JSON_MAX_DEPTH levels, or when memory is short, which md_json_failures tells apart. An empty
+   MdStr without data is not valid. */
 json_t *md_json_load (MdStr text, size_t flags, json_error_t *error);
 
 /* md_json_load_bounded: the same with other bounds. */
