Lose no record or resource when memory runs out

Cause: a text that cannot be parsed for lack of memory was an invalid record; results of json_array_append_new were not looked at; and json_dumps can return another text when an allocation fails in it. Ruled out: reading the record again, as the state may have changed by half.

The log client's part was not run with failing allocations.

--- a/core/config.c
+++ b/core/config.c
@@ -373,7 +373,7 @@
 static char *
 dump_json (const json_t *value)
 {
-  return json_dumps (value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+  return md_json_text (value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY, md_json_failures ());
 }
 
 static MdApplyResult
@@ -496,6 +496,7 @@
 int
 md_config_snapshot (const MdConfig *config, char **out, size_t *len)
 {
+  unsigned long failures = md_json_failures ();
   json_t *resources = json_array ();
   json_t *root;
 
@@ -503,7 +504,8 @@
     json_array_append_new (resources, resource_json (&config->resources[i]));
   root = json_pack ("{s:s, s:I, s:o, s:o}", "type", "snapshot", "next", (json_int_t)config->next,
                     "resources", resources, "ids", ids_json (config));
-  *out = root ? dump_json (root) : NULL;
+  /* An entry that reads a snapshot without a resource would differ from the others. */
+  *out = md_json_text (root, JSON_COMPACT | JSON_SORT_KEYS, failures);
   json_decref (root);
   if (*out == NULL)
     return MD_E_MEMORY;
@@ -532,7 +534,7 @@
   return r->spec != NULL;
 }
 
-static bool
+static int
 load_resources (MdConfig *config, const json_t *items)
 {
   size_t index;
@@ -546,17 +548,17 @@
     Resource *slot;
 
     if (!parse_resource (item, &r))
-      return false;
+      return MD_E_INVALID;
     position = find_index (config, md_str (r.kind), md_str (r.name), &found);
     slot = found ? NULL : insert_resource (config, position);
     if (slot == NULL)
       {
         free (r.spec);
-        return false;
+        return found ? MD_E_INVALID : MD_E_MEMORY;
       }
     *slot = r;
   }
-  return json_is_array (items);
+  return json_is_array (items) ? MD_OK : MD_E_INVALID;
 }
 
 static bool
@@ -585,9 +587,11 @@
 load_snapshot (MdConfig *config, const json_t *root, MdError *error)
 {
   MdTuning tuning = { .watch_changes = config->max_changes };
+  unsigned long failures = md_json_failures ();
   MdConfig *loaded;
   MdConfig old;
   uint64_t next;
+  int rc;
 
   if (!md_str_equal (string_member (root, "type"), MD_STR ("snapshot"))
       || !uint_member (root, "next", &next))
@@ -598,12 +602,17 @@
                                                 "snapshot is older than the current state");
   loaded = md_config_new (&tuning);
   if (loaded == NULL)
-    return MD_E_MEMORY;
-  if (!load_resources (loaded, json_object_get (root, "resources"))
-      || !load_ids (loaded, json_object_get (root, "ids")))
+    return md_error_set (error, MD_E_MEMORY, "snapshot", NULL, "out of memory");
+  rc = load_resources (loaded, json_object_get (root, "resources"));
+  if (rc == MD_OK && !load_ids (loaded, json_object_get (root, "ids")))
+    rc = MD_E_INVALID;
+  if (md_json_failures () != failures)
+    rc = MD_E_MEMORY;
+  if (rc != MD_OK)
     {
       md_config_free (loaded);
-      return md_error_set (error, MD_E_INVALID, "snapshot", NULL, "malformed snapshot record");
+      return md_error_set (error, rc, "snapshot", NULL,
+                           rc == MD_E_MEMORY ? "out of memory" : "malformed snapshot record");
     }
   loaded->next = next;
   /* The snapshot does not contain the individual changes before it. */
@@ -618,12 +627,14 @@
 int
 md_config_load (MdConfig *config, MdStr snapshot, MdError *error)
 {
+  unsigned long failures = md_json_failures ();
   json_error_t parse_error;
   json_t *root = md_json_load (snapshot, JSON_REJECT_DUPLICATES, &parse_error);
   int rc;
 
   if (root == NULL)
-    return md_error_set (error, MD_E_INVALID, "snapshot", NULL, "%.150s", parse_error.text);
+    return md_error_set (error, md_json_failures () != failures ? MD_E_MEMORY : MD_E_INVALID,
+                         "snapshot", NULL, "%.150s", parse_error.text);
   rc = load_snapshot (config, root, error);
   json_decref (root);
   return rc;
@@ -641,16 +652,20 @@
 {
   uint64_t next;
 
+  int rc;
+
   if (!uint_member (root, "next", &next) || next > offset)
     return MD_APPLY_INVALID;
-  if (offset > config->next && load_snapshot (config, root, NULL) == MD_E_INVALID)
-    return MD_APPLY_INVALID;
-  return MD_APPLY_SNAPSHOT;
+  rc = offset > config->next ? load_snapshot (config, root, NULL) : MD_OK;
+  if (rc == MD_E_MEMORY)
+    abort (); /* the state would stay behind the log */
+  return rc == MD_E_INVALID ? MD_APPLY_INVALID : MD_APPLY_SNAPSHOT;
 }
 
 MdApplyResult
 md_config_apply (MdConfig *config, uint64_t offset, int64_t time_ms, MdStr record)
 {
+  unsigned long failures = md_json_failures ();
   bool in_turn = offset == config->next;
   MdApplyResult result = MD_APPLY_INVALID;
   json_t *root;
@@ -662,6 +677,8 @@
     result = apply_snapshot (config, offset, root);
   else if (in_turn && md_json_depth (record) <= 1 + MD_JSON_EMBEDDED_DEPTH)
     result = apply_change (config, offset, time_ms, root);
+  if (md_json_failures () != failures)
+    abort (); /* the record may have been taken for an invalid one, which other entries apply */
   if (in_turn)
     config->next = offset + 1;
   json_decref (root);
--- a/core/json-text.c
+++ b/core/json-text.c
@@ -130,6 +130,17 @@
   return allocator.failures;
 }
 
+char *
+md_json_text (const json_t *value, size_t flags, unsigned long failures)
+{
+  char *text = value != NULL ? json_dumps (value, flags) : NULL;
+
+  if (allocator.failures == failures)
+    return text;
+  free (text);
+  return NULL;
+}
+
 static json_t *
 refuse_for_memory (json_error_t *error)
 {
--- a/core/json-text.h
+++ b/core/json-text.h
@@ -37,6 +37,11 @@
    several calls compares the number before and after. */
 unsigned long md_json_failures (void);
 
+/* md_json_text: the text of a value, as json_dumps writes it with these flags; the caller frees it
+   with free. NULL without memory, when value is NULL, or when md_json_failures no longer returns
+   failures, the number before the value was built. */
+char *md_json_text (const json_t *value, size_t flags, unsigned long failures);
+
 /* md_json_depth: the number of levels of arrays and objects that a parser may enter while it
    reads the text, whether or not the text is valid. */
 size_t md_json_depth (MdStr text);
--- a/store/logclient.c
+++ b/store/logclient.c
@@ -13,6 +13,7 @@
    makes progress instead of timing out each time. */
 
 #include "http-client.h"
+#include "json-text.h"
 
 #include <jansson.h>
 #include <pthread.h>
@@ -163,21 +164,25 @@
   return true;
 }
 
-static void
+/* Malformed records are skipped. False when memory is short. */
+static bool
 deliver_record (const json_t *item, void (*on_record) (void *user, const MdLogRecord *record),
                 void *user)
 {
   MdLogRecord record = { 0 };
   uint64_t time_ms = 0;
   const json_t *data = json_object_get (item, "data");
-  md_autofree char *text = data ? json_dumps (data, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
+  md_autofree char *text = md_json_text (data, JSON_COMPACT | JSON_ENCODE_ANY, md_json_failures ());
 
+  if (text == NULL && data != NULL)
+    return false;
   if (text == NULL || !parse_uint_member (item, "offset", &record.offset))
-    return;
+    return true;
   parse_uint_member (item, "time_ms", &time_ms);
   record.time_ms = (int64_t)time_ms;
   record.data = md_str (text);
   on_record (user, &record);
+  return true;
 }
 
 static int
@@ -193,7 +198,9 @@
     return md_error_set (error, MD_E_IO, "answer", peer, "malformed response");
   json_array_foreach ((json_t *)records, index, item)
   {
-    deliver_record (item, on_record, user);
+    /* The reader goes on at this record; a skipped one would be missing in the state. */
+    if (!deliver_record (item, on_record, user))
+      return md_error_set (error, MD_E_MEMORY, "answer", peer, "out of memory");
   }
   return MD_OK;
 }
--- a/store/store-members.c
+++ b/store/store-members.c
@@ -181,6 +181,7 @@
 char *
 member_record_register (const MdMemberInfo *info)
 {
+  unsigned long failures = md_json_failures ();
   char incarnation[17];
   json_t *root;
   char *text;
@@ -195,7 +196,7 @@
                     (json_int_t)info->memory_mb, "accelerators", (json_int_t)info->accelerators,
                     "slots", (json_int_t)info->slots, "connections", (json_int_t)info->connections);
 #undef STR
-  text = root ? json_dumps (root, JSON_COMPACT | JSON_SORT_KEYS) : NULL;
+  text = md_json_text (root, JSON_COMPACT | JSON_SORT_KEYS, failures);
   json_decref (root);
   return text;
 }
@@ -272,7 +273,7 @@
   record.incarnation = incarnation_member (root);
   if (record.incarnation == 0 || !parse_kind (root, &record.kind))
     return MD_APPLY_INVALID;
-  record.text = json_dumps (root, JSON_COMPACT | JSON_SORT_KEYS);
+  record.text = md_json_text (root, JSON_COMPACT | JSON_SORT_KEYS, md_json_failures ());
   if (record.text == NULL)
     abort ();
   if (record.kind == MEMBER_REGISTER)
@@ -290,6 +291,7 @@
 int
 member_log_snapshot (const MemberLog *log, char **out, size_t *len)
 {
+  unsigned long failures = md_json_failures ();
   json_t *records = json_array ();
   json_t *root;
 
@@ -303,7 +305,8 @@
     }
   root = json_pack ("{s:s, s:I, s:o}", "type", "snapshot", "next", (json_int_t)log->next_offset,
                     "records", records);
-  *out = root ? json_dumps (root, JSON_COMPACT | JSON_SORT_KEYS) : NULL;
+  /* An entry that reads a snapshot without a registration would count too few guards. */
+  *out = md_json_text (root, JSON_COMPACT | JSON_SORT_KEYS, failures);
   json_decref (root);
   if (*out == NULL)
     return MD_E_MEMORY;
@@ -381,8 +384,11 @@
 int
 member_log_load (MemberLog *log, MdStr snapshot, MemberEvents *events, MdError *error)
 {
+  unsigned long failures = md_json_failures ();
   json_t *root = md_json_load (snapshot, JSON_REJECT_DUPLICATES, NULL);
-  int rc = load_snapshot (log, root, events, error);
+  int rc = md_json_failures () == failures
+               ? load_snapshot (log, root, events, error)
+               : md_error_set (error, MD_E_MEMORY, "snapshot", NULL, "out of memory");
 
   json_decref (root);
   return rc;
@@ -405,6 +411,7 @@
 member_log_apply (MemberLog *log, uint64_t offset, int64_t time_ms, MdStr text,
                   MemberEvents *events)
 {
+  unsigned long failures = md_json_failures ();
   bool in_sequence = offset == log->next_offset;
   MdApplyResult apply = MD_APPLY_INVALID;
   json_t *root;
@@ -416,6 +423,8 @@
     apply = apply_snapshot (log, offset, root, events);
   else if (in_sequence && md_json_depth (text) <= 1 + MD_JSON_EMBEDDED_DEPTH)
     apply = apply_change (log, offset, time_ms, root, events);
+  if (md_json_failures () != failures)
+    abort (); /* the record was not read, and other entries apply it */
   if (in_sequence)
     log->next_offset = offset + 1;
   json_decref (root);
--- a/store/store-private.h
+++ b/store/store-private.h
@@ -66,7 +66,8 @@
                                 MemberEvents *events);
 /* member_log_load: replace the contents of log by those of a snapshot record and
    append the events of what changed. MD_E_TOO_OLD: the snapshot is behind log.
-   MD_E_INVALID: it is not a valid snapshot. log is unchanged on failure. */
+   MD_E_INVALID: it is not a valid snapshot. MD_E_MEMORY: memory is short. log is unchanged on
+   failure. */
 int member_log_load (MemberLog *log, MdStr snapshot, MemberEvents *events, MdError *error);
 
 /* member_record_register, member_record_removal: return the JSON text of a record,
--- a/tests/test-alloc.c
+++ b/tests/test-alloc.c
@@ -307,9 +307,7 @@
 
 /* Targets with faults that are not mended yet. */
 static const char *const left_out[]
-    = { "changes",  "entry-frames",     "explain",       "job",
-        "members",  "members-snapshot", "resources",     "routes",
-        "simulate", "store-newest",     "worker-record", "snapshot" };
+    = { "entry-frames", "job", "resources", "routes", "simulate", "store-newest", "worker-record" };
 
 static bool
 is_left_out (const char *name)
