Refuse files of resources that would be applied with other content

An operator who applied a file with a name of 70 bytes changed the resource with the first 63; "weight: 1e999" was left out, so that the default came into force; a text with a null character was cut there; and control characters of a file reached the terminal. Found while a fuzzer read such files (control characters: "broken: !iscntrl") and by reading for the failures of allocations that it reaches.

Cause: copies into a field of 64 bytes, values that jansson cannot represent and results of json_object_set_new were not looked at. Ruled out: the check in the entry, which sees the shortened name only.

--- a/cli/resource-cli.c
+++ b/cli/resource-cli.c
@@ -250,7 +250,7 @@
 
   if (resource_load (cli->args[0], &documents, &n, &faults) != MD_OK)
     {
-      fputs (faults.data, stderr);
+      fputs (faults.len > 0 ? faults.data : "out of memory\n", stderr);
       status = MD_EXIT_FAILED;
     }
   for (size_t i = 0; status == MD_EXIT_OK && i < n; i++)
--- a/cli/resource-yaml.c
+++ b/cli/resource-yaml.c
@@ -9,6 +9,7 @@
 
 #include "config-check.h"
 
+#include <ctype.h>
 #include <errno.h>
 #include <stdio.h>
 #include <yaml.h>
@@ -27,8 +28,26 @@
 static void
 add_fault (const Reader *reader, const yaml_node_t *node, const char *reason, const char *what)
 {
+  size_t start = reader->faults->len;
+
   md_buf_printf (reader->faults, "%s:%zu: %s%s%s\n", reader->path, node->start_mark.line + 1,
                  reason, *what ? " " : "", what);
+  /* The text of a file must not control the operator's terminal, or look like a further line. */
+  for (size_t i = start; i + 1 < reader->faults->len; i++)
+    if (iscntrl ((unsigned char)reader->faults->data[i]))
+      reader->faults->data[i] = '?';
+}
+
+/* The text of a scalar; empty, with a fault, when it contains a null character. */
+static const char *
+scalar_text (const Reader *reader, const yaml_node_t *node)
+{
+  const char *text = (const char *)node->data.scalar.value;
+
+  if (strlen (text) == node->data.scalar.length)
+    return text;
+  add_fault (reader, node, "a text must not contain a null character", "");
+  return "";
 }
 
 static bool
@@ -78,7 +97,8 @@
 
   for (yaml_node_item_t *item = node->data.sequence.items.start;
        item < node->data.sequence.items.top; item++)
-    json_array_append_new (array, convert (reader, *item, depth + 1));
+    if (json_array_append_new (array, convert (reader, *item, depth + 1)) != 0)
+      add_fault (reader, node, "out of memory", "");
   return array;
 }
 
@@ -91,14 +111,14 @@
        pair++)
     {
       const yaml_node_t *key = yaml_document_get_node (reader->document, pair->key);
-      const char *name = key->type == YAML_SCALAR_NODE ? (char *)key->data.scalar.value : NULL;
+      const char *name = key->type == YAML_SCALAR_NODE ? scalar_text (reader, key) : NULL;
 
       if (name == NULL)
         add_fault (reader, key, "a key must be a scalar", "");
       else if (json_object_get (object, name) != NULL)
         add_fault (reader, key, "duplicate key", name);
-      else
-        json_object_set_new (object, name, convert (reader, pair->value, depth + 1));
+      else if (json_object_set_new (object, name, convert (reader, pair->value, depth + 1)) != 0)
+        add_fault (reader, key, "out of memory", "");
     }
   return object;
 }
@@ -107,6 +127,7 @@
 convert (Reader *reader, int index, int depth)
 {
   const yaml_node_t *node = yaml_document_get_node (reader->document, index);
+  json_t *value;
 
   if (depth > DEPTH_MAX || reader->used[index])
     {
@@ -118,9 +139,13 @@
   switch (node->type)
     {
     case YAML_SCALAR_NODE:
-      return node->data.scalar.style == YAML_PLAIN_SCALAR_STYLE
-                 ? convert_plain ((char *)node->data.scalar.value)
-                 : json_string ((char *)node->data.scalar.value);
+      value = node->data.scalar.style == YAML_PLAIN_SCALAR_STYLE
+                  ? convert_plain (scalar_text (reader, node))
+                  : json_string (scalar_text (reader, node));
+      if (value != NULL)
+        return value;
+      add_fault (reader, node, "the value is out of range, or memory is short", "");
+      return json_null ();
     case YAML_SEQUENCE_NODE:
       return convert_sequence (reader, node, depth);
     case YAML_MAPPING_NODE:
@@ -149,10 +174,13 @@
 }
 
 static void
-take_text (const json_t *root, const char *key, char field[MD_NAME_BYTES])
+take_text (const Reader *reader, const yaml_node_t *node, const json_t *root, const char *key,
+           char field[MD_NAME_BYTES])
 {
   const char *text = json_string_value (json_object_get (root, key));
 
+  if (text != NULL && strlen (text) >= MD_NAME_BYTES)
+    add_fault (reader, node, "a text of more than 63 bytes in the field", key);
   md_str_copy (field, MD_NAME_BYTES, md_str (text ? text : ""));
 }
 
@@ -163,8 +191,8 @@
   MdError error = { 0 };
   md_autofree char *spec = NULL;
 
-  take_text (root, "kind", out->kind);
-  take_text (root, "name", out->name);
+  take_text (reader, node, root, "kind", out->kind);
+  take_text (reader, node, root, "name", out->name);
   out->spec = json_incref (json_object_get (root, "spec"));
   out->has_version = version != NULL;
   if (version != NULL && (!json_is_integer (version) || json_integer_value (version) < 0))
@@ -270,6 +298,8 @@
   yaml_parser_delete (&parser);
   if (faults->len == 0 && *n == 0)
     md_buf_printf (faults, "%s:1: no document\n", path);
+  if (faults->failed)
+    return MD_E_MEMORY;
   return faults->len > 0 ? MD_E_INVALID : MD_OK;
 }
 
