Refuse numbers in traces that would overflow

"replay" of a damaged trace ended with a wrong deadline, and in a build with the undefined-behaviour sanitizer with an error. Found by the fuzzer after 2,912 inputs:

cli/replay.c:373:59: runtime error: signed integer overflow: + cannot be represented in type 'long'

Cause: times were taken as they are, and the core adds deadlines and retention to them. Ruled out: checks in the core, whose callers read clocks.

Times must be between 0 and 31 years, other numbers within as much; beyond, the trace is refused with its line.

--- a/cli/replay.c
+++ b/cli/replay.c
@@ -14,6 +14,8 @@
 #include <stdio.h>
 
 #define MAX_FIELDS 16
+/* Of times and other numbers, so that sums and products cannot overflow: 31 years in microseconds. */
+#define MAX_NUMBER INT64_C (1000000000000000)
 #define LAST_TASK 100000u
 
 typedef struct
@@ -83,9 +85,9 @@
     return other;
   errno = 0;
   n = strtoll (value, &rest, 10);
-  if (*rest != '\0' || errno != 0)
+  if (*rest != '\0' || errno != 0 || n > MAX_NUMBER || n < -MAX_NUMBER)
     fault (replay, "not a number", value);
-  return n;
+  return replay->failed ? other : n;
 }
 
 static uint64_t
@@ -570,7 +572,7 @@
     return;
   replay->now = strtoll (word, &rest, 10);
   replay->event = strtok_r (NULL, " \t\r\n", &save);
-  if (*rest != '\0' || replay->event == NULL)
+  if (*rest != '\0' || replay->event == NULL || replay->now > MAX_NUMBER || replay->now < 0)
     {
       fault (replay, "not a time and an event", word);
       return;
