Refuse logs of more than 48 hours in simulate

"simulate" of logs with one damaged time stamp asked for as much memory as the centuries between the stamps need, and ended for lack of it or filled the machine. Found by the fuzzer:

Cause: memory in proportion to the time between the first and the last job, which was not bounded. Ruled out: leaving such lines out, as it is not known which of them is damaged.

Logs that span more than 48 hours are refused with a reason, durations beyond that count as not stated, and the work of a job that cannot be kept is freed (test-alloc: "1 allocations are not freed after the failure of 4").

--- a/model/day-log.c
+++ b/model/day-log.c
@@ -20,6 +20,9 @@
 
 #define MAX_WORKERS 4096
 #define MAX_LOGGED_ENTRIES 256
+/* Of a workload; memory grows with its seconds and its workers. A damaged time stamp would make it
+   centuries. */
+#define MAX_LENGTH (48 * 3600 * MD_SECOND)
 #define SPEED_WINDOW MD_SECOND   /* run times are averaged over it to detect changes of speed */
 #define MIN_WINDOW_RUNS 5        /* with fewer runs the mean is too uncertain */
 #define MIN_LOG_OFFSET 0.5       /* sigma of a run's logarithm is 0.4, of the mean of five 0.2 */
@@ -139,6 +142,15 @@
   return (*n)++;
 }
 
+/* A duration in milliseconds; 0 when it is not a possible one. */
+static MdTime
+duration_of (MdStr line, const char *key)
+{
+  int64_t ms = md_line_number (line, key);
+
+  return ms >= 0 && ms <= MAX_LENGTH / MD_MS ? ms * MD_MS : 0;
+}
+
 static uint32_t
 find_or_add_queue (LogReader *reader, MdStr line)
 {
@@ -160,7 +172,7 @@
   memset (grown, 0, sizeof *grown);
   md_str_copy (grown->name, sizeof grown->name, name);
   grown->slack_factor = (double)md_line_number (line, "slack_percent") / 100.0;
-  grown->target_latency = md_line_number (line, "target_ms") * MD_MS;
+  grown->target_latency = duration_of (line, "target_ms");
   return workload->n_queues++;
 }
 
@@ -205,11 +217,12 @@
   job->n_tasks = (uint32_t)tasks;
   job->resources.cpu = (uint32_t)md_line_number (line, "cpu");
   job->resources.memory_mb = (uint32_t)md_line_number (line, "memory_mb");
-  job->declared_time = md_line_number (line, "declared_ms") * MD_MS;
-  job->response_timeout = md_line_number (line, "patience_ms") * MD_MS;
+  job->declared_time = duration_of (line, "declared_ms");
+  job->response_timeout = duration_of (line, "patience_ms");
   job->work = calloc (job->n_tasks, sizeof *job->work);
   if (job->work == NULL || reader->out_of_memory)
     {
+      free (job->work);
       reader->out_of_memory = true;
       return;
     }
@@ -256,7 +269,7 @@
   run.index = (uint32_t)strtoul (index, NULL, 10);
   run.job = (uint32_t)(job - reader->workload->jobs);
   run.worker = find_or_add_worker (reader, line);
-  run.run_time = md_line_number (line, "run_ms") * MD_MS + MD_MS / 2; /* the line has whole ms */
+  run.run_time = duration_of (line, "run_ms") + MD_MS / 2; /* the line has whole ms */
   if (run.index >= job->n_tasks)
     return;
   reader->runs
@@ -555,6 +568,16 @@
   return (x->arrival > y->arrival) - (x->arrival < y->arrival);
 }
 
+/* Whether a job arrives too long after the first. */
+static bool
+has_far_times (const LogReader *reader)
+{
+  for (uint32_t i = 0; i < reader->workload->n_jobs; i++)
+    if (reader->workload->jobs[i].arrival > MAX_LENGTH)
+      return true;
+  return false;
+}
+
 static void
 complete_workload (LogReader *reader, uint64_t seed)
 {
@@ -589,15 +612,19 @@
 md_model_read_workload (MdModelWorkload *workload, MdStr logs, uint64_t seed, MdError *error)
 {
   LogReader reader = { .workload = workload, .logs = logs };
+  bool too_long;
 
   memset (workload, 0, sizeof *workload);
   workload->recorded = true;
   read_lines (&reader);
-  if (!reader.out_of_memory && workload->n_jobs > 0 && reader.n_states > 0)
+  too_long = has_far_times (&reader);
+  if (!reader.out_of_memory && !too_long && workload->n_jobs > 0 && reader.n_states > 0)
     complete_workload (&reader, seed);
   log_reader_clear (&reader);
   if (reader.out_of_memory)
     return md_error_set (error, MD_E_MEMORY, "logs", "", "out of memory");
+  if (too_long)
+    return md_error_set (error, MD_E_INVALID, "logs", "", "the times are more than 48 h apart");
   if (workload->n_jobs == 0)
     return md_error_set (error, MD_E_INVALID, "logs", "", "no job is told of");
   if (reader.n_states == 0)
