Say "not run" of no job that has run in any rejection of the front

An entry that shuts down answered 503 "not run" to each request that came after the balancer's delay, also to the repeat of a job that it still ran or had ended. The other rejections before the engine did the same: 400 and 413 for the body, 404 without a route, 405, 503 for a kind of job that is not served, for want of a descriptor and for an outdated configuration. Cause: they did not ask whether the job is known. Ruled out: 504 for all of them while the entry shuts down, because the caller of a job that still runs would begin it elsewhere.

An entry that shuts down now takes requests for jobs that run or have ended, the engine answers them as usual, and begins none of them (504). The other rejections keep their status with the body {}, and 503 becomes 504. The job is the last segment of the path when there is no route.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -23,6 +23,14 @@
 /* ------------------------------------------------------------------ */
 /* Hash table and statistics                                          */
 
+bool
+md_entry_is_job_id (const char *id)
+{
+  size_t len = strlen (id);
+
+  return len > 0 && len < MD_JOB_ID_BYTES && strspn (id, "0123456789abcdefABCDEF") == len;
+}
+
 uint64_t
 md_entry_hash_id (const char *id)
 {
--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -113,6 +113,18 @@
   return true;
 }
 
+/* Answers a request that an entry which is shutting down took only because its job may have run. That
+   may also be about to begin, for a request whose body is still being read. */
+static void
+answer_given_up (MdCallerRequest *caller_request)
+{
+  md_log (MD_LOG_INFO, "job-rejected", "job=%s queue=%s reason=\"the entry is shutting down\"",
+          caller_request->id, caller_request->route.name);
+  md_count (MD_M_GIVEN_UP, 1);
+  md_run_spec_clear (&caller_request->spec);
+  md_entry_answer_request (caller_request, MD_STATUS_GIVEN_UP, NULL, 0);
+}
+
 static void
 submit (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
@@ -138,7 +150,10 @@
     }
   if (answer_ended (entry, caller_request))
     return;
-  md_entry_start_job (entry, caller_request);
+  if (caller_request->known_only)
+    answer_given_up (caller_request);
+  else
+    md_entry_start_job (entry, caller_request);
 }
 
 /* Removes a request whose caller has disconnected. The job is cancelled when its last caller
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -61,11 +61,47 @@
   struct mg_connection *conn;         /* borrowed from CivetWeb */
   const struct mg_request_info *info; /* of conn, borrowed */
   MdTime arrived;                     /* when CivetWeb had read the header */
-  uint64_t job;                       /* hash of the ID of its job */
+  bool has_job;                       /* the path names a job */
+  bool counted;                       /* it is one of the submissions of that job */
+  bool known_only;                    /* the engine may not begin the job */
+  uint64_t job;                       /* hash of the job's ID */
 } Request;
 
 static __thread int thread_event = -1; /* eventfd that wakes this thread, -1: not created yet */
 
+/* ------------------------------------------------------------------ */
+/* Jobs that may have run                                             */
+
+/* Posted or about to be, of the job of the request. */
+static atomic_uint *
+submissions_of (const Request *request)
+{
+  return &request->front->submissions[request->job % SUBMISSION_SLOTS];
+}
+
+/* Whether another request of the same job is being handled, or the job has ended here within the
+   time in which its caller may repeat it. Such a request may have come while the body of this one
+   was read, or while this one waited for memory. It is counted until its job is among the recent
+   ones, so that these are looked at last. */
+static bool
+may_have_run (const Request *request)
+{
+  return request->has_job
+         && (atomic_load (submissions_of (request)) > (request->counted ? 1 : 0)
+             || md_recent_jobs_find (&request->front->entry->recent_jobs, request->job, md_now ()));
+}
+
+/* Sets the job to the last segment of the path. */
+static void
+set_job (Request *request, const char *path)
+{
+  const char *slash = strrchr (path, '/');
+  const char *id = slash != NULL ? slash + 1 : path;
+
+  request->has_job = md_entry_is_job_id (id);
+  request->job = md_entry_hash_id (id);
+}
+
 /* ------------------------------------------------------------------ */
 /* Responses                                                          */
 
@@ -105,15 +141,31 @@
   return status;
 }
 
-/* Rejects a request that has not been posted to the engine, so nothing of it has run. */
+/* Rejects a request that has not been posted to the engine, so nothing of it has run. An earlier
+   request of its job may have; then "not run" would be false, and so would be a status that says
+   it. fields: further ones for the log, with a space before each. */
 static int
-reject (const Request *request, int status, const char *reason, MdTime retry_after)
+reject_with (const Request *request, int status, const char *reason, MdTime retry_after,
+             const char *fields)
 {
-  char id[160];
+  bool unknown = may_have_run (request);
+  char path[160];
+
+  if (unknown && md_entry_is_rejection (status))
+    {
+      status = MD_STATUS_GIVEN_UP;
+      retry_after = 0;
+    }
+  md_log (MD_LOG_INFO, "request-rejected", "path=%s status=%d outcome=%s reason=\"%s\"%s",
+          md_log_quote (md_str (request->info->local_uri), path, sizeof path), status,
+          unknown ? "unknown" : "not_run", reason, fields);
+  return respond (request, status, unknown ? MD_STR ("{}") : MD_STR (MD_BODY_NOT_RUN), retry_after);
+}
 
-  md_log (MD_LOG_INFO, "request-rejected", "path=%s status=%d outcome=not_run reason=\"%s\"",
-          md_log_quote (md_str (request->info->local_uri), id, sizeof id), status, reason);
-  return respond (request, status, MD_STR (MD_BODY_NOT_RUN), retry_after);
+static int
+reject (const Request *request, int status, const char *reason, MdTime retry_after)
+{
+  return reject_with (request, status, reason, retry_after, "");
 }
 
 /* ------------------------------------------------------------------ */
@@ -145,27 +197,6 @@
   return fd;
 }
 
-/* ------------------------------------------------------------------ */
-/* Jobs that may have run                                             */
-
-/* Posted or about to be, of the job of the request. */
-static atomic_uint *
-submissions_of (const Request *request)
-{
-  return &request->front->submissions[request->job % SUBMISSION_SLOTS];
-}
-
-/* Whether another request of the same job is being handled, or the job has ended here within the
-   time in which its caller may repeat it. Such a request may have come while the body of this one
-   was read, or while this one waited for memory. It is counted until its job is among the recent
-   ones, so that these are looked at last. */
-static bool
-may_have_run (const Request *request)
-{
-  return atomic_load (submissions_of (request)) > 1
-         || md_recent_jobs_find (&request->front->entry->recent_jobs, request->job, md_now ());
-}
-
 /* ------------------------------------------------------------------ */
 /* Waiting for the engine                                             */
 
@@ -275,19 +306,18 @@
 reject_unknown_route (const Request *request, const Lookup *lookup)
 {
   bool outdated = lookup->config_age > request->front->entry->daemon.settings.config_apply;
-  int status = outdated ? 503 : 404;
-  char path[160];
+  char fields[96];
 
   if (!md_http_skip_body (request->conn, lookup->max_body))
     mg_disable_connection_keep_alive (request->conn);
   if (!lookup->configured)
     return reject (request, 503, "no configuration has been read yet", RETRY_AFTER_NO_CONFIG);
-  md_log (MD_LOG_INFO, "request-rejected",
-          "path=%s status=%d outcome=not_run reason=\"%s\" version=%llu config_age_ms=%lld",
-          md_log_quote (md_str (request->info->local_uri), path, sizeof path), status,
-          outdated ? "no such queue, and the configuration may be outdated" : "no such queue",
-          (unsigned long long)lookup->config_version, (long long)(lookup->config_age / MD_MS));
-  return respond (request, status, MD_STR (MD_BODY_NOT_RUN), outdated ? RETRY_AFTER_NO_CONFIG : 0);
+  snprintf (fields, sizeof fields, " version=%llu config_age_ms=%lld",
+            (unsigned long long)lookup->config_version, (long long)(lookup->config_age / MD_MS));
+  if (outdated)
+    return reject_with (request, 503, "no such queue, and the configuration may be outdated",
+                        RETRY_AFTER_NO_CONFIG, fields);
+  return reject_with (request, 404, "no such queue", 0, fields);
 }
 
 /* Ends the handling of a request whose caller has disconnected, without a response. */
@@ -370,8 +400,10 @@
 static int
 post_job (const Request *request, const MdRoute *route, const char *id, MdRunSpec spec)
 {
-  MdCallerRequest caller_request
-      = { .kind = MD_CALLER_REQUEST_SUBMIT, .arrived = request->arrived, .spec = spec };
+  MdCallerRequest caller_request = { .kind = MD_CALLER_REQUEST_SUBMIT,
+                                     .arrived = request->arrived,
+                                     .spec = spec,
+                                     .known_only = request->known_only };
   const char *timeout = mg_get_header (request->conn, MD_PLATFORM_DEADLINE_HEADER);
   const char *unsupported;
   struct sockaddr_in peer;
@@ -415,20 +447,15 @@
   return atomic_load (&request->front->entry->load.overloaded) && !may_have_run (request);
 }
 
-/* Rejects a job because others use the memory for bodies. When it may have run, "not run" may be
-   false; the caller repeats the job after status 504. */
+/* Rejects a job because others use the memory for bodies. */
 static int
 refuse_for_memory (const Request *request, size_t max_body)
 {
-  bool unknown = may_have_run (request);
-  int status = unknown ? 504 : 503;
+  int status;
 
   md_count (MD_M_MEMORY_REJECTIONS, 1);
   mg_disable_connection_keep_alive (request->conn);
-  if (unknown)
-    respond (request, status, MD_STR ("{}"), 0);
-  else
-    reject (request, status, "bodies of other requests use the memory", RETRY_AFTER_MEMORY);
+  status = reject (request, 503, "bodies of other requests use the memory", RETRY_AFTER_MEMORY);
   /* Closing a connection with unread data resets it, and the caller may lose the response. */
   md_http_skip_body (request->conn, max_body);
   return status;
@@ -503,7 +530,7 @@
 }
 
 static int
-submit (const Request *request, const MdRoute *route, const char *id, size_t max_body)
+submit (Request *request, const MdRoute *route, const char *id, size_t max_body)
 {
   MdFront *front = request->front;
   atomic_uint *submissions = submissions_of (request);
@@ -511,6 +538,7 @@
   int status;
 
   atomic_fetch_add (submissions, 1);
+  request->counted = true;
   if (acquire_body (request, &body, max_body))
     status = submit_body (request, route, id, &body, max_body);
   else
@@ -532,14 +560,6 @@
   return post_and_respond (request, &caller_request);
 }
 
-static bool
-is_job_id (const char *id)
-{
-  size_t len = strlen (id);
-
-  return len > 0 && len < MD_JOB_ID_BYTES && strspn (id, "0123456789abcdefABCDEF") == len;
-}
-
 static int
 handle_routed (Request *request, const MdRoute *route, size_t max_body)
 {
@@ -548,9 +568,8 @@
 
   if (*id == '\0' && strcmp (method, "GET") == 0)
     return query (request, MD_CALLER_REQUEST_PENDING, route, "");
-  if (!is_job_id (id))
+  if (!md_entry_is_job_id (id))
     return reject (request, 404, "invalid job ID", 0);
-  request->job = md_entry_hash_id (id);
   if (strcmp (method, "POST") == 0)
     return submit (request, route, id, max_body);
   if (strcmp (method, "GET") == 0)
@@ -560,17 +579,21 @@
   return reject (request, 405, "unsupported method", 0);
 }
 
+/* An entry that is shutting down takes requests for jobs that it knows, because "not run" of them
+   may be false. */
 static int
 handle_request (Request *request)
 {
   Lookup lookup = { 0 };
 
-  if (atomic_load (&request->front->entry->closed))
+  request->known_only = atomic_load (&request->front->entry->closed);
+  look_up (request, &lookup);
+  set_job (request, request->info->local_uri + (lookup.found ? lookup.route.prefix_len : 0));
+  if (request->known_only && !(lookup.found && may_have_run (request)))
     {
       mg_disable_connection_keep_alive (request->conn);
       return reject (request, 503, "the entry is shutting down", MD_SECOND);
     }
-  look_up (request, &lookup);
   if (!lookup.found)
     return reject_unknown_route (request, &lookup);
   return handle_routed (request, &lookup.route, lookup.max_body);
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -52,6 +52,7 @@
   MdTime response_timeout;     /* how long the caller waits for the response, 0: not stated */
   MdCallerRequest *next;       /* engine only: next request for the same job */
   MdEntryJob *job;             /* engine only: job of the request, NULL once answered */
+  bool known_only;             /* SUBMIT: not begun, only answered if known here */
   int event;                   /* eventfd, borrowed; written when the request is answered */
   int socket;                  /* SUBMIT: the caller's, borrowed */
   int status;                  /* response: HTTP status, 0: the caller has disconnected */
@@ -329,6 +330,8 @@
 void md_entry_reject_requests (MdRunEntry *entry);
 
 /* entry-jobs.c */
+/* md_entry_is_job_id: whether a text can be the ID of a job. Can be called from any thread. */
+bool md_entry_is_job_id (const char *id);
 /* md_entry_hash_id: hash of a job's ID, for tables. Can be called from any thread. */
 uint64_t md_entry_hash_id (const char *id);
 /* md_entry_find_job: the active job with this ID and queue, NULL if there is none. */
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -235,11 +235,11 @@
 
 /* Posts a job and runs the engine until the guard has the order of its task. */
 static MdEntryOrder *
-start_job (int fd)
+start_job (int fd, const char *id)
 {
   MdTime end = md_now () + 60 * MD_SECOND;
 
-  post_job (fd);
+  post_body (fd, id, JOB);
   while (guard.orders == NULL && md_now () < end)
     run_engine ();
   ck_assert_ptr_nonnull (guard.orders);
@@ -255,7 +255,7 @@
   char response[1024];
   int fd = connect_caller ();
 
-  md_entry_order_ended (&entry, start_job (fd), MD_RUN_DONE, 30 * MD_MS, "");
+  md_entry_order_ended (&entry, start_job (fd, ID), MD_RUN_DONE, 30 * MD_MS, "");
   wait_for_caller (fd, response);
   ck_assert_int_eq (status_of (response), 200);
   ck_assert_ptr_nonnull (strstr (response, MD_PLATFORM_COMPLETED));
@@ -574,7 +574,7 @@
   int repeated = connect_caller ();
 
   add_engine ();
-  start_job (left);
+  start_job (left, ID);
   close (left);
   while (entry.n_jobs > 0 && md_now () < end)
     run_engine ();
@@ -624,6 +624,104 @@
 }
 END_TEST
 
+/* Guards against "not run" for jobs that run or have run, and against the start of others, when an
+   entry leaves and rejects new requests. */
+START_TEST (leaving_entry_knows_its_jobs)
+{
+  char response[1024];
+  MdTime end = md_now () + 60 * MD_SECOND;
+  int ended = connect_caller ();
+  int first = connect_caller ();
+  int second = connect_caller ();
+  int left = connect_caller ();
+  int again = connect_caller ();
+  MdEntryOrder *order;
+
+  add_engine ();
+  complete_job ();
+  start_job (left, "00000000000000a2");
+  close (left);
+  while (entry.n_jobs > 0 && md_now () < end)
+    run_engine ();
+  md_entry_order_ended (&entry, guard.orders, MD_RUN_STOPPED, 0, "");
+  order = start_job (first, "00000000000000a3");
+  atomic_store (&entry.closed, true);
+  post_job (ended);
+  wait_for_caller (ended, response);
+  ck_assert_msg (status_of (response) == 200, "%s", response);
+  post_body (again, "00000000000000a2", JOB);
+  wait_for_caller (again, response);
+  ck_assert_msg (status_of (response) == 504, "%s", response);
+  post_body (second, "00000000000000a3", JOB);
+  while (entry.jobs->requests->next == NULL && md_now () < end)
+    run_engine ();
+  md_entry_order_ended (&entry, order, MD_RUN_DONE, 30 * MD_MS, "");
+  wait_for_caller (first, response);
+  ck_assert_msg (status_of (response) == 200, "%s", response);
+  wait_for_caller (second, response);
+  ck_assert_msg (status_of (response) == 200, "%s", response);
+  close (first);
+  first = connect_caller ();
+  post_body (first, "00000000000000a4", JOB);
+  ck_assert_int_eq (read_rejection (first), 503);
+  close (ended);
+  close (first);
+  close (second);
+  close (again);
+}
+END_TEST
+
+/* Status of the response to a request line with this body; denied: whether it says "not run". */
+static int
+exchange (const char *line, const char *body, bool *denied)
+{
+  char request[512];
+  char response[1024];
+  int fd = connect_caller ();
+  int len = snprintf (request, sizeof request,
+                      "%s HTTP/1.1\r\nHost: jobs.example\r\nConnection: close\r\n"
+                      "Content-Length: %zu\r\n\r\n%s",
+                      line, strlen (body), body);
+
+  ck_assert_int_eq (write (fd, request, (size_t)len), len);
+  wait_for_caller (fd, response);
+  close (fd);
+  *denied = strstr (response, MD_BODY_NOT_RUN) != NULL;
+  return status_of (response);
+}
+
+/* Guards against "not run" for a job that has run in the other rejections: of a request that is not
+   understood, not served, or not routed any more. */
+START_TEST (no_rejection_denies_an_ended_job)
+{
+  static const struct
+  {
+    const char *known;
+    const char *other;
+    const char *body;
+    int status;
+    int known_status;
+  } cases[] = {
+    { "POST /calc/" ID, "POST /calc/00000000000000a2", "{", 400, 400 },
+    { "POST /calc/" ID, "POST /calc/00000000000000a2", "{\"steps\":[{\"count\":1}]}", 503, 504 },
+    { "PUT /calc/" ID, "PUT /calc/00000000000000a2", "", 405, 405 },
+    { "POST /gone/" ID, "POST /gone/00000000000000a2", JOB, 404, 404 },
+  };
+
+  add_engine ();
+  complete_job ();
+  for (size_t i = 0; i < MD_ARRAY_SIZE (cases); i++)
+    {
+      bool denied;
+
+      ck_assert_int_eq (exchange (cases[i].other, cases[i].body, &denied), cases[i].status);
+      ck_assert (denied);
+      ck_assert_int_eq (exchange (cases[i].known, cases[i].body, &denied), cases[i].known_status);
+      ck_assert_msg (!denied, "%s: not run", cases[i].known);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -642,5 +740,7 @@
   tcase_add_test (tc, late_entry_knows_ended_jobs);
   tcase_add_test (tc, late_entry_knows_jobs_of_callers_that_left);
   tcase_add_test (tc, short_memory_denies_no_ended_job);
+  tcase_add_test (tc, leaving_entry_knows_its_jobs);
+  tcase_add_test (tc, no_rejection_denies_an_ended_job);
   return run_suite ("front", tc);
 }
