Bound the output and small inputs of all links together

Operators of an entry with 120 MB saw no bound on its memory when peers stop reading: each link may queue 64 MB, all links together had no limit, so that a few deaf peers were enough. Unfinished frames of up to 16 KB were not looked at either; the 8,192 links that a process accepts could hold 128 MB of them.

Queued output of all links is now counted as it changes. Beyond 48 MB, links whose peers read are written first, and then those with the most unsent bytes are closed, with a line output-limited (step, peer, bytes, total). Unfinished input is counted in the same way, small frames included, and beyond 32 MB the link with the most is closed; before, it was the one that happened to read. The bounds need no setting: a sound peer reads, so that little is queued for long; 240 guards and 55 entries exchange messages of a few kilobytes. Sockets' buffers in the kernel are not counted.

Before: tests/test-link.c, "test_output_of_all_links_is_bounded: output_bytes ==, 48u << 20 ==" and "test_small_unfinished_frames_are_bounded: input_bytes ==, 32u << 20 ==". After: both pass in release, asan and tsan; a peer that reads gets all 16 frames and keeps its connection. run-memory.sh, run-memory-jobs.sh and run-platform.sh pass in release.

--- a/common/md-private.h
+++ b/common/md-private.h
@@ -345,7 +345,8 @@
 
 /* md_link_send: queue a frame. MD_E_IO: not connected. MD_E_LIMIT: the frame is longer than
    MD_FRAME_MAX_BYTES and the link stays up, or the queue has reached its limit because the
-   peer reads too slowly, and the connection is closed. */
+   peer reads too slowly, and the connection is closed; nothing of the frame has been sent then. The
+   connections with the most output are also closed when all of them together exceed a limit. */
 int md_link_send (MdLink *link, const Md__Frame *frame);
 /* md_link_queued: bytes that are queued and not yet written; lets a bulk sender stay below
    the limit of the queue. */
--- a/net/link-io.c
+++ b/net/link-io.c
@@ -17,15 +17,17 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define MAX_QUEUED_BYTES ((size_t)64 << 20)       /* on one link; then the peer is too slow */
+#define MAX_QUEUED_BYTES ((size_t)64 << 20) /* on one link; then the peer is too slow */
+/* Queued frames of all connections; three of the largest. Together with MAX_INPUT_BYTES 80 of the
+   120 MB that an entry may use. Sound peers read, so that little is queued for long. */
+#define MAX_OUTPUT_BYTES ((size_t)48 << 20)
 #define WRITE_THRESHOLD_BYTES ((size_t)1 << 20)   /* queued bytes written before the next poll */
 #define READ_CHUNK_BYTES ((size_t)64 << 10)       /* requested by one recv */
 #define READ_BUDGET_BYTES ((size_t)1 << 20)       /* read from one link per event, for fairness */
 #define MAX_IDLE_BUFFER_BYTES ((size_t)128 << 10) /* larger buffers are freed when empty */
-/* Unfinished frames on all connections; two of the largest. A peer could open many connections and
+/* Unfinished frames on all connections, also small ones; two of the largest. A peer could open many connections and
    finish none. */
 #define MAX_INPUT_BYTES ((size_t)32 << 20)
-#define SMALL_INPUT_BYTES ((size_t)16 << 10) /* an unfinished frame that is not looked at */
 #define ACK_TIMEOUT_RESET (10 * MD_SECOND) /* a connection that lasted is not on a congested way */
 #define MAX_ACK_TIMEOUTS 4                 /* times the acknowledgement timeout */
 
@@ -37,6 +39,18 @@
   return epoll_ctl (links->epoll_fd, operation, fd, &event) == 0;
 }
 
+/* Called after each change of a buffer's length. */
+static void
+count_buffers (MdLink *link)
+{
+  MdLinks *links = link->links;
+
+  links->input_bytes += link->in.len - link->counted_in;
+  links->output_bytes += link->out.len - link->counted_out;
+  link->counted_in = link->in.len;
+  link->counted_out = link->out.len;
+}
+
 /* ------------------------------------------------------------------ */
 /* End of a connection                                                */
 
@@ -79,6 +93,7 @@
   link->out_start = 0;
   md_buf_clear (&link->in);
   md_buf_clear (&link->out);
+  count_buffers (link);
   link->error = (MdError){ 0 };
   md_error_set (&link->error, code, "link", link->peer, "%s", reason);
   link->next_ended = links->ended;
@@ -192,6 +207,7 @@
     }
   set_blocked (link, link->out_start < link->out.len);
   trim_output (link);
+  count_buffers (link);
 }
 
 void
@@ -224,6 +240,28 @@
   return link->out.len - link->out_start;
 }
 
+/* Ends the connections with the most queued output until all of them together are within the bound.
+   What peers that read can take is written first. */
+static void
+limit_output (MdLinks *links)
+{
+  if (links->output_bytes <= MAX_OUTPUT_BYTES)
+    return;
+  md_links_flush (links);
+  while (links->output_bytes > MAX_OUTPUT_BYTES)
+    {
+      MdLink *most = links->links;
+
+      for (MdLink *link = links->links; link != NULL; link = link->next)
+        if (link->out.len > most->out.len)
+          most = link;
+      md_count (MD_M_LINKS_ABANDONED, 1);
+      md_log (MD_LOG_WARN, "output-limited", "step=send peer=%s bytes=%zu total=%zu", most->peer,
+              md_link_queued (most), links->output_bytes);
+      md_link_end (most, MD_E_LIMIT, "too much unread output");
+    }
+}
+
 int
 md_link_send (MdLink *link, const Md__Frame *frame)
 {
@@ -254,7 +292,9 @@
     md_link_write (link);
   else
     schedule_flush (link);
-  return MD_OK;
+  count_buffers (link);
+  limit_output (link->links);
+  return link->state == MD_LINK_UP ? MD_OK : MD_E_LIMIT;
 }
 
 /* ------------------------------------------------------------------ */
@@ -329,23 +369,23 @@
   return 0;
 }
 
-/* Ends the connection if it has part of a large frame and all connections together hold too much.
-   */
+/* Ends the connections with the most unfinished input until all of them together are within the
+   bound. */
 static void
-limit_input (MdLink *link)
+limit_input (MdLinks *links)
 {
-  size_t total = 0;
+  while (links->input_bytes > MAX_INPUT_BYTES)
+    {
+      MdLink *most = links->links;
 
-  if (link->state != MD_LINK_UP || link->in.len <= SMALL_INPUT_BYTES)
-    return;
-  for (const MdLink *other = link->links->links; other != NULL; other = other->next)
-    total += other->in.len;
-  if (total <= MAX_INPUT_BYTES)
-    return;
-  md_count (MD_M_LINKS_ABANDONED, 1);
-  md_log (MD_LOG_WARN, "input-limited", "peer=%s bytes=%zu total=%zu", link->peer, link->in.len,
-          total);
-  md_link_end (link, MD_E_LIMIT, "too many unfinished frames");
+      for (MdLink *link = links->links; link != NULL; link = link->next)
+        if (link->in.len > most->in.len)
+          most = link;
+      md_count (MD_M_LINKS_ABANDONED, 1);
+      md_log (MD_LOG_WARN, "input-limited", "step=receive peer=%s bytes=%zu total=%zu", most->peer,
+              most->in.len, links->input_bytes);
+      md_link_end (most, MD_E_LIMIT, "too many unfinished frames");
+    }
 }
 
 void
@@ -360,7 +400,8 @@
       total += n;
       if (n > 0)
         handle_frames (link);
-      limit_input (link);
+      count_buffers (link);
+      limit_input (link->links);
       if (n < READ_CHUNK_BYTES)
         return;
     }
--- a/net/md-link.h
+++ b/net/md-link.h
@@ -41,6 +41,8 @@
   MdBuf in;                    /* received data that is not decoded yet */
   MdBuf out;                   /* queued frames */
   size_t out_start;            /* bytes of out already written */
+  size_t counted_in;           /* bytes of in that are part of MdLinks.input_bytes */
+  size_t counted_out;          /* bytes of out that are part of MdLinks.output_bytes */
   void *data;                  /* of the handler, not owned */
   MdError error;               /* reason of the last end */
   char peer[MD_ADDRESS_BYTES]; /* remote "ip:port" */
@@ -59,6 +61,8 @@
   MdLink *flush_list;          /* links with output to write before the next wait */
   MdLink *ended;               /* links whose end is not reported yet */
   size_t accepted;             /* number of accepted links */
+  size_t input_bytes;          /* received data of all links that is not decoded yet */
+  size_t output_bytes;         /* queued frames of all links, with written parts that are kept */
   MdTime accept_resume_at;     /* accepting is paused until then, 0 not paused */
   MdTime connect_timeout;      /* limit of one connection attempt */
   MdTime ack_timeout;          /* of dialled connections, see md_links_set_ack_timeout; 0: none */
--- a/tests/test-link.c
+++ b/tests/test-link.c
@@ -12,6 +12,7 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <sys/epoll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -452,6 +453,132 @@
 }
 END_TEST
 
+#define SMALL_PEERS 2300
+#define SMALL_PART 16000 /* bytes; together more than the bound of 32 MB */
+
+/* A peer that connects to the set and never reads. */
+static int
+connect_plain (const char *address)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  char host[MD_ADDRESS_BYTES];
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int port;
+
+  ck_assert_int_eq (md_address_split (md_str (address), host, &port), MD_OK);
+  sa.sin_port = htons ((uint16_t)port);
+  inet_pton (AF_INET, host, &sa.sin_addr);
+  ck_assert_int_ge (fd, 0);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&sa, sizeof sa), 0);
+  return fd;
+}
+
+/* Guards against a process that is killed for its memory because thousands of connections each have
+   a part of a frame that is too small to be looked at. */
+START_TEST (test_small_unfinished_frames_are_bounded)
+{
+  struct rlimit files = { 2 * SMALL_PEERS + 64, 2 * SMALL_PEERS + 64 };
+  struct rlimit former;
+  Side a = { 0 };
+  static int peer[SMALL_PEERS];
+  static char part[SMALL_PART] = "\1";
+  char address[MD_ADDRESS_BYTES];
+
+  getrlimit (RLIMIT_NOFILE, &former);
+  ck_assert_uint_ge (former.rlim_max, files.rlim_max); /* what the test needs of the host */
+  files.rlim_max = former.rlim_max;
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &files), 0);
+  open_side (&a);
+  ck_assert_int_eq (md_links_listen (a.links, MD_STR ("127.0.0.1:0"), address, NULL), MD_OK);
+  for (int i = 0; i < SMALL_PEERS; i++)
+    {
+      peer[i] = connect_plain (address);
+      ck_assert_int_eq (send (peer[i], part, sizeof part, MSG_NOSIGNAL), SMALL_PART);
+      md_links_poll (a.links, 0);
+      md_links_poll (a.links, 0);
+    }
+  for (int i = 0; i < 200; i++)
+    md_links_poll (a.links, 0);
+  ck_assert_int_eq (a.ups, SMALL_PEERS);
+  ck_assert_uint_le (input_bytes (a.links), 32u << 20);
+  ck_assert_uint_ge (input_bytes (a.links), (32u << 20) - 2 * SMALL_PART);
+  ck_assert_int_gt (a.downs, 0);
+  for (int i = 0; i < SMALL_PEERS; i++)
+    close (peer[i]);
+  md_links_free (a.links);
+}
+END_TEST
+
+#define DEAF_PEERS 20
+#define OUTPUT_FRAME ((size_t)1 << 20)
+
+static size_t
+output_bytes (const MdLinks *links)
+{
+  size_t total = 0;
+
+  for (const MdLink *link = links->links; link != NULL; link = link->next)
+    total += link->out.len;
+  return total;
+}
+
+/* Guards against a process that is killed for its memory because many peers stop reading: each link
+   had a limit, all of them together none. A peer that reads keeps its connection, and gets
+   everything. */
+START_TEST (test_output_of_all_links_is_bounded)
+{
+  Side a = { 0 };
+  Side b = { 0 };
+  char address[MD_ADDRESS_BYTES];
+  int peer[DEAF_PEERS];
+  MdLink *reader;
+  int sent = 0;
+
+  open_side (&a);
+  open_side (&b);
+  ck_assert_int_eq (md_links_listen (a.links, MD_STR ("127.0.0.1:0"), address, NULL), MD_OK);
+  md_links_dial (b.links, md_str (address), NULL);
+  for (int i = 0; (a.ups == 0 || b.ups == 0) && i < PASSES; i++)
+    poll_both (&a, &b);
+  reader = a.link;
+  for (int i = 0; i < DEAF_PEERS; i++)
+    {
+      peer[i] = connect_plain (address);
+      for (int k = 0; a.ups < i + 2 && k < PASSES; k++)
+        poll_both (&a, &b);
+    }
+  for (int round = 0; round < 16; round++)
+    {
+      Md__Frame frame = MD__FRAME__INIT;
+      Md__SnapshotReply reply = MD__SNAPSHOT_REPLY__INIT;
+
+      init_large_frame (&frame, &reply);
+      reply.snapshot.len = OUTPUT_FRAME;
+      for (MdLink *link = a.links->links; link != NULL; link = link->next)
+        {
+          if (!md_link_is_up (link))
+            continue;
+          sent += link == reader && md_link_send (link, &frame) == MD_OK;
+          if (link != reader)
+            (void)!md_link_send (link, &frame);
+          ck_assert_uint_le (output_bytes (a.links), 48u << 20);
+        }
+      free (reply.snapshot.data);
+      for (int i = 0; b.frames < sent && i < PASSES; i++)
+        poll_both (&a, &b);
+    }
+  ck_assert_int_eq (sent, 16);
+  ck_assert_int_eq (b.frames, 16);
+  ck_assert_int_eq (b.downs, 0);
+  ck_assert_int_gt (a.downs, 0);
+  ck_assert_int_eq (a.code, MD_E_LIMIT);
+  for (int i = 0; i < DEAF_PEERS; i++)
+    close (peer[i]);
+  md_links_free (b.links);
+  md_links_free (a.links);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -467,5 +594,7 @@
   tcase_add_test (tc, test_close_while_in_use);
   tcase_add_test (tc, test_wake);
   tcase_add_test (tc, test_unfinished_frames_are_bounded);
+  tcase_add_test (tc, test_small_unfinished_frames_are_bounded);
+  tcase_add_test (tc, test_output_of_all_links_is_bounded);
   return run_suite ("link", tc);
 }
