Let the HTTP client watch any descriptor

Operators of a process with more than about 4,000 connections saw its calls to the store, the worker and the advisor fail with timeouts, each preceded by a line http-watch: the client kept its watches in a table of 4,096 descriptors, and a socket with a higher number was never polled. The epoll set and libcurl's socket interface have no such limit, so that refusing the call was not needed.

The table now grows with the highest descriptor used, by doubling; a client without calls has none, where each had 32 KB before. Only a lack of memory can still make a watch fail, with the same log line.

Before: tests/test-http-async.c, "call_works_with_a_high_descriptor: Assertion 'done == end' failed: done == 0, end == 1". After: the call over a descriptor above 9,000 is answered with 200, in release, asan and tsan.

--- a/net/http-async.c
+++ b/net/http-async.c
@@ -20,7 +20,7 @@
 #include <stdio.h>
 #include <sys/epoll.h>
 
-#define MAX_WATCHES 4096                  /* descriptors supported, 0 to MAX_WATCHES - 1 */
+#define MIN_WATCHES 256                   /* first size of the table, by descriptor */
 #define MAX_IDLE_CALLS 16                 /* handles kept for reuse */
 #define MAX_RESPONSE_BYTES (4u << 20)     /* of a response; the store's have 1 MB in base64 */
 #define MAX_IDLE_BYTES (64u << 10)        /* of a buffer that an idle call keeps */
@@ -50,14 +50,15 @@
 
 struct MdHttp
 {
-  MdLinks *links;                /* polls the sockets; not owned */
-  CURLM *multi;                  /* owned */
-  Call *active;                  /* calls in progress, owned */
-  Call *idle;                    /* ended calls for reuse, owned */
-  unsigned n_idle;               /* at most MAX_IDLE_CALLS */
-  MdTime due;                    /* time-out of libcurl, INT64_MAX none */
-  MdTime silent_at;              /* when a call last timed out after MIN_SILENCE, 0: never */
-  MdWatch *watches[MAX_WATCHES]; /* by descriptor, owned; NULL: never used */
+  MdLinks *links;    /* polls the sockets; not owned */
+  CURLM *multi;      /* owned */
+  Call *active;      /* calls in progress, owned */
+  Call *idle;        /* ended calls for reuse, owned */
+  unsigned n_idle;   /* at most MAX_IDLE_CALLS */
+  MdTime due;        /* time-out of libcurl, INT64_MAX none */
+  MdTime silent_at;  /* when a call last timed out after MIN_SILENCE, 0: never */
+  MdWatch **watches; /* by descriptor, owned, each as well; NULL: never used */
+  size_t n_watches;  /* allocated; grows with the highest descriptor */
 };
 
 static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
@@ -87,12 +88,32 @@
   curl_multi_socket_action (http->multi, fd, flags, &running);
 }
 
+/* The links of a process may use thousands of descriptors, so that the table has no fixed size. */
+static bool
+grow_watches (MdHttp *http, size_t fd)
+{
+  size_t n = http->n_watches > 0 ? http->n_watches : MIN_WATCHES;
+  MdWatch **grown;
+
+  if (fd < http->n_watches)
+    return true;
+  while (n <= fd)
+    n *= 2;
+  grown = realloc (http->watches, n * sizeof (MdWatch *));
+  if (grown == NULL)
+    return false;
+  memset (grown + http->n_watches, 0, (n - http->n_watches) * sizeof (MdWatch *));
+  http->watches = grown;
+  http->n_watches = n;
+  return true;
+}
+
 static MdWatch *
 get_watch (MdHttp *http, curl_socket_t fd)
 {
   MdWatch *watch;
 
-  if (fd < 0 || fd >= MAX_WATCHES)
+  if (fd < 0 || !grow_watches (http, (size_t)fd))
     return NULL;
   if (http->watches[fd] != NULL)
     return http->watches[fd];
@@ -115,8 +136,7 @@
 
   if (watch == NULL)
     {
-      md_log (MD_LOG_ERROR, "http-watch", "fd=%d reason=\"descriptor out of range or no memory\"",
-              (int)fd);
+      md_log (MD_LOG_ERROR, "http-watch", "fd=%d reason=\"out of memory\"", (int)fd);
       return -1;
     }
   if (what == CURL_POLL_REMOVE)
@@ -196,12 +216,13 @@
       free_call (call);
     }
   curl_multi_cleanup (http->multi);
-  for (int fd = 0; fd < MAX_WATCHES; fd++)
+  for (size_t fd = 0; fd < http->n_watches; fd++)
     {
       if (http->watches[fd] != NULL)
         md_links_unwatch (http->links, http->watches[fd]);
       free (http->watches[fd]);
     }
+  free (http->watches);
   free (http);
 }
 
--- a/tests/test-http-async.c
+++ b/tests/test-http-async.c
@@ -8,7 +8,10 @@
 #include "scripted-server.h"
 #include "suite.h"
 
+#include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #define PASSES 20000             /* only ends a broken run */
 #define IDLE_TIME (1500 * MD_MS) /* longer than the second after which connections are distrusted */
@@ -234,6 +237,31 @@
 }
 END_TEST
 
+#define MANY_DESCRIPTORS 9000
+
+/* Guards against a process that has several thousand connections and can call neither its worker nor
+   the store any more: the client supported 4,096 descriptors, and calls ended with their timeouts. */
+START_TEST (call_works_with_a_high_descriptor)
+{
+  struct rlimit files;
+  int fd = open ("/dev/null", O_RDONLY);
+
+  ck_assert_int_ge (fd, 0);
+  ck_assert_int_eq (getrlimit (RLIMIT_NOFILE, &files), 0);
+  ck_assert_uint_gt (files.rlim_max, MANY_DESCRIPTORS + 16); /* what the test needs of the host */
+  files.rlim_cur = files.rlim_max;
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &files), 0);
+  while (fd < MANY_DESCRIPTORS)
+    {
+      fd = dup (fd);
+      ck_assert_int_ge (fd, 0);
+    }
+  make_call ("POST", false);
+  ck_assert_int_eq (status, 200);
+  scripted_server_stop (&server);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -247,5 +275,6 @@
   tcase_add_test (tc, end_of_a_call_asks_for_another_pass);
   tcase_add_test (tc, one_timeout_is_enough_for_silent_connections);
   tcase_add_test (tc, response_beyond_the_limit_ends_the_call);
+  tcase_add_test (tc, call_works_with_a_high_descriptor);
   return run_suite ("http-async", tc);
 }
