Satisfy the linter in the bounds of links and orders

None can happen: the sums of buffers are positive only while there is a link, and the number of orders in a message does not change while it is sent. The analyzer cannot know either, the second because the message is passed to a function that it does not see.

The searches for the fullest buffer now stop when there is no link, and the number of orders is read before the message is sent. clang-tidy reports nothing for both files any more; test-link and test-entry-guards pass in release, asan and tsan, as before.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -358,8 +358,8 @@
     }
   frame.msg_case = MD__FRAME__MSG_RUN_ORDERS;
   frame.run_orders = &orders;
-  rc = md_link_send (guard->link, &frame);
   *sent = (uint32_t)orders.n_orders;
+  rc = md_link_send (guard->link, &frame);
   if (rc != MD_OK)
     return rc;
   for (uint32_t i = 0; i < *sent; i++)
--- a/net/link-io.c
+++ b/net/link-io.c
@@ -250,11 +250,13 @@
   md_links_flush (links);
   while (links->output_bytes > MAX_OUTPUT_BYTES)
     {
-      MdLink *most = links->links;
+      MdLink *most = NULL;
 
       for (MdLink *link = links->links; link != NULL; link = link->next)
-        if (link->out.len > most->out.len)
+        if (most == NULL || link->out.len > most->out.len)
           most = link;
+      if (most == NULL)
+        return;
       md_count (MD_M_LINKS_ABANDONED, 1);
       md_log (MD_LOG_WARN, "output-limited", "step=send peer=%s bytes=%zu total=%zu", most->peer,
               md_link_queued (most), links->output_bytes);
@@ -376,11 +378,13 @@
 {
   while (links->input_bytes > MAX_INPUT_BYTES)
     {
-      MdLink *most = links->links;
+      MdLink *most = NULL;
 
       for (MdLink *link = links->links; link != NULL; link = link->next)
-        if (link->in.len > most->in.len)
+        if (most == NULL || link->in.len > most->in.len)
           most = link;
+      if (most == NULL)
+        return;
       md_count (MD_M_LINKS_ABANDONED, 1);
       md_log (MD_LOG_WARN, "input-limited", "step=receive peer=%s bytes=%zu total=%zu", most->peer,
               most->in.len, links->input_bytes);
