Answer malformed HTTP requests without CivetWeb's own pages

Malformed requests that arrived on several threads at once made the thread sanitizer report a race (a wrong Date in a page was not seen): CivetWeb writes a Date into its own error pages and calls gmtime for it, whose result all threads share.

The callback http_error now sends a short page with the same status, a length and no Date, and closes the connection, in run-entry, run-guard (registration and metrics) and the callers' interface of entry; the operators' interface had such a callback already. OPTIONS * and absolute URLs of other hosts are closed without an answer, as before.

Before: tests/test-front.c under tsan, "odd_requests_in_parallel: Early exit with return value 66", a data race in gmtime called by libcivetweb. After: it passes in tsan, release and asan. The servers of entry and guard have the same callback and options but no test of their own for it.

--- a/entry/callers.c
+++ b/entry/callers.c
@@ -674,6 +674,7 @@
   MdCallers *callers = calloc (1, sizeof *callers);
   struct mg_callbacks callbacks = { .init_thread = init_thread,
                                     .exit_thread = exit_thread,
+                                    .http_error = md_http_error,
                                     .init_connection = init_connection,
                                     .connection_closed = connection_closed,
                                     .log_message = log_message };
@@ -684,6 +685,8 @@
                             settings->caller_address,
                             "num_threads",
                             threads,
+                            "access_control_allow_origin",
+                            "",
                             "enable_keep_alive",
                             "yes",
                             "keep_alive_timeout_ms",
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -670,6 +670,8 @@
                             address,
                             "num_threads",
                             threads,
+                            "access_control_allow_origin",
+                            "",
                             "enable_keep_alive",
                             "yes",
                             "keep_alive_timeout_ms",
@@ -685,6 +687,7 @@
                             NULL };
   struct mg_callbacks callbacks = { .init_thread = init_thread,
                                     .exit_thread = exit_thread,
+                                    .http_error = md_http_error,
                                     .init_connection = init_connection,
                                     .connection_close = connection_closing,
                                     .connection_closed = connection_closed };
--- a/fleet/guard-registrar.c
+++ b/fleet/guard-registrar.c
@@ -5,6 +5,7 @@
    before it acknowledges it. Metrics have a server of their own (metrics-server.c) and are
    served here as well. */
 
+#include "http-server.h"
 #include "process.h"
 #include "run-guard.h"
 
@@ -104,6 +105,8 @@
                             address,
                             "num_threads",
                             threads,
+                            "access_control_allow_origin",
+                            "",
                             "enable_keep_alive",
                             "yes",
                             "keep_alive_timeout_ms",
@@ -111,7 +114,7 @@
                             "tcp_nodelay",
                             "1",
                             NULL };
-  struct mg_callbacks callbacks = { .init_thread = init_thread };
+  struct mg_callbacks callbacks = { .init_thread = init_thread, .http_error = md_http_error };
   struct mg_context *context = mg_start (&callbacks, server, options);
 
   if (context == NULL)
--- a/net/http-server.c
+++ b/net/http-server.c
@@ -2,6 +2,7 @@
 
 #include "http-server.h"
 
+#include <stdio.h>
 #include <strings.h>
 
 int
@@ -53,6 +54,28 @@
   return n == 0;
 }
 
+int
+md_http_error (struct mg_connection *conn, int status, const char *message MD_UNUSED)
+{
+  const struct mg_request_info *info = mg_get_request_info (conn);
+  const char *text = mg_get_response_code_text (conn, status);
+  bool has_body = status >= 200 && status != 204 && status != 304;
+  char body[128];
+  int len = snprintf (body, sizeof body, "Error %d: %s\n", status, text);
+
+  if (info != NULL && info->request_method != NULL && strcmp (info->request_method, "HEAD") == 0)
+    body[0] = '\0';
+  mg_disable_connection_keep_alive (conn);
+  if (has_body)
+    mg_printf (conn,
+               "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n"
+               "Connection: close\r\n\r\n%s",
+               status, text, len, body);
+  else
+    mg_printf (conn, "HTTP/1.1 %d %s\r\nConnection: close\r\n\r\n", status, text);
+  return 0;
+}
+
 int
 md_socket_find (const void *peer, socklen_t len, int first, int end)
 {
--- a/net/http-server.h
+++ b/net/http-server.h
@@ -24,6 +24,12 @@
    */
 bool md_http_skip_body (struct mg_connection *conn, size_t max);
 
+/* md_http_error: for mg_callbacks.http_error: send a short page for an error that CivetWeb detects,
+   such as a malformed request, and close the connection. CivetWeb's own page has a Date, for which
+   it calls gmtime, whose result all threads share. It does so as well for preflight requests (CORS),
+   which the option access_control_allow_origin "" leaves to the handlers. */
+int md_http_error (struct mg_connection *conn, int status, const char *message);
+
 /* md_socket_find: the lowest descriptor in [first, end) that is connected to the address peer
    of len bytes; -1 when there is none. Needed because CivetWeb does not expose its sockets. */
 int md_socket_find (const void *peer, socklen_t len, int first, int end);
--- a/operator/operator.c
+++ b/operator/operator.c
@@ -158,6 +158,8 @@
                             server->settings->operator_address,
                             "num_threads",
                             count,
+                            "access_control_allow_origin",
+                            "",
                             "enable_keep_alive",
                             "no",
                             "request_timeout_ms",
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -452,6 +452,60 @@
 }
 END_TEST
 
+#define ODD_THREADS 6
+#define ODD_ROUNDS 25
+
+/* Sends requests that CivetWeb itself answers; returns how many of them got another status. */
+/* Sends requests that CivetWeb itself answers, or would by default, and counts those that get another status. */
+static void *
+send_odd_requests (void *data)
+{
+  static const struct
+  {
+    int status;
+    const char *text;
+  } odd[] = {
+    { 400, "GET\r\n\r\n" },
+    { 400, "nonsense\r\n\r\n" },
+    { 505, "GET / HTTP/9.9.9\r\n\r\n" },
+    { 411, "POST /calc/1 HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: -4\r\n\r\n" },
+    { 400, "POST /calc/1 HTTP/1.1\r\nHost: jobs.example\r\nTransfer-Encoding: odd\r\n\r\n" },
+    { 405, "OPTIONS /calc/1 HTTP/1.1\r\nHost: jobs.example\r\nOrigin: http://jobs.example\r\n"
+           "Access-Control-Request-Method: POST\r\n\r\n" },
+  };
+  atomic_int *other = data;
+
+  for (int round = 0; round < ODD_ROUNDS; round++)
+    for (size_t i = 0; i < MD_ARRAY_SIZE (odd); i++)
+      {
+        char response[1024] = "";
+        int fd = connect_caller ();
+        ssize_t sent = write (fd, odd[i].text, strlen (odd[i].text));
+        ssize_t n = read (fd, response, sizeof response - 1);
+        const char *status = strchr (response, ' ');
+
+        if (sent < 0 || n <= 0 || status == NULL || atoi (status) != odd[i].status)
+          atomic_fetch_add (other, 1);
+        close (fd);
+      }
+  return NULL;
+}
+
+/* Guards against pages of CivetWeb with a Date: it calls gmtime, whose result all threads share,
+   which the thread sanitizer reports. */
+START_TEST (odd_requests_in_parallel)
+{
+  pthread_t threads[ODD_THREADS];
+  atomic_int other = 0;
+
+  for (int i = 0; i < ODD_THREADS; i++)
+    ck_assert_int_eq (pthread_create (&threads[i], NULL, send_odd_requests, &other), 0);
+  for (int i = 0; i < ODD_THREADS; i++)
+    pthread_join (threads[i], NULL);
+  ck_assert_int_eq (atomic_load (&other), 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -462,6 +516,7 @@
   tcase_add_test (tc, overloaded_entry_rejects_before_the_engine);
   tcase_add_test (tc, repeated_job_reaches_the_engine);
   tcase_add_test (tc, request_of_a_reset_connection_is_dropped);
+  tcase_add_test (tc, odd_requests_in_parallel);
   tcase_add_test (tc, configuration_does_not_wait_for_the_engine);
   tcase_add_test (tc, outdated_configuration_denies_no_queue);
   tcase_add_test (tc, bodies_beyond_the_memory_are_refused);
