--- a/net/link-io.c
+++ b/net/link-io.c
@@ -18,8 +18,8 @@
 #include <unistd.h>
 
 #define MAX_QUEUED_BYTES ((size_t)64 << 20) /* on one link; then the peer is too slow */
-/* Queued frames of all connections; three of the largest. With MAX_INPUT_BYTES it leaves a process
-   of 120 MB enough for everything else. Sound peers read, so that little is queued for long. */
+/* Queued frames of all connections; three of the largest. Together with MAX_INPUT_BYTES 80 of the
+   120 MB that an entry may use. Sound peers read, so that little is queued for long. */
 #define MAX_OUTPUT_BYTES ((size_t)48 << 20)
 #define WRITE_THRESHOLD_BYTES ((size_t)1 << 20)   /* queued bytes written before the next poll */
 #define READ_CHUNK_BYTES ((size_t)64 << 10)       /* requested by one recv */
@@ -250,11 +250,13 @@
   md_links_flush (links);
   while (links->output_bytes > MAX_OUTPUT_BYTES)
     {
-      MdLink *most = links->links;
+      MdLink *most = NULL;
 
       for (MdLink *link = links->links; link != NULL; link = link->next)
-        if (link->out.len > most->out.len)
+        if (most == NULL || link->out.len > most->out.len)
           most = link;
+      if (most == NULL)
+        return;
       md_count (MD_M_LINKS_ABANDONED, 1);
       md_log (MD_LOG_WARN, "output-limited", "step=send peer=%s bytes=%zu total=%zu", most->peer,
               md_link_queued (most), links->output_bytes);
@@ -376,11 +378,13 @@
 {
   while (links->input_bytes > MAX_INPUT_BYTES)
     {
-      MdLink *most = links->links;
+      MdLink *most = NULL;
 
       for (MdLink *link = links->links; link != NULL; link = link->next)
-        if (link->in.len > most->in.len)
+        if (most == NULL || link->in.len > most->in.len)
           most = link;
+      if (most == NULL)
+        return;
       md_count (MD_M_LINKS_ABANDONED, 1);
       md_log (MD_LOG_WARN, "input-limited", "step=receive peer=%s bytes=%zu total=%zu", most->peer,
               most->in.len, links->input_bytes);
