Count runs of one task with one number at two workers as double

judge_runs compared run numbers only, so that it did not see two runs of a task at a time that both have number 1 at two workers. Starts are idempotent for a task and number at one worker only.

A worker's "end" lines now name the worker, and open runs are kept for each worker; a worker's crash ends its runs.

--- a/tests/platform-worker.c
+++ b/tests/platform-worker.c
@@ -6,8 +6,8 @@
    " advised" needs the permit "WORKER/STEP" of the advisory service.
 
    The journal is the judge of double runs: lines "start TASK RUN MS ID",
-   "end TASK RUN HOW MS", "drain - 0 MS ID" and "undrain - 0 MS ID", with the wall
-   clock, each appended with one write.
+   "end TASK RUN HOW MS ID", "crash - 0 MS ID", "drain - 0 MS ID" and "undrain - 0 MS ID",
+   with the wall clock, each appended with one write.
 
    POST /control?mode=M sets the behaviour of later orders: normal, lost (every tenth
    order gets no answer and is carried out up to two seconds later), fail (runs fail at
@@ -180,7 +180,7 @@
   w.used_cpu -= run.cpu;
   if (run.run > highest->run)
     highest->run = run.run;
-  note ("end %s %d %s %lld\n", run.task, run.run, how, (long long)md_wall_ms ());
+  note ("end %s %d %s %lld %s\n", run.task, run.run, how, (long long)md_wall_ms (), w.id);
   if (w.n_ends < MAX_ENDS)
     {
       End *end = &w.ends[w.n_ends++];
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -299,20 +299,22 @@
 }
 
 # judge_runs JOURNAL RESULTS: counts broken promises from what workers and callers saw:
-# two runs of a task at once, jobs that started although every attempt was rejected, and
-# starts on a worker that has been draining for longer than drain_ms.
+# two runs of a task at once (with one run number at two workers, when two entries order it, or with
+# two), jobs that started although every attempt was rejected, and starts on a worker that has been
+# draining for longer than drain_ms.
 judge_runs () {
   sort -s -k1,1 -k2,2 "$2" > "$RUN/sorted" 2>/dev/null
   awk -v drain_ms=2000 '
     FNR == NR { outcome[$1] = $2; n[$2]++; next }
     $1 == "start" { starts++
       split($2, part, "."); begun[part[1]] = 1
-      for (r in open) { split(r, k, SUBSEP); if (k[1] == $2 && k[2] != $3) { twice++; print "TWICE " $2 > "/dev/stderr" } }
+      for (r in open) { split(r, k, SUBSEP); if (k[1] == $2 && (k[2] != $3 || k[3] != $5)) { twice++; print "TWICE " $2 > "/dev/stderr" } }
       if (($5 in drains) && $4 > drains[$5] + drain_ms) { drained++; print "DRAIN " $2 > "/dev/stderr" }
-      open[$2, $3] = $4 }
+      open[$2, $3, $5] = $4 }
     $1 == "drain" { drains[$5] = $4 }
     $1 == "undrain" { delete drains[$5] }
-    $1 == "end" { delete open[$2, $3] }
+    $1 == "end" { delete open[$2, $3, $6] }
+    $1 == "crash" { for (r in open) { split(r, k, SUBSEP); if (k[3] == $5) delete open[r] } }
     END {
       for (id in outcome) if (outcome[id] == "rejected" && begun[id]) { false_not_run++; print "REFUSED " id > "/dev/stderr" }
       printf "starts=%d twice=%d false_not_run=%d drained=%d completed=%d failed=%d rejected=%d unknown=%d left=%d\n",
