Bound the urgency of a job before it is converted to a time

The time from which a job is urgent was undefined when its customer's waiting work exceeds every time, as in a trace with extreme declared times. Found by the fuzzer after 89,346 inputs:

core/dispatch.c:232:29: runtime error: 2.67534e+19 is outside the range of representable values of type 'long'

Cause: a double of microseconds was converted first and bounded by half the time to the deadline afterwards. Ruled out: a caller of the daemon as the origin, whose declared times are at most an hour.

The bound is applied first; other results are the same. gcc's sanitizer does not look for this conversion, so that the input in the corpus shows it in "make fuzz" only, where it was not run again yet. test-corpus 24, test- dispatch 13 and test-policy 11 of all in release, asan and tsan; run-replay in release and asan.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -209,6 +209,8 @@
   double total = 0;
   double longest = 0;
   double ideal = 0;
+  double slowdown;
+  MdTime half;
 
   active->customer = md_customer_get (d, spec->customer);
   active->deadline = spec->deadline;
@@ -229,9 +231,10 @@
   if (d->capacity > 0)
     ideal = fmax (longest / d->fastest_speed,
                   (active->customer->waiting_work + total) / customer_rate (d, active->customer));
-  active->urgent_at = now + (MdTime)(d->tuning.max_slowdown * ideal);
-  if (active->urgent_at > now + (active->deadline - now) / 2)
-    active->urgent_at = now + (active->deadline - now) / 2; /* see limits.c */
+  /* The waiting work of a slow customer can exceed every time; see limits.c for the half. */
+  slowdown = d->tuning.max_slowdown * ideal;
+  half = (active->deadline - now) / 2;
+  active->urgent_at = now + (slowdown < (double)half ? (MdTime)slowdown : half);
   active->demand_bucket = md_demand_bucket (active->deadline, now);
 }
 
