Log and count frames that cannot be decoded

An operator saw nothing when a peer sent a malformed frame before it had introduced itself: the connection ended without a line, and no metric told of it from any peer.

Cause: the end of a link is logged by the daemons, which ignore links without a guard or entry, and the reason was part of that line only. A lack of memory was called a malformed frame as well, which blames the peer. Ruled out: a line in each daemon, of which there are four.

--- a/net/frame.c
+++ b/net/frame.c
@@ -49,17 +49,26 @@
   return MD_OK;
 }
 
+typedef struct
+{
+  size_t left;        /* bytes that the frame may still take */
+  bool out_of_memory; /* the process has none; the peer is not at fault */
+} Bound;
+
 /* Allocates with malloc, so that md__frame__free_unpacked with a NULL allocator can free
-   the frame. data is the number of bytes left. */
+   the frame. data is the Bound. */
 static void *
 bounded_alloc (void *data, size_t size)
 {
-  size_t *left = data;
+  Bound *bound = data;
+  void *memory;
 
-  if (size > *left)
+  if (size > bound->left)
     return NULL;
-  *left -= size;
-  return malloc (size);
+  bound->left -= size;
+  memory = malloc (size);
+  bound->out_of_memory |= memory == NULL;
+  return memory;
 }
 
 static void
@@ -68,19 +77,23 @@
   free (memory);
 }
 
-static Md__Frame *
-unpack_bounded (const char *bytes, size_t len)
+static int
+unpack_bounded (const char *bytes, size_t len, Md__Frame **frame)
 {
-  size_t left = MAX_DECODED_BYTES;
-  ProtobufCAllocator allocator = { bounded_alloc, bounded_free, &left };
+  Bound bound = { .left = MAX_DECODED_BYTES };
+  ProtobufCAllocator allocator = { bounded_alloc, bounded_free, &bound };
 
-  return md__frame__unpack (&allocator, len, (const uint8_t *)bytes);
+  *frame = md__frame__unpack (&allocator, len, (const uint8_t *)bytes);
+  if (*frame != NULL)
+    return MD_OK;
+  return bound.out_of_memory ? MD_E_MEMORY : MD_E_INVALID;
 }
 
 int
 md_frame_decode (MdStr bytes, Md__Frame **frame, size_t *used)
 {
   size_t len;
+  int rc;
 
   if (bytes.len < LENGTH_BYTES)
     return MD_E_NOT_FOUND;
@@ -89,9 +102,9 @@
     return MD_E_INVALID;
   if (bytes.len - LENGTH_BYTES < len)
     return MD_E_NOT_FOUND;
-  *frame = unpack_bounded (bytes.data + LENGTH_BYTES, len);
-  if (*frame == NULL)
-    return MD_E_INVALID;
+  rc = unpack_bounded (bytes.data + LENGTH_BYTES, len, frame);
+  if (rc != MD_OK)
+    return rc;
   *used = LENGTH_BYTES + len;
   return MD_OK;
 }
--- a/net/link-io.c
+++ b/net/link-io.c
@@ -264,6 +264,20 @@
     md_count (MD_M_CONTROL_RECEIVED, (int64_t)bytes);
 }
 
+/* Ends the connection on which the next frame cannot be decoded. Handlers know only the peers that
+   have introduced themselves, so that the line is written here. */
+static void
+refuse_frame (MdLink *link, int code, size_t bytes)
+{
+  const char *reason = code == MD_E_MEMORY ? "out of memory" : "malformed frame";
+
+  if (code == MD_E_INVALID)
+    md_count (MD_M_FRAMES_MALFORMED, 1);
+  md_log (MD_LOG_WARN, "frame-refused", "step=decode peer=%s bytes=%zu reason=\"%s\"", link->peer,
+          bytes, reason);
+  md_link_end (link, code, reason);
+}
+
 static void
 handle_frames (MdLink *link)
 {
@@ -277,13 +291,13 @@
       size_t used;
       int rc = md_frame_decode (rest, &frame, &used);
 
-      if (rc == MD_E_INVALID)
+      if (rc == MD_E_NOT_FOUND)
+        break;
+      if (rc != MD_OK)
         {
-          md_link_end (link, MD_E_INVALID, "malformed frame");
+          refuse_frame (link, rc, rest.len);
           return;
         }
-      if (rc != MD_OK)
-        break;
       start += used;
       link->attempts = 0;
       count_received (frame, used);
--- a/tests/test-link.c
+++ b/tests/test-link.c
@@ -305,6 +305,7 @@
   for (int i = 0; s.downs == 0 && i < PASSES; i++)
     poll_both (&s, NULL);
   ck_assert_int_eq (s.code, MD_E_INVALID);
+  ck_assert_int_eq (atomic_load (&md_metrics[MD_M_FRAMES_MALFORMED]), 1);
   close (peer);
   close (listener);
   md_links_free (s.links);
