Read no times from logs without a job

"simulate" of logs that have runs but no dated job computed with an undefined time before it said that no job is told of. By reading, a stamp with a year of nine digits was undefined as well. The first was found by the fuzzer after 671 inputs:

Cause: times count from the first job, which was set to the largest number until there is one. Ruled out at first, wrongly: the stamp, whose fields are limited to their digits now; the input still failed until the lines are no longer read without a job.

--- a/common/log-line.c
+++ b/common/log-line.c
@@ -65,8 +65,8 @@
   int millis = 0;
 
   md_str_copy (text, sizeof text, value);
-  if (sscanf (text, "%d-%d-%dT%d:%d:%d.%dZ", &tm.tm_year, &tm.tm_mon, &tm.tm_mday, &tm.tm_hour,
-              &tm.tm_min, &tm.tm_sec, &millis)
+  if (sscanf (text, "%4d-%2d-%2dT%2d:%2d:%2d.%3dZ", &tm.tm_year, &tm.tm_mon, &tm.tm_mday,
+              &tm.tm_hour, &tm.tm_min, &tm.tm_sec, &millis)
       != 7)
     return false;
   tm.tm_year -= 1900;
--- a/model/day-log.c
+++ b/model/day-log.c
@@ -341,6 +341,8 @@
         n++;
         reader->start_ms = ms < reader->start_ms ? ms : reader->start_ms;
       }
+  if (n == 0)
+    return; /* there is no first job, which all times count from */
   for (reader->n_slots = 256; reader->n_slots < 2 * n; reader->n_slots *= 2)
     ;
   reader->slots = calloc (reader->n_slots, sizeof *reader->slots);
