Bound the retry-after of an overloaded queue before it becomes a time

The time after which a refused caller is told to try again was undefined when the waiting work exceeds every time, as in a trace with extreme declared times. Found by the fuzzer after 226,123 inputs:

core/limits.c:83:10: runtime error: 2.5023e+20 is outside the range of representable values of type 'long'

Cause: the excess of the work is a sum of doubles that was converted without a bound. Ruled out: a daemon's callers as the origin, who declare an hour per task at most.

The excess is bounded by 366 days.

--- a/core/limits.c
+++ b/core/limits.c
@@ -19,6 +19,8 @@
 
 #include <math.h>
 
+/* The work of waiting tasks is a sum that can exceed every time. */
+#define MAX_EXCESS (366 * 24 * 3600 * MD_SECOND)
 #define QUOTA_BURST_US (1.0 * 1000.0 * 1000.0) /* time for which unused quota accumulates */
 #define ADMISSION_TIME_SHARE 0.5               /* of the time left, see above */
 #define MIN_RETRY_AFTER (100 * MD_MS)          /* shorter delays only add messages */
@@ -80,7 +82,7 @@
         end = deadline;
       excess = fmax (excess, due / rate - ADMISSION_TIME_SHARE * (double)(end - now));
     }
-  return (MdTime)excess;
+  return (MdTime)fmin (excess, (double)MAX_EXCESS);
 }
 
 MdReason
