--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -310,6 +310,13 @@
       md_entry_reject_request (entry, caller_request, 503, MD_RETRY_AFTER_NO_WORKER);
       return;
     }
+  job->stats = get_stats (entry, caller_request->route.name);
+  if (job->stats == NULL)
+    {
+      free_job (entry, job);
+      md_entry_reject_request (entry, caller_request, 503, MD_RETRY_AFTER_NO_WORKER);
+      return;
+    }
   if (md_runjob_init (&job->runjob, &caller_request->spec, caller_request->route.max_attempts,
                       &error)
       != MD_OK)
@@ -323,7 +330,6 @@
   md_str_copy (job->id, sizeof job->id, md_str (caller_request->id));
   md_str_copy (job->request_id, sizeof job->request_id, md_str (caller_request->request_id));
   job->route = caller_request->route;
-  job->stats = get_stats (entry, caller_request->route.name);
   md_estimate_set_prior (&job->stats->correction, &entry->correction);
   job->requests = caller_request;
   caller_request->job = job;
