Say what test-alloc does not judge

Readers of docs/fuzzing.md and of the head of test-alloc were told that an abort is accepted where the source explains it. The test accepts any call of abort after a failed allocation, and sees leaks of the three frame targets only in the build with the address sanitizer. Cause: the text was written before the test.

--- a/tests/test-alloc.c
+++ b/tests/test-alloc.c
@@ -8,10 +8,10 @@
    Memory is counted here as well; where libprotobuf-c frees it, and this count would be wrong, the
    address sanitizer looks for leaks at the end of the process.
 
-   A target may refuse the input, decode it as if nothing had failed, or abort where the source
-   states why it has to. Anything else is a fault: a crash, memory that is not freed, or an input
-   that is accepted with another result. ALLOC_TARGET names one target, ALLOC_TRACE=1 prints each
-   step. Runs in the root of the tree. */
+   A target may refuse the input, decode it as if nothing had failed, or abort; which aborts are
+   necessary is for the source to state. Anything else is a fault: a crash, memory that is not freed,
+   or an input that is accepted with another result. ALLOC_TARGET names one target, ALLOC_TRACE=1
+   prints each step. Runs in the root of the tree. */
 
 #include "fuzz/targets.h"
 #include "suite.h"
