--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -10,7 +10,6 @@
 
 #include "run-guard.h"
 
-#include <stdio.h>
 #include <xxhash.h>
 
 #define DROP_SILENT_PEER_AFTER (30 * MD_SECOND) /* since its last frame or announcement */
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -1,4 +1,4 @@
-/* test-front.c -- HTTP front end of an entry, over the loopback interface, without its engine */
+/* test-front.c -- HTTP front end of an entry, over the loopback interface; tests step its engine */
 
 #include "http-client.h"
 #include "port.h"
@@ -26,7 +26,6 @@
   "\"limits\":{\"max_body_bytes\":7340032}}"
 #define LARGE_BODY 7340032 /* bytes; the memory for bodies is enough for three */
 #define GONE "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
-
 #define ID "00000000000000a1"
 
 static MdRunEntry entry;
