Ignore records beyond the tasks of a job that an entry knows

Ruled out: a record beyond its own number of tasks, which was left out already. The new test in test-entry-reconnect ends by SEGV in md_jobs_records (asan) without the check, and passes with it in release, asan and tsan.

--- a/entry/entry-jobs.c
+++ b/entry/entry-jobs.c
@@ -354,6 +354,8 @@
       /* A guard sends its retained answers after its records. Until the body is
          here, the task counts as running, so that no job ends without it. */
       job = md_jobs_find (shard, record.key);
+      if (job != NULL && record.task >= job->n_tasks)
+        continue; /* of another number of tasks than the job */
       if (record.state == MD_RECORD_OK
           && (job == NULL || (job->result == NULL && !job->answers[record.task].present)))
         record.state = MD_RECORD_RUNNING;
--- a/tests/test-entry-reconnect.c
+++ b/tests/test-entry-reconnect.c
@@ -268,6 +268,36 @@
 }
 END_TEST
 
+/* Guards against a read beyond the answers of a job, whose guard's record states more tasks. */
+START_TEST (record_beyond_the_tasks_of_a_job_is_ignored)
+{
+  Md__Records records = MD__RECORDS__INIT;
+  Md__TaskRecord record = MD__TASK_RECORD__INIT;
+  Md__TaskRecord *list = &record;
+  Md__Key key = MD__KEY__INIT;
+  MdLink *link = dial ();
+
+  send_hello (link, MD_ROLE_GUARD, GUARD);
+  for (int i = 0; i < PASSES && entry.peers == NULL; i++)
+    poll_both ();
+  ck_assert_ptr_nonnull (entry.peers);
+  md_shards_guard_attached (&entry, entry.peers, md_now ());
+  key.hi = 7;
+  record.key = &key;
+  record.fingerprint = &key;
+  record.n_tasks = 1;
+  record.state = MD_RECORD_RUNNING;
+  records.n_records = 1;
+  records.records = &list;
+  md_jobs_records (&entry, entry.peers, &records, md_now ());
+  record.n_tasks = 100000;
+  record.task = 99999;
+  record.state = MD_RECORD_OK;
+  md_jobs_records (&entry, entry.peers, &records, md_now ());
+  ck_assert_uint_eq (md_jobs_find (shard, (MdKey){ 7, 0 })->n_tasks, 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -277,5 +307,6 @@
   tcase_add_test (tc, forward_is_repeated_on_a_new_connection);
   tcase_add_test (tc, forward_is_not_sent_back);
   tcase_add_test (tc, recovered_task_is_queried_on_a_new_connection);
+  tcase_add_test (tc, record_beyond_the_tasks_of_a_job_is_ignored);
   return run_suite ("entry-reconnect", tc);
 }
