Take a refused attempt back in one way, and check a record once

A recovered attempt was undone in two places: with the answer of a guard, and with a record that tells the refusal. The record now goes through md_task_record_result, as the records of submitted jobs do, so that md_task_withdraw_recovered is private to jobs.c; the only difference is that the record counts as contact of the guard, as the record of the start does already. note_record no longer repeats the check of the number of tasks that md_jobs_records makes before it.

--- a/core/dispatch-private.h
+++ b/core/dispatch-private.h
@@ -474,10 +474,6 @@
    There a task that some guards have refused holds up no other, and fails its job at once when no
    guard is left. */
 void md_task_requeue (MdDispatch *d, MdTask *task);
-
-/* md_task_withdraw_recovered: undoes an attempt that is known from a record only, after its guard
-   has refused it and the task is detached. */
-void md_task_withdraw_recovered (MdTask *task);
 /* md_task_record_result: records the end of an attempt. Returns true when the
    answer is to be kept. */
 bool md_task_record_result (MdDispatch *d, MdTask *task, MdTaskResult result, MdReason reason,
--- a/core/jobs.c
+++ b/core/jobs.c
@@ -446,10 +446,11 @@
   task->refused = true;
 }
 
-/* Without the submission there is no request to send. Whether the task may start elsewhere is
-   decided when the submission arrives, as for a task without a record. */
-void
-md_task_withdraw_recovered (MdTask *task)
+/* Takes an attempt back that is known from a record only. Without the submission there is no request
+   to send; whether the task may start elsewhere is decided when it arrives, as for a task without a
+   record. */
+static void
+withdraw_recovered (MdTask *task)
 {
   task->state = MD_TASK_STATE_ABSENT;
   task->attempts--;
@@ -565,7 +566,7 @@
       if (job->submitted)
         md_task_requeue (d, task);
       else
-        md_task_withdraw_recovered (task);
+        withdraw_recovered (task);
       return false;
     default:
       attempt_failed (d, task, result, failure_reason (result, reason), id, now);
--- a/core/recover.c
+++ b/core/recover.c
@@ -96,11 +96,10 @@
 static void
 apply_refusal (MdDispatch *d, MdTask *task, const MdRecord *record, MdTime now)
 {
-  md_task_record_refusal (task, record->guard);
-  if (task->state != MD_TASK_STATE_SENT || task->guard->id != record->guard)
-    return;
-  md_task_detach (d, task, now);
-  md_task_withdraw_recovered (task);
+  if (task->state == MD_TASK_STATE_SENT && task->guard->id == record->guard)
+    md_task_record_result (d, task, MD_TASK_NOT_RUN, MD_REASON_REFUSED_BEFORE, 0, now);
+  else
+    md_task_record_refusal (task, record->guard);
 }
 
 /* Applies a record to an open job whose submission is not known yet. */
--- a/entry/entry-jobs.c
+++ b/entry/entry-jobs.c
@@ -323,7 +323,7 @@
 static void
 note_record (Job *job, const MdRecord *record)
 {
-  if (job == NULL || record->task >= job->n_tasks)
+  if (job == NULL)
     return;
   if (job->sub == NULL)
     job->fingerprint = record->fingerprint;
