Share the attached guard and its record between two tests

Two tests of test-entry-reconnect built the same connection and record. attach_guard and take_record serve both; the assertions are the same, and the one on the guard's shard holds for both tests now. With the check of the number of tasks left out the one ends by SEGV (asan), with the noted record left out the other fails (0 tasks asked about, wanted 1), as before.

--- a/tests/test-entry-reconnect.c
+++ b/tests/test-entry-reconnect.c
@@ -233,35 +233,47 @@
 }
 END_TEST
 
-/* Guards against a task that is awaited until its job's deadline although its guard has refused
-   it: tasks that a new owner knew from records only were not asked about again. */
-START_TEST (recovered_task_is_queried_on_a_new_connection)
+/* A guard that the entry has attached. */
+static void
+attach_guard (void)
+{
+  send_hello (dial (), MD_ROLE_GUARD, GUARD);
+  for (int i = 0; i < PASSES && entry.peers == NULL; i++)
+    poll_both ();
+  ck_assert_ptr_nonnull (entry.peers);
+  ck_assert_ptr_eq (entry.peers->shard, shard);
+  md_shards_guard_attached (&entry, entry.peers, md_now ());
+}
+
+/* A record of the guard about the last task of a job. */
+static void
+take_record (uint32_t n_tasks, MdRecordState state)
 {
   Md__Records records = MD__RECORDS__INIT;
   Md__TaskRecord record = MD__TASK_RECORD__INIT;
   Md__TaskRecord *list = &record;
   Md__Key key = MD__KEY__INIT;
   Md__Key fingerprint = MD__KEY__INIT;
-  MdLink *link = dial ();
 
-  send_hello (link, MD_ROLE_GUARD, GUARD);
-  for (int i = 0; i < PASSES && entry.peers == NULL; i++)
-    poll_both ();
-  ck_assert_ptr_nonnull (entry.peers);
-  ck_assert_ptr_eq (entry.peers->shard, shard);
-  md_shards_guard_attached (&entry, entry.peers, md_now ());
   key.hi = 7;
   fingerprint.hi = 8;
   record.key = &key;
   record.fingerprint = &fingerprint;
-  record.n_tasks = 2;
-  record.state = MD_RECORD_RUNNING;
+  record.task = n_tasks - 1;
+  record.n_tasks = n_tasks;
+  record.state = state;
   records.n_records = 1;
   records.records = &list;
   md_jobs_records (&entry, entry.peers, &records, md_now ());
+}
 
-  link = dial ();
-  send_hello (link, MD_ROLE_GUARD, GUARD);
+/* Guards against a task that is awaited until its job's deadline although its guard has refused
+   it: tasks that a new owner knew from records only were not asked about again. */
+START_TEST (recovered_task_is_queried_on_a_new_connection)
+{
+  attach_guard ();
+  take_record (2, MD_RECORD_RUNNING);
+  send_hello (dial (), MD_ROLE_GUARD, GUARD);
   for (int i = 0; i < 100 && queried == 0; i++)
     poll_both ();
   ck_assert_uint_eq (queried, 1);
@@ -271,29 +283,9 @@
 /* Guards against a read beyond the answers of a job, whose guard's record states more tasks. */
 START_TEST (record_beyond_the_tasks_of_a_job_is_ignored)
 {
-  Md__Records records = MD__RECORDS__INIT;
-  Md__TaskRecord record = MD__TASK_RECORD__INIT;
-  Md__TaskRecord *list = &record;
-  Md__Key key = MD__KEY__INIT;
-  MdLink *link = dial ();
-
-  send_hello (link, MD_ROLE_GUARD, GUARD);
-  for (int i = 0; i < PASSES && entry.peers == NULL; i++)
-    poll_both ();
-  ck_assert_ptr_nonnull (entry.peers);
-  md_shards_guard_attached (&entry, entry.peers, md_now ());
-  key.hi = 7;
-  record.key = &key;
-  record.fingerprint = &key;
-  record.n_tasks = 1;
-  record.state = MD_RECORD_RUNNING;
-  records.n_records = 1;
-  records.records = &list;
-  md_jobs_records (&entry, entry.peers, &records, md_now ());
-  record.n_tasks = 100000;
-  record.task = 99999;
-  record.state = MD_RECORD_OK;
-  md_jobs_records (&entry, entry.peers, &records, md_now ());
+  attach_guard ();
+  take_record (1, MD_RECORD_RUNNING);
+  take_record (100000, MD_RECORD_OK);
   ck_assert_uint_eq (md_jobs_find (shard, (MdKey){ 7, 0 })->n_tasks, 1);
 }
 END_TEST
