Walk the fuzzer's corpus in one place

test-corpus and test-alloc each opened the folder of a target, read its files and checked the errors, a copy with small variations. corpus_each serves both; what each test does with an input and asserts of it is as before.

--- a/tests/test-alloc.c
+++ b/tests/test-alloc.c
@@ -13,14 +13,12 @@
    or an input that is accepted with another result. ALLOC_TARGET names one target, ALLOC_TRACE=1
    prints each step. Runs in the root of the tree. */
 
-#include "fuzz/targets.h"
+#include "corpus.h"
 #include "suite.h"
 
-#include <dirent.h>
 #include <errno.h>
 #include <setjmp.h>
 
-#define CORPUS "tests/fuzz/corpus"
 #define INPUT_MAX 4096    /* longer inputs are left out, for time */
 #define MAX_FAILURES 400  /* for one input; beyond, the failures are spread evenly */
 #define TABLE_SIZE 65536u /* addresses of memory in use; a power of two */
@@ -279,29 +277,21 @@
 }
 
 static void
-run_file (const FuzzTarget *target, const char *folder, const char *name)
+run_input (const FuzzTarget *target, const char *path, MdStr input)
 {
-  MD_AUTO_BUF input = { 0 };
-  char path[512];
-  FILE *file;
   Run whole;
   uint64_t step;
 
-  snprintf (path, sizeof path, "%s/%s", folder, name);
-  file = fopen (path, "re");
-  ck_assert_msg (file != NULL, "%s: %s", path, strerror (errno));
-  ck_assert (md_stream_read (file, INPUT_MAX, &input));
-  fclose (file);
   if (input.len > INPUT_MAX)
     return;
-  run_once (target, md_buf_str (&input), 0, false); /* what is allocated once for the process */
-  whole = run_once (target, md_buf_str (&input), 0, false);
+  run_once (target, input, 0, false); /* what is allocated once for the process */
+  whole = run_once (target, input, 0, false);
   ck_assert_msg (whole.leaked == 0, "%s: %zu allocations are not freed", path, whole.leaked);
   step = whole.allocations / MAX_FAILURES + 1;
   for (uint64_t n = 1; n <= whole.allocations; n += step)
     {
-      check_failure (target, path, &whole, n, false, md_buf_str (&input));
-      check_failure (target, path, &whole, n, true, md_buf_str (&input));
+      check_failure (target, path, &whole, n, false, input);
+      check_failure (target, path, &whole, n, true, input);
     }
 }
 
@@ -311,19 +301,11 @@
 {
   const FuzzTarget *target = &fuzz_targets[_i];
   const char *only = getenv ("ALLOC_TARGET");
-  char folder[256];
-  DIR *dir;
 
   if (only != NULL && strcmp (only, target->name) != 0)
     return;
-  snprintf (folder, sizeof folder, "%s/%s", CORPUS, target->name);
-  dir = opendir (folder);
-  ck_assert_msg (dir != NULL, "%s: %s", folder, strerror (errno));
   fuzz_silence ();
-  for (const struct dirent *file; (file = readdir (dir)) != NULL;)
-    if (file->d_name[0] != '.')
-      run_file (target, folder, file->d_name);
-  closedir (dir);
+  corpus_each (target, INPUT_MAX, run_input);
 }
 END_TEST
 
