--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -8,13 +8,13 @@
 start_deployment 1 3 --cpu 64000 --stop-ms "${STOP_MS:-40}"
 
 cat > "$RUN/job" <<JSON
-{"spec":"ms=9000 cpu=100","best_effort":true,"steps":[{"count":$TASKS,"cpu":100,"mem_mb":16,"estimated_ms":9000}]}
+{"spec":"ms=12000 cpu=100","best_effort":true,"steps":[{"count":$TASKS,"cpu":100,"mem_mb":16,"estimated_ms":12000}]}
 JSON
 record "the client sends job $ID with $TASKS tasks to edge-1"
 http "$(entry_ip 1):$FRONT" POST "/calc/$ID" 30000 "$RUN/job" > "$RUN/answer" &
 CLIENT=$!
 all_started () { [ "$(running_tasks)" -ge "$TASKS" ]; }
-wait_for 8 all_started || cannot_run "only $(running_tasks) of $TASKS tasks have started"
+wait_for 10 all_started || cannot_run "only $(running_tasks) of $TASKS tasks have started"
 record "all tasks are at work"
 if [ "$TROUBLE" = 1 ]; then
   record "side-1 is killed"
