--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,10 +3,14 @@
 # after its channel broke, to the other entry.
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../lab-2.sh"
-TASKS=${TASKS:-750}
+TASKS=${TASKS:-600}
 ID=6a0000000000000$((RANDOM % 10))
-start_deployment 2 3 --cpu 64000 --stop-ms ${STOP_MS:-40}
+WORKER_4="--kind b"
+start_deployment 2 4 --cpu 64000 --stop-ms ${STOP_MS:-40}
 
+# Another client's job has worker 4 for 3 s, so that the tasks are placed on the other three.
+echo '{"spec":"ms=3000 cpu=6400","best_effort":true,"steps":[{"count":10,"cpu":6400,"mem_mb":16,"estimated_ms":3000,"requirements":"b"}]}' \
+  > "$RUN/other"
 cat > "$RUN/job" <<JSON
 {"spec":"ms=12000 cpu=100","best_effort":true,"steps":[{"count":$TASKS,"cpu":100,"mem_mb":16,"estimated_ms":12000}]}
 JSON
@@ -19,8 +23,14 @@
 }
 all_started () { [ "$(running_tasks)" -ge "$TASKS" ]; }
 
+other_started () { [ "$(running_tasks)" -ge 10 ]; }
+http "$(entry_ip 2):$FRONT" POST "/calc/${ID/6a/6f}" 10000 "$RUN/other" > "$RUN/other-answer" &
+OTHER=$!
+wait_for 5 other_started || cannot_run "the other job has not started"
 submit 1 &
 CLIENT=$!
+wait "$OTHER"
+record "another client's job on worker 4 has ended: $(cat "$RUN/other-answer")"
 wait_for 10 all_started || cannot_run "only $(running_tasks) of $TASKS tasks have started"
 record "all tasks are at work"
 if [ "$TROUBLE" = 1 ]; then
--- a/review/lab-2.sh
+++ b/review/lab-2.sh
@@ -63,10 +63,10 @@
   fill deploy/run-guard.yaml "side-$1" "$(guard_ip "$1")" "$RUN/side-$1.yaml"
   launch "side-$1" target/mulberrydrift run-guard --config "$RUN/side-$1.yaml"
 }
-start_worker () { # n options...
-  local n=$1; shift
+start_worker () { # n options...; those in WORKER_n come last
+  local n=$1 own="WORKER_$1"; shift
   launch "worker-$n" "$TOOLS/worker" --id "i-$n" --listen "$(guard_ip "$n"):$APP" \
-    --guard "$(guard_ip "$n"):$CONTROL" --journal "$RUN/journal" "$@"
+    --guard "$(guard_ip "$n"):$CONTROL" --journal "$RUN/journal" "$@" ${!own:-}
 }
 
 byte () { printf "\\x$(printf %02x $(($1 & 255)))"; }
--- a/review/tools-2/worker.c
+++ b/review/tools-2/worker.c
@@ -55,6 +55,7 @@
 static const char *listen_at;
 static const char *guard;
 static const char *service = "calc";
+static const char *kind = "a";
 static int capacity = 16000;
 static int stop_ms;
 static int journal = -1;
@@ -325,8 +326,8 @@
   snprintf (body, sizeof body,
             "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,"
             "\"state\":\"ready\",\"capacity\":{\"cpu\":%d,\"mem_mb\":32768,\"gpu\":0},"
-            "\"labels\":[\"a\",\"r1-1\"],\"clock_ms\":%lld,\"sequence\":%lld,\"born\":%lld}",
-            service, listen_at, capacity, (long long)now_ms (), (long long)sequence,
+            "\"labels\":[\"%s\",\"r1-1\"],\"clock_ms\":%lld,\"sequence\":%lld,\"born\":%lld}",
+            service, listen_at, capacity, kind, (long long)now_ms (), (long long)sequence,
             (long long)born_ms);
   snprintf (text, sizeof text,
             "PUT /v1/instances/%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
@@ -356,6 +357,8 @@
       guard = argv[i + 1];
     else if (strcmp (argv[i], "--cpu") == 0)
       capacity = atoi (argv[i + 1]);
+    else if (strcmp (argv[i], "--kind") == 0)
+      kind = argv[i + 1];
     else if (strcmp (argv[i], "--stop-ms") == 0)
       stop_ms = atoi (argv[i + 1]);
     else if (strcmp (argv[i], "--journal") == 0)
