--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -19,7 +19,7 @@
 if [ "$TROUBLE" = 1 ]; then
   record "side-1 is killed"
   end_process side-1
-  sleep 0.3
+  sleep 0.2
   start_guard 1 # the platform restarts what was killed
   record "side-1 is started again"
 fi
