--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,3 +8,4 @@
 ${CC:-gcc} $flags -o bin/worker worker.c serve.c -ljansson
 ${CC:-gcc} $flags -o bin/store store.c serve.c
 ${CC:-gcc} $flags -D_GNU_SOURCE -o bin/call call.c
+${CC:-gcc} $flags -D_GNU_SOURCE -o bin/channels channels.c
