--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -24,20 +24,23 @@
   { sleep "${FREEZE_MS%???}.${FREEZE_MS: -3}"; kill -CONT "${PIDS[edge-1]}"; record "edge-1 goes on"; } &
 fi
 [ "$resets" = 1 ] && reset_ms=$RESET_MS || reset_ms=0
-begun=$(now)
 "$TOOLS/channels" "$(entry_ip 1):$FRONT" "$SOURCE" "/calc/$ID" "$RUN/job" "$reset_ms" "$IDLE_MS" > "$RUN/channels" &
 CLIENT=$!
+PIDS[client]=$CLIENT
 if [ "$resets" = 1 ]; then
-  left=$((begun + RESET_MS + RESEND_MS - $(now)))
+  is_reset () { grep -q 'is reset' "$RUN/channels"; }
+  wait_for 5 is_reset || cannot_run "the channel was not reset"
+  left=$(($(awk '/is reset/ { print $1 }' "$RUN/channels") + RESEND_MS - $(now)))
   sleep "$((left / 1000)).$(printf %03d $((left % 1000)))"
   record "the client sends job $ID again, $RESEND_MS ms after its channel broke, to edge-2"
   answer=$(http "$(entry_ip 2):$FRONT" POST "/calc/$ID" 20000 "$RUN/job")
   record "edge-2 answers $answer"
 fi
 wait "$CLIENT" || cannot_run "the channels could not be opened"
+unset "PIDS[client]"
 cat "$RUN/channels" >> "$CASE/record.txt"
-at_work () { [ "$(running_tasks)" -eq 0 ]; }
-wait_for 10 at_work || cannot_run "$(running_tasks) tasks are still at work"
+none_at_work () { [ "$(running_tasks)" -eq 0 ]; }
+wait_for 10 none_at_work || cannot_run "$(running_tasks) tasks are still at work"
 cat "$RUN/journal" >> "$CASE/record.txt"
 doubled_runs > "$RUN/doubled"
 if [ -s "$RUN/doubled" ]; then
