--- a/tests/judge.sh
+++ b/tests/judge.sh
@@ -9,7 +9,7 @@
 # attempt got no statement at all (no answer, or an unknown outcome).
 judge () {
   awk '
-    FNR == NR {
+    kind == "start" {
       starts++
       if (++seen[$1, $2] == 2) double++
       n = ++count[$1]; time[$1, n] = $3
@@ -38,5 +38,5 @@
       }
       printf "starts=%d double=%d partial=%d false_not_run=%d wrong_answer=%d lost=%d\n", starts,
         double, partial, false_not_run, wrong, lost
-    }' "$1" "$2"
+    }' kind=start "$1" kind=result "$2"
 }
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -308,7 +308,7 @@
 judge_runs () {
   sort -s -k1,1 -k2,2 "$2" > "$RUN/sorted" 2>/dev/null
   awk -v drain_ms=2000 '
-    FNR == NR { outcome[$1] = $2; n[$2]++; next }
+    kind == "result" { outcome[$1] = $2; n[$2]++; next }
     $1 == "start" { starts++
       split($2, part, "."); begun[part[1]] = 1
       for (r in open) { split(r, k, SUBSEP); if (k[1] == $2 && (k[2] != $3 || k[3] != $5)) { twice++; print "TWICE " $2 > "/dev/stderr" } }
@@ -322,5 +322,5 @@
       for (id in outcome) if (outcome[id] == "rejected" && begun[id]) { false_not_run++; print "REFUSED " id > "/dev/stderr" }
       printf "starts=%d twice=%d false_not_run=%d drained=%d completed=%d failed=%d rejected=%d unknown=%d left=%d\n",
         starts, twice, false_not_run, drained, n["completed"], n["failed"], n["rejected"], n["unknown"], n["left"] }' \
-    "$2" "$1"
+    kind=result "$2" kind=run "$1"
 }
