Leave runs of a former guard process to the lease that it granted

Cause: the new process extended the lease of everything at its worker as soon as it knew the worker's clock, while it was still stopping the runs of the former process. The entry had lost the former one, counted on the last lease that it had granted (MdLeases.ended_after), and started the tasks elsewhere. Ruled out: an entry that gives the runs up too early.

Change: no lease is granted until the worker is known to be free of runs that this process did not start, nor while it lists a run that this process has reported as ended, which is the same promise on a related path.

--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -411,6 +411,7 @@
         if (may_stop (guard))
           send_stop (guard, md_str (response->runs[i].task), response->runs[i].run_number, 0, 0);
       }
+  guard->worker.has_unknown = unknown > 0;
   if (unknown == 0 && !guard->worker.clean)
     {
       guard->worker.clean = true;
@@ -656,11 +657,12 @@
 /* Poll                                                               */
 
 /* Sets until when the lease of the worker may be extended. Stops usually end the runs long before
-   the limit matters. */
+   the limit matters. A former process may have left runs whose entries count on the last lease that it
+   granted: until none is known to be there, the lease is not extended at all. */
 static void
 update_lease_limit (MdRunGuard *guard)
 {
-  MdTime limit = INT64_MAX;
+  MdTime limit = guard->worker.clean && !guard->worker.has_unknown ? INT64_MAX : 0;
   unsigned cancelled = 0;
   bool is_short;
 
@@ -674,7 +676,7 @@
       limit = md_time_min (limit, md_leases_limit (&guard->daemon.leases, run->had_to_end_at));
     }
   is_short = limit < guard->now + MIN_START_LEASE;
-  if (is_short && !guard->worker.lease_is_short)
+  if (is_short && cancelled > 0 && !guard->worker.lease_is_short)
     {
       md_count (MD_M_LEASES_LIMITED, 1);
       md_log (MD_LOG_WARN, "lease-limited", "worker=%s left_ms=%lld cancelled=%u runs=%u stops=%u",
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -114,6 +114,8 @@
                                   holds set and which is -1 before the first one was answered */
   bool has_report;             /* a report of this lifetime has arrived */
   bool clean;                  /* no run of an earlier guard process is left in this lifetime */
+  bool has_unknown;            /* the last hold listed runs that this process did not start, or
+                                  that it has reported as ended */
   bool clock_known;            /* clock_offset is valid */
   MdTime clock_offset;         /* the worker's clock minus this process's */
   uint64_t acked_end;          /* highest number of an end processed in this lifetime */
--- a/sched/leases.h
+++ b/sched/leases.h
@@ -40,8 +40,8 @@
 
 /* Whoever lets a run end without waiting for its end counts on this: a run that has to end at a time
    T is gone at T + worker, by a clock that may be MD_WORKER_CLOCK_RATE slow, whether its stop is
-   slow, lost or refused. One lease covers all runs of a worker, so that it is not extended beyond
-   that time until the run has ended. */
+   slow, lost or refused, and whether the guard's process is still the same. One lease covers all
+   runs of a worker, so that it is not extended beyond that time until the run has ended. */
 
 /* md_leases_limit: the end of the last lease that may be granted to a worker while a run that had to
    end at that time, or before, is still there. */
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -49,6 +49,7 @@
   guard.hold_in_progress = true; /* none is due */
   guard.queue.accepting = true;
   guard.worker.clock_known = true;
+  guard.worker.clean = true;
   md_runqueue_set_capacity (&guard.queue, (MdResources){ 8000, 8000, 0 });
   peer = calloc (1, sizeof *peer);
   peer->incarnation = ENTRY;
--- a/tests/test-stop-model.c
+++ b/tests/test-stop-model.c
@@ -571,6 +571,52 @@
 }
 END_TEST
 
+/* Guards against review/7: a guard that was started again extended the lease of the runs of its former
+   process while it stopped them, and their entry had started the tasks elsewhere. */
+START_TEST (runs_of_a_former_guard_are_gone_in_time)
+{
+  Conduct conduct
+      = { .stop = STOP_TIMEOUT, .lost = _i % 3 == 1 ? 100 : 0, .refused = _i % 3 == 2 ? 100 : 0 };
+  MdTime heard_at;
+
+  for (MdTime away = 0; away < MD_SECOND; away += 100 * MD_MS)
+    {
+      begin (200, 200, conduct, (uint64_t)_i + 1);
+      heard_at = model.now;
+      kill_guard ();
+      model.frozen = true;
+      pass (away);
+      model.frozen = false;
+      start_guard ();
+      while (!guard.worker.clean)
+        {
+          step ();
+          ck_assert_int_lt (model.now, heard_at + 2 * MD_SECOND);
+        }
+      /* It says hello now, which tells the entries that the runs have ended. */
+      ck_assert_int_eq (count_running (0, 400), 0);
+      check_gone (0, 400, heard_at);
+      finish ();
+    }
+}
+END_TEST
+
+/* Guards against a lease that is extended for a run which has been reported as ended: its entry has
+   started the task elsewhere. */
+START_TEST (runs_that_were_given_up_are_gone_in_time)
+{
+  MdTime given_up;
+
+  begin (1, 20, (Conduct){ .stop = STOP_TIMEOUT, .refused = 100 }, (uint64_t)_i + 1);
+  given_up = model.now;
+  md_guard_end_run (&guard, md_guard_find_order (&guard, LOST, 1), MD_RUN_REJECTED, "");
+  pass (given_up + (MdTime)((double)guard.daemon.leases.worker * MD_WORKER_CLOCK_RATE)
+        + STOP_TIMEOUT - model.now);
+  ck_assert_int_eq (count_running (0, 1), 0);
+  finish ();
+}
+END_TEST
+
 /* Guards against a time that a guard counts from its wake-up although the lease of the entry ran out
    while it was suspended. */
 START_TEST (runs_of_an_entry_lost_during_a_pause_are_gone)
@@ -597,6 +643,8 @@
   tcase_add_loop_test (tc, runs_of_a_silent_entry_are_gone_in_time, 0, SEEDS * 2);
   tcase_add_loop_test (tc, neighbours_outlive_slow_stops, 0, SEEDS);
   tcase_add_loop_test (tc, cancelled_runs_are_gone_in_time, 0, SEEDS);
+  tcase_add_loop_test (tc, runs_of_a_former_guard_are_gone_in_time, 0, SEEDS);
+  tcase_add_loop_test (tc, runs_that_were_given_up_are_gone_in_time, 0, SEEDS);
   tcase_add_loop_test (tc, runs_of_an_entry_lost_during_a_pause_are_gone, 0, SEEDS);
   return run_suite ("stop-model", tc);
 }
