Take the caller's socket from the thread that reads it

What callers saw: an entry stood still while a caller's connection was reset and another one came from the same port.

Cause: CivetWeb does not show a connection's socket, and the entry searched its descriptors for one that is connected to the caller's address and port. That of the reset connection no longer is; that of the later one is. Ruled out: a reset that arrives after the check, and a descriptor that was used again.

Change: no search. A CivetWeb thread serves one connection and reads it with recv; net/connection-socket.c defines recv, as recvfrom without an address, and notes the descriptor for the thread. It is the socket that the request was read from, whatever its peer is. The thread drops a request whose caller has left by the same check as the engine does before admission. fleet/caller-sockets.c goes; "the caller has no IPv4 address" goes with it.

--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -52,10 +52,10 @@
 /* ------------------------------------------------------------------ */
 /* Requests                                                           */
 
-/* Whether the caller has closed its connection, or it was reset. A caller of which that cannot be
-   told counts as one that has left: it repeats the job, and nothing of it has run here. */
-static bool
-has_caller_left (const MdCallerRequest *caller_request)
+/* A caller of which that cannot be told counts as one that has left: it repeats the job, and nothing
+   of it has run here. */
+bool
+md_entry_has_caller_left (const MdCallerRequest *caller_request)
 {
   struct pollfd fd = { .fd = caller_request->socket, .events = POLLRDHUP };
   int n;
@@ -134,7 +134,7 @@
   md_entry_load_request (&entry->load, entry->now - caller_request->arrived, entry->now);
   /* After a pause of this process, requests can be read from connections that were reset long
      ago. Their callers may have repeated the jobs at other entries. */
-  if (has_caller_left (caller_request))
+  if (md_entry_has_caller_left (caller_request))
     {
       drop_request (entry, caller_request);
       return;
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -7,23 +7,19 @@
 
 #define _GNU_SOURCE /* POLLRDHUP */
 
-#include "caller-sockets.h"
+#include "connection-socket.h"
 #include "host-limits.h"
 #include "http-server.h"
 #include "memory-budget.h"
 #include "process.h"
 #include "run-entry.h"
 
-#include <arpa/inet.h>
 #include <civetweb.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdio.h>
 #include <strings.h>
 #include <sys/eventfd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 #include <urcu/urcu-memb.h>
 
@@ -47,7 +43,6 @@
   atomic_bool stopping;            /* the engine answers no more requests */
   atomic_int connections;          /* open connections of all servers */
   atomic_int threads;              /* threads of the server for callers */
-  MdCallerSockets sockets;         /* of callers whose requests have been read */
   MdMemoryBudget body_memory;      /* of bodies that are being read or parsed */
   MdMemoryBudget parse_memory;     /* of parsed bodies that are being decoded */
   /* Jobs that have been posted to the engine and not answered, by a hash of their IDs. */
@@ -168,35 +163,6 @@
   return reject_with (request, status, reason, retry_after, "");
 }
 
-/* ------------------------------------------------------------------ */
-/* Detection of disconnected callers                                  */
-
-/* Sets the address of the caller; false unless it is one of IPv4. */
-static bool
-caller_address (const Request *request, struct sockaddr_in *peer)
-{
-  *peer = (struct sockaddr_in){ .sin_family = AF_INET,
-                                .sin_port = htons (request->info->remote_port) };
-  return inet_pton (AF_INET, request->info->remote_addr, &peer->sin_addr) == 1;
-}
-
-/* Returns the descriptor of the caller's socket, -1 if none is connected to the caller: the
-   connection was reset. The descriptor is cached in the user data of the connection, plus one
-   because 0 means unset. */
-static int
-caller_socket (const Request *request, const struct sockaddr_in *peer)
-{
-  intptr_t stored = (intptr_t)mg_get_user_connection_data (request->conn);
-  int fd;
-
-  if (stored > 0)
-    return (int)stored - 1;
-  fd = md_caller_sockets_find (&request->front->sockets, peer);
-  if (fd >= 0)
-    mg_set_user_connection_data (request->conn, (void *)(intptr_t)(fd + 1));
-  return fd;
-}
-
 /* ------------------------------------------------------------------ */
 /* Waiting for the engine                                             */
 
@@ -406,7 +372,6 @@
                                      .known_only = request->known_only };
   const char *timeout = mg_get_header (request->conn, MD_PLATFORM_DEADLINE_HEADER);
   const char *unsupported;
-  struct sockaddr_in peer;
 
   unsupported = unsupported_reason (request->front->entry, route, &caller_request.spec);
   if (unsupported != NULL)
@@ -415,22 +380,19 @@
       return reject (request, 503, unsupported, 0);
     }
   caller_request.event = thread_eventfd ();
-  if (caller_request.event < 0 || !caller_address (request, &peer))
+  if (caller_request.event < 0)
     {
       md_run_spec_clear (&caller_request.spec);
-      return reject (request, 503,
-                     caller_request.event < 0 ? "cannot create an eventfd"
-                                              : "the caller has no IPv4 address",
-                     MD_SECOND);
+      return reject (request, 503, "cannot create an eventfd", MD_SECOND);
     }
-  caller_request.socket = caller_socket (request, &peer);
+  caller_request.socket = md_connection_socket ();
   md_str_copy (caller_request.id, sizeof caller_request.id, md_str (id));
   copy_header (request, MD_PLATFORM_REQUEST_HEADER, caller_request.request_id,
                sizeof caller_request.request_id);
   caller_request.route = *route;
   if (timeout != NULL)
     caller_request.response_timeout = read_timeout (timeout);
-  if (caller_request.socket < 0)
+  if (md_entry_has_caller_left (&caller_request))
     {
       md_entry_record_dropped (&caller_request, md_now ());
       md_run_spec_clear (&caller_request.spec);
@@ -673,21 +635,12 @@
 init_connection (const struct mg_connection *conn, void **data)
 {
   *data = NULL;
+  md_connection_socket_begin ();
   atomic_fetch_add (&connection_front (conn)->connections, 1);
   md_count (MD_M_CALLER_CONNECTIONS, 1);
   return 0;
 }
 
-/* Called before the socket is closed. */
-static void
-connection_closing (const struct mg_connection *conn)
-{
-  intptr_t stored = (intptr_t)mg_get_user_connection_data (conn);
-
-  if (stored > 0)
-    md_caller_sockets_release (&connection_front (conn)->sockets, (int)stored - 1);
-}
-
 static void
 connection_closed (const struct mg_connection *conn)
 {
@@ -723,7 +676,6 @@
                                     .exit_thread = exit_thread,
                                     .http_error = md_http_error,
                                     .init_connection = init_connection,
-                                    .connection_close = connection_closing,
                                     .connection_closed = connection_closed };
   struct mg_context *server;
 
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -322,6 +322,9 @@
 /* md_entry_handle_requests: handle requests from the inbox, oldest first, for about this time; at
    least one. Returns false if some are left, which the next call handles first. */
 bool md_entry_handle_requests (MdRunEntry *entry, MdTime budget);
+/* md_entry_has_caller_left: whether the caller of a SUBMIT has closed its connection, or it was reset.
+   Can be called from any thread. */
+bool md_entry_has_caller_left (const MdCallerRequest *caller_request);
 /* md_entry_record_dropped: log and count a request whose caller has left before anything of it was
    ordered. Can be called from any thread. */
 void md_entry_record_dropped (const MdCallerRequest *caller_request, MdTime now);
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -1,5 +1,8 @@
 /* test-front.c -- HTTP front end of an entry, over the loopback interface; tests step its engine */
 
+#define _GNU_SOURCE /* ppoll */
+
+#include "front.h"
 #include "http-client.h"
 #include "port.h"
 #include "run-entry.h"
@@ -14,102 +17,12 @@
 #include <unistd.h>
 #include <urcu/urcu-memb.h>
 
-#define JOB                                                                                        \
-  "{\"best_effort\":true,\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64,"       \
-  "\"estimated_ms\":30}]}"
-#define ROUTE(prefix)                                                                              \
-  "{\"name\":\"q\",\"host\":\"jobs.example\",\"path_prefix\":\"" prefix "\",\"timeout_ms\":1500,"  \
-  "\"target_latency_ms\":60,\"priority\":1,\"service\":\"calc\",\"max_attempts\":2,"               \
-  "\"slack_factor\":4}"
-#define CONFIG(version, routes)                                                                    \
-  "{\"version\":" #version ",\"routes\":[" routes "],\"services\":[],"                             \
-  "\"limits\":{\"max_body_bytes\":7340032}}"
 #define LARGE_BODY 7340032 /* bytes; the memory for bodies is enough for three */
-#define GONE "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
-#define ID "00000000000000a1"
 
-static MdRunEntry entry;
 static MdEntryGuard guard; /* the only one; its worker has room for any job of these tests */
 static MdWorker *workers[] = { &guard.worker };
 static MdSavedResources saved[1];
 static bool excluded[1];
-static ScriptedServer store;
-static atomic_bool config_changed; /* the store has a second version and dropped the first */
-
-/* Sets address to a port of the loopback interface that is free. */
-static void
-choose_address (char address[MD_ADDRESS_BYTES])
-{
-  int fd;
-  unsigned port = hold_port (&fd);
-
-  ck_assert_uint_gt (port, 0);
-  close (fd);
-  snprintf (address, MD_ADDRESS_BYTES, "127.0.0.1:%u", port);
-}
-
-static const char *
-respond_newest (const char *config)
-{
-  static char response[4096];
-  unsigned char value[2048];
-  char body[3072];
-
-  EVP_EncodeBlock (value, (const unsigned char *)config, (int)strlen (config));
-  snprintf (body, sizeof body,
-            "{\"items\":[{\"key\":\"config\",\"value\":\"%s\",\"offset\":0}],\"has_more\":false,"
-            "\"end_offset\":1}",
-            (const char *)value);
-  snprintf (response, sizeof response, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
-            strlen (body), body);
-  return response;
-}
-
-/* Reads of later records have no answer, so that each ends by its time-out. */
-static const char *
-respond_store (void *user MD_UNUSED, int number MD_UNUSED, const char *request)
-{
-  if (strstr (request, "/v1/log-newest") == NULL)
-    return atomic_load (&config_changed) ? GONE : scripted_silence;
-  if (atomic_load (&config_changed))
-    return respond_newest (CONFIG (2, ROUTE ("/calc/") "," ROUTE ("/added/")));
-  return respond_newest (CONFIG (1, ROUTE ("/calc/")));
-}
-
-static void
-ignore_change (void *user MD_UNUSED)
-{
-}
-
-static int
-connect_caller (void)
-{
-  struct sockaddr_in sa = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
-  int port = atoi (strchr (entry.daemon.settings.caller_address, ':') + 1);
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  sa.sin_port = htons ((uint16_t)port);
-  ck_assert_int_eq (connect (fd, (struct sockaddr *)&sa, sizeof sa), 0);
-  return fd;
-}
-
-static void
-post_body (int fd, const char *id, const char *body)
-{
-  char request[1024];
-  int len = snprintf (request, sizeof request,
-                      "POST /calc/%s HTTP/1.1\r\nHost: jobs.example\r\n"
-                      "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
-                      id, strlen (body), body);
-
-  ck_assert_int_eq (write (fd, request, (size_t)len), len);
-}
-
-static void
-post_job (int fd)
-{
-  post_body (fd, ID, JOB);
-}
 
 /* Reads a response whose body is MD_BODY_NOT_RUN; returns its status. */
 static int
@@ -137,7 +50,7 @@
 {
   char request[256];
   char response[1024] = "";
-  int fd = connect_caller ();
+  int fd = front_connect ();
   int len = snprintf (
       request, sizeof request,
       "PUT %s00000000000000a1 HTTP/1.1\r\nHost: jobs.example\r\nConnection: close\r\n\r\n", queue);
@@ -148,67 +61,31 @@
   return atoi (response + strlen ("HTTP/1.1 "));
 }
 
-static void
-setup (void)
-{
-  MdSettings *settings = &entry.daemon.settings;
-  MdError error = { 0 };
-  MdLinkHandler handler = { 0 };
-
-  md_tuning_default (&settings->tuning);
-  md_http_init ();
-  urcu_memb_register_thread ();
-  entry.daemon.links = md_links_new (&settings->tuning, &handler, &entry);
-  settings->caller_threads = 8;
-  settings->config_apply = 60 * MD_SECOND;
-  choose_address (settings->caller_address);
-  choose_address (settings->ready_address);
-  atomic_store (&config_changed, false);
-  scripted_server_start (&store, respond_store, NULL);
-  md_str_copy (settings->store_address, MD_ADDRESS_BYTES, md_str (store.address));
-  entry.config = md_config_reader_start (settings, ignore_change, NULL, &error);
-  ck_assert_ptr_nonnull (entry.config);
-  while (!md_config_reader_loaded (entry.config))
-    usleep (1000);
-  entry.front = md_front_start (&entry, &error);
-  ck_assert_ptr_nonnull (entry.front);
-}
-
-static void
-teardown (void)
-{
-  md_front_stop (entry.front);
-  md_links_free (entry.daemon.links);
-  md_config_reader_stop (entry.config);
-  scripted_server_stop (&store);
-  urcu_memb_unregister_thread ();
-}
-
 /* Gives the entry an engine, which these tests run step by step, and a worker. */
 static void
 add_engine (void)
 {
-  entry.now = md_now ();
-  entry.next_order_id = 1;
-  md_leases_set (&entry.daemon.leases, 1300 * MD_MS, 50 * MD_MS);
+  front_entry.now = md_now ();
+  front_entry.next_order_id = 1;
+  md_leases_set (&front_entry.daemon.leases, 1300 * MD_MS, 50 * MD_MS);
   guard.worker = (MdWorker){ .speed = 1,
                              .connected = true,
                              .state = MD_WORKER_READY,
                              .capacity = { 16000, 32768, 0 },
                              .free = { 16000, 32768, 0 },
-                             .reported_at = entry.now };
+                             .reported_at = front_entry.now };
   md_str_copy (guard.worker.pool, sizeof guard.worker.pool, MD_STR ("calc"));
-  entry.workers = (MdWorkers){ .workers = workers, .n = 1, .remote_factor = 1.5 };
-  entry.saved_resources = saved;
-  entry.excluded = excluded;
+  front_entry.workers = (MdWorkers){ .workers = workers, .n = 1, .remote_factor = 1.5 };
+  front_entry.saved_resources = saved;
+  front_entry.excluded = excluded;
 }
 
 static void
 run_engine (void)
 {
-  md_links_poll (entry.daemon.links, md_now () + 10 * MD_MS);
-  entry.now = md_now ();
-  md_entry_handle_requests (&entry, MD_SECOND);
+  md_links_poll (front_entry.daemon.links, md_now () + 10 * MD_MS);
+  front_entry.now = md_now ();
+  md_entry_handle_requests (&front_entry, MD_SECOND);
 }
 
 /* Runs the engine until the caller has a response, or the connection ends. response[0] is 0 then. */
@@ -238,12 +115,12 @@
 {
   MdTime end = md_now () + 60 * MD_SECOND;
 
-  post_body (fd, id, JOB);
+  front_post_body (fd, id, JOB);
   while (guard.orders == NULL && md_now () < end)
     run_engine ();
   ck_assert_ptr_nonnull (guard.orders);
   guard.orders->sent = true;
-  md_entry_order_started (&entry, guard.orders);
+  md_entry_order_started (&front_entry, guard.orders);
   return guard.orders;
 }
 
@@ -252,63 +129,30 @@
 complete_job (void)
 {
   char response[1024];
-  int fd = connect_caller ();
+  int fd = front_connect ();
 
-  md_entry_order_ended (&entry, start_job (fd, ID), MD_RUN_DONE, 30 * MD_MS, "");
+  md_entry_order_ended (&front_entry, start_job (fd, ID), MD_RUN_DONE, 30 * MD_MS, "");
   wait_for_caller (fd, response);
   ck_assert_int_eq (status_of (response), 200);
   ck_assert_ptr_nonnull (strstr (response, MD_PLATFORM_COMPLETED));
   close (fd);
 }
 
-/* Number of requests in the inbox, which keeps them. */
-static int
-count_requests (void)
-{
-  int found = 0;
-
-  md_links_poll (entry.daemon.links, md_now () + 10 * MD_MS);
-  for (MdInboxNode *node = atomic_load (&entry.inbox.newest); node != NULL; node = node->next)
-    found++;
-  return found;
-}
-
-static void
-wait_for_requests (int n)
-{
-  MdTime end = md_now () + 60 * MD_SECOND;
-  int found = 0;
-
-  while (found < n && md_now () < end)
-    found = count_requests ();
-  ck_assert_int_eq (found, n);
-}
-
-/* Closes the connection with a reset. */
-static void
-reset_connection (int fd)
-{
-  struct linger linger = { .l_onoff = 1 };
-
-  ck_assert_int_eq (setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger), 0);
-  close (fd);
-}
-
 /* Guards against an entry whose engine, late as it is, has to reject each job itself: it did
    nothing else any more, and its callers had left when it came to them (issue 26). */
 START_TEST (overloaded_entry_rejects_before_the_engine)
 {
-  int fd = connect_caller ();
+  int fd = front_connect ();
 
-  atomic_store (&entry.load.overloaded, true);
-  post_job (fd);
+  atomic_store (&front_entry.load.overloaded, true);
+  front_post_job (fd);
   ck_assert_int_eq (read_rejection (fd), 429);
-  ck_assert_ptr_null (md_inbox_take (&entry.inbox));
+  ck_assert_ptr_null (md_inbox_take (&front_entry.inbox));
   /* The next job on the connection, after the entry has caught up. */
-  atomic_store (&entry.load.overloaded, false);
-  post_job (fd);
-  wait_for_requests (1);
-  md_entry_reject_requests (&entry);
+  atomic_store (&front_entry.load.overloaded, false);
+  front_post_job (fd);
+  front_wait_for_requests (1);
+  md_entry_reject_requests (&front_entry);
   ck_assert_int_eq (read_rejection (fd), 503);
   close (fd);
 }
@@ -318,15 +162,15 @@
    answer to that and repeats the job at the same entry, which is overloaded by now. */
 START_TEST (repeated_job_reaches_the_engine)
 {
-  int first = connect_caller ();
-  int second = connect_caller ();
+  int first = front_connect ();
+  int second = front_connect ();
 
-  post_job (first);
-  wait_for_requests (1);
-  atomic_store (&entry.load.overloaded, true);
-  post_job (second);
-  wait_for_requests (2);
-  md_entry_reject_requests (&entry);
+  front_post_job (first);
+  front_wait_for_requests (1);
+  atomic_store (&front_entry.load.overloaded, true);
+  front_post_job (second);
+  front_wait_for_requests (2);
+  md_entry_reject_requests (&front_entry);
   ck_assert_int_eq (read_rejection (first), 503);
   ck_assert_int_eq (read_rejection (second), 503);
   close (first);
@@ -347,18 +191,18 @@
 
   for (size_t i = 0; i < MD_ARRAY_SIZE (callers); i++)
     {
-      callers[i] = connect_caller ();
-      post_job (callers[i]);
+      callers[i] = front_connect ();
+      front_post_job (callers[i]);
     }
-  wait_for_requests (MD_ARRAY_SIZE (callers));
-  repeated = connect_caller ();
-  post_job (repeated);
-  reset_connection (repeated);
-  md_entry_reject_requests (&entry);
-  while (atomic_load (&md_metrics[MD_M_CALLERS_LEFT]) == left && count_requests () == 0
+  front_wait_for_requests (MD_ARRAY_SIZE (callers));
+  repeated = front_connect ();
+  front_post_job (repeated);
+  front_reset (repeated);
+  md_entry_reject_requests (&front_entry);
+  while (atomic_load (&md_metrics[MD_M_CALLERS_LEFT]) == left && front_count_requests () == 0
          && md_now () < end)
     ;
-  ck_assert_int_eq (count_requests (), 0);
+  ck_assert_int_eq (front_count_requests (), 0);
   ck_assert_int_eq (atomic_load (&md_metrics[MD_M_CALLERS_LEFT]), left + 1);
   ck_assert_int_eq (atomic_load (&md_metrics[MD_M_CALLER_CONNECTIONS]),
                     accepted + (int)MD_ARRAY_SIZE (callers) + 1);
@@ -367,6 +211,102 @@
 }
 END_TEST
 
+/* While it is closed, threads of the server that wait for a connection stay there, as those of a
+   suspended process do. */
+static atomic_bool gate_closed;
+static atomic_int held; /* threads at the gate */
+static pthread_t main_thread;
+
+static bool
+is_connection (int fd)
+{
+  int listens = 1;
+  socklen_t len = sizeof listens;
+
+  return getsockopt (fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &len) == 0 && !listens;
+}
+
+/* Takes the place of poll of the C library, whose declaration says that it only writes to fds. */
+int gated_poll (struct pollfd *fds, nfds_t n, int timeout) __asm__("poll");
+
+int
+gated_poll (struct pollfd *fds, nfds_t n, int timeout)
+{
+  struct timespec wait = { timeout / 1000, timeout % 1000 * 1000000L };
+
+  if (n > 0 && atomic_load (&gate_closed) && !pthread_equal (pthread_self (), main_thread)
+      && is_connection (fds[0].fd))
+    {
+      atomic_fetch_add (&held, 1);
+      while (atomic_load (&gate_closed))
+        usleep (1000);
+      atomic_fetch_sub (&held, 1);
+    }
+  return ppoll (fds, n, timeout < 0 ? NULL : &wait, NULL);
+}
+
+static int
+connect_from (in_port_t port)
+{
+  struct sockaddr_in from = { AF_INET, port, { htonl (INADDR_LOOPBACK) }, { 0 } };
+  struct sockaddr_in to = from;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int on = 1;
+
+  to.sin_port
+      = htons ((in_port_t)atoi (strchr (front_entry.daemon.settings.caller_address, ':') + 1));
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&from, sizeof from), 0);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  return fd;
+}
+
+static void
+wait_until_held (int threads)
+{
+  MdTime end = md_now () + 60 * MD_SECOND;
+
+  while (atomic_load (&held) < threads && md_now () < end)
+    usleep (1000);
+  ck_assert_int_eq (atomic_load (&held), threads);
+}
+
+/* Guards against two runs of a task at once: an entry that was suspended took another connection
+   from the port of a reset one for that of the caller, and started a job that the caller had repeated
+   elsewhere (review 8). */
+START_TEST (reset_connection_is_not_taken_for_a_later_one)
+{
+  int64_t left = atomic_load (&md_metrics[MD_M_CALLERS_LEFT]);
+  MdTime end = md_now () + 60 * MD_SECOND;
+  struct sockaddr_in from;
+  socklen_t len = sizeof from;
+  int reset;
+  int later;
+
+  main_thread = pthread_self ();
+  atomic_store (&gate_closed, true);
+  reset = connect_from (0);
+  ck_assert_int_eq (getsockname (reset, (struct sockaddr *)&from, &len), 0);
+  front_post_job (reset);
+  wait_until_held (1);
+  front_reset (reset);
+  later = connect_from (from.sin_port);
+  wait_until_held (2);
+  atomic_store (&gate_closed, false);
+  while (atomic_load (&md_metrics[MD_M_CALLERS_LEFT]) == left && front_count_requests () == 0
+         && md_now () < end)
+    ;
+  ck_assert_int_eq (front_count_requests (), 0);
+  ck_assert_int_eq (atomic_load (&md_metrics[MD_M_CALLERS_LEFT]), left + 1);
+  /* The caller of the later one is there. */
+  front_post_job (later);
+  front_wait_for_requests (1);
+  md_entry_reject_requests (&front_entry);
+  ck_assert_int_eq (read_rejection (later), 503);
+  close (later);
+}
+END_TEST
+
 /* Guards against a configuration that is in force late because the engine is: callers got 404 for a
    queue that had been added seconds before (issue 29). The engine of these tests never runs. */
 START_TEST (configuration_does_not_wait_for_the_engine)
@@ -375,7 +315,7 @@
   int status;
 
   ck_assert_int_eq (put_job ("/added/"), 404);
-  atomic_store (&config_changed, true);
+  atomic_store (&front_config_changed, true);
   do
     status = put_job ("/added/");
   while (status == 404 && md_now () < end);
@@ -390,12 +330,13 @@
   MdTime end = md_now () + 60 * MD_SECOND;
   int status;
 
-  entry.daemon.settings.config_apply = 500 * MD_MS;
+  front_entry.daemon.settings.config_apply = 500 * MD_MS;
   do
     status = put_job ("/added/");
   while (status == 404 && md_now () < end);
   ck_assert_int_eq (status, 503);
-  ck_assert_int_gt (md_config_reader_age (entry.config), entry.daemon.settings.config_apply);
+  ck_assert_int_gt (md_config_reader_age (front_entry.config),
+                    front_entry.daemon.settings.config_apply);
   ck_assert_int_eq (put_job ("/calc/"), 405);
 }
 END_TEST
@@ -446,21 +387,21 @@
       = { "00000000000000b0", "00000000000000b1", "00000000000000b2", "00000000000000b3" };
   int callers[4];
   int refused;
-  int small = connect_caller ();
-  int repeated = connect_caller ();
+  int small = front_connect ();
+  int repeated = front_connect ();
 
   for (int i = 0; i < 4; i++)
     {
-      callers[i] = connect_caller ();
+      callers[i] = front_connect ();
       announce_large_body (callers[i], ids[i]);
     }
   refused = wait_for_response (callers, 4);
   ck_assert_int_eq (read_rejection (callers[refused]), 503);
   announce_large_body (repeated, ids[(refused + 1) % 4]);
   ck_assert_int_eq (read_status (repeated), 504);
-  post_job (small);
-  wait_for_requests (1);
-  md_entry_reject_requests (&entry);
+  front_post_job (small);
+  front_wait_for_requests (1);
+  md_entry_reject_requests (&front_entry);
   ck_assert_int_eq (read_rejection (small), 503);
   for (int i = 0; i < 4; i++)
     close (callers[i]);
@@ -473,8 +414,8 @@
    the body of the first one was on its way, and the entry became late. */
 START_TEST (body_that_ends_after_the_repeated_request)
 {
-  int first = connect_caller ();
-  int second = connect_caller ();
+  int first = front_connect ();
+  int second = front_connect ();
   char request[1024];
   int len = snprintf (request, sizeof request,
                       "POST /calc/00000000000000a1 HTTP/1.1\r\nHost: jobs.example\r\n"
@@ -482,14 +423,14 @@
                       strlen (JOB), JOB);
 
   ck_assert_int_eq (write (first, request, (size_t)len - 5), len - 5);
-  for (int i = 0; i < 20000 && atomic_load (&entry.active_requests) == 0; i++)
+  for (int i = 0; i < 20000 && atomic_load (&front_entry.active_requests) == 0; i++)
     usleep (1000);
-  post_job (second);
-  wait_for_requests (1);
-  atomic_store (&entry.load.overloaded, true);
+  front_post_job (second);
+  front_wait_for_requests (1);
+  atomic_store (&front_entry.load.overloaded, true);
   ck_assert_int_eq (write (first, request + len - 5, 5), 5);
-  wait_for_requests (2);
-  md_entry_reject_requests (&entry);
+  front_wait_for_requests (2);
+  md_entry_reject_requests (&front_entry);
   ck_assert_int_eq (read_rejection (first), 503);
   ck_assert_int_eq (read_rejection (second), 503);
   close (first);
@@ -527,11 +468,11 @@
 
   for (int i = 0; i < (int)MD_ARRAY_SIZE (ids); i++)
     {
-      callers[i] = connect_caller ();
+      callers[i] = front_connect ();
       post_large_job (callers[i], ids[i]);
-      wait_for_requests (i + 1);
+      front_wait_for_requests (i + 1);
     }
-  md_entry_reject_requests (&entry);
+  md_entry_reject_requests (&front_entry);
   for (size_t i = 0; i < MD_ARRAY_SIZE (ids); i++)
     {
       ck_assert_int_eq (read_rejection (callers[i]), 503);
@@ -545,19 +486,19 @@
 START_TEST (late_entry_knows_ended_jobs)
 {
   char response[1024];
-  int repeated = connect_caller ();
-  int other = connect_caller ();
+  int repeated = front_connect ();
+  int other = front_connect ();
 
   add_engine ();
   complete_job ();
-  atomic_store (&entry.load.overloaded, true);
-  post_job (repeated);
+  atomic_store (&front_entry.load.overloaded, true);
+  front_post_job (repeated);
   wait_for_caller (repeated, response);
   ck_assert_msg (status_of (response) == 200, "%s", response);
   ck_assert_ptr_nonnull (strstr (response, MD_PLATFORM_COMPLETED));
   /* The engine of this test is in time. */
-  atomic_store (&entry.load.overloaded, true);
-  post_body (other, "00000000000000a2", JOB);
+  atomic_store (&front_entry.load.overloaded, true);
+  front_post_body (other, "00000000000000a2", JOB);
   ck_assert_int_eq (read_rejection (other), 429);
   close (repeated);
   close (other);
@@ -569,17 +510,17 @@
 {
   MdTime end = md_now () + 60 * MD_SECOND;
   char response[1024];
-  int left = connect_caller ();
-  int repeated = connect_caller ();
+  int left = front_connect ();
+  int repeated = front_connect ();
 
   add_engine ();
   start_job (left, ID);
   close (left);
-  while (entry.n_jobs > 0 && md_now () < end)
+  while (front_entry.n_jobs > 0 && md_now () < end)
     run_engine ();
-  atomic_store (&entry.load.overloaded, true);
-  post_job (repeated);
-  for (end = md_now () + 60 * MD_SECOND; entry.n_jobs == 0 && md_now () < end;)
+  atomic_store (&front_entry.load.overloaded, true);
+  front_post_job (repeated);
+  for (end = md_now () + 60 * MD_SECOND; front_entry.n_jobs == 0 && md_now () < end;)
     {
       struct pollfd poll_fd = { .fd = repeated, .events = POLLIN };
 
@@ -589,8 +530,8 @@
       wait_for_caller (repeated, response);
       ck_abort_msg ("%s", response);
     }
-  ck_assert_uint_eq (entry.n_jobs, 1);
-  md_entry_fail_all (&entry);
+  ck_assert_uint_eq (front_entry.n_jobs, 1);
+  md_entry_fail_all (&front_entry);
   wait_for_caller (repeated, response);
   close (repeated);
 }
@@ -603,13 +544,13 @@
       = { "00000000000000b0", "00000000000000b1", "00000000000000b2", "00000000000000b3" };
   char response[1024];
   int callers[4];
-  int repeated = connect_caller ();
+  int repeated = front_connect ();
 
   add_engine ();
   complete_job ();
   for (int i = 0; i < 4; i++)
     {
-      callers[i] = connect_caller ();
+      callers[i] = front_connect ();
       announce_large_body (callers[i], ids[i]);
     }
   ck_assert_int_eq (read_rejection (callers[wait_for_response (callers, 4)]), 503);
@@ -629,39 +570,39 @@
 {
   char response[1024];
   MdTime end = md_now () + 60 * MD_SECOND;
-  int ended = connect_caller ();
-  int first = connect_caller ();
-  int second = connect_caller ();
-  int left = connect_caller ();
-  int again = connect_caller ();
+  int ended = front_connect ();
+  int first = front_connect ();
+  int second = front_connect ();
+  int left = front_connect ();
+  int again = front_connect ();
   MdEntryOrder *order;
 
   add_engine ();
   complete_job ();
   start_job (left, "00000000000000a2");
   close (left);
-  while (entry.n_jobs > 0 && md_now () < end)
+  while (front_entry.n_jobs > 0 && md_now () < end)
     run_engine ();
-  md_entry_order_ended (&entry, guard.orders, MD_RUN_STOPPED, 0, "");
+  md_entry_order_ended (&front_entry, guard.orders, MD_RUN_STOPPED, 0, "");
   order = start_job (first, "00000000000000a3");
-  atomic_store (&entry.closed, true);
-  post_job (ended);
+  atomic_store (&front_entry.closed, true);
+  front_post_job (ended);
   wait_for_caller (ended, response);
   ck_assert_msg (status_of (response) == 200, "%s", response);
-  post_body (again, "00000000000000a2", JOB);
+  front_post_body (again, "00000000000000a2", JOB);
   wait_for_caller (again, response);
   ck_assert_msg (status_of (response) == 504, "%s", response);
-  post_body (second, "00000000000000a3", JOB);
-  while (entry.jobs->requests->next == NULL && md_now () < end)
+  front_post_body (second, "00000000000000a3", JOB);
+  while (front_entry.jobs->requests->next == NULL && md_now () < end)
     run_engine ();
-  md_entry_order_ended (&entry, order, MD_RUN_DONE, 30 * MD_MS, "");
+  md_entry_order_ended (&front_entry, order, MD_RUN_DONE, 30 * MD_MS, "");
   wait_for_caller (first, response);
   ck_assert_msg (status_of (response) == 200, "%s", response);
   wait_for_caller (second, response);
   ck_assert_msg (status_of (response) == 200, "%s", response);
   close (first);
-  first = connect_caller ();
-  post_body (first, "00000000000000a4", JOB);
+  first = front_connect ();
+  front_post_body (first, "00000000000000a4", JOB);
   ck_assert_int_eq (read_rejection (first), 503);
   close (ended);
   close (first);
@@ -676,7 +617,7 @@
 {
   char request[512];
   char response[1024];
-  int fd = connect_caller ();
+  int fd = front_connect ();
   int len = snprintf (request, sizeof request,
                       "%s HTTP/1.1\r\nHost: jobs.example\r\nConnection: close\r\n"
                       "Content-Length: %zu\r\n\r\n%s",
@@ -748,7 +689,7 @@
     for (size_t i = 0; i < MD_ARRAY_SIZE (odd); i++)
       {
         char response[1024] = "";
-        int fd = connect_caller ();
+        int fd = front_connect ();
         ssize_t sent = write (fd, odd[i].text, strlen (odd[i].text));
         ssize_t n = read (fd, response, sizeof response - 1);
         const char *status = strchr (response, ' ');
@@ -781,10 +722,11 @@
   TCase *tc = tcase_create ("front");
 
   tcase_set_timeout (tc, 120); /* for the thread sanitizer */
-  tcase_add_checked_fixture (tc, setup, teardown);
+  tcase_add_checked_fixture (tc, front_setup, front_teardown);
   tcase_add_test (tc, overloaded_entry_rejects_before_the_engine);
   tcase_add_test (tc, repeated_job_reaches_the_engine);
   tcase_add_test (tc, request_of_a_reset_connection_is_dropped);
+  tcase_add_test (tc, reset_connection_is_not_taken_for_a_later_one);
   tcase_add_test (tc, odd_requests_in_parallel);
   tcase_add_test (tc, configuration_does_not_wait_for_the_engine);
   tcase_add_test (tc, outdated_configuration_denies_no_queue);
