State the time left as zero when a lease may not be extended at all

What was seen, in the read-through: lease-limited logged a large negative left_ms when a run had to end while the worker was not known to be free of runs of a former process, as the limit is zero then.

Change: left_ms is at least zero.

--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -662,7 +662,8 @@
 static void
 update_lease_limit (MdRunGuard *guard)
 {
-  MdTime limit = guard->worker.clean && !guard->worker.has_unknown ? INT64_MAX : 0;
+  bool is_free = guard->worker.clean && !guard->worker.has_unknown;
+  MdTime limit = is_free ? INT64_MAX : 0;
   unsigned cancelled = 0;
   bool is_short;
 
@@ -680,8 +681,8 @@
     {
       md_count (MD_M_LEASES_LIMITED, 1);
       md_log (MD_LOG_WARN, "lease-limited", "worker=%s left_ms=%lld cancelled=%u runs=%u stops=%u",
-              guard->worker.id, (long long)((limit - guard->now) / MD_MS), cancelled,
-              guard->queue.running.n, guard->stop_calls);
+              guard->worker.id, (long long)((limit > guard->now ? limit - guard->now : 0) / MD_MS),
+              cancelled, guard->queue.running.n, guard->stop_calls);
     }
   guard->worker.lease_limit = limit;
   guard->worker.lease_is_short = is_short;
