--- a/tests/test-connection-socket.c
+++ b/tests/test-connection-socket.c
@@ -104,7 +104,7 @@
 {
   const char request[] = "GET /v1/x HTTP/1.1\r\nHost: x\r\n\r\n";
   char response[512] = "";
-  struct sockaddr_in own;
+  struct sockaddr_in own = { 0 };
   socklen_t len = sizeof own;
   size_t n = 0;
   int fd;
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -278,7 +278,7 @@
 {
   int64_t left = atomic_load (&md_metrics[MD_M_CALLERS_LEFT]);
   MdTime end = md_now () + 60 * MD_SECOND;
-  struct sockaddr_in from;
+  struct sockaddr_in from = { 0 };
   socklen_t len = sizeof from;
   int reset;
   int later;
