Look for the callers of a job before anything more of it is placed

Cause: an entry that was suspended reads the reports of its guards before the threads of its callers report that these have left, and places the tasks whose runs were lost again. Ruled out: the leases of the guards, which had ended the former runs in time.

Change: before a job is placed or admitted in a later pass than that of its request, the engine looks at the sockets of its callers; without one it ends the job. Orders that were queued for longer than the entry's lease are checked in the same way before they are sent, as they would go out with the echo of a report that was read after the pause.

Tests: three in test-entry-late.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -405,6 +405,7 @@
   bool reads = md_link_queued (guard->link) < MAX_QUEUED_ORDERS;
   int rc;
 
+  md_entry_check_unsent (entry, guard);
   drop_cancelled_orders (entry, guard);
   if (!reads && entry->now < guard->sent_at + message_interval (entry, guard))
     return true;
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -394,6 +394,18 @@
     md_entry_finish_job (entry, job, 429, NULL, "overload", MD_RETRY_AFTER_NO_WORKER / 2);
 }
 
+/* Whether the job still has a caller; otherwise finishes it. Asked before anything is placed that was not
+   placed with the admission: a process that was suspended reads reports of guards before its
+   threads tell it that callers have left, and these may have repeated the job at another entry. */
+static bool
+keep_for_callers (MdRunEntry *entry, MdEntryJob *job)
+{
+  if (md_entry_has_caller (job))
+    return true;
+  md_entry_finish_job (entry, job, 0, NULL, "caller-left", 0);
+  return false;
+}
+
 static void
 advance_job (MdRunEntry *entry, MdEntryJob *job)
 {
@@ -411,7 +423,7 @@
     case MD_RUNJOB_ACTIVE:
       if (job->giving_up)
         finish_given_up (entry, job);
-      else if (job->runjob.ready > 0)
+      else if (job->runjob.ready > 0 && keep_for_callers (entry, job))
         md_entry_place_ready (entry, job);
       break;
     }
@@ -494,6 +506,14 @@
           job->runjob.tasks[i][k].last_worker = NULL;
 }
 
+void
+md_entry_check_unsent (MdRunEntry *entry, MdEntryGuard *guard)
+{
+  for (const MdEntryOrder *order = guard->unsent; order != NULL; order = order->next_unsent)
+    if (order->job != NULL && entry->now - order->placed_at > entry->daemon.leases.entry)
+      keep_for_callers (entry, order->job);
+}
+
 /* ------------------------------------------------------------------ */
 /* Periodic checks                                                    */
 
@@ -646,7 +666,8 @@
     }
   if (job->admit_until > 0)
     {
-      md_entry_admit (entry, job);
+      if (keep_for_callers (entry, job))
+        md_entry_admit (entry, job);
       return;
     }
   if (job->giving_up)
@@ -662,7 +683,7 @@
       return;
     }
   check_orders (entry, job);
-  if (job->runjob.ready > 0)
+  if (job->runjob.ready > 0 && keep_for_callers (entry, job))
     md_entry_place_ready (entry, job);
 }
 
--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -68,6 +68,15 @@
   return n != 0;
 }
 
+bool
+md_entry_has_caller (const MdEntryJob *job)
+{
+  for (const MdCallerRequest *request = job->requests; request != NULL; request = request->next)
+    if (!md_entry_has_caller_left (request))
+      return true;
+  return false;
+}
+
 void
 md_entry_record_dropped (const MdCallerRequest *caller_request, MdTime now)
 {
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -325,6 +325,9 @@
 /* md_entry_has_caller_left: whether the caller of a SUBMIT has closed its connection, or it was reset.
    Can be called from any thread. */
 bool md_entry_has_caller_left (const MdCallerRequest *caller_request);
+/* md_entry_has_caller: whether at least one caller of an active job is still there. Looks at the
+   sockets, so that it also tells of callers whose threads have not reported that they left. */
+bool md_entry_has_caller (const MdEntryJob *job);
 /* md_entry_record_dropped: log and count a request whose caller has left before anything of it was
    ordered. Can be called from any thread. */
 void md_entry_record_dropped (const MdCallerRequest *caller_request, MdTime now);
@@ -359,6 +362,10 @@
 void md_entry_order_started (MdRunEntry *entry, MdEntryOrder *order);
 void md_entry_order_ended (MdRunEntry *entry, MdEntryOrder *order, MdRunResult result, MdTime run,
                            const char *checkpoint);
+/* md_entry_check_unsent: finish the jobs without a caller of which an order to this guard has been
+   queued for longer than the entry's lease: the process was suspended meanwhile, and the job may
+   have been repeated. Their orders are marked as cancelled. */
+void md_entry_check_unsent (MdRunEntry *entry, MdEntryGuard *guard);
 /* md_entry_clear_worker: remove the references of all jobs to a worker that is to be freed. */
 void md_entry_clear_worker (MdRunEntry *entry, const MdWorker *worker);
 /* md_entry_jobs_tick: check deadlines, move runs that wait too long, and place tasks that are
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -632,6 +632,7 @@
       jobs[i].runjob.tasks = &steps[i];
       order->guard = known;
       order->job = &jobs[i];
+      order->placed_at = entry.now;
       md_entry_send_order (&entry, order);
     }
   for (int i = 0; i < PASSES && ordered < LARGE_JOBS; i++)
--- a/tests/test-entry-late.c
+++ b/tests/test-entry-late.c
@@ -329,6 +329,69 @@
 }
 END_TEST
 
+static void
+close_caller (void)
+{
+  close (caller[1]);
+  caller[1] = -1;
+}
+
+/* Guards against a task that runs twice: an entry that was suspended read the end of a lost run before
+   the thread of the caller reported that it had left, and placed the task again beside the repeat of
+   the job at another entry (run-wake). */
+START_TEST (lost_run_of_a_caller_that_left_is_not_placed_again)
+{
+  MdEntryOrder *order;
+
+  submit_job (entry.now);
+  order = sent_order ();
+  close_caller ();
+  md_entry_order_ended (&entry, order, MD_RUN_STOPPED, 0, "");
+  ck_assert_ptr_null (entry.jobs);
+  ck_assert_ptr_null (guards[0].orders);
+  ck_assert_ptr_null (guards[1].orders);
+  ck_assert (atomic_load (&request.answered));
+  ck_assert_int_eq (request.status, 0);
+}
+END_TEST
+
+/* Guards against the same for a task that no worker could take before the pause. */
+START_TEST (ready_task_of_a_caller_that_left_is_not_placed)
+{
+  MdEntryOrder *order;
+
+  submit_job (entry.now);
+  order = sent_order ();
+  guards[0].worker.connected = guards[1].worker.connected = false;
+  md_entry_order_ended (&entry, order, MD_RUN_REJECTED, 0, "");
+  ck_assert_ptr_nonnull (entry.jobs);
+  guards[0].worker.connected = guards[1].worker.connected = true;
+  close_caller ();
+  entry.now += 20 * MD_MS;
+  md_entry_jobs_tick (&entry);
+  ck_assert_ptr_null (entry.jobs);
+  ck_assert_ptr_null (guards[0].orders);
+  ck_assert_ptr_null (guards[1].orders);
+}
+END_TEST
+
+/* Guards against the same for orders that were queued when the process was suspended: they would be sent
+   with the echo of a report that was read after the pause, so that their guard starts them. */
+START_TEST (order_that_was_queued_during_a_pause_needs_a_caller)
+{
+  submit_job (entry.now);
+  entry.now += 1400 * MD_MS;
+  md_entry_check_unsent (&entry, &guards[0]);
+  ck_assert_ptr_nonnull (entry.jobs);
+  close_caller ();
+  md_entry_check_unsent (&entry, &guards[0]);
+  ck_assert_ptr_null (entry.jobs);
+  ck_assert_ptr_nonnull (guards[0].unsent);
+  ck_assert (guards[0].unsent->cancelled);
+  ck_assert_ptr_null (guards[0].unsent->job);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -346,5 +409,8 @@
   tcase_add_test (tc, late_entry_denies_no_job_that_was_given_up);
   tcase_add_test (tc, job_of_a_caller_that_left_is_not_denied);
   tcase_add_test (tc, job_that_no_guard_started_is_rejected);
+  tcase_add_test (tc, lost_run_of_a_caller_that_left_is_not_placed_again);
+  tcase_add_test (tc, ready_task_of_a_caller_that_left_is_not_placed);
+  tcase_add_test (tc, order_that_was_queued_during_a_pause_needs_a_caller);
   return run_suite ("entry-late", tc);
 }
