Evacuate failure domains: entries read the request, guards hear it and refuse

What callers and operators saw: an operator who asked for a zone to be emptied (key evacuate/ZONE in the topic of the configuration) was ignored, and tasks went on starting there.

Cause: the reader of the topic took the key of the configuration only, entries did not keep the failure domain of a guard, and guards had no notion of an evacuation.

Change: the reader keeps the set of evacuated domains beside the routes (sched/evacuation.c, published by RCU), without a further call to the store, and an entry has no routes before the last page of the newest records. The engine takes back what has not started there and places nothing there (MdWorker.evacuated). Guards are told with each welcome and each message of orders, adopt the highest place in the log only, hand back what waits, refuse the rest and report DRAINING. A start that the worker rejects while the queue is closed is handed back too; it would have waited at the closed queue. The three functions on accepting runs moved from guard-worker.c to guard-evacuation.c.

--- a/fleet/config-reader.c
+++ b/fleet/config-reader.c
@@ -1,4 +1,6 @@
-/* config-reader.c -- the operator's configuration, followed in a thread of its own */
+/* config-reader.c -- the operator's configuration and evacuations, followed in a thread of its own
+
+   Both are records of one topic and are read with the same calls. */
 
 #include "config-reader.h"
 #include "process.h"
@@ -16,23 +18,79 @@
   MdHttp *http;                   /* calls to the store, owned */
   MdKeyedReader *records;         /* of the operator's topic, owned */
   _Atomic (MdRoutes *) routes;    /* RCU: configuration in force, owned; NULL: none yet */
-  _Atomic MdTime confirmed_at;    /* routes were the newest at this time, 0: never */
-  void (*on_change) (void *user); /* called after routes has changed */
+  _Atomic MdTime confirmed_at;    /* all records of that time have been applied, 0: never */
+  void (*on_change) (void *user); /* called after routes or evacuated has changed */
   void *user;                     /* argument of on_change */
   pthread_t thread;
   bool started;         /* the thread has been created */
   atomic_bool stopping; /* the thread is to end */
+
+  /* RCU: evacuated domains, owned; NULL: not known yet */
+  _Atomic (MdEvacuated *) evacuated;
+  MdEvacuationLog evacuations; /* used by the thread only */
 };
 
+/* ------------------------------------------------------------------ */
+/* Evacuations                                                        */
+
 static void
-on_record (void *user, const MdKeyedRecord *record)
+apply_evacuation (MdConfigReader *reader, const MdKeyedRecord *record, MdStr domain, bool evacuated)
+{
+  char name[MD_NAME_BYTES];
+
+  if (!md_evacuation_record (&reader->evacuations, domain, evacuated, record->offset))
+    md_log (MD_LOG_ERROR, "evacuation-ignored",
+            "domain=%s offset=%llu reason=\"too many domains, or no name of a domain\" max=%d",
+            md_log_quote (domain, name, sizeof name), (unsigned long long)record->offset,
+            MD_MAX_EVACUATED);
+}
+
+/* Publishes the set when it or its version has changed. Without memory it is tried again after the
+   next call to the store. */
+static void
+publish_evacuated (MdConfigReader *reader)
+{
+  const MdEvacuated *known = &reader->evacuations.known;
+  MdEvacuated *previous = atomic_load (&reader->evacuated);
+  MdEvacuated *next;
+
+  if (known->version == 0 || (previous != NULL && previous->version == known->version))
+    return;
+  next = malloc (sizeof *next);
+  if (next == NULL)
+    return;
+  *next = *known;
+  atomic_store_explicit (&reader->evacuated, next, memory_order_release);
+  reader->on_change (reader->user);
+  urcu_memb_synchronize_rcu ();
+  free (previous);
+}
+
+/* Called after each event. Of a call to the store, all records have been delivered then. */
+static void
+follow_evacuations (MdConfigReader *reader)
+{
+  uint64_t end = md_keyed_reader_next_offset (reader->records);
+
+  if (!md_keyed_reader_loaded (reader->records))
+    md_evacuation_begin_pages (&reader->evacuations);
+  else if (!md_evacuation_read_up_to (&reader->evacuations, end))
+    md_log (MD_LOG_ERROR, "evacuations-outdated", "end=%llu version=%llu action=\"none\"",
+            (unsigned long long)end, (unsigned long long)reader->evacuations.known.version);
+  publish_evacuated (reader);
+}
+
+/* ------------------------------------------------------------------ */
+/* Configuration                                                      */
+
+static void
+apply_config (MdConfigReader *reader, const MdKeyedRecord *record)
 {
-  MdConfigReader *reader = user;
   MdError error = { 0 };
   MdRoutes *routes;
   MdRoutes *previous = atomic_load (&reader->routes);
 
-  if (!md_str_equal (record->key, MD_STR (MD_KEY_CONFIG)) || record->value.len == 0)
+  if (record->value.len == 0)
     return;
   routes = md_platform_parse_config (record->value, &error);
   if (routes == NULL)
@@ -59,12 +117,29 @@
   md_routes_free (previous);
 }
 
+static void
+on_record (void *user, const MdKeyedRecord *record)
+{
+  MdConfigReader *reader = user;
+  MdStr domain;
+  bool evacuated;
+
+  if (md_str_equal (record->key, MD_STR (MD_KEY_CONFIG)))
+    apply_config (reader, record);
+  else if (md_platform_parse_evacuation (record, &domain, &evacuated))
+    apply_evacuation (reader, record, domain, evacuated);
+}
+
+/* ------------------------------------------------------------------ */
+/* Thread                                                             */
+
 static void *
 run (void *data)
 {
   MdConfigReader *reader = data;
 
   urcu_memb_register_thread ();
+  md_evacuation_begin_pages (&reader->evacuations);
   while (!atomic_load (&reader->stopping))
     {
       MdTime due = md_keyed_reader_poll (reader->records, md_now ());
@@ -73,6 +148,7 @@
       md_links_poll (reader->links, due);
       md_http_poll (reader->http);
       atomic_store (&reader->confirmed_at, md_keyed_reader_confirmed_at (reader->records));
+      follow_evacuations (reader);
     }
   urcu_memb_unregister_thread ();
   return NULL;
@@ -131,15 +207,24 @@
   md_keyed_reader_free (reader->records);
   md_links_free (reader->links);
   md_routes_free (atomic_load (&reader->routes));
+  free (atomic_load (&reader->evacuated));
   free (reader);
 }
 
 const MdRoutes *
 md_config_reader_routes (const MdConfigReader *reader)
 {
+  if (md_config_reader_evacuated (reader) == NULL)
+    return NULL;
   return atomic_load_explicit (&reader->routes, memory_order_acquire);
 }
 
+const MdEvacuated *
+md_config_reader_evacuated (const MdConfigReader *reader)
+{
+  return atomic_load_explicit (&reader->evacuated, memory_order_acquire);
+}
+
 bool
 md_config_reader_loaded (const MdConfigReader *reader)
 {
--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -351,6 +351,8 @@
   else if (guard->follow_until > entry->now)
     orders.follow_us = (uint64_t)(guard->follow_until - entry->now);
   orders.report_interval_us = (uint64_t)entry->report_interval;
+  orders.evacuated = guard->worker.evacuated;
+  orders.evacuation_version = entry->evacuation.set.version;
   for (uint32_t i = 0; i < n && fits (&orders, &unsent[i]->job->runjob.spec); i++)
     {
       fill_order (&orders, &list[i], &names[i], unsent[i], entry->now);
@@ -441,7 +443,7 @@
 /* Connections                                                        */
 
 static void
-send_welcome (MdRunEntry *entry, MdLink *link)
+send_welcome (MdRunEntry *entry, const MdEntryGuard *guard)
 {
   Md__Frame frame = MD__FRAME__INIT;
   Md__RunWelcome welcome = MD__RUN_WELCOME__INIT;
@@ -452,13 +454,15 @@
   welcome.incarnation = entry->incarnation;
   welcome.sparse_reports = true;
   welcome.report_interval_us = (uint64_t)entry->report_interval;
+  welcome.evacuated = guard->worker.evacuated;
+  welcome.evacuation_version = entry->evacuation.set.version;
   for (unsigned i = 0; i < entry->directory.n; i++)
     entries[i] = entry->directory.address[i];
   welcome.entries = entries;
   welcome.n_entries = entry->directory.n;
   frame.msg_case = MD__FRAME__MSG_RUN_WELCOME;
   frame.run_welcome = &welcome;
-  md_link_send (link, &frame);
+  md_link_send (guard->link, &frame);
 }
 
 /* Ends the orders of the previous process of a guard and resets its state. */
@@ -589,7 +593,8 @@
   md_link_set_max_silence (link, MD_GUARD_SILENCE);
   for (size_t i = 0; i < hello->n_entries; i++)
     md_directory_add (&entry->directory, md_str (hello->entries[i]), entry->now);
-  send_welcome (entry, link);
+  md_entry_set_domain (entry, guard, hello->failure_domain);
+  send_welcome (entry, guard);
   md_log (MD_LOG_INFO, "guard-up", "guard=%s incarnation=%llx orders=%u alive=%zu away_ms=%lld",
           guard->name, (unsigned long long)hello->incarnation, guard->worker.outstanding,
           hello->n_alive,
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -310,9 +310,7 @@
   report.n_started = peer->n_started;
   report.failures = guard->queue.failures;
   report.stalled = md_runqueue_stalled (&guard->queue, guard->now);
-  report.state = md_guard_accepts_runs (guard)                      ? MD_WORKER_READY
-                 : guard->worker.report.state == MD_WORKER_DRAINING ? MD_WORKER_DRAINING
-                                                                    : MD_WORKER_ABSENT;
+  report.state = md_guard_reported_state (guard);
   if (!peer->worker_reported && guard->worker.has_report)
     {
       fill_worker_info (&guard->worker, &info, labels);
@@ -535,6 +533,7 @@
           peer->address, (unsigned long long)peer->incarnation);
   peer->reads_sparse = welcome->sparse_reports;
   guard->entries_due = 0;
+  md_guard_hear_evacuation (guard, peer, welcome->evacuated, welcome->evacuation_version);
   set_report_interval (guard, peer, welcome->report_interval_us);
   choose_entries (guard);
   for (size_t i = 0; i < welcome->n_entries; i++)
@@ -636,6 +635,7 @@
               orders->n_orders);
       return;
     }
+  md_guard_hear_evacuation (guard, peer, orders->evacuated, orders->evacuation_version);
   if (refuse_orders (guard, peer, orders))
     return;
   if (orders->echo_us > peer->echo && orders->echo_us <= guard->now)
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -57,28 +57,6 @@
   char worker[MD_WORKER_ID_BYTES]; /* name of the worker that it was sent to */
 } OrderCall;
 
-bool
-md_guard_accepts_runs (const MdRunGuard *guard)
-{
-  const MdGuardWorker *worker = &guard->worker;
-
-  return worker->has_report && worker->clean && worker->reachable && worker->clock_known
-         && worker->report.state == MD_WORKER_READY && !guard->leaving;
-}
-
-void
-md_guard_update_accepting (MdRunGuard *guard)
-{
-  bool accepting = md_guard_accepts_runs (guard);
-
-  if (accepting == guard->queue.accepting)
-    return;
-  guard->queue.accepting = accepting;
-  guard->state_version++;
-  if (!accepting)
-    md_guard_reject_waiting (guard);
-}
-
 static MdGuardRun *
 guard_run (MdRun *queued)
 {
@@ -561,7 +539,7 @@
 /* Starts                                                             */
 
 /* Puts a run that the worker rejected back into the queue if a later start may succeed, otherwise
-   ends it. */
+   ends it. A queue that has been closed meanwhile takes none back: nothing would start it. */
 static void
 reject_start (MdRunGuard *guard, MdGuardRun *run, MdOrderResult result)
 {
@@ -573,7 +551,8 @@
           run->run_number, (int)result, run->rejected_starts + 1);
   if (result == MD_ORDER_NO_CAPACITY)
     guard->start_after = guard->now + CAPACITY_RETRY_DELAY;
-  if (retry && !run->cancelled && ++run->rejected_starts < MAX_REJECTED_STARTS)
+  if (retry && !run->cancelled && guard->queue.accepting
+      && ++run->rejected_starts < MAX_REJECTED_STARTS)
     md_runqueue_requeue (&guard->queue, &run->queued);
   else
     md_guard_end_run (guard, run, result == MD_ORDER_STALE ? MD_RUN_STALE : MD_RUN_REJECTED, "");
--- a/fleet/keyed.c
+++ b/fleet/keyed.c
@@ -74,6 +74,12 @@
   return keyed->state == KEYED_FOLLOW;
 }
 
+uint64_t
+md_keyed_reader_next_offset (const MdKeyedReader *keyed)
+{
+  return keyed->next_offset;
+}
+
 MdTime
 md_keyed_reader_confirmed_at (const MdKeyedReader *keyed)
 {
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -90,7 +90,8 @@
 has_upstream (const MdRunEntry *entry)
 {
   for (uint32_t i = 0; i < entry->workers.n; i++)
-    if (entry->workers.workers[i]->connected && entry->workers.workers[i]->state == MD_WORKER_READY)
+    if (entry->workers.workers[i]->connected && !entry->workers.workers[i]->evacuated
+        && entry->workers.workers[i]->state == MD_WORKER_READY)
       return true;
   return false;
 }
@@ -110,7 +111,7 @@
     {
       const MdWorker *worker = entry->workers.workers[i];
 
-      ready += worker->connected && worker->state == MD_WORKER_READY;
+      ready += worker->connected && !worker->evacuated && worker->state == MD_WORKER_READY;
       avoided += worker->stalled || entry->now < worker->avoid_until;
       full += worker->connected && !worker->sparse;
     }
@@ -185,6 +186,7 @@
       if (md_daemon_reload (&entry->daemon, entry->now))
         apply_settings (entry);
       due = entry->daemon.file.check_due;
+      md_entry_evacuation_poll (entry);
       handled = md_entry_handle_requests (entry, REQUEST_BUDGET);
       md_entry_jobs_tick (entry);
       update_ready (entry);
@@ -229,7 +231,7 @@
             atomic_load (&entry->active_requests));
 }
 
-/* An entry becomes ready with its first configuration. */
+/* An entry becomes ready with its first configuration, and evacuations take effect at once. */
 static void
 wake_engine (void *user)
 {
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -3,10 +3,10 @@
    front.c is the HTTP server for callers, run-entry.c the main loop, entry-requests.c handles
    the requests, entry-jobs.c keeps the jobs, entry-placement.c admits them and places their
    tasks, entry-advice.c calls the advisory service, entry-guards.c has the links of guards and
-   sends their orders, and entry-reports.c reads their reports. All of them run in the engine
-   thread, except front.c and entry-metrics.c, which run in the threads of the HTTP server.
-   config-reader.c has a thread of its own. Times are microseconds on the monotonic clock (MdTime)
-   unless stated otherwise. */
+   sends their orders, entry-reports.c reads their reports, and entry-evacuation.c applies
+   evacuations of failure domains. All of them run in the engine thread, except front.c and
+   entry-metrics.c, which run in the threads of the HTTP server. config-reader.c has a thread of its
+   own. Times are microseconds on the monotonic clock (MdTime) unless stated otherwise. */
 
 #ifndef MD_RUN_ENTRY_H
 #define MD_RUN_ENTRY_H
@@ -98,6 +98,8 @@
   MdIdList withdraws;       /* orders to withdraw with the next message */
   MdTime sent_at;           /* when the last message was sent */
   MdTime follow_until;      /* it was asked to report each change until then; 0: never */
+
+  char failure_domain[MD_NAME_BYTES]; /* from its hello */
 } MdEntryGuard;
 
 /* A run that a guard was ordered to start and that has not ended. */
@@ -206,11 +208,19 @@
   atomic_bool overloaded;   /* jobs are rejected before they reach the engine */
 } MdEntryLoad;
 
+/* Evacuated failure domains, as the engine has applied them. */
+typedef struct
+{
+  MdEvacuated set;
+  MdTime unknown_due; /* domains without a guard are logged at this time, 0: not any more */
+} MdEntryEvacuation;
+
 struct MdRunEntry
 {
   MdDaemon daemon;                       /* settings, links, connections to the store */
   uint64_t incarnation;                  /* random, identifies this process */
   MdConfigReader *config;                /* follows the operator's configuration, owned */
+  MdEntryEvacuation evacuation;          /* from config */
   MdDirectory directory;                 /* addresses of entries */
   MdInbox inbox;                         /* requests of callers */
   MdInboxNode *backlog;                  /* taken from the inbox, not handled yet, oldest first */
@@ -404,6 +414,17 @@
 /* md_entry_free_guards: free all guards with their orders, without ending the orders. */
 void md_entry_free_guards (MdRunEntry *entry);
 
+/* entry-evacuation.c */
+/* md_entry_evacuation_poll: apply a newer set of evacuated domains. To be called in each pass before
+   jobs are placed and messages sent. */
+void md_entry_evacuation_poll (MdRunEntry *entry);
+/* md_entry_apply_evacuated: apply this set, which was last known to be the newest this long ago: take
+   back what has not started in a domain that is evacuated now, and have the guards of each domain that
+   changes told with the next message. Does nothing if the version is the present one. */
+void md_entry_apply_evacuated (MdRunEntry *entry, const MdEvacuated *set, MdTime age);
+/* md_entry_set_domain: record the failure domain that a guard has stated in its hello. */
+void md_entry_set_domain (MdRunEntry *entry, MdEntryGuard *guard, const char *domain);
+
 /* entry-reports.c */
 #define MD_GUARD_SILENCE (350 * MD_MS) /* a guard reports with each heartbeat, 100 ms or less */
 /* md_entry_report: take over a report of a guard, and end or confirm the orders that it names. */
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -2,15 +2,17 @@
 
    run-guard.c holds the process life cycle and the event loop, guard-orders.c the links to entries
    and the orders received on them, guard-worker.c the calls to the worker, guard-lifetime.c the
-   worker's reports and lifetimes, guard-memory.c the record of the worker in the store, and
-   guard-registrar.c the HTTP server to which the worker reports. The handlers of that server run in
-   its own threads; everything else runs in the engine thread. */
+   worker's reports and lifetimes, guard-memory.c the record of the worker in the store,
+   guard-evacuation.c decides whether runs are accepted, and guard-registrar.c has the HTTP server to
+   which the worker reports. The handlers of that server run in its own threads; everything else runs
+   in the engine thread. */
 
 #ifndef MD_RUN_GUARD_H
 #define MD_RUN_GUARD_H
 
 #include "advice.h"
 #include "daemon.h"
+#include "evacuation.h"
 #include "inbox.h"
 
 #include "wire.pb-c.h"
@@ -191,6 +193,8 @@
                                         capacity */
   bool leaving;          /* SIGTERM was received: drain and exit */
   MdTime leave_until;    /* latest time of the exit; valid when leaving */
+
+  MdEvacuationNotice evacuation; /* of the failure domain, as told by entries */
 } MdRunGuard;
 
 /* Connections for stops. With those for holds and starts, and those that a former process has left
@@ -240,18 +244,30 @@
 
 /* guard-worker.c */
 
-/* md_guard_update_accepting: open or close the queue after a change of the worker's state; closing
-   rejects waiting runs. */
-void md_guard_update_accepting (MdRunGuard *guard);
-
 /* md_guard_worker_poll: send the hold, stops and starts that are due, and check the timeouts of
    the worker. Returns the time of the next call. */
 MdTime md_guard_worker_poll (MdRunGuard *guard);
 
+/* guard-evacuation.c */
+
 /* md_guard_accepts_runs: whether new runs can be started: the worker is ready, reachable and
-   free of foreign runs, its clock is known, and the guard is not leaving. */
+   free of foreign runs, its clock is known, the guard is not leaving, and its failure domain is not
+   evacuated. */
 bool md_guard_accepts_runs (const MdRunGuard *guard);
 
+/* md_guard_reported_state: the state of the worker and the guard together, for reports. */
+MdWorkerState md_guard_reported_state (const MdRunGuard *guard);
+
+/* md_guard_update_accepting: open or close the queue after a change of what md_guard_accepts_runs
+   depends on; closing rejects waiting runs. */
+void md_guard_update_accepting (MdRunGuard *guard);
+
+/* md_guard_hear_evacuation: take over what a message of an entry says about the failure domain of
+   this guard. To be called before the orders of the message are added. A domain that is evacuated
+   now closes the queue; started runs go on. */
+void md_guard_hear_evacuation (MdRunGuard *guard, const MdGuardPeer *peer, bool evacuated,
+                               uint64_t version);
+
 /* guard-orders.c */
 
 extern const MdLinkHandler md_run_guard_handler;
--- a/net/wire.pb-c.c
+++ b/net/wire.pb-c.c
@@ -3767,7 +3767,7 @@
   (ProtobufCMessageInit) md__run_hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_welcome__field_descriptors[5] =
+static const ProtobufCFieldDescriptor md__run_welcome__field_descriptors[7] =
 {
   {
     "name",
@@ -3829,9 +3829,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunWelcome, evacuated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuation_version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunWelcome, evacuation_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_welcome__field_indices_by_name[] = {
   2,   /* field[2] = entries */
+  5,   /* field[5] = evacuated */
+  6,   /* field[6] = evacuation_version */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = name */
   4,   /* field[4] = report_interval_us */
@@ -3840,7 +3866,7 @@
 static const ProtobufCIntRange md__run_welcome__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor md__run_welcome__descriptor =
 {
@@ -3850,7 +3876,7 @@
   "Md__RunWelcome",
   "md",
   sizeof(Md__RunWelcome),
-  5,
+  7,
   md__run_welcome__field_descriptors,
   md__run_welcome__field_indices_by_name,
   1,  md__run_welcome__number_ranges,
@@ -4167,7 +4193,7 @@
   (ProtobufCMessageInit) md__run_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_orders__field_descriptors[9] =
+static const ProtobufCFieldDescriptor md__run_orders__field_descriptors[11] =
 {
   {
     "guard",
@@ -4277,11 +4303,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrders, evacuated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuation_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrders, evacuation_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_orders__field_indices_by_name[] = {
   5,   /* field[5] = cancels */
   1,   /* field[1] = echo_us */
   2,   /* field[2] = ends_seen */
+  9,   /* field[9] = evacuated */
+  10,   /* field[10] = evacuation_version */
   7,   /* field[7] = follow_us */
   0,   /* field[0] = guard */
   4,   /* field[4] = orders */
@@ -4292,7 +4344,7 @@
 static const ProtobufCIntRange md__run_orders__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor md__run_orders__descriptor =
 {
@@ -4302,7 +4354,7 @@
   "Md__RunOrders",
   "md",
   sizeof(Md__RunOrders),
-  9,
+  11,
   md__run_orders__field_descriptors,
   md__run_orders__field_indices_by_name,
   1,  md__run_orders__number_ranges,
--- a/net/wire.pb-c.h
+++ b/net/wire.pb-c.h
@@ -559,10 +559,18 @@
    * as in RunOrders
    */
   uint64_t report_interval_us;
+  /*
+   * as in RunOrders
+   */
+  protobuf_c_boolean evacuated;
+  /*
+   * as in RunOrders
+   */
+  uint64_t evacuation_version;
 };
 #define MD__RUN_WELCOME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_welcome__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Md__WorkerInfo
@@ -674,10 +682,18 @@
    * shortest time between two reports of changes, 0: the guard's own
    */
   uint64_t report_interval_us;
+  /*
+   * no run may be started in the guard's failure domain
+   */
+  protobuf_c_boolean evacuated;
+  /*
+   * place in the operator's log as of which that holds, 0: unknown
+   */
+  uint64_t evacuation_version;
 };
 #define MD__RUN_ORDERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_orders__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Md__RunEnd
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -62,7 +62,7 @@
 bool
 md_worker_can_run (const MdWorker *worker, const MdTaskRequirements *need)
 {
-  return worker->state == MD_WORKER_READY && worker->connected
+  return worker->state == MD_WORKER_READY && worker->connected && !worker->evacuated
          && strcmp (worker->pool, need->pool) == 0
          && md_resources_fit (worker->capacity, need->resources)
          && (need->required_label[0] == '\0'
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -238,6 +238,7 @@
   MdTime bias;           /* added to its expected ends; differs between entries, see placement.c */
   MdTime reported_at;    /* when the fields above were reported */
   bool connected;        /* messages of its guard arrive */
+  bool evacuated;        /* no run may be started in its failure domain */
   bool sparse;           /* its guard does not report each change, so that its load is not known */
   bool follow_requested; /* its guard was asked to report each change and has not done so yet */
   bool stalled;          /* as reported */
@@ -338,8 +339,8 @@
 bool md_place_try (const MdWorkers *workers, const MdTaskRequirements *need, uint32_t count,
                    uint32_t *counts, MdSavedResources *saved, MdTime *finish, MdTime now);
 
-/* md_worker_can_run: whether the worker accepts runs, is connected and has the pool, the
-   capacity and the label that the task requires, busy or not. */
+/* md_worker_can_run: whether the worker accepts runs, is connected, not evacuated and has the pool,
+   the capacity and the label that the task requires, busy or not. */
 bool md_worker_can_run (const MdWorker *worker, const MdTaskRequirements *need);
 
 /* md_place_rack: the rack on which count tasks of a step would end first if a task takes
