Handle the newest job first while an entry is short of processor time

Cause: the backlog is handled in order of arrival. Once it is longer than the slack of a kind of job, every job of the kind is late although the engine is busy all the time.

Requests that are no jobs go first and never overtake the job that they refer to.

--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -311,6 +311,33 @@
   return true;
 }
 
+/* Returns the time from the arrival of a job within which its answer has its full worth, without
+   the way back to the caller. */
+static MdTime
+objective_of (const MdRoute *route, double critical_path)
+{
+  return md_span_to (route->slack_factor * critical_path, MAX_OBJECTIVE) + route->target_latency;
+}
+
+void
+md_entry_predict_times (const MdRunEntry *entry, const MdCallerRequest *request, MdTime *limit,
+                        MdTime *work)
+{
+  const MdCorrection *correction = &entry->correction;
+  const MdRunJob job = { .spec = request->spec };
+  double of_step[MD_MAX_STEPS];
+  double path;
+
+  for (uint32_t i = 0; i < entry->n_stats; i++)
+    if (strcmp (entry->stats[i]->name, request->route.name) == 0)
+      correction = &entry->stats[i]->correction;
+  for (uint32_t i = 0; i < job.spec.n_steps && i < MD_MAX_STEPS; i++)
+    of_step[i] = md_estimate_work (correction, job.spec.steps[i].declared_time);
+  path = job.spec.n_steps <= MD_MAX_STEPS ? md_runjob_critical_path (&job, of_step) : 0;
+  *work = md_span (path);
+  *limit = MD_LIMIT_GOAL_MULTIPLE * objective_of (&request->route, path) - NETWORK_MARGIN;
+}
+
 void
 md_entry_set_times (MdEntryJob *job, const MdCallerRequest *caller_request)
 {
@@ -323,8 +350,7 @@
     work[i] = md_entry_expected_work (job, i)
               + (double)md_advice_call_time (&job->route.advisor, MD_ADVICE_MAX_WORKERS);
   job->critical_path = md_runjob_critical_path (&job->runjob, work);
-  objective = md_span_to (job->route.slack_factor * job->critical_path, MAX_OBJECTIVE)
-              + job->route.target_latency;
+  objective = objective_of (&job->route, job->critical_path);
   job->arrived = caller_request->arrived;
   job->goal = caller_request->arrived + objective - NETWORK_MARGIN;
   job->limit = caller_request->arrived + MD_LIMIT_GOAL_MULTIPLE * objective - NETWORK_MARGIN;
--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -272,15 +272,13 @@
 md_entry_handle_requests (MdRunEntry *entry, MdTime budget)
 {
   MdTime end = md_now () + budget;
+  MdCallerRequest *request;
 
-  if (entry->backlog == NULL)
-    entry->backlog = md_inbox_take (&entry->inbox);
-  while (entry->backlog != NULL)
+  md_entry_backlog_fill (entry);
+  md_entry_backlog_reject_expired (entry);
+  while ((request = md_entry_backlog_next (entry)) != NULL)
     {
-      MdInboxNode *node = entry->backlog;
-
-      entry->backlog = node->next;
-      handle_request (entry, (MdCallerRequest *)node);
+      handle_request (entry, request);
       if (entry->backlog != NULL && md_now () >= end)
         return false;
     }
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -290,6 +290,10 @@
                             MdTaskRequirements *need);
 /* md_entry_set_times: set arrived, goal, limit, deadline and critical_path of a new job. */
 void md_entry_set_times (MdEntryJob *job, const MdCallerRequest *caller_request);
+/* md_entry_predict_times: predict for a request that has no job yet the time from its arrival after
+   which its answer is of no use, and the run time of its longest chain of steps, in microseconds. */
+void md_entry_predict_times (const MdRunEntry *entry, const MdCallerRequest *request, MdTime *limit,
+                             MdTime *work);
 /* md_entry_add_demand: add the work of a new job to the demand of its queue. */
 void md_entry_add_demand (const MdRunEntry *entry, MdEntryJob *job);
 /* md_entry_admit: place the ready tasks of a new job, or reject the job and free it. A job that
@@ -317,6 +321,16 @@
    from it. */
 void md_entry_free_advice (MdRunEntry *entry, MdEntryJob *job);
 
+/* entry-backlog.c */
+/* md_entry_backlog_fill: move the requests from the inbox to the backlog. */
+void md_entry_backlog_fill (MdRunEntry *entry);
+/* md_entry_backlog_next: take the request that is to be handled next out of the backlog; NULL if it is
+   empty. */
+MdCallerRequest *md_entry_backlog_next (MdRunEntry *entry);
+/* md_entry_backlog_reject_expired: reject the jobs in the backlog whose answers would come too late to
+   be of use. */
+void md_entry_backlog_reject_expired (MdRunEntry *entry);
+
 /* entry-requests.c */
 /* md_entry_is_rejection: whether an HTTP status says that nothing of the job has run or will run.
    */
@@ -329,8 +343,8 @@
    MD_STATUS_GIVEN_UP if an earlier attempt may have run. */
 void md_entry_reject_request (const MdRunEntry *entry, MdCallerRequest *caller_request, int status,
                               MdTime retry_after);
-/* md_entry_handle_requests: handle requests from the inbox, oldest first, for about this time; at
-   least one. Returns false if some are left, which the next call handles first. */
+/* md_entry_handle_requests: handle requests from the inbox, in the order of entry-backlog.c, for about this
+   time; at least one. Returns false if some are left. */
 bool md_entry_handle_requests (MdRunEntry *entry, MdTime budget);
 /* md_entry_has_caller_left: whether the caller of a SUBMIT has closed its connection, or it was reset.
    Can be called from any thread. */
--- a/tests/test-entry-late.c
+++ b/tests/test-entry-late.c
@@ -392,6 +392,83 @@
 }
 END_TEST
 
+static void
+push_request (MdCallerRequest *pushed, MdCallerRequestKind kind, const char *id, MdTime arrived)
+{
+  *pushed = (MdCallerRequest){ .kind = kind, .arrived = arrived };
+  md_str_copy (pushed->id, sizeof pushed->id, md_str (id));
+  md_inbox_push (&entry.inbox, &pushed->node);
+}
+
+/* Guards against an entry that handles its backlog in order of arrival when it is too long: no job is in
+   time then. Requests that refer to a job come after it in any order. */
+START_TEST (backlog_is_handled_newest_first)
+{
+  MdCallerRequest jobs[3];
+  MdCallerRequest cancel;
+  MdCallerRequest pending;
+  MdCallerRequest abandon;
+
+  push_request (&jobs[0], MD_CALLER_REQUEST_SUBMIT, "a0", entry.now - 100 * MD_MS);
+  push_request (&jobs[1], MD_CALLER_REQUEST_SUBMIT, "a1", entry.now - 50 * MD_MS);
+  push_request (&jobs[2], MD_CALLER_REQUEST_SUBMIT, "a2", entry.now);
+  push_request (&cancel, MD_CALLER_REQUEST_CANCEL, "a1", entry.now);
+  push_request (&pending, MD_CALLER_REQUEST_PENDING, "", entry.now);
+  push_request (&abandon, MD_CALLER_REQUEST_ABANDON, "", entry.now);
+  abandon.abandoned = &jobs[0];
+  md_entry_backlog_fill (&entry);
+  ck_assert_ptr_eq (md_entry_backlog_next (&entry), &jobs[1]);
+  ck_assert_ptr_eq (md_entry_backlog_next (&entry), &cancel);
+  ck_assert_ptr_eq (md_entry_backlog_next (&entry), &pending);
+  ck_assert_ptr_eq (md_entry_backlog_next (&entry), &jobs[0]);
+  ck_assert_ptr_eq (md_entry_backlog_next (&entry), &abandon);
+  ck_assert_ptr_eq (md_entry_backlog_next (&entry), &jobs[2]);
+  ck_assert_ptr_null (md_entry_backlog_next (&entry));
+  for (int i = 0; i < 3; i++)
+    push_request (&jobs[i], MD_CALLER_REQUEST_SUBMIT, "a", entry.now - (100 - 40 * i) * MD_MS);
+  md_entry_backlog_fill (&entry);
+  ck_assert_ptr_eq (md_entry_backlog_next (&entry), &jobs[2]);
+  ck_assert_ptr_eq (md_entry_backlog_next (&entry), &jobs[1]);
+  ck_assert_ptr_eq (md_entry_backlog_next (&entry), &jobs[0]);
+  for (int i = 0; i < 2; i++)
+    push_request (&jobs[i], MD_CALLER_REQUEST_SUBMIT, "a", entry.now - (20 - 5 * i) * MD_MS);
+  md_entry_backlog_fill (&entry);
+  ck_assert_ptr_eq (md_entry_backlog_next (&entry), &jobs[0]);
+  ck_assert_ptr_eq (md_entry_backlog_next (&entry), &jobs[1]);
+}
+END_TEST
+
+/* Guards against a job that is kept although its answer is of no use any more, and against "not run" of
+   one that may have run. */
+START_TEST (expired_job_is_rejected_at_once)
+{
+  MdTime limit = 3 * (4 * RUN_TIME + 60 * MD_MS);
+
+  post_job (entry.now - limit / 2);
+  md_entry_backlog_fill (&entry);
+  md_entry_backlog_reject_expired (&entry);
+  ck_assert_ptr_nonnull (entry.backlog);
+  entry.now += limit / 2;
+  md_entry_backlog_reject_expired (&entry);
+  ck_assert_ptr_null (entry.backlog);
+  ck_assert_int_eq (request.status, 429);
+  ck_assert_int_gt (request.retry_after, 0);
+  md_buf_clear (&request.body);
+  guards[0].worker.reported_at = guards[1].worker.reported_at = entry.now;
+  submit_job (entry.now);
+  md_entry_order_started (&entry, sent_order ());
+  entry.now += 60 * MD_SECOND;
+  md_entry_jobs_tick (&entry);
+  ck_assert_int_eq (request.status, 504);
+  post_job (entry.now - 2 * limit);
+  md_entry_backlog_fill (&entry);
+  md_entry_backlog_reject_expired (&entry);
+  ck_assert_ptr_nonnull (entry.backlog);
+  md_entry_handle_requests (&entry, MD_SECOND);
+  ck_assert_int_eq (request.status, 504);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -409,6 +486,8 @@
   tcase_add_test (tc, late_entry_denies_no_job_that_was_given_up);
   tcase_add_test (tc, job_of_a_caller_that_left_is_not_denied);
   tcase_add_test (tc, job_that_no_guard_started_is_rejected);
+  tcase_add_test (tc, backlog_is_handled_newest_first);
+  tcase_add_test (tc, expired_job_is_rejected_at_once);
   tcase_add_test (tc, lost_run_of_a_caller_that_left_is_not_placed_again);
   tcase_add_test (tc, ready_task_of_a_caller_that_left_is_not_placed);
   tcase_add_test (tc, order_that_was_queued_during_a_pause_needs_a_caller);
