Let tasks wait for a worker near their data, and decide again

What callers saw: a task with affinity or same_rack ran remote_factor times as long on a free far worker although its rack had room a few milliseconds later, and under pressure took that core time from others. Once queued near, it was looked at again only when overdue, without the rack of its group.

Change: md_place_near_far finds the best near and the best far worker in one pass, and fleet/entry-near.c has md_locality_decide choose. A task waits in the queue of the near guard. At T, when the queue changes by a quarter or when reports stop for 600 ms it is decided again; the run is withdrawn and placed again once the guard has confirmed it. A group of which nothing has started is taken back as a whole, and none of it is placed before all of it is back. Gangs, tasks that run alone, a remote_factor of 1 and tasks without a preferred rack go through md_place as before. run-placed ends with near= and near_wait_ms=; five counters tell how waits ended.

--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -11,7 +11,6 @@
 
 /* A run on a stalled worker is cancelled after this multiple of its expected run time. */
 #define STALLED_FACTOR 2
-#define MIN_MOVE_GAIN (15 * MD_MS) /* a run is not moved to end less than this much sooner */
 #define TICK_INTERVAL (10 * MD_MS) /* between checks of deadlines and waiting runs */
 #define MAX_REJECTIONS 8           /* of one task by guards; a job with more is given up */
 #define STALE_RUN_NUMBER_STEP 1000 /* added to run numbers when a worker has seen higher ones */
@@ -346,6 +345,7 @@
 md_entry_order_started (MdRunEntry *entry, MdEntryOrder *order)
 {
   order->started = true;
+  md_entry_near_end (entry, order, true);
   if (order->job == NULL)
     return;
   order->job->runjob.started = true;
@@ -491,6 +491,7 @@
                 order->guard->name, md_run_result_name (result), (long long)(run / MD_MS),
                 (long long)((job->deadline - entry->now) / MD_MS), task->crashes);
     }
+  md_entry_near_end (entry, order, false);
   free (order);
   if (job != NULL)
     advance_job (entry, job);
@@ -517,10 +518,8 @@
 /* ------------------------------------------------------------------ */
 /* Periodic checks                                                    */
 
-/* Until when the state of an order is known: the latest report of its guard. A guard that is not
-   connected has not reported that the run has started or ended. */
-static MdTime
-known_at (const MdRunEntry *entry, const MdEntryOrder *order)
+MdTime
+md_entry_known_at (const MdRunEntry *entry, const MdEntryOrder *order)
 {
   const MdWorker *worker = &order->guard->worker;
 
@@ -531,11 +530,12 @@
 is_overdue (const MdRunEntry *entry, const MdEntryOrder *order)
 {
   return order != NULL && order->sent && !order->started && !order->withdrawn
-         && md_run_is_overdue (order->placed_at, order->expected_wait, known_at (entry, order));
+         && md_run_is_overdue (order->placed_at, order->expected_wait,
+                               md_entry_known_at (entry, order));
 }
 
 /* Withdraws an overdue run if another worker can start it at once and is expected to end it at
-   least MIN_MOVE_GAIN sooner. */
+   least MD_MIN_MOVE_GAIN sooner. */
 static void
 move_if_better (MdRunEntry *entry, MdEntryJob *job, MdEntryOrder *order)
 {
@@ -546,6 +546,9 @@
 
   md_entry_requirements (entry, job, order->step, &need);
   need.alone = order->alone;
+  if (job->runjob.spec.steps[order->step].same_rack && need.affinity[0] == '\0'
+      && entry->workers.remote_factor > 1)
+    need.affinity = md_labels_rack (&current->labels); /* its group is there */
   if (!md_entry_apply_advice (entry, job, order->step, &need))
     return;
   other = md_place (&entry->workers, &need, NULL, current, entry->now);
@@ -553,7 +556,7 @@
     return;
   stay = (current->connected ? current->wait : entry->daemon.leases.ended_after)
          + order->expected_run;
-  if (other.wait > 0 || other.run_time + MIN_MOVE_GAIN >= stay)
+  if (other.wait > 0 || other.run_time + MD_MIN_MOVE_GAIN >= stay)
     return;
   md_log (MD_LOG_INFO, "run-moved",
           "job=%s step=%u task=%u from=%s to=%s stay_ms=%lld there_ms=%lld waited_ms=%lld", job->id,
@@ -570,7 +573,7 @@
 static void
 abandon_if_stalled (MdRunEntry *entry, MdEntryJob *job, MdEntryOrder *order)
 {
-  MdTime elapsed = known_at (entry, order) - order->placed_at - order->expected_wait;
+  MdTime elapsed = md_entry_known_at (entry, order) - order->placed_at - order->expected_wait;
 
   /* Only a first attempt, because the cause may be a wrong estimate of the run time. */
   if (!order->started || order->cancelled || !order->guard->worker.stalled
@@ -596,7 +599,9 @@
         /* Cancelling one task of a gang would end the runs of all. */
         if (job->runjob.spec.steps[i].gang)
           continue;
-        if (is_overdue (entry, order))
+        if (order != NULL && order->near_until > 0 && !order->withdrawn)
+          md_entry_near_check (entry, job, order);
+        else if (is_overdue (entry, order))
           move_if_better (entry, job, order);
         else if (order != NULL)
           abandon_if_stalled (entry, job, order);
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -111,10 +111,19 @@
   return per_worker_count;
 }
 
+/* Value of near in the log. */
+static const char *
+near_name (const MdEntryNear *near)
+{
+  if (!near->preferred)
+    return "none";
+  return near->near ? "yes" : "no";
+}
+
 /* Orders a run of a task from the guard of the worker chosen by placement. */
 static void
 order_task (MdRunEntry *entry, MdEntryJob *job, uint32_t step, uint32_t index,
-            const MdTaskRequirements *need, const MdPlacement *placement)
+            const MdTaskRequirements *need, const MdPlacement *placement, const MdEntryNear *near)
 {
   MdRunTask *task = &job->runjob.tasks[step][index];
   MdEntryOrder *order = calloc (1, sizeof *order);
@@ -143,14 +152,16 @@
   placement->worker->outstanding++;
   md_worker_reserve (placement->worker, md_place_reservation (placement->worker, need),
                      placement->run_time);
+  md_entry_near_begin (entry, order, need, near);
   md_entry_send_order (entry, order);
   md_log (MD_LOG_INFO, "run-placed",
           "job=%s step=%u task=%u run=%u guard=%s wait_ms=%lld run_ms=%lld slack_ms=%lld "
-          "report_age_ms=%lld",
+          "report_age_ms=%lld near=%s near_wait_ms=%lld",
           job->id, step, index, order->run_number, order->guard->name,
           (long long)(order->expected_wait / MD_MS), (long long)(order->expected_run / MD_MS),
           (long long)(order->start_within / MD_MS),
-          (long long)((entry->now - placement->worker->reported_at) / MD_MS));
+          (long long)((entry->now - placement->worker->reported_at) / MD_MS), near_name (near),
+          (long long)(near->wait / MD_MS));
 }
 
 /* Returns the time until the goal, less a margin for a further attempt. The goal grows with the
@@ -190,16 +201,13 @@
              const MdTaskRequirements *need)
 {
   const MdRunStep *spec = &job->runjob.spec.steps[step];
+  const char *rack;
 
   if (!spec->same_rack || spec->affinity[0] != '\0')
     return spec->affinity;
-  for (uint32_t k = 0; k < spec->n_tasks; k++)
-    {
-      const MdEntryOrder *order = job->runjob.tasks[step][k].order;
-
-      if (order != NULL)
-        return md_labels_rack (&order->guard->worker.labels);
-    }
+  rack = md_entry_group_rack (job, step);
+  if (rack != NULL)
+    return rack;
   return md_place_rack (&entry->workers, need, spec->n_tasks, entry->saved_resources, entry->now);
 }
 
@@ -210,6 +218,8 @@
   MdTaskRequirements need;
   md_autofree uint32_t *per_worker_count = count_per_worker (entry, job, step);
 
+  if (md_entry_group_is_moving (job, step))
+    return;
   md_entry_requirements (entry, job, step, &need);
   if (!md_entry_apply_advice (entry, job, step, &need))
     return;
@@ -222,13 +232,13 @@
     {
       MdRunTask *task = &job->runjob.tasks[step][k];
       MdPlacement placement;
+      MdEntryNear near;
 
       if (task->state != MD_TASK_READY)
         continue;
       need.goal = time_to_goal (entry, job, task);
       need.alone = task->crashes > 0 && !job->runjob.spec.steps[step].gang;
-      placement
-          = md_place (&entry->workers, &need, per_worker_count, task->last_worker, entry->now);
+      placement = md_entry_place_task (entry, job, step, k, &need, per_worker_count, &near);
       if (placement.worker == NULL && need.alone)
         continue; /* until a worker is idle */
       if (placement.worker == NULL)
@@ -239,7 +249,7 @@
       if (need.affinity[0] != '\0' && !md_labels_have (&placement.worker->labels, need.affinity))
         widen_coverage (entry, job, step, &need, true);
       md_place_count (&entry->workers, per_worker_count, placement.worker);
-      order_task (entry, job, step, k, &need, &placement);
+      order_task (entry, job, step, k, &need, &placement, &near);
     }
 }
 
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -2,7 +2,7 @@
 
    front.c is the HTTP server for callers, run-entry.c the main loop, entry-requests.c handles
    the requests, entry-jobs.c keeps the jobs, entry-placement.c admits them and places their
-   tasks, entry-advice.c calls the advisory service, entry-guards.c has the links of guards and
+   tasks, entry-near.c lets tasks wait for near places, entry-advice.c calls the advisory service, entry-guards.c has the links of guards and
    sends their orders, and entry-reports.c reads their reports. All of them run in the engine
    thread, except front.c and entry-metrics.c, which run in the threads of the HTTP server.
    config-reader.c has a thread of its own. Times are microseconds on the monotonic clock (MdTime)
@@ -15,6 +15,7 @@
 #include "config-reader.h"
 #include "ended-jobs.h"
 #include "inbox.h"
+#include "locality.h"
 #include "recent-jobs.h"
 
 #include "wire.pb-c.h"
@@ -126,6 +127,12 @@
   bool started;                 /* the guard has reported the start */
   bool withdrawn;               /* the guard was asked to end it unless it has started */
   bool cancelled;               /* the guard was asked to end it, started or not */
+  bool group_moves;             /* withdrawn with all of its group, for another rack */
+  MdTime near_until;            /* it waits for a near place, which is decided again at this time;
+                                   0: it does not */
+  MdTime near_first_queue;      /* near_until: wait of a new run there when it was placed */
+  MdTime near_queue;            /* near_until: the same at the last decision */
+  MdTime near_saved;            /* near_until: run time that the near place saves */
 };
 
 /* ------------------------------------------------------------------ */
@@ -290,6 +297,35 @@
    stay ready. */
 void md_entry_place_ready (MdRunEntry *entry, MdEntryJob *job);
 
+/* entry-near.c */
+/* What was decided on a near place for a task; all zero for a task without a preferred rack. */
+typedef struct
+{
+  bool preferred; /* the task has a preferred rack */
+  bool near;      /* it runs there */
+  MdTime wait;    /* it waits there until it is decided again after this time, 0: it does not */
+  MdTime saved;   /* run time that it saves */
+} MdEntryNear;
+/* md_entry_group_rack: the rack of the tasks of a step that have been ordered, NULL if none has. */
+const char *md_entry_group_rack (const MdEntryJob *job, uint32_t step);
+/* md_entry_group_is_moving: whether runs of the step are being taken back to go to another rack
+   together. None of its tasks is to be placed meanwhile. */
+bool md_entry_group_is_moving (const MdEntryJob *job, uint32_t step);
+/* md_entry_place_task: choose a worker for a task: as md_place, or for a task with a preferred rack
+   by md_locality_decide. */
+MdPlacement md_entry_place_task (const MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
+                                 uint32_t index, const MdTaskRequirements *need,
+                                 const uint32_t *counts, MdEntryNear *near);
+/* md_entry_near_begin: record that a run waits for a near place, after it was reserved there. */
+void md_entry_near_begin (const MdRunEntry *entry, MdEntryOrder *order,
+                          const MdTaskRequirements *need, const MdEntryNear *near);
+/* md_entry_near_end: record that the wait has ended with the start there, or otherwise. Does nothing
+   for a run that does not wait for a near place. */
+void md_entry_near_end (const MdRunEntry *entry, MdEntryOrder *order, bool started);
+/* md_entry_near_check: decide again on a run that waits for a near place, if that is due, and
+   withdraw it if another place is better. */
+void md_entry_near_check (MdRunEntry *entry, MdEntryJob *job, MdEntryOrder *order);
+
 /* entry-advice.c */
 #define MD_INITIAL_ALLOWED_SHARE 0.5 /* share of allowed workers before the first response */
 /* md_entry_apply_advice: set need->excluded to the workers that may not run the step. Returns
@@ -386,6 +422,11 @@
    any thread. */
 void md_entry_write_metrics (MdRunEntry *entry, MdBuf *out);
 
+#define MD_MIN_MOVE_GAIN (15 * MD_MS) /* a run is not moved to end less than this much sooner */
+/* md_entry_known_at: until when the state of an order is known: the latest report of its guard. A
+   guard that is not connected has not reported that the run has started or ended. */
+MdTime md_entry_known_at (const MdRunEntry *entry, const MdEntryOrder *order);
+
 /* entry-guards.c */
 /* md_entry_follow: ask the guard of a worker with sparse reports for a report of each change. */
 void md_entry_follow (MdRunEntry *entry, MdWorker *worker);
--- a/sched/locality.c
+++ b/sched/locality.c
@@ -126,14 +126,15 @@
 }
 
 /* What others added behind the run does not delay it; growth cannot be told from that and counts in
-   full. A run that should have started waits for one that takes longer than predicted. */
+   full. A run that should have started waits for one that takes longer than predicted; how much
+   longer is not known, and with the tail of run times it is at least as likely to be as long again. */
 MdTime
 md_locality_remaining (MdTime expected, MdTime elapsed, MdTime queue_then, MdTime queue_now)
 {
   MdTime rest = expected - elapsed;
 
   if (rest <= 0)
-    return queue_now;
+    return queue_now > -rest ? queue_now : -rest;
   if (queue_now > queue_then - elapsed)
     rest += queue_now - (queue_then > elapsed ? queue_then - elapsed : 0);
   return rest < queue_now ? rest : queue_now;
--- a/sched/locality.h
+++ b/sched/locality.h
@@ -56,7 +56,7 @@
 
 /* md_locality_remaining: how much longer a run is expected to wait at its worker. expected: the
    wait that was predicted elapsed ago, when a new run would have waited queue_then; queue_now: how
-   long one would wait now. */
+   long one would wait now. A run that is overdue is expected to wait at least as long again. */
 MdTime md_locality_remaining (MdTime expected, MdTime elapsed, MdTime queue_then, MdTime queue_now);
 
 /* md_locality_is_recent: whether reports of this age tell where capacity is free. */
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -194,6 +194,45 @@
   return best.worker != NULL ? best : fallback;
 }
 
+MdPlacement
+md_place_at (const MdWorkers *workers, MdWorker *worker, const MdTaskRequirements *need, MdTime now)
+{
+  return place_on (workers, worker, need, now);
+}
+
+MdNearFar
+md_place_near_far (const MdWorkers *workers, const MdTaskRequirements *need, const uint32_t *counts,
+                   const MdWorker *avoid, MdTime now)
+{
+  MdNearFar best = { 0 };
+
+  for (uint32_t i = 0; i < workers->n; i++)
+    {
+      MdWorker *worker = workers->workers[i];
+      MdPlacement placement;
+      MdPlacement *current = &best.far;
+
+      if (worker->sparse || !md_worker_can_run (worker, need)
+          || (need->excluded != NULL && need->excluded[i]))
+        continue;
+      best.capacity_cpu += worker->capacity.cpu;
+      best.free_cpu += worker->free.cpu;
+      if (md_labels_have (&worker->labels, need->affinity))
+        {
+          current = &best.near;
+          best.near_cpu += worker->capacity.cpu;
+          best.near_waiting += worker->near_waiting;
+        }
+      if (worker == avoid || is_avoided (worker, now)
+          || (need->max_per_worker > 0 && counts != NULL && counts[i] >= need->max_per_worker))
+        continue;
+      placement = place_on (workers, worker, need, now);
+      if (is_better (&placement, current, need))
+        *current = placement;
+    }
+  return best;
+}
+
 MdTime
 md_place_backlog (const MdWorkers *workers, const MdTaskRequirements *need, MdTime now)
 {
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -244,6 +244,7 @@
   MdTime avoid_until;    /* after repeated failures: not used before then if avoidable */
   uint32_t failures;     /* consecutive, as reported, see MdRunQueue */
   uint32_t outstanding;  /* runs ordered by this entry that have not ended */
+  uint32_t near_waiting; /* of these, those that wait here because it is near, see locality.h */
   char pool[MD_NAME_BYTES]; /* it belongs to */
   MdLabels labels;          /* kind and rack */
   double speed;             /* as reported, relative to declared times */
@@ -295,6 +296,27 @@
 MdPlacement md_place (const MdWorkers *workers, const MdTaskRequirements *need,
                       const uint32_t *counts, const MdWorker *avoid, MdTime now);
 
+/* md_place_at: the place on this worker, busy or not. */
+MdPlacement md_place_at (const MdWorkers *workers, MdWorker *worker, const MdTaskRequirements *need,
+                         MdTime now);
+
+/* The best places for a task on the rack of its data and elsewhere, with sums over the workers that
+   could run it and have full reports. */
+typedef struct
+{
+  MdPlacement near;      /* its worker is NULL if there is none */
+  MdPlacement far;       /* its worker is NULL if there is none */
+  uint64_t capacity_cpu; /* of all, thousandths of a core */
+  uint64_t free_cpu;     /* of all */
+  uint64_t near_cpu;     /* capacity on the rack */
+  uint32_t near_waiting; /* sum of near_waiting on the rack */
+} MdNearFar;
+
+/* md_place_near_far: choose the best worker of each kind as md_place does, in one pass. Workers that
+   are avoided count as none. need has an affinity and is neither alone nor at_once. */
+MdNearFar md_place_near_far (const MdWorkers *workers, const MdTaskRequirements *need,
+                             const uint32_t *counts, const MdWorker *avoid, MdTime now);
+
 /* md_place_backlog: the shortest wait for such a task at any worker that can run it and is not
    avoided for its failures, INT64_MAX if there is none. */
 MdTime md_place_backlog (const MdWorkers *workers, const MdTaskRequirements *need, MdTime now);
@@ -520,6 +542,7 @@
   uint32_t crashes;      /* runs whose worker crashed */
   uint32_t rejections;   /* runs that were REJECTED or STALE */
   MdWorker *last_worker; /* on which a run last failed or was rejected, NULL none */
+  bool near_given_up;    /* a wait for a near place was given up; set by the caller */
   void *order;           /* of the caller; valid in ORDERED */
   char checkpoint[MD_CHECKPOINT_BYTES]; /* the next run resumes from it, empty none */
 } MdRunTask;
--- a/tests/test-locality.c
+++ b/tests/test-locality.c
@@ -202,7 +202,9 @@
   /* It should have started. */
   ck_assert_int_eq (md_locality_remaining (40 * MD_MS, 50 * MD_MS, 50 * MD_MS, 200 * MD_MS),
                     200 * MD_MS);
-  ck_assert_int_eq (md_locality_remaining (40 * MD_MS, 50 * MD_MS, 50 * MD_MS, 0), 0);
+  ck_assert_int_eq (md_locality_remaining (40 * MD_MS, 40 * MD_MS, 50 * MD_MS, 0), 0);
+  ck_assert_int_eq (md_locality_remaining (40 * MD_MS, 90 * MD_MS, 50 * MD_MS, 20 * MD_MS),
+                    50 * MD_MS);
 }
 END_TEST
 
