Give a worker whose domain was evacuated its runs gradually

What callers would see: when a zone is put back into use, all its workers come back at once, empty, and get more than a second's load within a few milliseconds, cold ones too; runs that turn out slow there are late.

Cause: after an evacuation a worker was offered in full with the first report.

The guard withholds the rest of the processor time from its queue (md_runqueue_withhold), so that the free capacity in its reports is right for entries of all builds and two entries cannot each fill the share; RunReport.cold_us is not needed. The queue projects the steps as ends, because an idle worker would otherwise seem to start at once what does not fit. Nothing else begins a warm-up than an evacuation that has been taken back.

Tests: test-warmup (8) passes, as do test-runqueue (15), test-guard-orders (10), test-guard-worker (19), test-guard-evacuation (7) and seven others that use the changed files.

--- a/fleet/guard-lifetime.c
+++ b/fleet/guard-lifetime.c
@@ -52,6 +52,7 @@
     update_description (guard, report);
   md_str_copy (worker->id, sizeof worker->id, md_str (id));
   worker->report = *report;
+  worker->cold_until = guard->now + report->cold;
   worker->has_report = true;
   md_guard_update_accepting (guard);
 }
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -194,35 +194,6 @@
 /* ------------------------------------------------------------------ */
 /* Coverage                                                           */
 
-/* Chooses the entries that receive a report of each change; see sched/coverage.c. Called when an
-   entry is reached or lost. */
-static void
-choose_entries (MdRunGuard *guard)
-{
-  uint64_t weights[MD_MAX_ENTRIES] = { 0 };
-  MdGuardPeer *peers[MD_MAX_ENTRIES];
-  bool chosen[MD_MAX_ENTRIES];
-  uint32_t full = 0;
-  uint32_t n = 0;
-  bool changed = false;
-
-  for (MdGuardPeer *peer = guard->peers; peer != NULL && n < MD_MAX_ENTRIES; peer = peer->next)
-    if (peer->connected && peer->incarnation != 0)
-      {
-        weights[n] = md_coverage_weight (md_str (guard->daemon.settings.name), md_str (peer->name));
-        peers[n++] = peer;
-      }
-  md_coverage_choose (weights, n, guard->daemon.settings.full_reports, chosen);
-  for (uint32_t i = 0; i < n; i++)
-    {
-      changed |= peers[i]->chosen != chosen[i];
-      peers[i]->chosen = chosen[i];
-      full += chosen[i];
-    }
-  if (changed)
-    md_log (MD_LOG_INFO, "report-coverage", "entries=%u full=%u", n, full);
-}
-
 /* Whether the entry gets no report of each change at present. */
 static bool
 is_sparse (const MdRunGuard *guard, const MdGuardPeer *peer)
@@ -484,7 +455,7 @@
   peer->connected = false;
   peer->report_interval = 0;
   peer->reads_sparse = false;
-  choose_entries (guard);
+  md_guard_choose_entries (guard);
 }
 
 /* ------------------------------------------------------------------ */
@@ -535,7 +506,7 @@
   guard->entries_due = 0;
   md_guard_hear_evacuation (guard, peer, welcome->evacuated, welcome->evacuation_version);
   set_report_interval (guard, peer, welcome->report_interval_us);
-  choose_entries (guard);
+  md_guard_choose_entries (guard);
   for (size_t i = 0; i < welcome->n_entries; i++)
     md_guard_add_peer (guard, md_str (welcome->entries[i]), true);
 }
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -754,6 +754,7 @@
   due = next < due ? next : due;
   next = poll_timeouts (guard);
   due = next < due ? next : due;
+  due = md_time_min (due, md_guard_warmup_poll (guard));
   if (guard->now >= guard->start_after && !guard->worker.lease_is_short)
     for (MdRun *run;
          may_start (guard) && (run = md_runqueue_next (&guard->queue, guard->now)) != NULL;)
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -3,9 +3,9 @@
    run-guard.c holds the process life cycle and the event loop, guard-orders.c the links to entries
    and the orders received on them, guard-worker.c the calls to the worker, guard-lifetime.c the
    worker's reports and lifetimes, guard-memory.c the record of the worker in the store,
-   guard-evacuation.c decides whether runs are accepted, and guard-registrar.c has the HTTP server to
-   which the worker reports. The handlers of that server run in its own threads; everything else runs
-   in the engine thread. */
+   guard-evacuation.c decides whether runs are accepted, guard-coverage.c which entries get all
+   reports, and guard-registrar.c has the HTTP server to which the worker reports. The handlers of
+   that server run in its own threads; everything else runs in the engine thread. */
 
 #ifndef MD_RUN_GUARD_H
 #define MD_RUN_GUARD_H
@@ -14,6 +14,7 @@
 #include "daemon.h"
 #include "evacuation.h"
 #include "inbox.h"
+#include "warmup.h"
 
 #include "wire.pb-c.h"
 
@@ -135,6 +136,8 @@
   MdTime unproven_at;      /* arrival of that report */
   MdWorkerReport unproven; /* that report */
   char unproven_id[MD_WORKER_ID_BYTES]; /* name of the worker that it describes */
+
+  MdTime cold_until; /* the worker is slow after its start until then, by its last report */
 } MdGuardWorker;
 
 /* The record of the worker in the store. It is read once after the start of the process, and
@@ -195,6 +198,8 @@
   MdTime leave_until;    /* latest time of the exit; valid when leaving */
 
   MdEvacuationNotice evacuation; /* of the failure domain, as told by entries */
+  bool warmup_due;               /* a warm-up begins when runs are accepted again */
+  MdWarmup warmup;               /* after an evacuation */
 } MdRunGuard;
 
 /* Connections for stops. With those for holds and starts, and those that a former process has left
@@ -262,12 +267,22 @@
    depends on; closing rejects waiting runs. */
 void md_guard_update_accepting (MdRunGuard *guard);
 
+/* md_guard_warmup_poll: give runs the share of the worker that is due after an evacuation. To be called
+   before runs are started. Returns the time of the next call. */
+MdTime md_guard_warmup_poll (MdRunGuard *guard);
+
 /* md_guard_hear_evacuation: take over what a message of an entry says about the failure domain of
    this guard. To be called before the orders of the message are added. A domain that is evacuated
    now closes the queue; started runs go on. */
 void md_guard_hear_evacuation (MdRunGuard *guard, const MdGuardPeer *peer, bool evacuated,
                                uint64_t version);
 
+/* guard-coverage.c */
+
+/* md_guard_choose_entries: choose the entries that receive a report of each change. To be called when
+   an entry is reached or lost. */
+void md_guard_choose_entries (MdRunGuard *guard);
+
 /* guard-orders.c */
 
 extern const MdLinkHandler md_run_guard_handler;
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -157,12 +157,19 @@
   MdTime speed_updated_at;  /* when speed was last updated */
   uint32_t failures;        /* consecutive FAILED results, of different jobs */
   uint64_t last_failed_job; /* hash of the job that failed last; valid if failures > 0 */
+
+  uint32_t withheld;     /* thousandths of a core that are not given to runs; less of free */
+  MdTime withheld_until; /* by then all of it is given; valid if withheld > 0 */
 } MdRunQueue;
 
 /* md_runqueue_set_capacity: set the worker's capacity when it is reported first or changes.
    Runs that have started keep their resources even if the new capacity is smaller. */
 void md_runqueue_set_capacity (MdRunQueue *queue, MdResources capacity);
 
+/* md_runqueue_withhold: keep this much of the processor time from runs, 0 for none; it is given to
+   them in steps, the last of which is due at until. Started runs keep what they have. */
+void md_runqueue_withhold (MdRunQueue *queue, uint32_t cpu, MdTime until);
+
 /* md_runqueue_add: add a run in the state WAITING. The queue links the run and the caller
    owns it: it must be removed with md_runqueue_remove before it is freed. */
 void md_runqueue_add (MdRunQueue *queue, MdRun *run, MdTime now);
@@ -198,7 +205,8 @@
    runs, projected from the expected ends of the runs before it. */
 MdTime md_runqueue_expected_wait (const MdRunQueue *queue, MdTime now);
 
-/* md_runqueue_next_end: time until the next expected end of a run, 0 if none is running. */
+/* md_runqueue_next_end: time until the next expected end of a run, or until more of what is withheld
+   is given; 0 if neither is due. */
 MdTime md_runqueue_next_end (const MdRunQueue *queue, MdTime now);
 
 /* md_runqueue_stalled: whether runs of several jobs are overdue and no run has ended since
--- a/sched/runqueue.c
+++ b/sched/runqueue.c
@@ -31,6 +31,7 @@
 #define MAX_SPEED 20.0                   /* bound of the speed estimate */
 #define TYPICAL_CPU_GAIN 0.1             /* weight of a new run in typical_cpu */
 #define DEFAULT_RUN_TIME (200 * MD_MS)   /* of a run without an estimate */
+#define RELEASE_STEPS 4                  /* in which withheld capacity is projected to be given */
 
 static const char *const run_result_names[MD_RUN_RESULT_COUNT]
     = { "done",  "failed",   "stopped", "lapsed",  "broken",
@@ -94,6 +95,15 @@
   queue->free = queue->capacity;
   for (const MdRun *run = queue->running.first; run != NULL; run = run->next)
     md_resources_subtract (&queue->free, reserved (queue, run));
+  queue->free.cpu = md_saturating_sub (queue->free.cpu, queue->withheld);
+}
+
+void
+md_runqueue_withhold (MdRunQueue *queue, uint32_t cpu, MdTime until)
+{
+  queue->withheld = cpu;
+  queue->withheld_until = until;
+  recompute_free (queue);
 }
 
 void
@@ -320,6 +330,24 @@
   return elapsed < expected ? run->started_at + expected : now + elapsed / 2;
 }
 
+/* Time until a step of what is withheld is given, at least 1. */
+static MdTime
+release_time (const MdRunQueue *queue, uint32_t step, MdTime now)
+{
+  MdTime left = queue->withheld_until - now;
+
+  return left > RELEASE_STEPS ? left * step / RELEASE_STEPS : 1;
+}
+
+/* Without these, a run that does not fit would seem to start at once at a worker where nothing runs
+   that could end. */
+static void
+project_releases (Projection *p, const MdRunQueue *queue, MdTime now)
+{
+  for (uint32_t step = 1; queue->withheld > 0 && step <= RELEASE_STEPS; step++)
+    project_end (p, now + release_time (queue, step, now), queue->withheld / RELEASE_STEPS);
+}
+
 MdTime
 md_runqueue_expected_wait (const MdRunQueue *queue, MdTime now)
 {
@@ -327,6 +355,7 @@
   double speed = md_runqueue_speed (queue, now);
   MdTime start = now;
 
+  project_releases (&p, queue, now);
   for (const MdRun *run = queue->running.first; run != NULL; run = run->next)
     project_end (&p, expected_end (run, speed, now), reserved (queue, run).cpu);
   for (const MdRun *run = queue->waiting.first; run != NULL; run = run->next)
@@ -344,7 +373,7 @@
 md_runqueue_next_end (const MdRunQueue *queue, MdTime now)
 {
   double speed = md_runqueue_speed (queue, now);
-  MdTime soonest = 0;
+  MdTime soonest = queue->withheld > 0 ? release_time (queue, 1, now) : 0;
 
   for (const MdRun *run = queue->running.first; run != NULL; run = run->next)
     {
