Let jobs wait for the configuration and first worker of a new entry

Callers saw 108 answers 503 when all machines of a site came back at once: an entry reads its configuration about 50 ms after its start and hears its first guard at about the same time, and answered 503 until then.

In the first 5 s of the process a POST of a job now waits for the first configuration, at most 1 s and as long as its caller waits. The HTTP thread polls an eventfd that the engine makes readable, and the caller's socket; the body is read afterwards. In the first 2 s a job without a usable worker stays deferred for at most 500 ms and half of its time to the goal. A caller that has left is not served, and an entry that is leaving answers at once. Retry-After of both 503 answers is spread over two seconds while the process is young.

--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -4,6 +4,7 @@
    entry and carries out their decisions. */
 
 #include "run-entry.h"
+#include "startup.h"
 
 #define NETWORK_MARGIN (8 * MD_MS)               /* part of the goal: round trip to the caller */
 #define DEFAULT_RESPONSE_TIMEOUT (2 * MD_SECOND) /* for callers that do not state one */
@@ -416,6 +417,33 @@
   return true;
 }
 
+/* Whether a job that finds no usable worker waits for one, because the guards of a process that has
+   just started are still connecting. */
+static bool
+wait_for_worker (MdRunEntry *entry, MdEntryJob *job)
+{
+  MdTime age = md_entry_start_age (&entry->start, entry->now);
+  MdTime wait;
+
+  if (entry->leaving)
+    return false;
+  if (job->awaits_worker)
+    return entry->now < job->admit_until;
+  wait = md_startup_worker_wait (age, job->goal - entry->now);
+  if (wait == 0)
+    return false;
+  job->awaits_worker = true;
+  job->admit_until = entry->now + wait;
+  md_count (MD_M_START_WAITS, 1);
+  md_log (MD_LOG_INFO, "start-waits",
+          "job=%s request=%s queue=%s for=worker process_age_ms=%lld goal_ms=%lld limit_ms=%lld "
+          "workers=%u",
+          job->id, job->request_id, job->route.name, (long long)(age / MD_MS),
+          (long long)((job->goal - entry->now) / MD_MS), (long long)(wait / MD_MS),
+          entry->workers.n);
+  return true;
+}
+
 static void
 reject_job (MdRunEntry *entry, MdEntryJob *job, const MdForecast *forecast, const char *reason)
 {
@@ -432,6 +460,9 @@
   bool possible = is_possible (entry, job);
   bool placeable = possible && forecast_job (entry, job, forecast);
 
+  /* It does not wait any longer, not even for a shorter backlog. */
+  if (placeable && job->awaits_worker)
+    job->admit_until = 0;
   if (placeable && md_admit_run (forecast) != MD_ADMIT_REJECT)
     {
       job->admit_until = 0;
@@ -443,8 +474,10 @@
     return; /* called again by the next tick */
   else if (placeable)
     reject_job (entry, job, forecast, "overload");
-  else
-    md_entry_finish_job (entry, job, 503, NULL, "no-upstream", MD_RETRY_AFTER_NO_WORKER);
+  else if (!wait_for_worker (entry, job))
+    md_entry_finish_job (entry, job, 503, NULL, "no-upstream",
+                         md_startup_retry_after (md_entry_start_age (&entry->start, entry->now),
+                                                 MD_RETRY_AFTER_NO_WORKER, md_random ()));
 }
 
 void
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -13,6 +13,7 @@
 #include "memory-budget.h"
 #include "process.h"
 #include "run-entry.h"
+#include "startup.h"
 
 #include <civetweb.h>
 #include <errno.h>
@@ -266,6 +267,12 @@
   urcu_memb_read_unlock ();
 }
 
+static MdTime
+process_age (const Request *request)
+{
+  return md_entry_start_age (&request->front->entry->start, md_now ());
+}
+
 /* Rejects a request that the configuration in force has no route for. Whether there is no such
    queue is not known while a newer configuration, with that queue, may have to be in force. */
 static int
@@ -277,7 +284,9 @@
   if (!md_http_skip_body (request->conn, lookup->max_body))
     mg_disable_connection_keep_alive (request->conn);
   if (!lookup->configured)
-    return reject (request, 503, "no configuration has been read yet", RETRY_AFTER_NO_CONFIG);
+    return reject (request, 503, "no configuration has been read yet",
+                   md_startup_retry_after (process_age (request), RETRY_AFTER_NO_CONFIG,
+                                           md_random ()));
   snprintf (fields, sizeof fields, " version=%llu config_age_ms=%lld",
             (unsigned long long)lookup->config_version, (long long)(lookup->config_age / MD_MS));
   if (outdated)
@@ -541,6 +550,38 @@
   return reject (request, 405, "unsupported method", 0);
 }
 
+/* Holds a job back until the first configuration is known. Its body stays unread meanwhile. Returns
+   false if the caller has left. */
+static bool
+wait_for_start (Request *request)
+{
+  MdRunEntry *entry = request->front->entry;
+  const char *timeout = mg_get_header (request->conn, MD_PLATFORM_DEADLINE_HEADER);
+  MdTime patience = timeout != NULL ? read_timeout (timeout) : 0;
+  MdTime begin = md_now ();
+  MdTime age = process_age (request);
+  MdTime wait = md_startup_config_wait (age, begin - request->arrived, patience);
+  MdStartOutcome outcome;
+  char request_id[64];
+
+  set_job (request, request->info->local_uri);
+  if (wait == 0 || md_config_reader_loaded (entry->config) || !request->has_job
+      || strcmp (request->info->request_method, "POST") != 0)
+    return true;
+  outcome = md_entry_start_wait (&entry->start, md_connection_socket (), begin + wait);
+  copy_header (request, MD_PLATFORM_REQUEST_HEADER, request_id, sizeof request_id);
+  md_count (MD_M_START_WAITS, 1);
+  md_log (MD_LOG_INFO, "start-waited",
+          "request=%s for=configuration process_age_ms=%lld patience_ms=%lld limit_ms=%lld "
+          "waited_ms=%lld outcome=%s",
+          request_id, (long long)(age / MD_MS), (long long)(patience / MD_MS),
+          (long long)(wait / MD_MS), (long long)((md_now () - begin) / MD_MS),
+          md_entry_start_outcome_name (outcome));
+  if (outcome == MD_START_CALLER_LEFT)
+    md_count (MD_M_CALLERS_LEFT, 1);
+  return outcome != MD_START_CALLER_LEFT;
+}
+
 /* An entry that is shutting down takes requests for jobs that it knows, because "not run" of them
    may be false. */
 static int
@@ -548,6 +589,8 @@
 {
   Lookup lookup = { 0 };
 
+  if (!wait_for_start (request))
+    return abandon_response (request);
   request->known_only = atomic_load (&request->front->entry->closed);
   look_up (request, &lookup);
   set_job (request, request->info->local_uri + (lookup.found ? lookup.route.prefix_len : 0));
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -126,6 +126,8 @@
   bool configured = md_config_reader_loaded (entry->config);
   bool ready = configured && has_upstream (entry) && !entry->leaving;
 
+  if (configured || entry->leaving)
+    md_entry_start_end (&entry->start);
   if (ready == atomic_load (&entry->ready))
     return;
   atomic_store (&entry->ready, ready);
@@ -349,5 +351,6 @@
   entry.incarnation = md_new_incarnation ();
   entry.now = md_now ();
   entry.next_order_id = 1;
+  md_entry_start_begin (&entry.start, entry.now);
   return run_entry (&entry);
 }
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -4,7 +4,8 @@
    the requests, entry-jobs.c keeps the jobs, entry-placement.c admits them and places their
    tasks, entry-advice.c calls the advisory service, entry-guards.c has the links of guards and
    sends their orders, and entry-reports.c reads their reports. All of them run in the engine
-   thread, except front.c and entry-metrics.c, which run in the threads of the HTTP server.
+   thread, except front.c and entry-metrics.c, which run in the threads of the HTTP server, and
+   entry-start.c, whose functions say where they run.
    config-reader.c has a thread of its own. Times are microseconds on the monotonic clock (MdTime)
    unless stated otherwise. */
 
@@ -14,6 +15,7 @@
 #include "advice.h"
 #include "config-reader.h"
 #include "ended-jobs.h"
+#include "entry-start.h"
 #include "inbox.h"
 #include "recent-jobs.h"
 
@@ -174,8 +176,9 @@
   uint32_t run_number_offset; /* added to run numbers after a worker rejected one as stale */
   bool giving_up;             /* all orders are being withdrawn; rejected if none has started */
   double critical_path;       /* predicted work of the longest chain of steps, microseconds */
-  MdTime admit_until;         /* Admission waits for full reports until this time at the latest;
-                                 0: it does not. */
+  MdTime admit_until;         /* Admission waits for full reports or a worker until this time at the
+                                 latest; 0: it does not. */
+  bool awaits_worker;         /* admission waits or has waited for a worker of a new process */
 };
 
 #define MD_JOB_BUCKETS 4096u
@@ -210,6 +213,7 @@
 {
   MdDaemon daemon;                       /* settings, links, connections to the store */
   uint64_t incarnation;                  /* random, identifies this process */
+  MdEntryStart start;                    /* until the first configuration is known */
   MdConfigReader *config;                /* follows the operator's configuration, owned */
   MdDirectory directory;                 /* addresses of entries */
   MdInbox inbox;                         /* requests of callers */
--- a/tests/front-util.c
+++ b/tests/front-util.c
@@ -24,6 +24,7 @@
 
 MdRunEntry front_entry;
 atomic_bool front_config_changed;
+atomic_bool front_config_held;
 static ScriptedServer store;
 
 /* Sets address to a port of the loopback interface that is free. */
@@ -59,6 +60,8 @@
 static const char *
 respond_store (void *user MD_UNUSED, int number MD_UNUSED, const char *request)
 {
+  while (atomic_load (&front_config_held))
+    usleep (1000);
   if (strstr (request, "/v1/log-newest") == NULL)
     return atomic_load (&front_config_changed) ? GONE : scripted_silence;
   if (atomic_load (&front_config_changed))
@@ -71,8 +74,8 @@
 {
 }
 
-void
-front_setup (void)
+static void
+set_up (bool held)
 {
   MdSettings *settings = &front_entry.daemon.settings;
   MdError error = { 0 };
@@ -87,19 +90,34 @@
   choose_address (settings->caller_address);
   choose_address (settings->ready_address);
   atomic_store (&front_config_changed, false);
+  atomic_store (&front_config_held, held);
   scripted_server_start (&store, respond_store, NULL);
   md_str_copy (settings->store_address, MD_ADDRESS_BYTES, md_str (store.address));
   front_entry.config = md_config_reader_start (settings, ignore_change, NULL, &error);
   ck_assert_ptr_nonnull (front_entry.config);
-  while (!md_config_reader_loaded (front_entry.config))
+  while (!held && !md_config_reader_loaded (front_entry.config))
     usleep (1000);
   front_entry.front = md_front_start (&front_entry, &error);
   ck_assert_ptr_nonnull (front_entry.front);
 }
 
+void
+front_setup (void)
+{
+  set_up (false);
+}
+
+void
+front_setup_starting (void)
+{
+  md_entry_start_begin (&front_entry.start, md_now ());
+  set_up (true);
+}
+
 void
 front_teardown (void)
 {
+  atomic_store (&front_config_held, false);
   md_front_stop (front_entry.front);
   md_links_free (front_entry.daemon.links);
   md_config_reader_stop (front_entry.config);
