--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -1,13 +1,14 @@
 /* run-entry.h -- types and functions shared by the files of the entry daemon
 
-   front.c is the HTTP server for callers, run-entry.c the main loop, entry-backlog.c orders the
-   requests, entry-requests.c handles them, entry-jobs.c keeps the jobs, entry-placement.c admits them
-   and places their tasks, entry-near.c lets tasks wait for near places, entry-advice.c calls the
-   advisory service, entry-guards.c has the links of guards and sends their orders, entry-reports.c
-   reads their reports, and entry-evacuation.c applies evacuations of failure domains. All of them run
-   in the engine thread, except front.c and entry-metrics.c, which run in the threads of the HTTP
-   server. config-reader.c has a thread of its own. Times are microseconds on the monotonic clock
-   (MdTime) unless stated otherwise. */
+   front.c is the HTTP server for callers, run-entry.c the main loop, entry-start.c the start,
+   entry-backlog.c orders the requests, entry-requests.c handles them, entry-jobs.c keeps the jobs,
+   entry-placement.c admits them and places their tasks, entry-near.c lets tasks wait for near places,
+   entry-advice.c calls the advisory service, entry-guards.c has the links of guards and sends their
+   orders, entry-reports.c reads their reports, and entry-evacuation.c applies evacuations of failure
+   domains. All of them run in the engine thread, except front.c and entry-metrics.c, which run in the
+   threads of the HTTP server, and entry-start.c, whose functions say where they run. config-reader.c
+   has a thread of its own. Times are microseconds on the monotonic clock (MdTime) unless stated
+   otherwise. */
 
 #ifndef MD_RUN_ENTRY_H
 #define MD_RUN_ENTRY_H
@@ -15,6 +16,7 @@
 #include "advice.h"
 #include "config-reader.h"
 #include "ended-jobs.h"
+#include "entry-start.h"
 #include "inbox.h"
 #include "locality.h"
 #include "recent-jobs.h"
@@ -184,8 +186,9 @@
   uint32_t run_number_offset; /* added to run numbers after a worker rejected one as stale */
   bool giving_up;             /* all orders are being withdrawn; rejected if none has started */
   double critical_path;       /* predicted work of the longest chain of steps, microseconds */
-  MdTime admit_until;         /* Admission waits for full reports until this time at the latest;
-                                 0: it does not. */
+  MdTime admit_until;         /* Admission waits for full reports or a worker until this time at the
+                                 latest; 0: it does not. */
+  bool awaits_worker;         /* admission waits or has waited for a worker of a new process */
 };
 
 #define MD_JOB_BUCKETS 4096u
@@ -227,6 +230,7 @@
 {
   MdDaemon daemon;                       /* settings, links, connections to the store */
   uint64_t incarnation;                  /* random, identifies this process */
+  MdEntryStart start;                    /* until the first configuration is known */
   MdConfigReader *config;                /* follows the operator's configuration, owned */
   MdEntryEvacuation evacuation;          /* from config */
   MdDirectory directory;                 /* addresses of entries */
