Start the runs of more important queues first at a guard

Cause: the priority of a route was not decoded anywhere.

Change: the configuration's priority is read into the route (a value out of 0..255 counts as 0 and is logged), sent with each order (RunOrder.priority) and used by the guard's queue: among the runs that can start in time, and among the others, the more important class starts first. A run that more important ones have overtaken for 150 ms counts as of the first class. The order within a class is as before. An order of an entry without the field has priority 0.

Admission does not know priorities yet, so that the shares of admitted work stay.

Checked: with the bound on overtaking taken out, overtaken_run_starts_after_a_bound fails ("Checks: 8, Failures: 1"); with md_priority_class always 0, five of eight fail. test-runqueue, -placement, -policy, -load, -platform, -guard-orders, -entry-late pass unchanged. test-guard-worker had one time-out in four runs on a machine with a load of 17 (rejected_run_that_the_worker_lists_is_running), and passed in the three others.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -259,6 +259,7 @@
   out->permit = order->permit;
   out->alone = order->alone;
   out->at_once = order->at_once;
+  out->priority = order->priority;
   out->checkpoint = job->runjob.tasks[order->step][order->task].checkpoint;
 }
 
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -129,6 +129,7 @@
   order->need = need->resources;
   order->alone = need->alone;
   order->at_once = need->at_once;
+  order->priority = job->stats->priority;
   order->declared_run = job->runjob.spec.steps[step].declared_time;
   order->placed_at = entry->now;
   order->expected_wait = placement->wait;
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -8,6 +8,7 @@
    reports, and when the latest echo is too old, the guard ends the runs. An entry that is
    lost, frozen or cut off thus loses its runs before a caller repeats the job elsewhere. */
 
+#include "priority.h"
 #include "run-guard.h"
 
 #include <xxhash.h>
@@ -581,6 +582,7 @@
   run->queued.work = (double)order->work_us;
   run->queued.alone = order->alone;
   run->queued.at_once = order->at_once;
+  run->queued.priority = md_priority_limit (order->priority);
   run->queued.start_by = guard->now + start_within (order);
   md_str_copy (run->task, sizeof run->task, md_str (order->task));
   run->run_number = order->run;
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -120,6 +120,7 @@
   MdTime expected_run;          /* run time on this worker that was predicted at placement */
   MdTime start_within;          /* slack at placement: a start after this time misses the goal */
   char permit[MD_PERMIT_BYTES]; /* from the advisory service, empty: none */
+  uint8_t priority;             /* by which the guard orders it among those that wait */
   bool alone;                   /* nothing else may run at the worker meanwhile */
   bool at_once;                 /* the guard is to reject it rather than let it wait */
   bool sent;                    /* has been sent to the guard */
@@ -150,6 +151,7 @@
   MdCorrection correction;  /* learned correction of declared run times */
   MdDemand demand;          /* decayed work of its jobs */
   double allowed_share;     /* learned share of workers that the advisor allows */
+  uint8_t priority;         /* as configured when the last job of the queue arrived */
   _Atomic int64_t counts[MD_JOB_OUTCOME_COUNT]; /* jobs by outcome; read by other threads */
 } MdQueueStats;
 
--- a/model/model.h
+++ b/model/model.h
@@ -22,6 +22,7 @@
   double slack_factor;      /* part of the goal in proportion to the run time */
   MdTime target_latency;    /* constant part of the goal */
   double mean_work;         /* mean run time of a task at speed 1, microseconds */
+  uint8_t priority;         /* 0 comes first */
 } MdModelQueue;
 
 typedef struct
@@ -129,6 +130,15 @@
 
 #define MD_MODEL_MAX_SECONDS 3600 /* of a workload, in the figures by second */
 
+/* The answer to a job. */
+typedef enum
+{
+  MD_MODEL_UNANSWERED, /* answered too late to be worth anything, or never */
+  MD_MODEL_IN_GOAL,    /* completed within its goal */
+  MD_MODEL_LATE,       /* completed after the goal, for part of its worth */
+  MD_MODEL_REJECTED,   /* no task ran */
+} MdModelAnswer;
+
 /* The jobs of each queue are worth 1 in total if all meet their goals. */
 typedef struct
 {
@@ -143,6 +153,7 @@
   uint64_t starts;         /* runs started */
   uint64_t wasted;         /* runs started too late to be worth anything, or lost */
   uint64_t messages;       /* one for each order and each end of a run */
+  MdModelAnswer *answers;  /* of each job, owned */
   uint32_t seconds;        /* elements of the next two */
   double *worth_by_second; /* worth of the answers by second of arrival, owned */
   double *owed_by_second;  /* worth of all jobs by second of arrival, owned */
--- a/model/play.c
+++ b/model/play.c
@@ -93,6 +93,7 @@
 void
 md_model_result_clear (MdModelResult *result)
 {
+  free (result->answers);
   free (result->worth_by_second);
   free (result->owed_by_second);
   memset (result, 0, sizeof *result);
@@ -182,12 +183,13 @@
   return (*x > *y) - (*x < *y);
 }
 
-/* Returns the worth of a job's answer, 0 to 1, and counts it in result. response is the time
+/* Returns the worth of the answer to job i, 0 to 1, and counts it in result. response is the time
    from the job's arrival, 0 if there was no answer. */
 static double
-score_answer (const MdModelWorkload *workload, const MdModelJob *job, MdTime response,
-              MdModelResult *result)
+score_answer (const MdModelWorkload *workload, uint32_t i, MdTime response, MdModelResult *result)
 {
+  const MdModelJob *job = &workload->jobs[i];
+
   if (response == 0 || response > limit_of (workload, job))
     {
       result->unanswered++;
@@ -196,9 +198,11 @@
   if (response <= goal_of (workload, job))
     {
       result->in_goal++;
+      result->answers[i] = MD_MODEL_IN_GOAL;
       return 1;
     }
   result->late++;
+  result->answers[i] = MD_MODEL_LATE;
   return LATE_WORTH;
 }
 
@@ -214,9 +218,10 @@
   result->seconds = (uint32_t)(workload->length / MD_SECOND) + 1;
   if (result->seconds > MD_MODEL_MAX_SECONDS)
     result->seconds = MD_MODEL_MAX_SECONDS;
+  result->answers = calloc (workload->n_jobs + 1, sizeof *result->answers);
   result->worth_by_second = calloc (result->seconds, sizeof *result->worth_by_second);
   result->owed_by_second = calloc (result->seconds, sizeof *result->owed_by_second);
-  if (worths == NULL || ratios == NULL || result->worth_by_second == NULL
+  if (worths == NULL || ratios == NULL || result->answers == NULL || result->worth_by_second == NULL
       || result->owed_by_second == NULL)
     return MD_E_MEMORY;
   for (uint32_t i = 0; i < workload->n_jobs; i++)
@@ -229,9 +234,12 @@
       if (jobs != NULL && response > 0)
         response -= job->arrival;
       if (jobs != NULL ? jobs[i].rejected : job->rejected)
-        result->rejected++;
+        {
+          result->rejected++;
+          result->answers[i] = MD_MODEL_REJECTED;
+        }
       else
-        worth = worths[i] * score_answer (workload, job, response, result);
+        worth = worths[i] * score_answer (workload, i, response, result);
       if (response > 0)
         ratios[n++] = (double)response / (double)goal_of (workload, job);
       owed += worths[i];
@@ -452,6 +460,7 @@
   task->run.resources = need->resources;
   task->run.work = need->work;
   task->run.job = job;
+  task->run.priority = sim->workload->queues[sim->workload->jobs[job].queue].priority;
   task->run.start_by
       = sim->now
         + (sim->policy == MD_MODEL_BASELINE ? BASELINE_SLACK : need->goal - place.run_time);
--- a/net/wire.pb-c.c
+++ b/net/wire.pb-c.c
@@ -3973,7 +3973,7 @@
   (ProtobufCMessageInit) md__worker_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_order__field_descriptors[13] =
+static const ProtobufCFieldDescriptor md__run_order__field_descriptors[14] =
 {
   {
     "id",
@@ -4131,6 +4131,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "priority",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_order__field_indices_by_name[] = {
   6,   /* field[6] = accelerators */
@@ -4141,6 +4153,7 @@
   0,   /* field[0] = id */
   5,   /* field[5] = memory_mb */
   10,   /* field[10] = permit */
+  13,   /* field[13] = priority */
   2,   /* field[2] = run */
   3,   /* field[3] = spec */
   8,   /* field[8] = start_within_us */
@@ -4150,7 +4163,7 @@
 static const ProtobufCIntRange md__run_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor md__run_order__descriptor =
 {
@@ -4160,7 +4173,7 @@
   "Md__RunOrder",
   "md",
   sizeof(Md__RunOrder),
-  13,
+  14,
   md__run_order__field_descriptors,
   md__run_order__field_indices_by_name,
   1,  md__run_order__number_ranges,
--- a/net/wire.pb-c.h
+++ b/net/wire.pb-c.h
@@ -631,10 +631,14 @@
    * it is rejected if it cannot start at once
    */
   protobuf_c_boolean at_once;
+  /*
+   * of its queue, 0 comes first
+   */
+  uint32_t priority;
 };
 #define MD__RUN_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_order__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Md__RunOrders
--- a/sched/routes.h
+++ b/sched/routes.h
@@ -20,6 +20,7 @@
   MdTime target_latency;        /* constant part of the goal */
   double slack_factor;          /* part of the goal in proportion to the work */
   uint32_t max_attempts;        /* failed runs of a task that fail its job */
+  uint8_t priority;             /* 0 comes first, see priority.h */
   MdAdvisor advisor;            /* must allow the workers of each step */
 } MdRoute;
 
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -132,6 +132,8 @@
   MdTime start_by;       /* if it starts later, its job misses the goal */
   MdTime sort_key;       /* orders the waiting runs: start_by, at most a fixed time after arrival */
   MdTime started_at;     /* when it left the queue; valid in STARTING and RUNNING */
+  MdTime overtaken_at;   /* a more important run first overtook it then, 0: none has */
+  uint8_t priority;      /* of its queue, 0 comes first; see priority.h */
   bool alone;            /* nothing else may run at the worker meanwhile */
   bool at_once;          /* it is to be rejected rather than wait */
   void *data;            /* of the caller, not used here */
--- a/sched/runqueue.c
+++ b/sched/runqueue.c
@@ -9,10 +9,11 @@
    never overtake: entries admit jobs by the wait that this queue reports, and a run that
    others keep overtaking would wait longer than that. A run that can no longer start in
    time goes behind all that can, because an early start would not save its own goal and
-   would cost another job its goal. Capacity that is too small for the first run may go to
+   would cost another job its goal. Among those that can still start in time, and among the others,
+   the more important priority comes first; see priority.c. Capacity that is too small for the first run may go to
    a smaller one behind it. */
 
-#include "run-sched.h"
+#include "priority.h"
 
 #include <math.h>
 #include <string.h>
@@ -128,22 +129,23 @@
   link_waiting (queue, run);
 }
 
-/* Returns the first run that fits among those that can still start in time, otherwise the
-   first that fits. Late runs are at the front of the list, as sort_key <= start_by. */
+/* Returns the first run that fits, of the most important class among those that can still start in
+   time, otherwise of the most important class. Late runs are at the front of the list, as
+   sort_key <= start_by. */
 static MdRun *
 choose_waiting (const MdRunQueue *queue, MdTime now)
 {
-  MdRun *late = NULL;
+  MdRun *best = NULL;
 
   for (MdRun *run = queue->waiting.first; run != NULL; run = run->next)
     if (md_resources_fit (queue->free, run->resources) && (!run->alone || queue->running.n == 0))
       {
-        if (run->start_by >= now)
-          return run;
-        if (late == NULL)
-          late = run;
+        if (best == NULL || md_priority_goes_before (run, best, now))
+          best = run;
+        if (best->start_by >= now && md_priority_class (best, now) == 0)
+          break; /* nothing goes before it */
       }
-  return late;
+  return best;
 }
 
 void
@@ -161,8 +163,10 @@
 {
   MdRun *run = queue->accepting ? choose_waiting (queue, now) : NULL;
 
-  if (run != NULL)
-    md_runqueue_adopt (queue, run, now);
+  if (run == NULL)
+    return NULL;
+  md_priority_note_overtaken (&queue->waiting, run, now);
+  md_runqueue_adopt (queue, run, now);
   return run;
 }
 
