Admit jobs by priority while capacity is short, with a floor for each queue

Cause: the backlog that a queue is admitted with depended on its share of the demand alone.

Change: guards report the core time of their waiting runs against what the worker frees in 70 ms (RunReport.pressure_permille). An entry takes the mean of each pool from reports up to 600 ms old; it counts less with age and not at all after 1 s. A report with an old stamp changes nothing, and one that took longer than usual to arrive is older by that. Under pressure the wait bound of a queue falls with the share of the demand of more important queues; a queue competes for its bound with those of its own priority only. A queue that got less than a quarter of an equal share of the slot time admitted in 2 s is admitted, and its runs are ordered, as of the first priority. Without pressure, or when all queues of the pool have one priority, the bound is as before. job-admitted and job-rejected end with priority, floor, pressure_permille and pressure_age_ms; gauge mulberrydrift_pressure_permille.

With equal priorities each answer and the number of starts are the same as without.

--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -473,6 +473,7 @@
   guard->worker.state = MD_WORKER_ABSENT;
   guard->worker.outstanding = 0;
   guard->stamp = 0;
+  guard->stamps = (MdStampClock){ 0 };
   guard->ends_seen = 0;
   guard->welcomed = false;
 }
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -330,7 +330,7 @@
   md_str_copy (job->id, sizeof job->id, md_str (caller_request->id));
   md_str_copy (job->request_id, sizeof job->request_id, md_str (caller_request->request_id));
   job->route = caller_request->route;
-  job->stats->priority = job->route.priority;
+  md_entry_note_queue (job);
   md_estimate_set_prior (&job->stats->correction, &entry->correction);
   job->requests = caller_request;
   caller_request->job = job;
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -11,6 +11,7 @@
 /* Of the time to the goal. A multiple of the longest run, so that a job of such runs still has
    slack; the limit, which is a multiple of the goal, fits into MdTime. */
 #define MAX_OBJECTIVE (1000 * MD_MAX_SPAN)
+#define UNKNOWN_AGE (-1 * MD_MS)        /* in log lines */
 #define ADMISSION_PATIENCE (20 * MD_MS) /* a round trip to guards in other failure domains */
 
 /* ------------------------------------------------------------------ */
@@ -129,7 +130,7 @@
   order->need = need->resources;
   order->alone = need->alone;
   order->at_once = need->at_once;
-  order->priority = job->stats->priority;
+  order->priority = md_entry_order_priority (job);
   order->declared_run = job->runjob.spec.steps[step].declared_time;
   order->placed_at = entry->now;
   order->expected_wait = placement->wait;
@@ -334,9 +335,8 @@
     job->limit = job->deadline;
 }
 
-/* Returns the predicted work of a job in core microseconds. */
-static double
-total_work (const MdEntryJob *job)
+double
+md_entry_total_work (const MdEntryJob *job)
 {
   double work = 0;
 
@@ -349,7 +349,7 @@
 void
 md_entry_add_demand (const MdRunEntry *entry, MdEntryJob *job)
 {
-  md_demand_add (&job->stats->demand, total_work (job), entry->now);
+  md_demand_add (&job->stats->demand, md_entry_total_work (job), entry->now);
 }
 
 /* Returns the demand ratio of the job's queue, see md_demand_ratio. */
@@ -369,21 +369,25 @@
               const MdForecast *forecast)
 {
   const MdRunSpec *spec = &job->runjob.spec;
+  const MdPressure *pressure = md_entry_pressure (entry, job->route.pool);
+  MdTime pressure_age
+      = pressure != NULL && pressure->known_at > 0 ? entry->now - pressure->known_at : UNKNOWN_AGE;
 
   md_log (MD_LOG_INFO, event,
           "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f "
           "wait_bound_ms=%lld patience_ms=%lld steps=%u tasks=%llu cpu=%u memory_mb=%u "
           "declared_ms=%lld slack_percent=%.0f target_ms=%lld workers_full=%u queued_ms=%lld "
-          "lag_ms=%lld",
+          "lag_ms=%lld priority=%u floor=%d pressure_permille=%u pressure_age_ms=%lld",
           job->id, job->request_id, job->route.name, (long long)(forecast->finish / MD_MS),
           (long long)(forecast->wait / MD_MS), (long long)(forecast->goal / MD_MS),
-          forecast->demand, (long long)(md_admit_wait_bound (forecast->demand) / MD_MS),
+          forecast->demand, (long long)(md_admit_bound (forecast) / MD_MS),
           (long long)((job->deadline - job->arrived) / MD_MS), spec->n_steps,
           (unsigned long long)md_run_spec_tasks (spec), spec->steps[0].resources.cpu,
           spec->steps[0].resources.memory_mb, (long long)(spec->steps[0].declared_time / MD_MS),
           job->route.slack_factor * 100, (long long)(job->route.target_latency / MD_MS),
           count_full (entry), (long long)((entry->now - job->arrived) / MD_MS),
-          (long long)(forecast->lag / MD_MS));
+          (long long)(forecast->lag / MD_MS), job->route.priority, job->floor,
+          pressure != NULL ? pressure->permille : 0, (long long)(pressure_age / MD_MS));
 }
 
 /* Asks further guards for full reports on behalf of the job's ready steps; returns whether there
@@ -433,9 +437,11 @@
   bool possible = is_possible (entry, job);
   bool placeable = possible && forecast_job (entry, job, forecast);
 
+  md_entry_set_bound (entry, job, forecast);
   if (placeable && md_admit_run (forecast) != MD_ADMIT_REJECT)
     {
       job->admit_until = 0;
+      md_entry_note_admitted (entry, job);
       log_forecast (entry, job, "job-admitted", forecast);
       md_entry_place_ready (entry, job);
     }
--- a/fleet/entry-reports.c
+++ b/fleet/entry-reports.c
@@ -125,6 +125,11 @@
 {
   if (report->stamp_us > guard->stamp)
     {
+      guard->worker.pressure_at
+          = entry->now - md_stamp_age (&guard->stamps, report->stamp_us, entry->now);
+      guard->worker.pressure = report->pressure_permille < MD_FULL_PRESSURE
+                                   ? report->pressure_permille
+                                   : MD_FULL_PRESSURE;
       guard->stamp = report->stamp_us;
       guard->stamp_at = entry->now;
     }
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -307,6 +307,8 @@
   report.wait_us = (uint64_t)md_runqueue_expected_wait (&guard->queue, guard->now);
   report.speed = md_runqueue_speed (&guard->queue, guard->now);
   report.next_end_us = (uint64_t)md_runqueue_next_end (&guard->queue, guard->now);
+  report.pressure_permille = md_pressure_of_queue (&guard->queue, guard->now);
+  md_gauge (MD_M_PRESSURE, report.pressure_permille);
   report.started = peer->started;
   report.n_started = peer->n_started;
   report.failures = guard->queue.failures;
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -118,6 +118,7 @@
   md_gauge (MD_M_WORKERS_AVOIDED, avoided);
   md_gauge (MD_M_WORKERS_FULL, full);
   md_gauge (MD_M_JOBS_ACTIVE, entry->n_jobs);
+  md_entry_update_pressure_gauge (entry);
 }
 
 static void
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -15,6 +15,7 @@
 #include "config-reader.h"
 #include "ended-jobs.h"
 #include "inbox.h"
+#include "priority.h"
 #include "recent-jobs.h"
 
 #include "wire.pb-c.h"
@@ -92,6 +93,7 @@
   size_t n_hello_orders;    /* 0 if the hello refers to a former process of the entry */
   bool awaiting_report;     /* a hello has been received and no report since */
   bool welcomed;            /* has named this process of the entry, so it received a welcome */
+  MdStampClock stamps;      /* tells how late its reports arrive */
   MdEntryOrder *orders;     /* all orders that have not ended, owned */
   MdEntryOrder *unsent;     /* orders for the next message, newest first */
   MdIdList cancels;         /* orders to cancel with the next message */
@@ -151,7 +153,9 @@
   MdCorrection correction;  /* learned correction of declared run times */
   MdDemand demand;          /* decayed work of its jobs */
   double allowed_share;     /* learned share of workers that the advisor allows */
-  uint8_t priority;         /* as configured when the last job of the queue arrived */
+  MdAdmitted admitted;      /* work of its admitted jobs */
+  char pool[MD_NAME_BYTES]; /* as configured when the last job of the queue arrived */
+  uint8_t priority;         /* the same */
   _Atomic int64_t counts[MD_JOB_OUTCOME_COUNT]; /* jobs by outcome; read by other threads */
 } MdQueueStats;
 
@@ -175,12 +179,14 @@
   MdTime started_at;          /* when the first start was reported, 0: none */
   uint32_t run_number_offset; /* added to run numbers after a worker rejected one as stale */
   bool giving_up;             /* all orders are being withdrawn; rejected if none has started */
+  bool floor;                 /* admitted as of the first priority, see md_priority_bound */
   double critical_path;       /* predicted work of the longest chain of steps, microseconds */
   MdTime admit_until;         /* Admission waits for full reports until this time at the latest;
                                  0: it does not. */
 };
 
 #define MD_JOB_BUCKETS 4096u
+#define MD_MAX_POOLS 64 /* pools; without its pressure, a pool is served as if it had none */
 
 /* ------------------------------------------------------------------ */
 /* Load                                                               */
@@ -230,6 +236,8 @@
   uint64_t next_order_id;                /* starts at 1 */
   MdQueueStats *stats[MD_MAX_QUEUES];    /* n_stats entries, owned; never removed */
   _Atomic uint32_t n_stats;              /* other threads read it */
+  MdPressure pressures[MD_MAX_POOLS];    /* n_pressures elements, of pools with queues */
+  uint32_t n_pressures;                  /* pools whose pressure is known */
   MdCorrection correction;               /* of all queues together; prior for new queues */
   MdHttp *advisor;                       /* calls to the advisory service, NULL: not configured */
   struct MdEntryAdviceCall *advice_call; /* call in progress, NULL: none */
@@ -276,6 +284,8 @@
 /* md_entry_expected_work: predicted run time of a task of the step on a worker of speed 1,
    in microseconds. */
 double md_entry_expected_work (const MdEntryJob *job, uint32_t step);
+/* md_entry_total_work: predicted work of all tasks of a job in core microseconds. */
+double md_entry_total_work (const MdEntryJob *job);
 /* md_entry_requirements: fill in what a task of the step requires of a worker at the present
    time. The strings in need are borrowed from the job. */
 void md_entry_requirements (const MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
@@ -292,6 +302,21 @@
    stay ready. */
 void md_entry_place_ready (MdRunEntry *entry, MdEntryJob *job);
 
+/* entry-priority.c */
+/* md_entry_note_queue: record the pool and the priority that a new job states for its queue. */
+void md_entry_note_queue (MdEntryJob *job);
+/* md_entry_set_bound: set the longest wait that a job is admitted with, in its forecast, and whether
+   it counts as of the first priority. */
+void md_entry_set_bound (MdRunEntry *entry, MdEntryJob *job, MdForecast *forecast);
+/* md_entry_note_admitted: add an admitted job to the work that its queue got. */
+void md_entry_note_admitted (const MdRunEntry *entry, MdEntryJob *job);
+/* md_entry_order_priority: the priority of an order that is placed now. */
+uint8_t md_entry_order_priority (const MdEntryJob *job);
+/* md_entry_pressure: the pressure on a pool, NULL if it is not known. */
+const MdPressure *md_entry_pressure (const MdRunEntry *entry, const char *pool);
+/* md_entry_update_pressure_gauge: set the gauge of the highest pressure on a pool. */
+void md_entry_update_pressure_gauge (MdRunEntry *entry);
+
 /* entry-advice.c */
 #define MD_INITIAL_ALLOWED_SHARE 0.5 /* share of allowed workers before the first response */
 /* md_entry_apply_advice: set need->excluded to the workers that may not run the step. Returns
--- a/model/play.c
+++ b/model/play.c
@@ -9,6 +9,7 @@
 
 #include "leases.h"
 #include "model.h"
+#include "priority.h"
 
 #include <math.h>
 
@@ -53,6 +54,9 @@
   MdWorkers view;                   /* refers to pointers */
   MdDemand *demands;                /* of each queue, owned */
   const MdDemand **demand_pointers; /* to each of demands, owned */
+  MdAdmitted *admitted;             /* of each queue, owned */
+  MdQueueLoad *loads;               /* of each queue, refer to demands and admitted, owned */
+  MdPressure pressure;
 } SimEntry;
 
 typedef struct
@@ -60,6 +64,7 @@
   uint32_t remaining; /* tasks that have not ended */
   MdTime answered;    /* when the entry learns of the last end, 0 not yet */
   bool rejected;
+  bool floor; /* counts as of the first priority */
 } SimJob;
 
 typedef struct
@@ -386,7 +391,8 @@
   worker->next_end = md_runqueue_next_end (&guard->queue, sim->now);
   worker->speed = md_runqueue_speed (&guard->queue, sim->now);
   worker->stalled = md_runqueue_stalled (&guard->queue, sim->now);
-  worker->reported_at = sim->now;
+  worker->reported_at = worker->pressure_at = sim->now;
+  worker->pressure = md_pressure_of_queue (&guard->queue, sim->now);
   worker->sparse = !is_full (sim, i, e);
   worker->follow_requested = false;
   for (const SimTask *task = guard->in_transit; task != NULL; task = task->next)
@@ -460,7 +466,8 @@
   task->run.resources = need->resources;
   task->run.work = need->work;
   task->run.job = job;
-  task->run.priority = sim->workload->queues[sim->workload->jobs[job].queue].priority;
+  task->run.priority
+      = sim->jobs[job].floor ? 0 : sim->workload->queues[sim->workload->jobs[job].queue].priority;
   task->run.start_by
       = sim->now
         + (sim->policy == MD_MODEL_BASELINE ? BASELINE_SLACK : need->goal - place.run_time);
@@ -476,13 +483,19 @@
 }
 
 static bool
-forecast_admits (Simulation *sim, SimEntry *entry, const MdModelJob *job,
-                 const MdTaskRequirements *need)
+forecast_admits (Simulation *sim, SimEntry *entry, uint32_t index, const MdTaskRequirements *need)
 {
+  const MdModelJob *job = &sim->workload->jobs[index];
   MdForecast forecast = { .goal = need->goal, .limit = need->limit };
+  MdPriorityBound bound;
 
   forecast.demand = md_demand_ratio (entry->demand_pointers, sim->workload->n_queues,
                                      &entry->demands[job->queue], sim->now);
+  md_pressure_update (&entry->pressure, &entry->view, sim->now);
+  bound = md_priority_bound (entry->loads, sim->workload->n_queues, job->queue, forecast.demand,
+                             md_pressure_now (&entry->pressure, sim->now), sim->now);
+  sim->jobs[index].floor = bound.floor;
+  forecast.bound = bound.wait_bound;
   forecast.wait = md_place_backlog (&entry->view, need, sim->now);
   return md_place_try (&entry->view, need, job->n_tasks, NULL, sim->saved_resources,
                        &forecast.finish, sim->now)
@@ -514,15 +527,18 @@
 }
 
 static bool
-admit (Simulation *sim, uint32_t e, const MdModelJob *job, const MdTaskRequirements *need)
+admit (Simulation *sim, uint32_t e, uint32_t index, const MdTaskRequirements *need)
 {
   SimEntry *entry = &sim->entries[e];
+  const MdModelJob *job = &sim->workload->jobs[index];
+  double work = need->work * job->n_tasks * job->resources.cpu / 1000.0;
 
-  md_demand_add (&entry->demands[job->queue],
-                 need->work * job->n_tasks * job->resources.cpu / 1000.0, sim->now);
-  if (forecast_admits (sim, entry, job, need))
-    return true;
-  return widen (sim, e, need) > 0 && forecast_admits (sim, entry, job, need);
+  md_demand_add (&entry->demands[job->queue], work, sim->now);
+  if (!forecast_admits (sim, entry, index, need)
+      && (widen (sim, e, need) == 0 || !forecast_admits (sim, entry, index, need)))
+    return false;
+  md_admitted_add (&entry->admitted[job->queue], work, sim->now);
+  return true;
 }
 
 static int
@@ -532,7 +548,7 @@
   uint32_t e = job->entry % sim->n_entries;
   MdTaskRequirements need = need_of (sim, job);
 
-  if (sim->policy != MD_MODEL_BASELINE && !admit (sim, e, job, &need))
+  if (sim->policy != MD_MODEL_BASELINE && !admit (sim, e, index, &need))
     {
       sim->jobs[index].rejected = true;
       return MD_OK;
@@ -611,6 +627,8 @@
       free (sim->entries[e].followed_until);
       free (sim->entries[e].demands);
       free (sim->entries[e].demand_pointers);
+      free (sim->entries[e].admitted);
+      free (sim->entries[e].loads);
     }
   free (sim->guards);
   free (sim->entries);
@@ -630,12 +648,19 @@
   entry->followed_until = calloc (workload->n_workers, sizeof *entry->followed_until);
   entry->demands = calloc (workload->n_queues, sizeof *entry->demands);
   entry->demand_pointers = calloc (workload->n_queues, sizeof *entry->demand_pointers);
+  entry->admitted = calloc (workload->n_queues, sizeof *entry->admitted);
+  entry->loads = calloc (workload->n_queues, sizeof *entry->loads);
   if (entry->workers == NULL || entry->pointers == NULL || entry->chosen == NULL
-      || entry->followed_until == NULL || entry->demands == NULL || entry->demand_pointers == NULL)
+      || entry->followed_until == NULL || entry->demands == NULL || entry->demand_pointers == NULL
+      || entry->admitted == NULL || entry->loads == NULL)
     return MD_E_MEMORY;
   entry->view = (MdWorkers){ entry->pointers, workload->n_workers, REMOTE_FACTOR };
   for (uint32_t q = 0; q < workload->n_queues; q++)
-    entry->demand_pointers[q] = &entry->demands[q];
+    {
+      entry->demand_pointers[q] = &entry->demands[q];
+      entry->loads[q]
+          = (MdQueueLoad){ &entry->demands[q], &entry->admitted[q], workload->queues[q].priority };
+    }
   for (uint32_t i = 0; i < workload->n_workers; i++)
     {
       MdWorker *worker = &entry->workers[i];
--- a/net/wire.pb-c.c
+++ b/net/wire.pb-c.c
@@ -4412,7 +4412,7 @@
   (ProtobufCMessageInit) md__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_report__field_descriptors[16] =
+static const ProtobufCFieldDescriptor md__run_report__field_descriptors[17] =
 {
   {
     "stamp_us",
@@ -4606,6 +4606,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pressure_permille",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, pressure_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_report__field_indices_by_name[] = {
   7,   /* field[7] = ends */
@@ -4617,6 +4629,7 @@
   15,   /* field[15] = interval_us */
   1,   /* field[1] = last_order */
   11,   /* field[11] = next_end_us */
+  16,   /* field[16] = pressure_permille */
   12,   /* field[12] = speed */
   9,   /* field[9] = stalled */
   0,   /* field[0] = stamp_us */
@@ -4625,10 +4638,11 @@
   5,   /* field[5] = wait_us */
   8,   /* field[8] = worker */
 };
-static const ProtobufCIntRange md__run_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange md__run_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 18, 16 },
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor md__run_report__descriptor =
 {
@@ -4638,10 +4652,10 @@
   "Md__RunReport",
   "md",
   sizeof(Md__RunReport),
-  16,
+  17,
   md__run_report__field_descriptors,
   md__run_report__field_indices_by_name,
-  1,  md__run_report__number_ranges,
+  2,  md__run_report__number_ranges,
   (ProtobufCMessageInit) md__run_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/net/wire.pb-c.h
+++ b/net/wire.pb-c.h
@@ -767,10 +767,14 @@
    * sparse reports: longest time until the next one; 0: not sparse
    */
   uint64_t interval_us;
+  /*
+   * core time of waiting runs, see sched/priority.h
+   */
+  uint32_t pressure_permille;
 };
 #define MD__RUN_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -10,7 +10,8 @@
    keeps all workers busy as well as a long one does. The wait for a preferred worker, while
    others are free, does not count as backlog. The bound is lower for a queue that requests
    more than its share, so that it is limited first and the queues that request less are
-   hardly affected. A job that is late without waiting, because no fast worker is free,
+   hardly affected. With priorities it is lower for a queue that others are more important than,
+   see priority.c. A job that is late without waiting, because no fast worker is free,
    delays no other job and is admitted.
 
    An entry that is short of processor time is a queue like the workers: what it admits waits for
@@ -40,6 +41,12 @@
   return (MdTime)fmax (bound, (double)NEGLIGIBLE_WAIT);
 }
 
+MdTime
+md_admit_bound (const MdForecast *forecast)
+{
+  return forecast->bound > 0 ? forecast->bound : md_admit_wait_bound (forecast->demand);
+}
+
 MdTime
 md_admit_lag (const MdForecast *forecast)
 {
@@ -63,7 +70,7 @@
 {
   MdTime lag = md_admit_lag (forecast);
 
-  if (md_admit_is_too_late (forecast) || forecast->wait > md_admit_wait_bound (forecast->demand))
+  if (md_admit_is_too_late (forecast) || forecast->wait > md_admit_bound (forecast))
     return MD_ADMIT_REJECT;
   if (forecast->finish + lag <= forecast->goal)
     return MD_ADMIT_NOW;
--- a/sched/demand.c
+++ b/sched/demand.c
@@ -10,8 +10,8 @@
 
 #define HALF_LIFE (2 * MD_SECOND) /* shows a burst within a second and outlasts short pauses */
 
-static double
-decayed (const MdDemand *demand, MdTime now)
+double
+md_demand_now (const MdDemand *demand, MdTime now)
 {
   if (demand->work <= 0)
     return 0;
@@ -21,26 +21,26 @@
 void
 md_demand_add (MdDemand *demand, double work, MdTime now)
 {
-  demand->work = decayed (demand, now) + work;
+  demand->work = md_demand_now (demand, now) + work;
   demand->updated_at = now;
 }
 
 double
 md_demand_ratio (const MdDemand *const *demands, uint32_t n, const MdDemand *one, MdTime now)
 {
-  double own = decayed (one, now);
+  double own = md_demand_now (one, now);
   double total = 0;
   double sum_of_squares = 0;
 
   for (uint32_t i = 0; i < n; i++)
-    total += decayed (demands[i], now);
+    total += md_demand_now (demands[i], now);
   if (total <= 0)
     return 1;
   /* The sum of squared shares is the inverse of the effective number of active queues, so that
      idle queues do not raise the ratio of the others. */
   for (uint32_t i = 0; i < n; i++)
     {
-      double share = decayed (demands[i], now) / total;
+      double share = md_demand_now (demands[i], now) / total;
 
       sum_of_squares += share * share;
     }
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -245,6 +245,8 @@
   bool stalled;          /* as reported */
   MdTime avoid_until;    /* after repeated failures: not used before then if avoidable */
   uint32_t failures;     /* consecutive, as reported, see MdRunQueue */
+  uint32_t pressure;     /* as reported, permille, see priority.h */
+  MdTime pressure_at;    /* when that was reported, see md_stamp_age; 0: never */
   uint32_t outstanding;  /* runs ordered by this entry that have not ended */
   char pool[MD_NAME_BYTES]; /* it belongs to */
   MdLabels labels;          /* kind and rack */
@@ -394,6 +396,9 @@
 /* md_demand_add: add the work of a job, in core microseconds. */
 void md_demand_add (MdDemand *demand, double work, MdTime now);
 
+/* md_demand_now: the work at present, core microseconds. */
+double md_demand_now (const MdDemand *demand, MdTime now);
+
 /* md_demand_ratio: the share of one queue in the demand of all n queues, as a multiple of
    an equal share; 1 if it is the only active one. */
 double md_demand_ratio (const MdDemand *const *demands, uint32_t n, const MdDemand *one,
@@ -436,6 +441,7 @@
   MdTime limit;  /* a later answer is worth nothing, from now */
   double demand; /* demand of its queue, see md_demand_ratio */
   MdTime lag;    /* how late the entry itself is, md_lag_shortage */
+  MdTime bound;  /* longest wait to admit it with, 0: md_admit_wait_bound (demand) */
 } MdForecast;
 
 typedef enum
@@ -459,6 +465,9 @@
    md_demand_ratio. */
 MdTime md_admit_wait_bound (double demand);
 
+/* md_admit_bound: the longest wait with which the job of this forecast is admitted. */
+MdTime md_admit_bound (const MdForecast *forecast);
+
 /* md_admit_retry_after: the delay after which the caller should retry a rejected job. random
    spreads the retries over the time that the backlog takes to clear. */
 MdTime md_admit_retry_after (const MdForecast *forecast, uint64_t random);
--- a/tests/test-priority.c
+++ b/tests/test-priority.c
@@ -6,7 +6,7 @@
 
 #include "model.h"
 #include "platform.h"
-#include "priority.h"
+#include "run-entry.h"
 #include "suite.h"
 
 #include <math.h>
@@ -185,6 +185,206 @@
 }
 END_TEST
 
+/* ------------------------------------------------------------------ */
+/* Pressure                                                            */
+
+/* Guards against a pressure that counts runs instead of core time, or exceeds its range. */
+START_TEST (pressure_is_the_core_time_that_waits)
+{
+  MdRunQueue queue = queue_of (10);
+  MdRun runs[40];
+  double frees = 10.0 * CPU * (double)md_admit_wait_bound (1);
+
+  ck_assert_uint_eq (md_pressure_of_queue (&queue, MD_MS), 0);
+  for (unsigned i = 0; i < 10; i++)
+    {
+      runs[i] = run_of (0, MD_SECOND);
+      md_runqueue_add (&queue, &runs[i], MD_MS);
+      ck_assert_ptr_nonnull (md_runqueue_next (&queue, MD_MS));
+    }
+  ck_assert_uint_eq (md_pressure_of_queue (&queue, MD_MS), 0);
+  runs[10] = run_of (0, MD_SECOND);
+  md_runqueue_add (&queue, &runs[10], MD_MS);
+  ck_assert_uint_eq (md_pressure_of_queue (&queue, MD_MS),
+                     (uint32_t)(1000 * CPU * 100.0 * MD_MS / frees));
+  for (unsigned i = 11; i < MD_ARRAY_SIZE (runs); i++)
+    {
+      runs[i] = run_of (0, MD_SECOND);
+      md_runqueue_add (&queue, &runs[i], MD_MS);
+    }
+  ck_assert_uint_eq (md_pressure_of_queue (&queue, MD_MS), MD_FULL_PRESSURE);
+}
+END_TEST
+
+/* Guards against a figure that stays in force when guards go silent: jobs would be rejected for a
+   shortage that has passed. */
+START_TEST (pressure_gets_old)
+{
+  MdWorker a = { .state = MD_WORKER_READY, .connected = true, .pool = "calc" };
+  MdWorker b = a;
+  MdWorker sparse = a;
+  MdWorker other = a;
+  MdWorker *list[] = { &a, &b, &sparse, &other };
+  MdWorkers workers = { .workers = list, .n = MD_ARRAY_SIZE (list) };
+  MdPressure pressure = { .pool = "calc" };
+  MdTime now = 10 * MD_SECOND;
+
+  md_pressure_update (&pressure, &workers, now);
+  ck_assert_double_eq (md_pressure_now (&pressure, now), 0); /* nobody has reported */
+  a.pressure = 1000;
+  b.pressure = 500;
+  a.pressure_at = b.pressure_at = now;
+  sparse.sparse = true;
+  sparse.pressure_at = other.pressure_at = now;
+  md_str_copy (other.pool, sizeof other.pool, MD_STR ("other"));
+  now += 20 * MD_MS;
+  md_pressure_update (&pressure, &workers, now);
+  ck_assert_uint_eq (pressure.permille, 750);
+  ck_assert_double_eq_tol (md_pressure_now (&pressure, now), 0.75 * 0.98, 1e-9);
+  /* One guard goes silent: its report leaves the mean after 600 ms. */
+  a.pressure_at += 500 * MD_MS;
+  now += 590 * MD_MS;
+  md_pressure_update (&pressure, &workers, now);
+  ck_assert_uint_eq (pressure.permille, 1000);
+  /* The other one as well: the mean stays and counts less, until it is a second old. */
+  now = a.pressure_at + 900 * MD_MS;
+  md_pressure_update (&pressure, &workers, now);
+  ck_assert_double_eq_tol (md_pressure_now (&pressure, now), 0.1, 1e-9);
+  ck_assert_double_eq (md_pressure_now (&pressure, a.pressure_at + MD_SECOND), 0);
+  ck_assert_double_eq (md_pressure_now (&pressure, a.pressure_at + 5 * MD_SECOND), 0);
+}
+END_TEST
+
+/* Guards against a report that was held up and passes for a new one. */
+START_TEST (late_report_is_old)
+{
+  MdStampClock clock = { 0 };
+  MdTime shift = 5 * MD_SECOND; /* between the clocks */
+  MdTime now = 100 * MD_SECOND;
+
+  for (int i = 0; i < 100; i++, now += 10 * MD_MS)
+    ck_assert_int_le (md_stamp_age (&clock, now - shift - (i % 3) * MD_MS, now), 3 * MD_MS);
+  ck_assert_int_ge (md_stamp_age (&clock, now - shift - 400 * MD_MS, now), 399 * MD_MS);
+  now += 10 * MD_MS;
+  ck_assert_int_le (md_stamp_age (&clock, now - shift, now), MD_MS);
+  /* The guard was suspended: its clock is behind from now on, which is forgotten in the end. */
+  shift += 300 * MD_MS;
+  ck_assert_int_ge (md_stamp_age (&clock, now - shift, now), 299 * MD_MS);
+  for (int i = 0; i < 20; i++, now += MD_SECOND)
+    md_stamp_age (&clock, now - shift, now);
+  ck_assert_int_le (md_stamp_age (&clock, now - shift, now), MD_MS);
+}
+END_TEST
+
+/* Guards against a report that arrives twice, or after a newer one, and replaces the newer figure or
+   makes an old one new. */
+START_TEST (only_the_newest_stamp_counts)
+{
+  MdRunEntry entry = { .now = 100 * MD_SECOND };
+  MdEntryGuard guard = { .entry = &entry };
+  Md__RunReport report = MD__RUN_REPORT__INIT;
+  MdTuning tuning;
+  MdLinkHandler handler = { 0 };
+
+  md_tuning_default (&tuning);
+  entry.daemon.links = md_links_new (&tuning, &handler, &entry);
+  guard.link = md_links_dial (entry.daemon.links, MD_STR ("127.200.0.1:9"), &guard);
+  report.stamp_us = 50 * MD_SECOND;
+  report.pressure_permille = 400;
+  md_entry_report (&entry, &guard, &report);
+  ck_assert_uint_eq (guard.worker.pressure, 400);
+  ck_assert_int_eq (guard.worker.pressure_at, entry.now);
+  entry.now += 100 * MD_MS; /* the same again */
+  md_entry_report (&entry, &guard, &report);
+  ck_assert_int_eq (guard.worker.pressure_at, entry.now - 100 * MD_MS);
+  report.stamp_us -= 10 * MD_MS; /* an earlier one */
+  report.pressure_permille = 900;
+  md_entry_report (&entry, &guard, &report);
+  ck_assert_uint_eq (guard.worker.pressure, 400);
+  report.stamp_us = 50 * MD_SECOND + 40 * MD_MS; /* a newer one, 60 ms late */
+  report.pressure_permille = UINT32_MAX;
+  md_entry_report (&entry, &guard, &report);
+  ck_assert_uint_eq (guard.worker.pressure, MD_FULL_PRESSURE);
+  ck_assert_int_ge (entry.now - guard.worker.pressure_at, 58 * MD_MS);
+  md_links_free (entry.daemon.links);
+}
+END_TEST
+
+/* ------------------------------------------------------------------ */
+/* Bounds of admission                                                 */
+
+#define NOW (100 * MD_SECOND)
+
+typedef struct
+{
+  MdDemand demands[4];
+  MdAdmitted admitted[4];
+  MdQueueLoad loads[4];
+} Pool;
+
+/* Four queues; the first two have the first priority. All have asked for and got the same. */
+static void
+pool_init (Pool *pool)
+{
+  static const uint8_t priorities[] = { 0, 0, 1, 3 };
+
+  *pool = (Pool){ 0 };
+  for (unsigned i = 0; i < MD_ARRAY_SIZE (priorities); i++)
+    {
+      md_demand_add (&pool->demands[i], 1e6, NOW);
+      md_admitted_add (&pool->admitted[i], 1e6, NOW);
+      pool->loads[i]
+          = (MdQueueLoad){ &pool->demands[i], &pool->admitted[i], .priority = priorities[i] };
+    }
+}
+
+static MdTime
+bound_of (const Pool *pool, uint32_t own, double pressure)
+{
+  return md_priority_bound (pool->loads, 4, own, 1, pressure, NOW).wait_bound;
+}
+
+/* Guards against a bound that changes without pressure, or for the first priority, or that does not
+   fall with the demand of more important queues. */
+START_TEST (bound_falls_with_the_priority)
+{
+  Pool pool;
+  MdTime usual = md_admit_wait_bound (1);
+
+  pool_init (&pool);
+  for (uint32_t i = 0; i < 4; i++)
+    ck_assert_int_eq (bound_of (&pool, i, 0), usual);
+  ck_assert_int_eq (bound_of (&pool, 0, 1), usual);
+  ck_assert_int_eq (bound_of (&pool, 1, 1), usual);
+  ck_assert_int_lt (bound_of (&pool, 2, 1), usual / 2);
+  ck_assert_int_gt (bound_of (&pool, 2, 0.1), bound_of (&pool, 2, 1));
+  ck_assert_int_lt (bound_of (&pool, 3, 1), bound_of (&pool, 2, 1));
+  /* More important queues that ask for little take little from the others. */
+  pool.demands[0].work = pool.demands[1].work = 1e4;
+  ck_assert_int_gt (bound_of (&pool, 2, 1), usual * 9 / 10);
+}
+END_TEST
+
+/* Guards against a queue of a low priority that gets nothing while the peak lasts, and against a
+   floor that counts jobs instead of slot time. */
+START_TEST (queue_below_its_floor_counts_as_first)
+{
+  Pool pool;
+
+  pool_init (&pool);
+  ck_assert (!md_priority_bound (pool.loads, 4, 3, 1, 1, NOW).floor);
+  pool.admitted[3] = (MdAdmitted){ 0 };
+  md_admitted_add (&pool.admitted[3], 0.1e6, NOW); /* of 3.1e6, a quarter of which is 0.78e6 */
+  ck_assert (md_priority_bound (pool.loads, 4, 3, 1, 1, NOW).floor);
+  ck_assert_int_eq (bound_of (&pool, 3, 1), md_admit_wait_bound (1));
+  md_admitted_add (&pool.admitted[3], 0.15e6, NOW);
+  ck_assert (!md_priority_bound (pool.loads, 4, 3, 1, 1, NOW).floor);
+  /* What was admitted more than 2 s ago is forgotten. */
+  ck_assert_double_eq_tol (md_admitted_sum (&pool.admitted[3], NOW + 1700 * MD_MS), 0.25e6, 1);
+  ck_assert_double_eq (md_admitted_sum (&pool.admitted[3], NOW + 2 * MD_SECOND), 0);
+}
+END_TEST
+
 /* ------------------------------------------------------------------ */
 /* Replay of a peak                                                    */
 
@@ -386,17 +586,67 @@
     1 / 3.0, 1 / 3.0, 1 / 3.0                                                                      \
   }
 
-/* Guards against a queue of the first priority that is late because of the others. */
+/* Guards against a queue of the first priority that is late or rejected because of the others, and
+   against priorities that waste capacity. */
 START_TEST (first_priority_is_served_at_the_peak)
 {
-  Peak without = { .load = 1.5, .shares = EQUAL_SHARES };
-  Peak with = { .load = 1.5, .shares = EQUAL_SHARES, .priorities = { 0, 1, 2 } };
+  static const double loads[] = { 0.8, 1.0, 1.2, 1.5, 2.0 };
+
+  for (unsigned i = 0; i < MD_ARRAY_SIZE (loads); i++)
+    {
+      Peak without = { .load = loads[i], .shares = EQUAL_SHARES };
+      Peak with = { .load = loads[i], .shares = EQUAL_SHARES, .priorities = { 0, 1, 2 } };
+      Figures before[QUEUES];
+      Figures after[QUEUES];
+      double all_before = 0;
+      double all_after = 0;
+
+      printf ("load %.1f\n", loads[i]);
+      play ("without priorities", &without, before);
+      play ("with priorities", &with, after);
+      for (uint32_t q = 0; q < QUEUES; q++)
+        {
+          all_before += share_in_goal (&before[q]) / QUEUES;
+          all_after += share_in_goal (&after[q]) / QUEUES;
+        }
+      printf ("mean in time %.3f without, %.3f with\n", all_before, all_after);
+      ck_assert_double_ge (share_in_goal (&after[0]), share_in_goal (&before[0]));
+    }
+}
+END_TEST
+
+/* Guards against a queue of the last priority that starves, for as long as a peak of the first
+   priority alone exceeds the capacity. */
+START_TEST (floor_is_kept)
+{
+  Peak peak = { .load = 2.6, .shares = { 0.5, 0.25, 0.25 }, .priorities = { 0, 1, 2 } };
+  Figures figures[QUEUES];
+  double admitted = 0;
+
+  play ("first priority 1.3", &peak, figures);
+  for (uint32_t q = 0; q < QUEUES; q++)
+    admitted += figures[q].slot_time;
+  for (uint32_t q = 0; q < QUEUES; q++)
+    printf ("queue %u: %.3f of the admitted slot time\n", q, figures[q].slot_time / admitted);
+  ck_assert_double_gt (figures[0].slot_time, admitted / 2);
+  for (uint32_t q = 1; q < QUEUES; q++)
+    ck_assert_double_ge (figures[q].slot_time, admitted * 0.9 * 0.25 / QUEUES);
+}
+END_TEST
+
+/* Guards against a worker that turns slow and delays the first priority with what waits there. */
+START_TEST (slow_worker_delays_the_last_priority)
+{
+  Peak without = { .load = 1.3, .shares = EQUAL_SHARES, .slow_worker = true };
+  Peak with = without;
   Figures before[QUEUES];
   Figures after[QUEUES];
 
-  play ("without priorities", &without, before);
-  play ("with priorities", &with, after);
-  ck_assert_double_gt (share_in_goal (&after[0]), share_in_goal (&before[0]));
+  with.priorities[1] = 1;
+  with.priorities[2] = 2;
+  play ("slow worker, without", &without, before);
+  play ("slow worker, with", &with, after);
+  ck_assert_double_gt (share_in_goal (&after[0]), share_in_goal (&before[0]) + 0.2);
 }
 END_TEST
 
@@ -437,6 +687,14 @@
   tcase_add_test (tc, equal_priorities_keep_their_order);
   tcase_add_test (tc, priority_of_a_route);
   tcase_add_test (tc, first_priority_is_served_at_the_peak);
+  tcase_add_test (tc, floor_is_kept);
+  tcase_add_test (tc, slow_worker_delays_the_last_priority);
   tcase_add_test (tc, equal_priorities_are_identical);
+  tcase_add_test (tc, pressure_is_the_core_time_that_waits);
+  tcase_add_test (tc, pressure_gets_old);
+  tcase_add_test (tc, late_report_is_old);
+  tcase_add_test (tc, only_the_newest_stamp_counts);
+  tcase_add_test (tc, bound_falls_with_the_priority);
+  tcase_add_test (tc, queue_below_its_floor_counts_as_first);
   return run_suite ("priority", tc);
 }
