--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -259,6 +259,7 @@
   out->permit = order->permit;
   out->alone = order->alone;
   out->at_once = order->at_once;
+  out->priority = order->priority;
   out->checkpoint = job->runjob.tasks[order->step][order->task].checkpoint;
 }
 
@@ -476,6 +477,7 @@
   guard->worker.state = MD_WORKER_ABSENT;
   guard->worker.outstanding = 0;
   guard->stamp = 0;
+  guard->stamps = (MdStampClock){ 0 };
   guard->ends_seen = 0;
   guard->welcomed = false;
 }
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -8,6 +8,7 @@
    reports, and when the latest echo is too old, the guard ends the runs. An entry that is
    lost, frozen or cut off thus loses its runs before a caller repeats the job elsewhere. */
 
+#include "priority.h"
 #include "run-guard.h"
 
 #include <xxhash.h>
@@ -277,6 +278,8 @@
   report.wait_us = (uint64_t)md_runqueue_expected_wait (&guard->queue, guard->now);
   report.speed = md_runqueue_speed (&guard->queue, guard->now);
   report.next_end_us = (uint64_t)md_runqueue_next_end (&guard->queue, guard->now);
+  report.pressure_permille = md_pressure_of_queue (&guard->queue, guard->now);
+  md_gauge (MD_M_PRESSURE, report.pressure_permille);
   report.started = peer->started;
   report.n_started = peer->n_started;
   report.failures = guard->queue.failures;
@@ -551,6 +554,7 @@
   run->queued.work = (double)order->work_us;
   run->queued.alone = order->alone;
   run->queued.at_once = order->at_once;
+  run->queued.priority = md_priority_limit (order->priority);
   run->queued.start_by = guard->now + start_within (order);
   md_str_copy (run->task, sizeof run->task, md_str (order->task));
   run->run_number = order->run;
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -19,6 +19,7 @@
 #include "entry-start.h"
 #include "inbox.h"
 #include "locality.h"
+#include "priority.h"
 #include "recent-jobs.h"
 
 #include "wire.pb-c.h"
@@ -96,6 +97,7 @@
   size_t n_hello_orders;    /* 0 if the hello refers to a former process of the entry */
   bool awaiting_report;     /* a hello has been received and no report since */
   bool welcomed;            /* has named this process of the entry, so it received a welcome */
+  MdStampClock stamps;      /* tells how late its reports arrive */
   MdEntryOrder *orders;     /* all orders that have not ended, owned */
   MdEntryOrder *unsent;     /* orders for the next message, newest first */
   MdIdList cancels;         /* orders to cancel with the next message */
@@ -126,6 +128,7 @@
   MdTime expected_run;          /* run time on this worker that was predicted at placement */
   MdTime start_within;          /* slack at placement: a start after this time misses the goal */
   char permit[MD_PERMIT_BYTES]; /* from the advisory service, empty: none */
+  uint8_t priority;             /* by which the guard orders it among those that wait */
   bool alone;                   /* nothing else may run at the worker meanwhile */
   bool at_once;                 /* the guard is to reject it rather than let it wait */
   bool sent;                    /* has been sent to the guard */
@@ -162,6 +165,9 @@
   MdCorrection correction;  /* learned correction of declared run times */
   MdDemand demand;          /* decayed work of its jobs */
   double allowed_share;     /* learned share of workers that the advisor allows */
+  MdAdmitted admitted;      /* work of its admitted jobs */
+  char pool[MD_NAME_BYTES]; /* as configured when the last job of the queue arrived */
+  uint8_t priority;         /* the same */
   _Atomic int64_t counts[MD_JOB_OUTCOME_COUNT]; /* jobs by outcome; read by other threads */
 } MdQueueStats;
 
@@ -185,6 +191,7 @@
   MdTime started_at;          /* when the first start was reported, 0: none */
   uint32_t run_number_offset; /* added to run numbers after a worker rejected one as stale */
   bool giving_up;             /* all orders are being withdrawn; rejected if none has started */
+  bool floor;                 /* admitted as of the first priority, see md_priority_bound */
   double critical_path;       /* predicted work of the longest chain of steps, microseconds */
   MdTime admit_until;         /* Admission waits for full reports or a worker until this time at the
                                  latest; 0: it does not. */
@@ -192,6 +199,7 @@
 };
 
 #define MD_JOB_BUCKETS 4096u
+#define MD_MAX_POOLS 64 /* pools; without its pressure, a pool is served as if it had none */
 
 /* ------------------------------------------------------------------ */
 /* Load                                                               */
@@ -250,6 +258,8 @@
   uint64_t next_order_id;                /* starts at 1 */
   MdQueueStats *stats[MD_MAX_QUEUES];    /* n_stats entries, owned; never removed */
   _Atomic uint32_t n_stats;              /* other threads read it */
+  MdPressure pressures[MD_MAX_POOLS];    /* n_pressures elements, of pools with queues */
+  uint32_t n_pressures;                  /* pools whose pressure is known */
   MdCorrection correction;               /* of all queues together; prior for new queues */
   MdHttp *advisor;                       /* calls to the advisory service, NULL: not configured */
   struct MdEntryAdviceCall *advice_call; /* call in progress, NULL: none */
@@ -296,6 +306,8 @@
 /* md_entry_expected_work: predicted run time of a task of the step on a worker of speed 1,
    in microseconds. */
 double md_entry_expected_work (const MdEntryJob *job, uint32_t step);
+/* md_entry_total_work: predicted work of all tasks of a job in core microseconds. */
+double md_entry_total_work (const MdEntryJob *job);
 /* md_entry_requirements: fill in what a task of the step requires of a worker at the present
    time. The strings in need are borrowed from the job. */
 void md_entry_requirements (const MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
@@ -344,6 +356,20 @@
 /* md_entry_near_check: decide again on a run that waits for a near place, if that is due, and
    withdraw it if another place is better. */
 void md_entry_near_check (MdRunEntry *entry, MdEntryJob *job, MdEntryOrder *order);
+/* entry-priority.c */
+/* md_entry_note_queue: record the pool and the priority that a new job states for its queue. */
+void md_entry_note_queue (MdEntryJob *job);
+/* md_entry_set_bound: set the longest wait that a job is admitted with, in its forecast, and whether
+   it counts as of the first priority. */
+void md_entry_set_bound (MdRunEntry *entry, MdEntryJob *job, MdForecast *forecast);
+/* md_entry_note_admitted: add an admitted job to the work that its queue got. */
+void md_entry_note_admitted (const MdRunEntry *entry, MdEntryJob *job);
+/* md_entry_order_priority: the priority of an order that is placed now. */
+uint8_t md_entry_order_priority (const MdEntryJob *job);
+/* md_entry_pressure: the pressure on a pool, NULL if it is not known. */
+const MdPressure *md_entry_pressure (const MdRunEntry *entry, const char *pool);
+/* md_entry_update_pressure_gauge: set the gauge of the highest pressure on a pool. */
+void md_entry_update_pressure_gauge (MdRunEntry *entry);
 
 /* entry-advice.c */
 #define MD_INITIAL_ALLOWED_SHARE 0.5 /* share of allowed workers before the first response */
--- a/net/wire.pb-c.c
+++ b/net/wire.pb-c.c
@@ -3999,7 +3999,7 @@
   (ProtobufCMessageInit) md__worker_info__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_order__field_descriptors[13] =
+static const ProtobufCFieldDescriptor md__run_order__field_descriptors[14] =
 {
   {
     "id",
@@ -4157,6 +4157,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "priority",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunOrder, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_order__field_indices_by_name[] = {
   6,   /* field[6] = accelerators */
@@ -4167,6 +4179,7 @@
   0,   /* field[0] = id */
   5,   /* field[5] = memory_mb */
   10,   /* field[10] = permit */
+  13,   /* field[13] = priority */
   2,   /* field[2] = run */
   3,   /* field[3] = spec */
   8,   /* field[8] = start_within_us */
@@ -4176,7 +4189,7 @@
 static const ProtobufCIntRange md__run_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor md__run_order__descriptor =
 {
@@ -4186,7 +4199,7 @@
   "Md__RunOrder",
   "md",
   sizeof(Md__RunOrder),
-  13,
+  14,
   md__run_order__field_descriptors,
   md__run_order__field_indices_by_name,
   1,  md__run_order__number_ranges,
@@ -4451,7 +4464,7 @@
   (ProtobufCMessageInit) md__run_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__run_report__field_descriptors[16] =
+static const ProtobufCFieldDescriptor md__run_report__field_descriptors[17] =
 {
   {
     "stamp_us",
@@ -4645,6 +4658,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pressure_permille",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__RunReport, pressure_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__run_report__field_indices_by_name[] = {
   7,   /* field[7] = ends */
@@ -4656,6 +4681,7 @@
   15,   /* field[15] = interval_us */
   1,   /* field[1] = last_order */
   11,   /* field[11] = next_end_us */
+  16,   /* field[16] = pressure_permille */
   12,   /* field[12] = speed */
   9,   /* field[9] = stalled */
   0,   /* field[0] = stamp_us */
@@ -4664,10 +4690,11 @@
   5,   /* field[5] = wait_us */
   8,   /* field[8] = worker */
 };
-static const ProtobufCIntRange md__run_report__number_ranges[1 + 1] =
+static const ProtobufCIntRange md__run_report__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 18, 16 },
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor md__run_report__descriptor =
 {
@@ -4677,10 +4704,10 @@
   "Md__RunReport",
   "md",
   sizeof(Md__RunReport),
-  16,
+  17,
   md__run_report__field_descriptors,
   md__run_report__field_indices_by_name,
-  1,  md__run_report__number_ranges,
+  2,  md__run_report__number_ranges,
   (ProtobufCMessageInit) md__run_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/net/wire.pb-c.h
+++ b/net/wire.pb-c.h
@@ -639,10 +639,14 @@
    * it is rejected if it cannot start at once
    */
   protobuf_c_boolean at_once;
+  /*
+   * of its queue, 0 comes first
+   */
+  uint32_t priority;
 };
 #define MD__RUN_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_order__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Md__RunOrders
@@ -779,10 +783,14 @@
    * sparse reports: longest time until the next one; 0: not sparse
    */
   uint64_t interval_us;
+  /*
+   * core time of waiting runs, see sched/priority.h
+   */
+  uint32_t pressure_permille;
 };
 #define MD__RUN_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&md__run_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
