Handle jobs that can be in time first in a long backlog, by their deadlines

Change: the order is the earliest deadline for the start among the jobs that can meet it, and the newest first among the others.

--- a/fleet/entry-backlog.c
+++ b/fleet/entry-backlog.c
@@ -4,7 +4,6 @@
    sched/backlog.c. All other requests cost little, and are taken first, except that none overtakes the
    job that it refers to. The list is as long as there are threads of callers at most. */
 
-#include "backlog.h"
 #include "run-entry.h"
 
 static MdCallerRequest *
@@ -67,37 +66,44 @@
   return query;
 }
 
+/* Predicts the times of a job when it is looked at first. */
+static const MdBacklogJob *
+times_of (const MdRunEntry *entry, MdCallerRequest *request)
+{
+  if (request->backlog.limit == 0)
+    md_entry_predict_times (entry, request, &request->backlog);
+  request->backlog.waited = entry->now - request->arrived;
+  return &request->backlog;
+}
+
 MdCallerRequest *
 md_entry_backlog_next (MdRunEntry *entry)
 {
-  MdInboxNode **link = find_query (entry);
+  MdInboxNode **best = find_query (entry);
 
   if (entry->backlog == NULL)
     return NULL;
-  if (link != NULL)
-    return unlink_request (link);
-  link = &entry->backlog;
-  if (md_backlog_newest_first (entry->now - request_of (*link)->arrived))
-    while ((*link)->next != NULL)
-      link = &(*link)->next;
-  return unlink_request (link);
+  if (best != NULL)
+    return unlink_request (best);
+  best = &entry->backlog;
+  if (md_backlog_is_long (entry->now - request_of (*best)->arrived))
+    for (MdInboxNode **link = &(*best)->next; *link != NULL; link = &(*link)->next)
+      if (md_backlog_goes_before (times_of (entry, request_of (*link)),
+                                  times_of (entry, request_of (*best))))
+        best = link;
+  return unlink_request (best);
 }
 
 /* Whether the answer to a job that waits would be of no use. A job that is active, has ended or may have
    run has another answer. */
 static bool
-is_expired (const MdRunEntry *entry, const MdCallerRequest *request)
+is_expired (const MdRunEntry *entry, MdCallerRequest *request)
 {
-  MdTime waited = entry->now - request->arrived;
-  MdTime limit;
-  MdTime work;
-
-  if (request->kind != MD_CALLER_REQUEST_SUBMIT || !md_backlog_newest_first (waited)
-      || request->known_only || md_entry_find_job (entry, request->id, &request->route) != NULL
-      || md_entry_may_have_run (entry, request->id, &request->route))
-    return false;
-  md_entry_predict_times (entry, request, &limit, &work);
-  return md_backlog_is_expired (waited, limit, work);
+  return request->kind == MD_CALLER_REQUEST_SUBMIT
+         && md_backlog_is_long (entry->now - request->arrived)
+         && md_backlog_is_expired (times_of (entry, request)) && !request->known_only
+         && md_entry_find_job (entry, request->id, &request->route) == NULL
+         && !md_entry_may_have_run (entry, request->id, &request->route);
 }
 
 static void
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -333,22 +333,26 @@
 }
 
 void
-md_entry_predict_times (const MdRunEntry *entry, const MdCallerRequest *request, MdTime *limit,
-                        MdTime *work)
+md_entry_predict_times (const MdRunEntry *entry, const MdCallerRequest *request,
+                        MdBacklogJob *times)
 {
   const MdCorrection *correction = &entry->correction;
   const MdRunJob job = { .spec = request->spec };
   double of_step[MD_MAX_STEPS];
-  double path;
+  double path = 0;
+  MdTime objective;
 
   for (uint32_t i = 0; i < entry->n_stats; i++)
     if (strcmp (entry->stats[i]->name, request->route.name) == 0)
       correction = &entry->stats[i]->correction;
   for (uint32_t i = 0; i < job.spec.n_steps && i < MD_MAX_STEPS; i++)
     of_step[i] = md_estimate_work (correction, job.spec.steps[i].declared_time);
-  path = job.spec.n_steps <= MD_MAX_STEPS ? md_runjob_critical_path (&job, of_step) : 0;
-  *work = md_span (path);
-  *limit = MD_LIMIT_GOAL_MULTIPLE * objective_of (&request->route, path) - NETWORK_MARGIN;
+  if (job.spec.n_steps <= MD_MAX_STEPS)
+    path = md_runjob_critical_path (&job, of_step);
+  objective = objective_of (&request->route, path);
+  times->work = md_span (path);
+  times->slack = objective - NETWORK_MARGIN - times->work;
+  times->limit = MD_LIMIT_GOAL_MULTIPLE * objective - NETWORK_MARGIN;
 }
 
 void
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -14,6 +14,7 @@
 #define MD_RUN_ENTRY_H
 
 #include "advice.h"
+#include "backlog.h"
 #include "config-reader.h"
 #include "ended-jobs.h"
 #include "entry-start.h"
@@ -63,6 +64,7 @@
   int status;                  /* response: HTTP status, 0: the caller has disconnected */
   MdTime retry_after;          /* response: Retry-After, 0: none */
   MdBuf body;                  /* response; freed by the thread that posted the request */
+  MdBacklogJob backlog;        /* SUBMIT: of the engine, while it waits in the backlog */
   atomic_bool answered;        /* set by the engine; the response is valid */
   atomic_bool abandon_handled; /* set by the engine; the ABANDON request is handled */
 };
@@ -314,10 +316,9 @@
                             MdTaskRequirements *need);
 /* md_entry_set_times: set arrived, goal, limit, deadline and critical_path of a new job. */
 void md_entry_set_times (MdEntryJob *job, const MdCallerRequest *caller_request);
-/* md_entry_predict_times: predict for a request that has no job yet the time from its arrival after
-   which its answer is of no use, and the run time of its longest chain of steps, in microseconds. */
-void md_entry_predict_times (const MdRunEntry *entry, const MdCallerRequest *request, MdTime *limit,
-                             MdTime *work);
+/* md_entry_predict_times: predict the slack, the limit and the work of a request that has no job yet. */
+void md_entry_predict_times (const MdRunEntry *entry, const MdCallerRequest *request,
+                             MdBacklogJob *times);
 /* md_entry_add_demand: add the work of a new job to the demand of its queue. */
 void md_entry_add_demand (const MdRunEntry *entry, MdEntryJob *job);
 /* md_entry_admit: place the ready tasks of a new job, or reject the job and free it. A job that
--- a/sched/backlog.h
+++ b/sched/backlog.h
@@ -5,13 +5,23 @@
 
 #include "md-base.h"
 
-/* md_backlog_newest_first: whether the newest job is handled next, rather than the oldest, when the
-   oldest has waited for this long, in microseconds. */
-bool md_backlog_newest_first (MdTime oldest_wait);
+/* A job that waits; microseconds since its arrival. */
+typedef struct
+{
+  MdTime waited; /* until now */
+  MdTime slack;  /* it can start after this time and still be in time, if its estimate is right */
+  MdTime limit;  /* its answer is of no use after this time */
+  MdTime work;   /* expected run time of its longest chain of tasks */
+} MdBacklogJob;
 
-/* md_backlog_is_expired: whether a job that has waited for this long is rejected without a forecast. limit:
-   time from its arrival after which its answer is of no use, work: expected run time of its
-   longest chain of tasks; all in microseconds. */
-bool md_backlog_is_expired (MdTime waited, MdTime limit, MdTime work);
+/* md_backlog_is_long: whether jobs are not handled in the order of arrival when the oldest has waited
+   for this long. */
+bool md_backlog_is_long (MdTime oldest_wait);
+
+/* md_backlog_goes_before: whether a is handled before b in a long backlog. */
+bool md_backlog_goes_before (const MdBacklogJob *a, const MdBacklogJob *b);
+
+/* md_backlog_is_expired: whether a job is rejected without a forecast. */
+bool md_backlog_is_expired (const MdBacklogJob *job);
 
 #endif
