--- a/common/host-limits.c
+++ b/common/host-limits.c
@@ -93,6 +93,61 @@
   return lower (limit, read_limit (path));
 }
 
+double
+md_host_parse_cpu_max (const char *text)
+{
+  char *end;
+  double quota = strtod (text, &end);
+  double period;
+
+  if (end == text || *end != ' ')
+    return 0; /* "max" */
+  period = strtod (end, NULL);
+  return quota > 0 && period > 0 ? quota / period : 0;
+}
+
+static double
+read_cpu_max (const char *group)
+{
+  char path[2 * PATH_BYTES];
+  char line[64];
+  double share = 0;
+  FILE *file;
+
+  snprintf (path, sizeof path, "/sys/fs/cgroup%s/cpu.max", group);
+  file = fopen (path, "r");
+  if (file == NULL)
+    return 0;
+  if (fgets (line, sizeof line, file) != NULL)
+    share = md_host_parse_cpu_max (line);
+  fclose (file);
+  return share;
+}
+
+/* Of version 1; it writes a quota of -1 for no limit, which read_limit takes for none. */
+static double
+read_cfs_quota (void)
+{
+  long long quota = group_limit ("cpu", "cpu.cfs_quota_us");
+  long long period = group_limit ("cpu", "cpu.cfs_period_us");
+
+  return quota > 0 && period > 0 ? (double)quota / (double)period : 0;
+}
+
+double
+md_host_processor_share (void)
+{
+  char group[PATH_BYTES] = "";
+  double root = read_cpu_max ("");
+  double own = find_group ("", group, sizeof group) ? read_cpu_max (group) : 0;
+
+  if (root <= 0 && own <= 0)
+    return read_cfs_quota ();
+  if (root <= 0 || own <= 0)
+    return root > own ? root : own;
+  return root < own ? root : own;
+}
+
 void
 md_host_limits_read (MdHostLimits *limits)
 {
--- a/common/host-limits.h
+++ b/common/host-limits.h
@@ -32,6 +32,13 @@
 /* md_host_limits_read: read the present limits. */
 void md_host_limits_read (MdHostLimits *limits);
 
+/* md_host_processor_share: cores that the control group may use, 0 if that is not limited or cannot
+   be read. */
+double md_host_processor_share (void);
+
+/* md_host_parse_cpu_max: the same from the text of cpu.max: quota and period in microseconds. */
+double md_host_parse_cpu_max (const char *text);
+
 /* md_host_share: as many of the wanted threads as the descriptors suffice for. */
 MdHostShare md_host_share (const MdHostLimits *limits, unsigned wanted);
 
--- a/common/md-private.h
+++ b/common/md-private.h
@@ -198,6 +198,10 @@
                                                 force within this time */
   double remote_factor;                    /* run-entry: factor on the run time of a worker
                                                 away from the data */
+  bool handover;                           /* run-entry: hand requests over to other entries, and
+                                                take theirs */
+  double cpu_share;                        /* run-entry: processor share in cores, 0: as the host
+                                                says */
   bool end_marked;                         /* the text ended with the end marker "..." */
   bool incomplete;                         /* after an error: the file may be cut short, empty,
                                                 missing or being written */
@@ -358,6 +362,8 @@
 void *md_link_data (const MdLink *link);
 void md_link_set_data (MdLink *link, void *data);
 const char *md_link_peer (const MdLink *link); /* remote "ip:port" */
+int md_link_socket (const MdLink *link);       /* for poll only; -1: not connected */
+MdTime md_link_heard_at (const MdLink *link);  /* when data was last received */
 
 /* md_link_set_max_silence: close the connection when nothing arrives for this long; 0 disables
    the check. Applies until the connection ends. */
--- a/common/settings.c
+++ b/common/settings.c
@@ -23,6 +23,7 @@
   SETTING_SECONDS, /* seconds in the file, with fractions, MdTime in memory */
   SETTING_LIST,    /* ip:port, separated by commas, at most MD_LIST_BYTES - 1 bytes */
   SETTING_DOUBLE,  /* number with fractions */
+  SETTING_SWITCH,  /* on, off */
   SETTING_LEVEL,   /* debug, info, warn, error */
 } SettingType;
 
@@ -92,6 +93,8 @@
   { "full_reports", SETTING_U32, AT (full_reports), FOR_RUN_GUARD | RELOADABLE, 1, 512 },
   { "max_followed", SETTING_U32, AT (max_followed), FOR_RUN_ENTRY | RELOADABLE, 0, 4096 },
   { "config_apply_ms", SETTING_MS, AT (config_apply), FOR_RUN_ENTRY, 100, 600e3 },
+  { "handover", SETTING_SWITCH, AT (handover), FOR_RUN_ENTRY, 0, 0 },
+  { "cpu_share", SETTING_DOUBLE, AT (cpu_share), FOR_RUN_ENTRY, 0.001, 1024 },
   { "remote_factor", SETTING_DOUBLE, AT (remote_factor), FOR_RUN_ENTRY | RELOADABLE, 1, 100 },
 };
 
@@ -259,6 +262,18 @@
   add_fault (reader, node, "%s: must be debug, info, warn or error", setting->name);
 }
 
+static void
+read_switch (Reader *reader, const Setting *setting, void *dest, const yaml_node_t *node,
+             const char *text)
+{
+  bool on = strcmp (text, "on") == 0;
+
+  if (!on && strcmp (text, "off") != 0)
+    add_fault (reader, node, "%s: must be on or off", setting->name);
+  else
+    *(bool *)dest = on;
+}
+
 static void
 read_list (Reader *reader, const Setting *setting, void *dest, const yaml_node_t *node)
 {
@@ -323,6 +338,9 @@
     case SETTING_LEVEL:
       read_level (reader, setting, dest, node, text);
       break;
+    case SETTING_SWITCH:
+      read_switch (reader, setting, dest, node, text);
+      break;
     default:
       read_number (reader, setting, dest, node, text);
       break;
@@ -614,6 +632,7 @@
   settings->stop_timeout = 50 * MD_MS;
   settings->config_apply = 2 * MD_SECOND;
   settings->remote_factor = 1.5;
+  settings->handover = true;
   settings->log_level = MD_LOG_INFO;
 }
 
--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -597,9 +597,10 @@
 }
 
 static void
-on_up (void *user MD_UNUSED, MdLink *link MD_UNUSED)
+on_up (void *user, MdLink *link)
 {
-  /* The guard sends the first message. */
+  /* A guard sends the first message; a peer that was dialled gets one. */
+  md_entry_peer_up (user, link);
 }
 
 static void
@@ -619,6 +620,8 @@
         md_entry_report (entry, guard, frame->run_report);
       break;
     default:
+      if (md_entry_peer_frame (entry, link, frame))
+        break;
       md_log (MD_LOG_WARN, "frame-ignored", "peer=%s kind=%d", md_link_peer (link),
               (int)frame->msg_case);
       break;
@@ -632,6 +635,7 @@
   MdEntryGuard *guard = md_link_data (link);
 
   entry->now = md_now ();
+  md_entry_peer_down (entry, link, error);
   if (guard == NULL)
     return;
   guard->link = NULL;
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -63,8 +63,16 @@
   return (MdJobKey){ hash.low64, hash.high64 };
 }
 
-/* Remembers a job that has a final state, or of which a part may have run. The threads that read the
-   table of recent jobs use the present time, not that of the engine's pass. */
+/* The threads that read the table of recent jobs use the present time, not that of the engine's
+   pass. */
+void
+md_entry_record_end (MdRunEntry *entry, const char *id, const MdRoute *route, MdFinalState end)
+{
+  md_recent_jobs_add (&entry->recent_jobs, md_entry_hash_id (id), md_now ());
+  md_ended_jobs_add (&entry->ended_jobs, job_key (id, route), end, entry->now);
+}
+
+/* Remembers a job that has a final state, or of which a part may have run. */
 static void
 record_end (MdRunEntry *entry, const MdEntryJob *job, const char *state)
 {
@@ -78,8 +86,7 @@
     end = MD_FINAL_COMPLETED;
   else if (strcmp (state, MD_PLATFORM_CANCELLED) == 0)
     end = MD_FINAL_CANCELLED;
-  md_recent_jobs_add (&entry->recent_jobs, md_entry_hash_id (job->id), md_now ());
-  md_ended_jobs_add (&entry->ended_jobs, job_key (job->id, &job->route), end, entry->now);
+  md_entry_record_end (entry, job->id, &job->route, end);
 }
 
 const char *
--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -42,8 +42,13 @@
   caller_request->retry_after = retry_after;
   if (state != NULL)
     md_platform_write_state (&caller_request->body, state);
-  else if (md_entry_is_rejection (status))
+  else if (md_entry_is_rejection (status) && caller_request->body.len == 0)
     md_buf_append (&caller_request->body, MD_STR (MD_BODY_NOT_RUN));
+  if (caller_request->taken != NULL)
+    {
+      md_entry_taken_answered (caller_request, state);
+      return;
+    }
   /* From here on the thread may free the request. */
   atomic_store (&caller_request->answered, true);
   wake_thread (event);
@@ -60,6 +65,8 @@
   struct pollfd fd = { .fd = caller_request->socket, .events = POLLRDHUP };
   int n;
 
+  if (caller_request->taken != NULL)
+    return md_entry_has_hander_left (caller_request->taken);
   if (fd.fd < 0)
     return true; /* poll would skip it */
   do
@@ -139,8 +146,12 @@
 {
   MdEntryJob *job = md_entry_find_job (entry, caller_request->id, &caller_request->route);
 
-  md_count (MD_M_JOBS, 1);
-  md_entry_load_request (&entry->load, entry->now - caller_request->arrived, entry->now);
+  /* The time that a request spent elsewhere, or was parsed in, is no lag of this engine. */
+  if (caller_request->taken == NULL && !caller_request->counted)
+    {
+      md_count (MD_M_JOBS, 1);
+      md_entry_load_request (&entry->load, entry->now - caller_request->arrived, entry->now);
+    }
   /* After a pause of this process, requests can be read from connections that were reset long
      ago. Their callers may have repeated the jobs at other entries. */
   if (md_entry_has_caller_left (caller_request))
@@ -159,6 +170,8 @@
     }
   if (answer_ended (entry, caller_request))
     return;
+  if (md_entry_hand_over (entry, caller_request))
+    return;
   if (caller_request->known_only)
     answer_given_up (caller_request);
   else
@@ -167,12 +180,17 @@
 
 /* Removes a request whose caller has disconnected. The job is cancelled when its last caller
    is gone. */
-static void
-detach_caller (MdRunEntry *entry, MdCallerRequest *caller_request)
+void
+md_entry_detach_caller (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
   MdEntryJob *job = caller_request->job;
   MdCallerRequest **link;
 
+  if (caller_request->handover != NULL)
+    {
+      md_entry_handover_detach (entry, caller_request);
+      return;
+    }
   if (job == NULL)
     return; /* already answered */
   for (link = &job->requests; *link != caller_request; link = &(*link)->next)
@@ -208,8 +226,8 @@
 
 /* Answers that the job is unknown. A best-effort job is known only to the entry that accepted
    it, and only until it has ended. */
-static void
-answer_unknown (MdCallerRequest *caller_request)
+void
+md_entry_answer_unknown (MdCallerRequest *caller_request)
 {
   md_buf_append (&caller_request->body, MD_STR ("{}"));
   md_entry_answer_request (caller_request, 410, NULL, 0);
@@ -220,8 +238,10 @@
 {
   const MdEntryJob *job = md_entry_find_job (entry, caller_request->id, &caller_request->route);
 
+  if (job == NULL && md_entry_forward_query (entry, caller_request))
+    return;
   if (job == NULL)
-    answer_unknown (caller_request);
+    md_entry_answer_unknown (caller_request);
   else
     md_entry_answer_request (caller_request, 200,
                              job->started_at > 0 ? MD_PLATFORM_IN_PROGRESS : MD_PLATFORM_QUEUED, 0);
@@ -232,17 +252,19 @@
 {
   MdEntryJob *job = md_entry_find_job (entry, caller_request->id, &caller_request->route);
 
+  if (job == NULL && md_entry_forward_query (entry, caller_request))
+    return;
   if (job == NULL)
     {
-      answer_unknown (caller_request);
+      md_entry_answer_unknown (caller_request);
       return;
     }
   md_entry_finish_job (entry, job, 200, MD_PLATFORM_CANCELLED, "cancelled", 0);
   md_entry_answer_request (caller_request, 200, MD_PLATFORM_CANCELLED, 0);
 }
 
-static void
-handle_request (MdRunEntry *entry, MdCallerRequest *caller_request)
+void
+md_entry_handle_request (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
   switch (caller_request->kind)
     {
@@ -250,7 +272,7 @@
       submit (entry, caller_request);
       break;
     case MD_CALLER_REQUEST_ABANDON:
-      detach_caller (entry, caller_request->abandoned);
+      md_entry_detach_caller (entry, caller_request->abandoned);
       acknowledge_abandon (caller_request);
       break;
     case MD_CALLER_REQUEST_PENDING:
@@ -280,7 +302,7 @@
       MdInboxNode *node = entry->backlog;
 
       entry->backlog = node->next;
-      handle_request (entry, (MdCallerRequest *)node);
+      md_entry_handle_request (entry, (MdCallerRequest *)node);
       if (entry->backlog != NULL && md_now () >= end)
         return false;
     }
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -59,6 +59,7 @@
   bool has_job;                       /* the path names a job */
   bool counted;                       /* it is one of the submissions of that job */
   bool known_only;                    /* the engine may not begin the job */
+  bool declined;                      /* the engine has not handed the job over */
   uint64_t job;                       /* hash of the job's ID */
 } Request;
 
@@ -294,7 +295,10 @@
   return 499;
 }
 
-/* Posts the request to the engine and writes the response. Returns the status for CivetWeb. */
+#define DECLINED 0 /* the engine did not hand the job over; there is no response yet */
+
+/* Posts the request to the engine and writes the response. Returns the status for CivetWeb, or
+   DECLINED for a job that was offered. */
 static int
 post_and_respond (const Request *request, MdCallerRequest *caller_request)
 {
@@ -303,6 +307,8 @@
   post_request (request->front->entry, caller_request);
   wait_for_answer (request, caller_request);
   status = caller_request->status;
+  if (caller_request->declined)
+    return DECLINED;
   if (status == 0)
     {
       md_buf_clear (&caller_request->body);
@@ -322,9 +328,8 @@
   md_log_quote (text, out, size);
 }
 
-/* Returns why the job cannot be accepted, NULL if it can. */
-static const char *
-unsupported_reason (const MdRunEntry *entry, const MdRoute *route, const MdRunSpec *spec)
+const char *
+md_entry_unsupported_reason (const MdRunEntry *entry, const MdRoute *route, const MdRunSpec *spec)
 {
   if (!spec->best_effort)
     return "only best-effort jobs are supported";
@@ -362,36 +367,44 @@
   return respond (request, 429, MD_STR (MD_BODY_NOT_RUN), RETRY_AFTER_LATE);
 }
 
+/* Fills in what the header of a job says. Returns false without an eventfd. */
+static bool
+prepare_job (const Request *request, const MdRoute *route, const char *id,
+             MdCallerRequest *caller_request)
+{
+  const char *timeout = mg_get_header (request->conn, MD_PLATFORM_DEADLINE_HEADER);
+
+  *caller_request = (MdCallerRequest){ .kind = MD_CALLER_REQUEST_SUBMIT,
+                                       .arrived = request->arrived,
+                                       .route = *route,
+                                       .known_only = request->known_only,
+                                       .declined = false,
+                                       .event = thread_eventfd (),
+                                       .socket = md_connection_socket () };
+  md_str_copy (caller_request->id, sizeof caller_request->id, md_str (id));
+  copy_header (request, MD_PLATFORM_REQUEST_HEADER, caller_request->request_id,
+               sizeof caller_request->request_id);
+  if (timeout != NULL)
+    caller_request->response_timeout = read_timeout (timeout);
+  return caller_request->event >= 0;
+}
+
 /* Posts a job, which it owns from then on, to the engine and writes the response. */
 static int
 post_job (const Request *request, const MdRoute *route, const char *id, MdRunSpec spec)
 {
-  MdCallerRequest caller_request = { .kind = MD_CALLER_REQUEST_SUBMIT,
-                                     .arrived = request->arrived,
-                                     .spec = spec,
-                                     .known_only = request->known_only };
-  const char *timeout = mg_get_header (request->conn, MD_PLATFORM_DEADLINE_HEADER);
-  const char *unsupported;
+  MdCallerRequest caller_request;
+  bool prepared = prepare_job (request, route, id, &caller_request);
+  const char *unsupported = md_entry_unsupported_reason (request->front->entry, route, &spec);
 
-  unsupported = unsupported_reason (request->front->entry, route, &caller_request.spec);
-  if (unsupported != NULL)
+  caller_request.spec = spec;
+  caller_request.counted = request->declined;
+  if (unsupported != NULL || !prepared)
     {
       md_run_spec_clear (&caller_request.spec);
-      return reject (request, 503, unsupported, 0);
+      return unsupported != NULL ? reject (request, 503, unsupported, 0)
+                                 : reject (request, 503, "cannot create an eventfd", MD_SECOND);
     }
-  caller_request.event = thread_eventfd ();
-  if (caller_request.event < 0)
-    {
-      md_run_spec_clear (&caller_request.spec);
-      return reject (request, 503, "cannot create an eventfd", MD_SECOND);
-    }
-  caller_request.socket = md_connection_socket ();
-  md_str_copy (caller_request.id, sizeof caller_request.id, md_str (id));
-  copy_header (request, MD_PLATFORM_REQUEST_HEADER, caller_request.request_id,
-               sizeof caller_request.request_id);
-  caller_request.route = *route;
-  if (timeout != NULL)
-    caller_request.response_timeout = read_timeout (timeout);
   if (md_entry_has_caller_left (&caller_request))
     {
       md_entry_record_dropped (&caller_request, md_now ());
@@ -401,6 +414,20 @@
   return post_and_respond (request, &caller_request);
 }
 
+/* Offers a job that is not parsed to the engine, which may hand it over to another entry. Returns
+   DECLINED if it did not. */
+static int
+offer_job (const Request *request, const MdRoute *route, const char *id, MdStr body)
+{
+  MdCallerRequest caller_request;
+
+  if (!prepare_job (request, route, id, &caller_request))
+    return DECLINED;
+  caller_request.offered = true;
+  caller_request.raw = body;
+  return post_and_respond (request, &caller_request);
+}
+
 /* Whether the job is rejected without the engine. A repeated job may be running or have run for its
    first attempt; only the engine can tell, so that the answer "not run" is true. */
 static bool
@@ -465,8 +492,7 @@
 
 /* Reads the body, for which memory has been taken, and submits the job in it. */
 static int
-submit_body (const Request *request, const MdRoute *route, const char *id, Body *body,
-             size_t max_body)
+submit_body (Request *request, const MdRoute *route, const char *id, Body *body, size_t max_body)
 {
   int status = md_http_read_body (request->conn, max_body, &body->text);
   MdError error = { 0 };
@@ -478,6 +504,13 @@
       mg_disable_connection_keep_alive (request->conn);
       return reject (request, status, "the request body is too large or incomplete", 0);
     }
+  if (!request->known_only && md_entry_offers (request->front->entry))
+    {
+      status = offer_job (request, route, id, md_buf_str (&body->text));
+      if (status != DECLINED)
+        return status;
+      request->declined = true;
+    }
   if (rejects_job (request))
     return reject_job (request, route, id);
   switch (parse_body (request->front, body, &spec, &error))
--- a/fleet/run-entry.c
+++ b/fleet/run-entry.c
@@ -190,6 +190,7 @@
       update_ready (entry);
       update_gauges (entry);
       due = md_time_min (due, md_entry_guards_poll (entry));
+      due = md_time_min (due, md_entry_peers_poll (entry));
       if (entry->leaving && entry->now < entry->reject_after)
         due = md_time_min (due, entry->reject_after);
       due = md_time_min (due, poll_registration (entry));
@@ -216,6 +217,7 @@
   MdTime deadline = md_now () + RESPONSE_FLUSH_TIMEOUT;
 
   atomic_store (&entry->closed, true);
+  md_entry_handover_fail_all (entry);
   md_entry_fail_all (entry);
   while (atomic_load (&entry->active_requests) > 0 && md_now () < deadline)
     {
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -14,6 +14,7 @@
 #include "advice.h"
 #include "config-reader.h"
 #include "ended-jobs.h"
+#include "entry-handover.h"
 #include "inbox.h"
 #include "recent-jobs.h"
 
@@ -33,7 +34,6 @@
   MD_CALLER_REQUEST_CANCEL,  /* cancel a job */
 } MdCallerRequestKind;
 
-typedef struct MdCallerRequest MdCallerRequest;
 typedef struct MdEntryJob MdEntryJob;
 
 /* A request is owned by the HTTP thread that posts it. The thread must keep it until
@@ -53,6 +53,12 @@
   MdCallerRequest *next;       /* engine only: next request for the same job */
   MdEntryJob *job;             /* engine only: job of the request, NULL once answered */
   bool known_only;             /* SUBMIT: not begun, only answered if known here */
+  bool offered;                /* SUBMIT: not parsed yet; handed over or declined */
+  bool declined;               /* SUBMIT, offered: response: it was not handed over */
+  bool counted;                /* SUBMIT: an offer of it was declined before */
+  MdStr raw;                   /* SUBMIT, offered: the body as received, borrowed */
+  MdOpenHandover *handover;    /* engine only: the request was handed over, NULL: it was not */
+  MdTakenRequest *taken;       /* engine only: request of another entry, which frees it, or NULL */
   int event;                   /* eventfd, borrowed; written when the request is answered */
   int socket;                  /* SUBMIT: the caller's, borrowed */
   int status;                  /* response: HTTP status, 0: the caller has disconnected */
@@ -65,7 +71,6 @@
 /* ------------------------------------------------------------------ */
 /* Guards                                                             */
 
-typedef struct MdRunEntry MdRunEntry;
 typedef struct MdEntryOrder MdEntryOrder;
 
 typedef struct
@@ -203,6 +208,7 @@
   MdTime max_wait;          /* longest time from the arrival of a job to its handling */
   MdTime max_lag;           /* most that the engine was behind the time of its next pass */
   MdLag lag;                /* of the engine, at present */
+  MdPressure pressure;      /* whether requests are handed over */
   atomic_bool overloaded;   /* jobs are rejected before they reach the engine */
 } MdEntryLoad;
 
@@ -244,6 +250,7 @@
   MdTime guards_due;                     /* a guard needs a message or a check at this time; 0: at
                                             the next pass */
   MdTime gauges_due;                     /* next update of the gauges */
+  MdEntryHandover handover;              /* requests handed over to other entries, and theirs */
   bool leaving;                          /* SIGTERM or SIGINT has been received */
   MdTime reject_after;                   /* leaving: new requests are rejected from this time on */
   MdTime drain_deadline;                 /* leaving: jobs that are left are failed at this time */
@@ -257,6 +264,9 @@
 #define MD_STATUS_GIVEN_UP 504 /* HTTP status: part of the job may have run */
 
 /* front.c */
+/* md_entry_unsupported_reason: why a job cannot be accepted, NULL if it can. */
+const char *md_entry_unsupported_reason (const MdRunEntry *entry, const MdRoute *route,
+                                         const MdRunSpec *spec);
 typedef struct MdFront MdFront;
 /* md_front_start: start the HTTP servers for callers and probes on the addresses in the settings.
    entry must outlive the front end. Returns NULL on failure. */
@@ -315,6 +325,13 @@
    request belongs to its thread again afterwards. */
 void md_entry_answer_request (MdCallerRequest *caller_request, int status, const char *state,
                               MdTime retry_after);
+/* md_entry_handle_request: handle a request of any kind. */
+void md_entry_handle_request (MdRunEntry *entry, MdCallerRequest *caller_request);
+/* md_entry_detach_caller: answer a request whose caller has disconnected, if it has no answer yet,
+   and cancel its job when it was the last one. */
+void md_entry_detach_caller (MdRunEntry *entry, MdCallerRequest *caller_request);
+/* md_entry_answer_unknown: answer that a job is not known. */
+void md_entry_answer_unknown (MdCallerRequest *caller_request);
 /* md_entry_reject_request: answer a request whose job is not active with 429 or 503, or with
    MD_STATUS_GIVEN_UP if an earlier attempt may have run. */
 void md_entry_reject_request (const MdRunEntry *entry, MdCallerRequest *caller_request, int status,
@@ -345,6 +362,9 @@
 /* md_entry_find_end: state in which the job with this ID and queue has ended here, NULL if that is
    not known. */
 const char *md_entry_find_end (const MdRunEntry *entry, const char *id, const MdRoute *route);
+/* md_entry_record_end: remember how a job ended, of which a part may have run. */
+void md_entry_record_end (MdRunEntry *entry, const char *id, const MdRoute *route,
+                          MdFinalState end);
 /* md_entry_may_have_run: whether a job with this ID and queue that is not active may have run here
    within the time in which its caller may repeat it. */
 bool md_entry_may_have_run (const MdRunEntry *entry, const char *id, const MdRoute *route);
--- a/net/link-io.c
+++ b/net/link-io.c
@@ -458,6 +458,18 @@
   return link->peer;
 }
 
+int
+md_link_socket (const MdLink *link)
+{
+  return link->state == MD_LINK_UP ? link->fd : -1;
+}
+
+MdTime
+md_link_heard_at (const MdLink *link)
+{
+  return link->last_read;
+}
+
 void
 md_link_set_max_silence (MdLink *link, MdTime silence)
 {
--- a/net/wire.pb-c.c
+++ b/net/wire.pb-c.c
@@ -1447,6 +1447,231 @@
   assert(message->base.descriptor == &md__run_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   md__peer_hello__init
+                     (Md__PeerHello         *message)
+{
+  static const Md__PeerHello init_value = MD__PEER_HELLO__INIT;
+  *message = init_value;
+}
+size_t md__peer_hello__get_packed_size
+                     (const Md__PeerHello *message)
+{
+  assert(message->base.descriptor == &md__peer_hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__peer_hello__pack
+                     (const Md__PeerHello *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__peer_hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__peer_hello__pack_to_buffer
+                     (const Md__PeerHello *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__peer_hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__PeerHello *
+       md__peer_hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__PeerHello *)
+     protobuf_c_message_unpack (&md__peer_hello__descriptor,
+                                allocator, len, data);
+}
+void   md__peer_hello__free_unpacked
+                     (Md__PeerHello *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__peer_hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   md__peer_load__init
+                     (Md__PeerLoad         *message)
+{
+  static const Md__PeerLoad init_value = MD__PEER_LOAD__INIT;
+  *message = init_value;
+}
+size_t md__peer_load__get_packed_size
+                     (const Md__PeerLoad *message)
+{
+  assert(message->base.descriptor == &md__peer_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__peer_load__pack
+                     (const Md__PeerLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__peer_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__peer_load__pack_to_buffer
+                     (const Md__PeerLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__peer_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__PeerLoad *
+       md__peer_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__PeerLoad *)
+     protobuf_c_message_unpack (&md__peer_load__descriptor,
+                                allocator, len, data);
+}
+void   md__peer_load__free_unpacked
+                     (Md__PeerLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__peer_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   md__job_handover__init
+                     (Md__JobHandover         *message)
+{
+  static const Md__JobHandover init_value = MD__JOB_HANDOVER__INIT;
+  *message = init_value;
+}
+size_t md__job_handover__get_packed_size
+                     (const Md__JobHandover *message)
+{
+  assert(message->base.descriptor == &md__job_handover__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__job_handover__pack
+                     (const Md__JobHandover *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__job_handover__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__job_handover__pack_to_buffer
+                     (const Md__JobHandover *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__job_handover__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__JobHandover *
+       md__job_handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__JobHandover *)
+     protobuf_c_message_unpack (&md__job_handover__descriptor,
+                                allocator, len, data);
+}
+void   md__job_handover__free_unpacked
+                     (Md__JobHandover *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__job_handover__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   md__job_handover_end__init
+                     (Md__JobHandoverEnd         *message)
+{
+  static const Md__JobHandoverEnd init_value = MD__JOB_HANDOVER_END__INIT;
+  *message = init_value;
+}
+size_t md__job_handover_end__get_packed_size
+                     (const Md__JobHandoverEnd *message)
+{
+  assert(message->base.descriptor == &md__job_handover_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__job_handover_end__pack
+                     (const Md__JobHandoverEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__job_handover_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__job_handover_end__pack_to_buffer
+                     (const Md__JobHandoverEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__job_handover_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__JobHandoverEnd *
+       md__job_handover_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__JobHandoverEnd *)
+     protobuf_c_message_unpack (&md__job_handover_end__descriptor,
+                                allocator, len, data);
+}
+void   md__job_handover_end__free_unpacked
+                     (Md__JobHandoverEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__job_handover_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   md__job_handover_cancel__init
+                     (Md__JobHandoverCancel         *message)
+{
+  static const Md__JobHandoverCancel init_value = MD__JOB_HANDOVER_CANCEL__INIT;
+  *message = init_value;
+}
+size_t md__job_handover_cancel__get_packed_size
+                     (const Md__JobHandoverCancel *message)
+{
+  assert(message->base.descriptor == &md__job_handover_cancel__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t md__job_handover_cancel__pack
+                     (const Md__JobHandoverCancel *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &md__job_handover_cancel__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t md__job_handover_cancel__pack_to_buffer
+                     (const Md__JobHandoverCancel *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &md__job_handover_cancel__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Md__JobHandoverCancel *
+       md__job_handover_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Md__JobHandoverCancel *)
+     protobuf_c_message_unpack (&md__job_handover_cancel__descriptor,
+                                allocator, len, data);
+}
+void   md__job_handover_cancel__free_unpacked
+                     (Md__JobHandoverCancel *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &md__job_handover_cancel__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   md__frame__init
                      (Md__Frame         *message)
 {
@@ -4632,7 +4857,431 @@
   (ProtobufCMessageInit) md__run_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor md__frame__field_descriptors[22] =
+static const ProtobufCFieldDescriptor md__peer_hello__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__PeerHello, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Md__PeerHello, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failure_domain",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__PeerHello, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__PeerHello, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned md__peer_hello__field_indices_by_name[] = {
+  2,   /* field[2] = failure_domain */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = name */
+  3,   /* field[3] = share */
+};
+static const ProtobufCIntRange md__peer_hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor md__peer_hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.PeerHello",
+  "PeerHello",
+  "Md__PeerHello",
+  "md",
+  sizeof(Md__PeerHello),
+  4,
+  md__peer_hello__field_descriptors,
+  md__peer_hello__field_indices_by_name,
+  1,  md__peer_hello__number_ranges,
+  (ProtobufCMessageInit) md__peer_hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__peer_load__field_descriptors[4] =
+{
+  {
+    "use_permille",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__PeerLoad, use_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lag_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__PeerLoad, lag_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "jobs",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__PeerLoad, jobs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "takes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Md__PeerLoad, takes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned md__peer_load__field_indices_by_name[] = {
+  2,   /* field[2] = jobs */
+  1,   /* field[1] = lag_us */
+  3,   /* field[3] = takes */
+  0,   /* field[0] = use_permille */
+};
+static const ProtobufCIntRange md__peer_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor md__peer_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.PeerLoad",
+  "PeerLoad",
+  "Md__PeerLoad",
+  "md",
+  sizeof(Md__PeerLoad),
+  4,
+  md__peer_load__field_descriptors,
+  md__peer_load__field_indices_by_name,
+  1,  md__peer_load__number_ranges,
+  (ProtobufCMessageInit) md__peer_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__job_handover__field_descriptors[9] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandover, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandover, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandover, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandover, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandover, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "patience_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandover, patience_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandover, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandover, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "op",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandover, op),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned md__job_handover__field_indices_by_name[] = {
+  6,   /* field[6] = age_us */
+  7,   /* field[7] = body */
+  2,   /* field[2] = host */
+  0,   /* field[0] = id */
+  1,   /* field[1] = job */
+  8,   /* field[8] = op */
+  3,   /* field[3] = path */
+  5,   /* field[5] = patience_us */
+  4,   /* field[4] = request_id */
+};
+static const ProtobufCIntRange md__job_handover__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor md__job_handover__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.JobHandover",
+  "JobHandover",
+  "Md__JobHandover",
+  "md",
+  sizeof(Md__JobHandover),
+  9,
+  md__job_handover__field_descriptors,
+  md__job_handover__field_indices_by_name,
+  1,  md__job_handover__number_ranges,
+  (ProtobufCMessageInit) md__job_handover__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__job_handover_end__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandoverEnd, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandoverEnd, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandoverEnd, state),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandoverEnd, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandoverEnd, retry_after_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned md__job_handover_end__field_indices_by_name[] = {
+  3,   /* field[3] = body */
+  0,   /* field[0] = id */
+  4,   /* field[4] = retry_after_us */
+  2,   /* field[2] = state */
+  1,   /* field[1] = status */
+};
+static const ProtobufCIntRange md__job_handover_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor md__job_handover_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.JobHandoverEnd",
+  "JobHandoverEnd",
+  "Md__JobHandoverEnd",
+  "md",
+  sizeof(Md__JobHandoverEnd),
+  5,
+  md__job_handover_end__field_descriptors,
+  md__job_handover_end__field_indices_by_name,
+  1,  md__job_handover_end__number_ranges,
+  (ProtobufCMessageInit) md__job_handover_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__job_handover_cancel__field_descriptors[1] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Md__JobHandoverCancel, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned md__job_handover_cancel__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange md__job_handover_cancel__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor md__job_handover_cancel__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "md.JobHandoverCancel",
+  "JobHandoverCancel",
+  "Md__JobHandoverCancel",
+  "md",
+  sizeof(Md__JobHandoverCancel),
+  1,
+  md__job_handover_cancel__field_descriptors,
+  md__job_handover_cancel__field_indices_by_name,
+  1,  md__job_handover_cancel__number_ranges,
+  (ProtobufCMessageInit) md__job_handover_cancel__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor md__frame__field_descriptors[27] =
 {
   {
     "hello",
@@ -4898,6 +5547,66 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "peer_hello",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, peer_hello),
+    &md__peer_hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_load",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, peer_load),
+    &md__peer_load__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_handover",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, job_handover),
+    &md__job_handover__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_handover_end",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, job_handover_end),
+    &md__job_handover_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_handover_cancel",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Md__Frame, msg_case),
+    offsetof(Md__Frame, job_handover_cancel),
+    &md__job_handover_cancel__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned md__frame__field_indices_by_name[] = {
   7,   /* field[7] = answers */
@@ -4910,7 +5619,12 @@
   13,   /* field[13] = forward_reply */
   2,   /* field[2] = heartbeat */
   0,   /* field[0] = hello */
+  24,   /* field[24] = job_handover */
+  26,   /* field[26] = job_handover_cancel */
+  25,   /* field[25] = job_handover_end */
   15,   /* field[15] = leaving */
+  22,   /* field[22] = peer_hello */
+  23,   /* field[23] = peer_load */
   11,   /* field[11] = query */
   5,   /* field[5] = records */
   10,   /* field[10] = release */
@@ -4926,7 +5640,7 @@
 static const ProtobufCIntRange md__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor md__frame__descriptor =
 {
@@ -4936,7 +5650,7 @@
   "Md__Frame",
   "md",
   sizeof(Md__Frame),
-  22,
+  27,
   md__frame__field_descriptors,
   md__frame__field_indices_by_name,
   1,  md__frame__number_ranges,
--- a/net/wire.pb-c.h
+++ b/net/wire.pb-c.h
@@ -47,6 +47,11 @@
 typedef struct Md__RunOrders Md__RunOrders;
 typedef struct Md__RunEnd Md__RunEnd;
 typedef struct Md__RunReport Md__RunReport;
+typedef struct Md__PeerHello Md__PeerHello;
+typedef struct Md__PeerLoad Md__PeerLoad;
+typedef struct Md__JobHandover Md__JobHandover;
+typedef struct Md__JobHandoverEnd Md__JobHandoverEnd;
+typedef struct Md__JobHandoverCancel Md__JobHandoverCancel;
 typedef struct Md__Frame Md__Frame;
 
 
@@ -769,6 +774,137 @@
     , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, NULL, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * First message on a connection between entries, from both sides.
+ */
+struct  Md__PeerHello
+{
+  ProtobufCMessage base;
+  char *name;
+  uint64_t incarnation;
+  char *failure_domain;
+  /*
+   * processor share in thousandths of a core, 0: not known
+   */
+  uint32_t share;
+};
+#define MD__PEER_HELLO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__peer_hello__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * What an entry says of itself, every 100 ms.
+ */
+struct  Md__PeerLoad
+{
+  ProtobufCMessage base;
+  /*
+   * of the processor share
+   */
+  uint32_t use_permille;
+  /*
+   * of the engine
+   */
+  uint64_t lag_us;
+  /*
+   * active jobs
+   */
+  uint32_t jobs;
+  /*
+   * it takes requests of others
+   */
+  protobuf_c_boolean takes;
+};
+#define MD__PEER_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__peer_load__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Md__JobHandover
+{
+  ProtobufCMessage base;
+  /*
+   * unique on this connection and in the lifetime of the sender
+   */
+  uint64_t id;
+  /*
+   * job ID
+   */
+  char *job;
+  /*
+   * of the queue
+   */
+  char *host;
+  /*
+   * with the job ID
+   */
+  char *path;
+  /*
+   * Request-Id header, quoted for the log
+   */
+  char *request_id;
+  /*
+   * how much longer the caller waits, 0: not stated
+   */
+  uint64_t patience_us;
+  /*
+   * since the request arrived
+   */
+  uint64_t age_us;
+  /*
+   * as received from the caller
+   */
+  ProtobufCBinaryData body;
+  /*
+   * 0 run the job, 1 report its state, 2 cancel it
+   */
+  uint32_t op;
+};
+#define MD__JOB_HANDOVER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__job_handover__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0 }
+
+
+/*
+ * Answer to a JobHandover.
+ */
+struct  Md__JobHandoverEnd
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * HTTP status; 0: not taken, nothing of it has run or will run
+   */
+  uint32_t status;
+  /*
+   * final state of the job, empty: none
+   */
+  char *state;
+  ProtobufCBinaryData body;
+  /*
+   * 0: none
+   */
+  uint64_t retry_after_us;
+};
+#define MD__JOB_HANDOVER_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__job_handover_end__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+
+
+/*
+ * The caller has left. An end that is sent nevertheless is ignored.
+ */
+struct  Md__JobHandoverCancel
+{
+  ProtobufCMessage base;
+  uint64_t id;
+};
+#define MD__JOB_HANDOVER_CANCEL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&md__job_handover_cancel__descriptor) \
+    , 0 }
+
+
 typedef enum {
   MD__FRAME__MSG__NOT_SET = 0,
   MD__FRAME__MSG_HELLO = 1,
@@ -792,7 +928,12 @@
   MD__FRAME__MSG_RUN_HELLO = 19,
   MD__FRAME__MSG_RUN_WELCOME = 20,
   MD__FRAME__MSG_RUN_ORDERS = 21,
-  MD__FRAME__MSG_RUN_REPORT = 22
+  MD__FRAME__MSG_RUN_REPORT = 22,
+  MD__FRAME__MSG_PEER_HELLO = 23,
+  MD__FRAME__MSG_PEER_LOAD = 24,
+  MD__FRAME__MSG_JOB_HANDOVER = 25,
+  MD__FRAME__MSG_JOB_HANDOVER_END = 26,
+  MD__FRAME__MSG_JOB_HANDOVER_CANCEL = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MD__FRAME__MSG__CASE)
 } Md__Frame__MsgCase;
 
@@ -823,6 +964,11 @@
     Md__RunWelcome *run_welcome;
     Md__RunOrders *run_orders;
     Md__RunReport *run_report;
+    Md__PeerHello *peer_hello;
+    Md__PeerLoad *peer_load;
+    Md__JobHandover *job_handover;
+    Md__JobHandoverEnd *job_handover_end;
+    Md__JobHandoverCancel *job_handover_cancel;
   };
 };
 #define MD__FRAME__INIT \
@@ -1438,6 +1584,101 @@
 void   md__run_report__free_unpacked
                      (Md__RunReport *message,
                       ProtobufCAllocator *allocator);
+/* Md__PeerHello methods */
+void   md__peer_hello__init
+                     (Md__PeerHello         *message);
+size_t md__peer_hello__get_packed_size
+                     (const Md__PeerHello   *message);
+size_t md__peer_hello__pack
+                     (const Md__PeerHello   *message,
+                      uint8_t             *out);
+size_t md__peer_hello__pack_to_buffer
+                     (const Md__PeerHello   *message,
+                      ProtobufCBuffer     *buffer);
+Md__PeerHello *
+       md__peer_hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__peer_hello__free_unpacked
+                     (Md__PeerHello *message,
+                      ProtobufCAllocator *allocator);
+/* Md__PeerLoad methods */
+void   md__peer_load__init
+                     (Md__PeerLoad         *message);
+size_t md__peer_load__get_packed_size
+                     (const Md__PeerLoad   *message);
+size_t md__peer_load__pack
+                     (const Md__PeerLoad   *message,
+                      uint8_t             *out);
+size_t md__peer_load__pack_to_buffer
+                     (const Md__PeerLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Md__PeerLoad *
+       md__peer_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__peer_load__free_unpacked
+                     (Md__PeerLoad *message,
+                      ProtobufCAllocator *allocator);
+/* Md__JobHandover methods */
+void   md__job_handover__init
+                     (Md__JobHandover         *message);
+size_t md__job_handover__get_packed_size
+                     (const Md__JobHandover   *message);
+size_t md__job_handover__pack
+                     (const Md__JobHandover   *message,
+                      uint8_t             *out);
+size_t md__job_handover__pack_to_buffer
+                     (const Md__JobHandover   *message,
+                      ProtobufCBuffer     *buffer);
+Md__JobHandover *
+       md__job_handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__job_handover__free_unpacked
+                     (Md__JobHandover *message,
+                      ProtobufCAllocator *allocator);
+/* Md__JobHandoverEnd methods */
+void   md__job_handover_end__init
+                     (Md__JobHandoverEnd         *message);
+size_t md__job_handover_end__get_packed_size
+                     (const Md__JobHandoverEnd   *message);
+size_t md__job_handover_end__pack
+                     (const Md__JobHandoverEnd   *message,
+                      uint8_t             *out);
+size_t md__job_handover_end__pack_to_buffer
+                     (const Md__JobHandoverEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Md__JobHandoverEnd *
+       md__job_handover_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__job_handover_end__free_unpacked
+                     (Md__JobHandoverEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Md__JobHandoverCancel methods */
+void   md__job_handover_cancel__init
+                     (Md__JobHandoverCancel         *message);
+size_t md__job_handover_cancel__get_packed_size
+                     (const Md__JobHandoverCancel   *message);
+size_t md__job_handover_cancel__pack
+                     (const Md__JobHandoverCancel   *message,
+                      uint8_t             *out);
+size_t md__job_handover_cancel__pack_to_buffer
+                     (const Md__JobHandoverCancel   *message,
+                      ProtobufCBuffer     *buffer);
+Md__JobHandoverCancel *
+       md__job_handover_cancel__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   md__job_handover_cancel__free_unpacked
+                     (Md__JobHandoverCancel *message,
+                      ProtobufCAllocator *allocator);
 /* Md__Frame methods */
 void   md__frame__init
                      (Md__Frame         *message);
@@ -1555,6 +1796,21 @@
 typedef void (*Md__RunReport_Closure)
                  (const Md__RunReport *message,
                   void *closure_data);
+typedef void (*Md__PeerHello_Closure)
+                 (const Md__PeerHello *message,
+                  void *closure_data);
+typedef void (*Md__PeerLoad_Closure)
+                 (const Md__PeerLoad *message,
+                  void *closure_data);
+typedef void (*Md__JobHandover_Closure)
+                 (const Md__JobHandover *message,
+                  void *closure_data);
+typedef void (*Md__JobHandoverEnd_Closure)
+                 (const Md__JobHandoverEnd *message,
+                  void *closure_data);
+typedef void (*Md__JobHandoverCancel_Closure)
+                 (const Md__JobHandoverCancel *message,
+                  void *closure_data);
 typedef void (*Md__Frame_Closure)
                  (const Md__Frame *message,
                   void *closure_data);
@@ -1596,6 +1852,11 @@
 extern const ProtobufCMessageDescriptor md__run_orders__descriptor;
 extern const ProtobufCMessageDescriptor md__run_end__descriptor;
 extern const ProtobufCMessageDescriptor md__run_report__descriptor;
+extern const ProtobufCMessageDescriptor md__peer_hello__descriptor;
+extern const ProtobufCMessageDescriptor md__peer_load__descriptor;
+extern const ProtobufCMessageDescriptor md__job_handover__descriptor;
+extern const ProtobufCMessageDescriptor md__job_handover_end__descriptor;
+extern const ProtobufCMessageDescriptor md__job_handover_cancel__descriptor;
 extern const ProtobufCMessageDescriptor md__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
