--- a/common/settings.c
+++ b/common/settings.c
@@ -703,7 +703,7 @@
   [SETTING_U32] = sizeof (uint32_t),     [SETTING_U64] = sizeof (uint64_t),
   [SETTING_MS] = sizeof (MdTime),        [SETTING_SECONDS] = sizeof (MdTime),
   [SETTING_LIST] = MD_LIST_BYTES,        [SETTING_DOUBLE] = sizeof (double),
-  [SETTING_LEVEL] = sizeof (MdLogLevel),
+  [SETTING_LEVEL] = sizeof (MdLogLevel), [SETTING_SWITCH] = sizeof (bool),
 };
 
 /* Bytes after the terminator of a text are ignored. */
--- a/tests/test-host-limits.c
+++ b/tests/test-host-limits.c
@@ -126,6 +126,20 @@
 }
 END_TEST
 
+/* Guards against an entry that takes its share for unlimited, or an unlimited one for nothing. */
+START_TEST (test_processor_share)
+{
+  ck_assert_double_eq_tol (md_host_parse_cpu_max ("12000 100000\n"), 0.12, 1e-9);
+  ck_assert_double_eq_tol (md_host_parse_cpu_max ("200000 100000\n"), 2, 1e-9);
+  ck_assert_double_eq (md_host_parse_cpu_max ("max 100000\n"), 0);
+  ck_assert_double_eq (md_host_parse_cpu_max (""), 0);
+  ck_assert_double_eq (md_host_parse_cpu_max ("12000\n"), 0);
+  ck_assert_double_eq (md_host_parse_cpu_max ("-1 100000\n"), 0);
+  ck_assert_double_eq (md_host_parse_cpu_max ("12000 0\n"), 0);
+  ck_assert_double_ge (md_host_processor_share (), 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -136,5 +150,6 @@
   tcase_add_test (tc, test_descriptors_are_raised);
   tcase_add_test (tc, test_short_descriptors_are_reported);
   tcase_add_test (tc, test_missing_threads);
+  tcase_add_test (tc, test_processor_share);
   return run_suite ("host-limits", tc);
 }
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -202,6 +202,39 @@
 }
 END_TEST
 
+#define RUN_ENTRY_HEAD                                                                             \
+  "role: run-entry\nname: e1\nregion: r\nfailure_domain: r-a\nstore_address: 127.0.0.1:9000\n"     \
+  "internal_address: 127.0.0.1:7000\nentry_port: 7000\ncaller_address: 127.0.0.1:8000\n"           \
+  "ready_address: 127.0.0.1:8001\n"
+
+/* Guards against handovers that a setting does not turn off, or that need one to be on, and against a
+   change of the setting that is not named as waiting for a restart. */
+START_TEST (test_handover)
+{
+  MD_AUTO_BUF faults = { 0 };
+  MD_AUTO_BUF applied = { 0 };
+  MD_AUTO_BUF deferred = { 0 };
+  MdSettings s;
+  MdSettings fresh;
+
+  ck_assert_int_eq (parse (&s, RUN_ENTRY_HEAD "handover:\ncpu_share:\n", &faults), MD_OK);
+  ck_assert (s.handover);
+  ck_assert_double_eq (s.cpu_share, 0);
+  ck_assert_int_eq (parse (&fresh, RUN_ENTRY_HEAD "handover: off\ncpu_share: 0.12\n", &faults),
+                    MD_OK);
+  ck_assert (!fresh.handover);
+  ck_assert_double_eq (fresh.cpu_share, 0.12);
+  md_settings_update (&s, &fresh, &applied, &deferred);
+  ck_assert_uint_eq (applied.len, 0);
+  ck_assert_str_eq (deferred.data, "handover,cpu_share");
+  md_settings_clear (&fresh);
+  ck_assert_int_eq (parse (&fresh, RUN_ENTRY_HEAD "handover: maybe\n", &faults), MD_E_INVALID);
+  ck_assert_str_eq (faults.data, "f.yaml:10: handover: must be on or off\n");
+  md_settings_clear (&fresh);
+  md_settings_clear (&s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -216,5 +249,6 @@
   tcase_add_test (tc, test_missing);
   tcase_add_test (tc, test_tokens);
   tcase_add_test (tc, test_update);
+  tcase_add_test (tc, test_handover);
   return run_suite ("settings", tc);
 }
