Take a repeat out of the list of its handover before it begins its job

What callers saw: nothing yet; found by the address sanitizer (stack-use-after-scope in md_entry_finish_job, build/asan/tests/test-entry-handover, repeat_is_served_after_refusal).

Cause: when a taker refuses a job, a parsed repeat begins it here while it still pointed to the next request of the handover, so that the job kept a request which its thread had left.

Change: the pointer is cleared. Callers that have left while an end waited in the socket during a pause are counted.

--- a/fleet/entry-handover.c
+++ b/fleet/entry-handover.c
@@ -150,7 +150,9 @@
       open->requests = caller_request->next;
       caller_request->handover = NULL;
       md_run_spec_clear (&caller_request->spec);
-      if (!left)
+      if (left)
+        md_count (MD_M_CALLERS_LEFT, 1);
+      else
         md_buf_append (&caller_request->body, answer->body);
       md_entry_answer_request (caller_request, left ? 0 : answer->status, NULL,
                                answer->retry_after);
@@ -169,10 +171,13 @@
   return MD_FINAL_GIVEN_UP;
 }
 
+/* The taker has written the line of an answered job, with the same ids. */
 static void
 log_end (const MdRunEntry *entry, const MdOpenHandover *open, int status, const char *outcome)
 {
-  md_log (MD_LOG_INFO, "handover-ended",
+  MdLogLevel level = status != 0 && status != MD_STATUS_GIVEN_UP ? MD_LOG_DEBUG : MD_LOG_INFO;
+
+  md_log (level, "handover-ended",
           "job=%s request=%s queue=%s peer=%s op=%d status=%d outcome=%s elapsed_ms=%lld",
           open->job, open->request_id, open->route.name, open->peer->name, (int)open->op, status,
           outcome, (long long)((entry->now - open->sent_at) / MD_MS));
@@ -231,6 +236,7 @@
       else
         {
           /* A further request of the job, which is parsed already. */
+          caller_request->next = NULL;
           caller_request->counted = true;
           md_entry_handle_request (entry, caller_request);
         }
