--- a/fleet/entry-load.c
+++ b/fleet/entry-load.c
@@ -84,7 +84,7 @@
 
   load->passes++;
   md_lag_add (&load->lag, lag, now);
-  md_pressure_add_lag (&load->pressure, lag, now);
+  md_shortage_add_lag (&load->pressure, lag, now);
   update_overloaded (load, now);
   if (lag > 0)
     md_observe (MD_H_ENGINE_LAG, lag);
@@ -98,7 +98,7 @@
 md_entry_load_request (MdEntryLoad *load, MdTime wait, MdTime now)
 {
   md_lag_add (&load->lag, wait, now);
-  md_pressure_add_lag (&load->pressure, wait, now);
+  md_shortage_add_lag (&load->pressure, wait, now);
   update_overloaded (load, now);
   md_observe (MD_H_REQUEST_WAIT, wait);
   if (wait > load->max_wait)
--- a/fleet/entry-peers.c
+++ b/fleet/entry-peers.c
@@ -190,7 +190,7 @@
 static void
 send_load (const MdRunEntry *entry, MdLink *link)
 {
-  const MdPressure *pressure = &entry->load.pressure;
+  const MdShortage *pressure = &entry->load.pressure;
   Md__Frame frame = MD__FRAME__INIT;
   Md__PeerLoad load = MD__PEER_LOAD__INIT;
 
--- a/fleet/entry-pressure.c
+++ b/fleet/entry-pressure.c
@@ -28,6 +28,17 @@
   return settings->cpu_share > 0 ? settings->cpu_share : md_host_processor_share ();
 }
 
+/* A share below that is no whole core, and a process with it cannot run all the time: a processor time
+   that equals the time that has passed is that of a host that does not account for it. */
+#define MAX_PART_OF_CORE 0.9
+#define WHOLE_INTERVAL 0.95
+
+static bool
+is_accounted (MdTime processor, MdTime interval, double share)
+{
+  return share > MAX_PART_OF_CORE || (double)processor < WHOLE_INTERVAL * (double)interval;
+}
+
 static void
 sample_use (MdRunEntry *entry)
 {
@@ -37,8 +48,9 @@
 
   if (handover->sampled_at == 0)
     handover->share = own_share (&entry->daemon.settings);
-  else if (handover->share > 0 && interval > 0 && interval <= MAX_INTERVAL)
-    md_pressure_add_use (&entry->load.pressure,
+  else if (handover->share > 0 && interval > 0 && interval <= MAX_INTERVAL
+           && is_accounted (processor - handover->processor, interval, handover->share))
+    md_shortage_add_use (&entry->load.pressure,
                          (double)(processor - handover->processor)
                              / ((double)interval * handover->share),
                          entry->now);
@@ -59,7 +71,7 @@
 md_entry_pressure_sample (MdRunEntry *entry)
 {
   MdEntryHandover *handover = &entry->handover;
-  MdPressure *pressure = &entry->load.pressure;
+  MdShortage *pressure = &entry->load.pressure;
   bool was_active = handover->pressed_at > 0 && handover->pressed_at == handover->sampled_at;
   MdTime lag = md_lag_now (&entry->load.lag, entry->now);
   double offer = 0;
@@ -68,7 +80,7 @@
   if (pressure->active)
     handover->pressed_at = entry->now;
   if (pressure->active && has_taker (entry))
-    offer = md_pressure_offer (pressure, lag);
+    offer = md_shortage_offer (pressure, lag);
   atomic_store (&handover->offer, (int)(offer * 1000));
   md_gauge (MD_M_PRESSURE, pressure->active);
   md_gauge (MD_M_HANDOVER_OFFER, (int64_t)(offer * 1000));
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -208,7 +208,7 @@
   MdTime max_wait;          /* longest time from the arrival of a job to its handling */
   MdTime max_lag;           /* most that the engine was behind the time of its next pass */
   MdLag lag;                /* of the engine, at present */
-  MdPressure pressure;      /* whether requests are handed over */
+  MdShortage pressure;      /* whether requests are handed over */
   atomic_bool overloaded;   /* jobs are rejected before they reach the engine */
 } MdEntryLoad;
 
--- a/sched/handover.c
+++ b/sched/handover.c
@@ -27,7 +27,7 @@
 #define JOB_SHARE 10             /* thousandths of a core: 1 ms per load interval */
 
 static void
-update (MdPressure *pressure, MdTime now)
+update (MdShortage *pressure, MdTime now)
 {
   bool late = pressure->late_at > 0 && now < pressure->late_at + BEGIN_TIME
               && pressure->late_at >= pressure->late_since + BEGIN_TIME;
@@ -41,7 +41,7 @@
 }
 
 void
-md_pressure_add_lag (MdPressure *pressure, MdTime sample, MdTime now)
+md_shortage_add_lag (MdShortage *pressure, MdTime sample, MdTime now)
 {
   if (sample > BEGIN_LAG)
     {
@@ -55,7 +55,7 @@
 }
 
 void
-md_pressure_add_use (MdPressure *pressure, double use, MdTime now)
+md_shortage_add_use (MdShortage *pressure, double use, MdTime now)
 {
   pressure->use = pressure->use_known ? pressure->use + USE_GAIN * (use - pressure->use) : use;
   pressure->use_known = true;
@@ -74,7 +74,7 @@
 }
 
 double
-md_pressure_offer (const MdPressure *pressure, MdTime lag)
+md_shortage_offer (const MdShortage *pressure, MdTime lag)
 {
   double by_lag = position ((double)lag, (double)BEGIN_LAG);
   double by_use = pressure->use_known ? position (pressure->use, BEGIN_USE) : 0;
--- a/sched/handover.h
+++ b/sched/handover.h
@@ -16,16 +16,16 @@
   bool use_known;    /* a use has been added */
   double use;        /* processor time used, relative to the share; smoothed */
   bool active;       /* requests may be handed over */
-} MdPressure;
+} MdShortage;
 
-/* md_pressure_add_lag: add how late the engine did something. */
-void md_pressure_add_lag (MdPressure *pressure, MdTime sample, MdTime now);
-/* md_pressure_add_use: add the processor time that was used, relative to the share, over an interval
+/* md_shortage_add_lag: add how late the engine did something. */
+void md_shortage_add_lag (MdShortage *pressure, MdTime sample, MdTime now);
+/* md_shortage_add_use: add the processor time that was used, relative to the share, over an interval
    of about MD_HANDOVER_LOAD_INTERVAL. */
-void md_pressure_add_use (MdPressure *pressure, double use, MdTime now);
-/* md_pressure_offer: which share of the requests to hand over, between 0 and 1. lag: the lag at
+void md_shortage_add_use (MdShortage *pressure, double use, MdTime now);
+/* md_shortage_offer: which share of the requests to hand over, between 0 and 1. lag: the lag at
    present. */
-double md_pressure_offer (const MdPressure *pressure, MdTime lag);
+double md_shortage_offer (const MdShortage *pressure, MdTime lag);
 
 /* What an entry has reported about itself. */
 typedef struct
@@ -42,7 +42,7 @@
 /* What is known of a request and of the entry that it arrived at. */
 typedef struct
 {
-  const MdPressure *pressure; /* of this entry */
+  const MdShortage *pressure; /* of this entry */
   bool handed_over;           /* another entry has handed the request over to this one */
   bool overloaded;            /* this entry rejects all jobs, md_admit_rejects_all */
 } MdHandoverRequest;
@@ -68,7 +68,7 @@
 double md_handover_peer_free (const MdPeerLoad *peer, MdTime now);
 
 /* md_handover_decide: decide about a request that would be handed over according to
-   md_pressure_offer. random: 64 random bits. */
+   md_shortage_offer. random: 64 random bits. */
 MdHandover md_handover_decide (const MdHandoverRequest *request, const MdPeerLoad *peers, size_t n,
                                uint64_t random, MdTime now);
 
--- a/tests/test-entry-handover.c
+++ b/tests/test-entry-handover.c
@@ -174,7 +174,7 @@
 relieve (void)
 {
   pressed = false;
-  front_entry.load.pressure = (MdPressure){ 0 };
+  front_entry.load.pressure = (MdShortage){ 0 };
 }
 
 static void
--- a/tests/test-frame-fuzz.c
+++ b/tests/test-frame-fuzz.c
@@ -419,7 +419,7 @@
       send_run_hello (*link, i);
       break;
     case 2:
-      entry.load.pressure = (MdPressure){ .active = !one_in (4), .busy_at = md_now () };
+      entry.load.pressure = (MdShortage){ .active = !one_in (4), .busy_at = md_now () };
       send_peer_frame (*link);
       break;
     case 3:
--- a/tests/test-handover.c
+++ b/tests/test-handover.c
@@ -21,18 +21,18 @@
 
 /* Adds the same lag every 10 ms for this long. */
 static MdTime
-add_lag (MdPressure *pressure, MdTime sample, MdTime now, MdTime time)
+add_lag (MdShortage *pressure, MdTime sample, MdTime now, MdTime time)
 {
   for (MdTime end = now + time; now < end; now += 10 * MD_MS)
-    md_pressure_add_lag (pressure, sample, now);
+    md_shortage_add_lag (pressure, sample, now);
   return now;
 }
 
 static MdTime
-add_use (MdPressure *pressure, double use, MdTime now, MdTime time)
+add_use (MdShortage *pressure, double use, MdTime now, MdTime time)
 {
   for (MdTime end = now + time; now < end; now += MD_HANDOVER_LOAD_INTERVAL)
-    md_pressure_add_use (pressure, use, now);
+    md_shortage_add_use (pressure, use, now);
   return now;
 }
 
@@ -40,7 +40,7 @@
    single slow pass, when it has processor time for them. */
 START_TEST (pause_is_no_pressure)
 {
-  MdPressure pressure = { 0 };
+  MdShortage pressure = { 0 };
   MdTime now = START;
 
   now = add_lag (&pressure, 4 * MD_SECOND, now, 150 * MD_MS);
@@ -49,7 +49,7 @@
   now = add_lag (&pressure, 30 * MD_MS, now, 150 * MD_MS);
   add_lag (&pressure, 0, now, 10 * MD_SECOND);
   ck_assert (!pressure.active);
-  ck_assert_double_eq (md_pressure_offer (&pressure, 100 * MD_MS), 0);
+  ck_assert_double_eq (md_shortage_offer (&pressure, 100 * MD_MS), 0);
 }
 END_TEST
 
@@ -57,7 +57,7 @@
    connected to other entries and cut off several times a second. */
 START_TEST (lag_has_hysteresis)
 {
-  MdPressure pressure = { 0 };
+  MdShortage pressure = { 0 };
   MdTime now = add_lag (&pressure, 21 * MD_MS, START, 200 * MD_MS);
 
   ck_assert (!pressure.active);
@@ -78,7 +78,7 @@
 /* Guards against the same with the processor use, and against an end while one of both is high. */
 START_TEST (use_has_hysteresis)
 {
-  MdPressure pressure = { 0 };
+  MdShortage pressure = { 0 };
   MdTime now = add_use (&pressure, 0.8, START, 5 * MD_SECOND);
 
   ck_assert (!pressure.active);
@@ -99,16 +99,16 @@
 /* Guards against an entry that hands over everything as soon as it is a little short. */
 START_TEST (offer_grows_with_pressure)
 {
-  MdPressure pressure = { .active = true, .use_known = true, .use = 0.425 };
+  MdShortage pressure = { .active = true, .use_known = true, .use = 0.425 };
 
-  ck_assert_double_eq (md_pressure_offer (&pressure, 0), 0);
+  ck_assert_double_eq (md_shortage_offer (&pressure, 0), 0);
   pressure.use = 0.6375;
-  ck_assert_double_eq_tol (md_pressure_offer (&pressure, 0), 0.5, 1e-9);
-  ck_assert_double_eq_tol (md_pressure_offer (&pressure, 19 * MD_MS), 0.9, 1e-9);
+  ck_assert_double_eq_tol (md_shortage_offer (&pressure, 0), 0.5, 1e-9);
+  ck_assert_double_eq_tol (md_shortage_offer (&pressure, 19 * MD_MS), 0.9, 1e-9);
   pressure.use = 2;
-  ck_assert_double_eq (md_pressure_offer (&pressure, 0), 1);
-  pressure = (MdPressure){ .active = true };
-  ck_assert_double_eq (md_pressure_offer (&pressure, 40 * MD_MS), 1);
+  ck_assert_double_eq (md_shortage_offer (&pressure, 0), 1);
+  pressure = (MdShortage){ .active = true };
+  ck_assert_double_eq (md_shortage_offer (&pressure, 40 * MD_MS), 1);
 }
 END_TEST
 
@@ -123,7 +123,7 @@
 static MdHandover
 decide (const MdPeerLoad *peers, size_t n, bool handed_over, bool overloaded)
 {
-  MdPressure pressure = { .active = true };
+  MdShortage pressure = { .active = true };
   MdHandoverRequest request
       = { .pressure = &pressure, .handed_over = handed_over, .overloaded = overloaded };
 
@@ -230,7 +230,7 @@
   double share;    /* cores */
   double queue;    /* microseconds of processor time */
   double consumed; /* in the present load interval */
-  MdPressure pressure;
+  MdShortage pressure;
   MdLag lag;
   MdPeerLoad load; /* as reported last */
 } Entry;
@@ -270,7 +270,7 @@
     }
   if (enabled
       && (double)(next_random () % 1000) / 1000
-             < md_pressure_offer (&own->pressure, md_lag_now (&own->lag, now)))
+             < md_shortage_offer (&own->pressure, md_lag_now (&own->lag, now)))
     result = md_handover_decide (&request, peers, ENTRIES, next_random (), now);
   if (result.kind == MD_HANDOVER_TO)
     {
@@ -297,7 +297,7 @@
       Entry *entry = &entries[i];
       double use = entry->consumed / ((double)MD_HANDOVER_LOAD_INTERVAL * entry->share);
 
-      md_pressure_add_use (&entry->pressure, use, now);
+      md_shortage_add_use (&entry->pressure, use, now);
       entry->consumed = 0;
       entry->load = (MdPeerLoad){ .share = (uint32_t)(entry->share * 1000),
                                   .use = (uint32_t)(entry->pressure.use * 1000),
@@ -333,7 +333,7 @@
           double used = entries[i].queue < slice ? entries[i].queue : slice;
 
           md_lag_add (&entries[i].lag, queue_time (&entries[i]), now);
-          md_pressure_add_lag (&entries[i].pressure, queue_time (&entries[i]), now);
+          md_shortage_add_lag (&entries[i].pressure, queue_time (&entries[i]), now);
           entries[i].queue -= used;
           entries[i].consumed += used;
         }
