--- a/fleet/entry-backlog.c
+++ b/fleet/entry-backlog.c
@@ -1,8 +1,8 @@
 /* entry-backlog.c -- requests that wait for the engine of an entry
 
    The backlog is a list with the oldest request first. Jobs are taken from it in the order of
-   sched/backlog.c. All other requests cost little, and are taken first, except that none overtakes the
-   job that it refers to. The list is as long as there are threads of callers at most. */
+   sched/backlog.c. All other requests, and jobs that are offered to other entries, cost little and are
+   taken first, except that none overtakes the job that it refers to. The list is as long as there are threads of callers at most. */
 
 #include "run-entry.h"
 
@@ -49,6 +49,12 @@
   return false;
 }
 
+static bool
+is_job (const MdCallerRequest *request)
+{
+  return request->kind == MD_CALLER_REQUEST_SUBMIT && !request->offered;
+}
+
 /* The link to the first request that is no job, or to an earlier job that it refers to; NULL if all
    are jobs. */
 static MdInboxNode **
@@ -56,7 +62,7 @@
 {
   MdInboxNode **query = &entry->backlog;
 
-  while (*query != NULL && request_of (*query)->kind == MD_CALLER_REQUEST_SUBMIT)
+  while (*query != NULL && is_job (request_of (*query)))
     query = &(*query)->next;
   if (*query == NULL)
     return NULL;
@@ -99,8 +105,7 @@
 static bool
 is_expired (const MdRunEntry *entry, MdCallerRequest *request)
 {
-  return request->kind == MD_CALLER_REQUEST_SUBMIT
-         && md_backlog_is_long (entry->now - request->arrived)
+  return is_job (request) && md_backlog_is_long (entry->now - request->arrived)
          && md_backlog_is_expired (times_of (entry, request)) && !request->known_only
          && md_entry_find_job (entry, request->id, &request->route) == NULL
          && !md_entry_may_have_run (entry, request->id, &request->route);
