--- a/tests/test-priority.c
+++ b/tests/test-priority.c
@@ -504,9 +504,10 @@
       {
         double load = now >= PEAK_FROM && now < PEAK_TO ? peak->load : CALM_LOAD;
         double expected = rate_of (q, load * peak->shares[q]) * (double)step;
+        uint32_t draws = 1 + (uint32_t)expected;
 
-        for (; expected > 0; expected -= 1)
-          if (md_model_uniform (&random) < expected)
+        for (uint32_t k = 0; k < draws; k++)
+          if (md_model_uniform (&random) < expected / draws)
             {
               ck_assert_uint_lt (workload->n_jobs, room);
               workload->jobs[workload->n_jobs++] = job_of (&random, q, now);
