--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -131,16 +131,16 @@
   launch_stepped "entry-$1" "$DAEMON" run-entry --config "$RUN/entry-$1.yaml"
 }
 
-start_guard () { # n; through VIA_n when PROXIED is set
-  local orders register via
-  eval "orders=\$ORDERS_$1 register=\$REGISTER_$1 via=\$VIA_$1"
+start_guard () { # n; through VIA_n when PROXIED is set, in the failure domain DOMAIN_n if that is set
+  local orders register via domain
+  eval "orders=\$ORDERS_$1 register=\$REGISTER_$1 via=\$VIA_$1 domain=\${DOMAIN_$1:-lusitania-a}"
   [ -n "${PROXIED:-}" ] && orders=$via
   [ -n "${KEEP_SETTINGS:-}" ] || cat > "$RUN/guard-$1.yaml" <<YAML
 ${SETTINGS_HEAD:+$SETTINGS_HEAD
 }role: run-guard
 name: guard-$1
 region: lusitania
-failure_domain: lusitania-a
+failure_domain: $domain
 store_address: ${STORE_VIA:-$STORE}
 entry_port: $INNER
 seeds: "$SEEDS"
@@ -172,6 +172,30 @@
     "http://$STORE/v1/log-append?topic=keyed.op&part=0" > /dev/null
 }
 
+# put_operator KEY: a record of the operator's topic, whose value is read from standard input.
+put_operator () {
+  local file=$RUN/operator-$BASHPID len status
+  cat > "$file"
+  len=$(($(stat -c %s "$file") + 1 + ${#1}))
+  { printf "\\x$(printf %02x $((len >> 24)))\\x$(printf %02x $((len >> 16 & 255)))\\x$(printf %02x $((len >> 8 & 255)))\\x$(printf %02x $((len & 255)))\\x$(printf %02x ${#1})%s" "$1"
+    cat "$file"; } > "$file-record"
+  curl -fsS -m 3 --data-binary @"$file-record" "http://$STORE/v1/log-append?topic=keyed.op&part=0" > /dev/null
+  status=$?
+  rm -f "$file" "$file-record"
+  return $status
+}
+# put_evacuate DOMAIN [VALUE], clear_evacuate DOMAIN: succeed once the store has confirmed the record.
+put_evacuate () {
+  local value='{}'
+  [ $# -lt 2 ] || value=$2
+  printf %s "$value" | put_operator "evacuate/$1"
+}
+clear_evacuate () { printf '' | put_operator "evacuate/$1"; }
+# mark_evacuated, mark_returned WORKER...: from when on the judge takes a start there for a fault. The
+# first is for the time when the evacuation has to be in effect, the second before it is taken back.
+mark_evacuated () { local n; for n in "$@"; do echo "evacuated - 0 0 i-$n" >> "$RUN/journal"; done; }
+mark_returned () { local n; for n in "$@"; do echo "returned - 0 0 i-$n" >> "$RUN/journal"; done; }
+
 ready () { # n
   [ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' "http://127.0.0.$((10 + $1)):$READY/v1/readyz")" = 200 ]
 }
@@ -304,8 +328,8 @@
 
 # judge_runs JOURNAL RESULTS: counts broken promises from what workers and callers saw:
 # two runs of a task at once (with one run number at two workers, when two entries order it, or with
-# two), jobs that started although every attempt was rejected, and starts on a worker that has been
-# draining for longer than drain_ms.
+# two), jobs that started although every attempt was rejected, starts on a worker that has been
+# draining for longer than drain_ms, and starts in an evacuated domain (mark_evacuated).
 judge_runs () {
   sort -s -k1,1 -k2,2 "$2" > "$RUN/sorted" 2>/dev/null
   awk -v drain_ms=2000 '
@@ -314,14 +338,17 @@
       split($2, part, "."); begun[part[1]] = 1
       for (r in open) { split(r, k, SUBSEP); if (k[1] == $2 && (k[2] != $3 || k[3] != $5)) { twice++; print "TWICE " $2 > "/dev/stderr" } }
       if (($5 in drains) && $4 > drains[$5] + drain_ms) { drained++; print "DRAIN " $2 > "/dev/stderr" }
+      if ($5 in evacuated) { there++; print "EVACUATED " $2 " " $5 > "/dev/stderr" }
       open[$2, $3, $5] = $4 }
+    $1 == "evacuated" { evacuated[$5] = 1 }
+    $1 == "returned" { delete evacuated[$5] }
     $1 == "drain" { drains[$5] = $4 }
     $1 == "undrain" { delete drains[$5] }
     $1 == "end" { delete open[$2, $3, $6] }
     $1 == "crash" { for (r in open) { split(r, k, SUBSEP); if (k[3] == $5) delete open[r] } }
     END {
       for (id in outcome) if (outcome[id] == "rejected" && begun[id]) { false_not_run++; print "REFUSED " id > "/dev/stderr" }
-      printf "starts=%d twice=%d false_not_run=%d drained=%d completed=%d failed=%d rejected=%d unknown=%d left=%d\n",
-        starts, twice, false_not_run, drained, n["completed"], n["failed"], n["rejected"], n["unknown"], n["left"] }' \
+      printf "starts=%d twice=%d false_not_run=%d drained=%d completed=%d failed=%d rejected=%d unknown=%d left=%d evacuated=%d\n",
+        starts, twice, false_not_run, drained, n["completed"], n["failed"], n["rejected"], n["unknown"], n["left"], there }' \
     kind=result "$2" kind=run "$1"
 }
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -8,11 +8,12 @@
 # slow, forgetful, loses answers or carries appends out late; workers lose orders, fail,
 # hang or drain; configurations come. Orders reach a worker whose connection then breaks
 # before the response; a guard is paused right before all its connections are reset;
-# other writers report to guards. Stops take up to the time that the platform allows, and holds
+# other writers report to guards. Each guard has a failure domain of its own, which is evacuated and put back into
+# use. Stops take up to the time that the platform allows, and holds
 # answer late.
 # Faults overlap.
 # Judged from what callers and workers saw: no two runs of a task at once, no start of a
-# rejected job, no start on a worker that drains, no configuration older than one that the
+# rejected job, no start on a worker that drains, none in a domain that was evacuated 5 s ago, no configuration older than one that the
 # same process had; and after the last fault every entry
 # serves again, with the newest configuration; and no process ended but those that a fault
 # or the end of the run stopped, with the status that belongs to the signal.
@@ -68,6 +69,13 @@
     -d "{$fields,\"slots\":8,\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":0}}"
 }
 
+# Without an answer of the store the request may be in effect or not, and only the return is judged.
+evacuate_for () { # guard seconds
+  if put_evacuate "zone-$1"; then sleep 5; mark_evacuated "$1"; sleep $(($2 - 5)); else sleep "$2"; fi
+  mark_returned "$1"
+  until clear_evacuate "zone-$1"; do sleep 0.2; done
+}
+
 # Does not draw from RANDOM, so that a seed keeps the faults of inject.
 inject_more () { # seed index
   local names=(entry-1 entry-2 guard-1 guard-2 guard-3)
@@ -93,6 +101,11 @@
     echo "unanswered:w$guard" >> "$RUN/faults"
     command_proxy unanswered "w$guard" 6
   fi
+  if [ "$2" = $((1 + $1 % 3)) ]; then
+    echo "evacuate:zone-$guard" >> "$RUN/faults"
+    : > "$RUN/busy-evacuation"
+    { evacuate_for "$guard" $((6 + $1 % 3)); rm -f "$RUN/busy-evacuation"; } &
+  fi
   if [ $((($1 + 2 * $2) % 5)) = 0 ] && [ ! -e "$RUN/busy-guard-$guard" ]; then
     echo "paused-resets:guard-$guard" >> "$RUN/faults"
     : > "$RUN/busy-guard-$guard"
@@ -121,6 +134,7 @@
 one_run () { # seed
   . tests/platform.sh
   RANDOM=$1 VERSION=3 LAST= UNSURE=
+  DOMAIN_1=zone-1 DOMAIN_2=zone-2 DOMAIN_3=zone-3
   # Not drawn from RANDOM either; see inject_more.
   STOP_MS=$((($1 % 3) * 25)) HOLD_LATE_MS=$((($1 % 4 == 3) * 10))
   start_proxied "$1"
@@ -154,7 +168,7 @@
   [ -e "$RUN/overdue" ] && bad="$bad $(tr ' \n' '-,' < "$RUN/overdue")"
   local sums
   sums=$(judge_runs "$RUN/journal" "$RUN/results" 2>> "$RUN/verdict")
-  echo "$sums" | grep -q 'twice=0 false_not_run=0 drained=0' || bad="$bad $(tr '\n' ',' < "$RUN/verdict")"
+  echo "$sums" | grep -q 'twice=0 false_not_run=0 drained=0 .* evacuated=0' || bad="$bad $(tr '\n' ',' < "$RUN/verdict")"
   echo "seed=$1 ${bad:+BROKEN:$bad }$sums faults=$(tr '\n' ' ' < "$RUN/faults")"
   [ -z "$bad" ] || keep_logs "$1"
   [ -z "$bad" ]
@@ -169,8 +183,8 @@
     broken += /BROKEN/
     for (i = 1; i <= NF; i++) { split($i, kv, "="); sum[kv[1]] += kv[2] } }
   END {
-    printf "soak runs=%d broken=%d starts=%d twice=%d false_not_run=%d drained=%d completed=%d rejected=%d unknown=%d\n",
-      done, broken, sum["starts"], sum["twice"], sum["false_not_run"], sum["drained"],
+    printf "soak runs=%d broken=%d starts=%d twice=%d false_not_run=%d drained=%d evacuated=%d completed=%d rejected=%d unknown=%d\n",
+      done, broken, sum["starts"], sum["twice"], sum["false_not_run"], sum["drained"], sum["evacuated"],
       sum["completed"], sum["rejected"], sum["unknown"]
     exit done != runs || broken > 0
   }' "$out"
