Wait for the calls in progress before test-guard-evacuation ends

What was seen: in the asan variant two of seven tests of test-guard-evacuation ended with "LeakSanitizer: detected memory leaks".

Cause: the test freed its HTTP client while a start call had no response; a call is freed by its response or time-out, as test-guard-worker has it. Ruled out: a leak of the guard, which keeps its client until it ends.

Change: the teardown polls until no start call is in progress.

--- a/tests/test-guard-evacuation.c
+++ b/tests/test-guard-evacuation.c
@@ -226,6 +226,12 @@
 static void
 teardown (void)
 {
+  /* A call in progress is freed by its response or time-out. */
+  for (int i = 0; i < PASSES && guard.start_calls > 0; i++)
+    {
+      md_links_poll (guard.daemon.links, md_now () + MD_MS);
+      md_http_poll (guard.http);
+    }
   for (int i = 0; i < ENTRIES; i++)
     md_links_free (entries[i].links);
   md_guard_free_runs (&guard);
