--- a/fleet/entry-near.c
+++ b/fleet/entry-near.c
@@ -112,8 +112,8 @@
           .limit = need->limit - rest,
           .pressure = md_locality_pressure (places->capacity_cpu, places->free_cpu) };
 
-  if (places->near_cpu > 0)
-    in.waiting = (double)places->near_waiting * need->resources.cpu / (double)places->near_cpu;
+  in.hotness = md_locality_hotness (places->near_waiting, places->near_cpu, places->waiting,
+                                    places->capacity_cpu, need->resources.cpu);
   if (is_group (job, step))
     in.group = job->runjob.spec.steps[step].n_tasks - 1;
   return in;
@@ -294,8 +294,11 @@
       && is_known (entry, other.worker))
     return other;
   places.near = *here;
-  if (places.near_waiting > 0)
-    places.near_waiting--; /* the run itself */
+  if (places.near_waiting > 0) /* the run itself */
+    {
+      places.near_waiting--;
+      places.waiting--;
+    }
   in = input_of (entry, job, order->step, need, &places);
   in.gain = MD_MIN_MOVE_GAIN;
   if (!in.far.exists)
--- a/sched/locality.c
+++ b/sched/locality.c
@@ -24,6 +24,9 @@
 /* Busy share of a pool from which core time costs others. A worker of 16 cores has ten slots of 1.5
    cores; with seven of them busy on average, one worker in ten is full. */
 #define PRESSURE_THRESHOLD 0.7
+/* Tasks delayed by one that waits for a hot rack, per task that waits there now: those that come until
+   its queue is empty. See the figures in docs/design/locality.md. */
+#define HOT_WEIGHT 12.0
 #define QUEUE_CHANGE 0.25            /* of the queue: a change that is decided on */
 #define MIN_QUEUE_CHANGE (5 * MD_MS) /* reports are a few milliseconds old */
 #define MAX_REPORT_AGE (600 * MD_MS) /* as in placement.c */
@@ -41,6 +44,18 @@
   return busy <= PRESSURE_THRESHOLD ? 0 : (busy - PRESSURE_THRESHOLD) / (1 - PRESSURE_THRESHOLD);
 }
 
+double
+md_locality_hotness (uint32_t rack_waiting, uint64_t rack_cpu, uint32_t waiting, uint64_t cpu,
+                     uint32_t need_cpu)
+{
+  double excess;
+
+  if (rack_cpu == 0 || cpu == 0)
+    return 0;
+  excess = (double)rack_waiting / (double)rack_cpu - (double)waiting / (double)cpu;
+  return excess > 0 ? excess * need_cpu : 0;
+}
+
 static bool
 meets_goal (const MdLocalityPlace *place, const MdLocalityInput *in)
 {
@@ -77,7 +92,7 @@
 {
   double saved = saved_time (in);
   double others = in->pressure * saved * (1 + (double)in->group);
-  double queue = in->near.wait > 0 ? in->waiting * (double)in->near.run_time : 0;
+  double queue = in->near.wait > 0 ? HOT_WEIGHT * in->hotness * (double)in->near.run_time : 0;
 
   return (double)in->far.wait + saved + others - queue + (double)in->gain;
 }
@@ -104,6 +119,9 @@
   if (near_meets != far_meets)
     return near_meets ? near (in) : far;
   pays = wait_that_pays (in);
+  /* One task of a group elsewhere would make the others slow that have their rack already. */
+  if (in->group > 0 && near_meets)
+    pays = (double)in->goal;
   if ((double)in->near.wait > pays)
     return far;
   if (in->near.wait == 0 || !far_meets)
--- a/sched/locality.h
+++ b/sched/locality.h
@@ -24,7 +24,7 @@
   MdTime goal;          /* a task that ends within this time from now meets the job's goal */
   MdTime limit;         /* a task that ends after this time from now is worth nothing */
   double pressure;      /* of the pool, see md_locality_pressure */
-  double waiting;       /* tasks that wait for the rack, as a multiple of its slots */
+  double hotness;       /* of the rack, see md_locality_hotness */
   uint32_t group;       /* further tasks that would take longer if this one runs far */
   MdTime gain;          /* far must be better by this much; for a wait that has begun */
 } MdLocalityInput;
@@ -47,6 +47,11 @@
    workers: 0 while slots are free nearly everywhere, 1 when nothing is free. */
 double md_locality_pressure (uint64_t capacity_cpu, uint64_t free_cpu);
 
+/* md_locality_hotness: how many more tasks wait for near places on a rack than on an average one, as
+   a multiple of its slots; 0 if not more. waiting and cpu: of the whole pool. need_cpu: of a task. */
+double md_locality_hotness (uint32_t rack_waiting, uint64_t rack_cpu, uint32_t waiting,
+                            uint64_t cpu, uint32_t need_cpu);
+
 /* md_locality_decide: where a task with a preferred rack runs, and how long it waits for that. */
 MdLocalityDecision md_locality_decide (const MdLocalityInput *in);
 
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -217,6 +217,7 @@
         continue;
       best.capacity_cpu += worker->capacity.cpu;
       best.free_cpu += worker->free.cpu;
+      best.waiting += worker->near_waiting;
       if (md_labels_have (&worker->labels, need->affinity))
         {
           current = &best.near;
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -310,6 +310,7 @@
   uint64_t free_cpu;     /* of all */
   uint64_t near_cpu;     /* capacity on the rack */
   uint32_t near_waiting; /* sum of near_waiting on the rack */
+  uint32_t waiting;      /* sum of near_waiting of all */
 } MdNearFar;
 
 /* md_place_near_far: choose the best worker of each kind as md_place does, in one pass. Workers that
