Tell where a job would go now, without sending it

What operators saw: why a job was rejected or ran far from its data could be told only afterwards, from logs; for a job that is yet to be sent there was no answer but to send it.

Change: mulberrydrift where posts the job to /where on the metrics_address of an entry. The server for callers and that for probes don't answer it.

--- a/common/md-private.h
+++ b/common/md-private.h
@@ -532,6 +532,7 @@
 int md_resource_main (int argc, const char **argv); /* get, apply, delete, watch, status */
 int md_replay_main (int argc, const char **argv);
 int md_explain_main (int argc, const char **argv);  /* finds the cause of a job's outcome in logs */
+int md_where_main (int argc, const char **argv);    /* tells where a job would go now */
 int md_simulate_main (int argc, const char **argv); /* simulates a workload with each policy */
 
 /* Exit codes of the sub-commands. */
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -193,12 +193,9 @@
                        entry->now);
 }
 
-/* Returns the rack preferred for the tasks of a step: the rack of its data, or for a step that
-   is slower when spread over racks, the rack of a task that has been ordered already, or else
-   the rack where all tasks would end first. Empty if there is no preference. */
-static const char *
-choose_rack (MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
-             const MdTaskRequirements *need)
+const char *
+md_entry_choose_rack (MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
+                      const MdTaskRequirements *need)
 {
   const MdRunStep *spec = &job->runjob.spec.steps[step];
   const char *rack;
@@ -224,7 +221,7 @@
   if (!md_entry_apply_advice (entry, job, step, &need))
     return;
   need.at_once = job->runjob.spec.steps[step].gang;
-  need.affinity = choose_rack (entry, job, step, &need);
+  need.affinity = md_entry_choose_rack (entry, job, step, &need);
   if (job->runjob.spec.steps[step].gang
       && !gang_fits (entry, &need, job->runjob.spec.steps[step].n_tasks, per_worker_count))
     return;
@@ -321,6 +318,27 @@
   return true;
 }
 
+/* Returns the demand ratio of the job's queue, see md_demand_ratio. */
+static double
+demand_ratio (const MdRunEntry *entry, const MdEntryJob *job)
+{
+  const MdDemand *demands[MD_MAX_QUEUES];
+
+  for (uint32_t i = 0; i < entry->n_stats; i++)
+    demands[i] = &entry->stats[i]->demand;
+  return md_demand_ratio (demands, entry->n_stats, &job->stats->demand, entry->now);
+}
+
+MdEntryPlaceable
+md_entry_forecast (MdRunEntry *entry, const MdEntryJob *job, MdForecast *forecast)
+{
+  *forecast = (MdForecast){ .demand = demand_ratio (entry, job),
+                            .lag = md_lag_shortage (&entry->load.lag, entry->now) };
+  if (!is_possible (entry, job))
+    return MD_PLACEABLE_NEVER;
+  return forecast_job (entry, job, forecast) ? MD_PLACEABLE_NOW : MD_PLACEABLE_LATER;
+}
+
 void
 md_entry_set_times (MdEntryJob *job, const MdCallerRequest *caller_request)
 {
@@ -361,17 +379,6 @@
   md_demand_add (&job->stats->demand, total_work (job), entry->now);
 }
 
-/* Returns the demand ratio of the job's queue, see md_demand_ratio. */
-static double
-demand_ratio (const MdRunEntry *entry, const MdEntryJob *job)
-{
-  const MdDemand *demands[MD_MAX_QUEUES];
-
-  for (uint32_t i = 0; i < entry->n_stats; i++)
-    demands[i] = &entry->stats[i]->demand;
-  return md_demand_ratio (demands, entry->n_stats, &job->stats->demand, entry->now);
-}
-
 /* Logs the forecast of a job. md_model_read_workload parses these lines. */
 static void
 log_forecast (const MdRunEntry *entry, const MdEntryJob *job, const char *event,
--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -262,6 +262,9 @@
     case MD_CALLER_REQUEST_CANCEL:
       cancel_job (entry, caller_request);
       break;
+    case MD_CALLER_REQUEST_WHERE:
+      md_entry_where (entry, caller_request);
+      break;
     }
 }
 
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -602,6 +602,17 @@
   return ready ? 200 : 503;
 }
 
+/* Only the server for metrics tells where jobs would go. */
+static int
+handle_operator (struct mg_connection *conn, void *user)
+{
+  const MdFront *front = user;
+
+  if (strcmp (mg_get_request_info (conn)->local_uri, MD_WHERE_PATH) == 0)
+    return md_front_where (conn, front->entry);
+  return handle_probe (conn, user);
+}
+
 /* ------------------------------------------------------------------ */
 /* Servers                                                            */
 
@@ -726,7 +737,7 @@
 {
   const MdHostShare share = { .threads = 2, .waiting = 16 };
 
-  return start_server (user, "listen-metrics", address, share, handle_probe, error);
+  return start_server (user, "listen-metrics", address, share, handle_operator, error);
 }
 
 void
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -32,6 +32,7 @@
   MD_CALLER_REQUEST_PENDING, /* count the jobs of a queue that have not started */
   MD_CALLER_REQUEST_STATE,   /* report the state of a job */
   MD_CALLER_REQUEST_CANCEL,  /* cancel a job */
+  MD_CALLER_REQUEST_WHERE,   /* tell where a job would go, without starting it */
 } MdCallerRequestKind;
 
 typedef struct MdCallerRequest MdCallerRequest;
@@ -293,6 +294,20 @@
    the guards with full reports cannot serve in time stays, with admit_until set, while further
    guards are asked for them; call this again for it. */
 void md_entry_admit (MdRunEntry *entry, MdEntryJob *job);
+/* md_entry_choose_rack: the rack preferred for the tasks of a step: the rack of its data, or for a
+   step that is slower when spread over racks, the rack of a task that has been ordered already, or
+   else the rack where all tasks would end first. Empty if there is no preference. */
+const char *md_entry_choose_rack (MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
+                                  const MdTaskRequirements *need);
+typedef enum
+{
+  MD_PLACEABLE_NEVER, /* a task fits on no worker, or a gang not on all of them */
+  MD_PLACEABLE_LATER, /* not on workers with full reports */
+  MD_PLACEABLE_NOW,
+} MdEntryPlaceable;
+/* md_entry_forecast: whether the ready tasks of a job can be placed, and if so the forecast of the job
+   by a trial placement, of which nothing stays. */
+MdEntryPlaceable md_entry_forecast (MdRunEntry *entry, const MdEntryJob *job, MdForecast *forecast);
 /* md_entry_place_ready: place the ready tasks of the job. Tasks that no worker can run now
    stay ready. */
 void md_entry_place_ready (MdRunEntry *entry, MdEntryJob *job);
@@ -326,6 +341,18 @@
    withdraw it if another place is better. */
 void md_entry_near_check (MdRunEntry *entry, MdEntryJob *job, MdEntryOrder *order);
 
+/* entry-where.c */
+/* md_entry_where: answer a WHERE request by a trial placement of which nothing stays. Takes the spec
+   of the request. */
+void md_entry_where (MdRunEntry *entry, MdCallerRequest *caller_request);
+
+/* front-where.c */
+#define MD_WHERE_PATH "/where"
+struct mg_connection;
+/* md_front_where: serve a request on MD_WHERE_PATH: the body is a job, and the query has the path it
+   would be sent to, its host and timeout_ms. Returns the status for CivetWeb. */
+int md_front_where (struct mg_connection *conn, MdRunEntry *entry);
+
 /* entry-advice.c */
 #define MD_INITIAL_ALLOWED_SHARE 0.5 /* share of allowed workers before the first response */
 /* md_entry_apply_advice: set need->excluded to the workers that may not run the step. Returns
--- a/main.c
+++ b/main.c
@@ -32,6 +32,7 @@
   { "watch", md_resource_main, "print changes of resources as they happen" },
   { "status", md_resource_main, "show pools, entries and upstreams" },
   { "explain", md_explain_main, "tell from logs what happened to a job or request" },
+  { "where", md_where_main, "tell where a job would go now, without sending it" },
   { "simulate", md_simulate_main, "play a recorded or made day with each policy" },
   { "replay", md_replay_main, "feed a recorded trace to the dispatch core" },
 };
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -153,6 +153,14 @@
   return cost (a, need, fit != FIT_WAITS) < cost (b, need, fit != FIT_WAITS);
 }
 
+MdPlaceRank
+md_place_rank (const MdPlacement *placement, const MdTaskRequirements *need)
+{
+  Fit fit = fit_of (placement, need);
+
+  return (MdPlaceRank){ (int)fit, cost (placement, need, fit != FIT_WAITS) };
+}
+
 static bool
 is_idle (const MdWorker *worker)
 {
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -318,6 +318,17 @@
 MdNearFar md_place_near_far (const MdWorkers *workers, const MdTaskRequirements *need,
                              const uint32_t *counts, const MdWorker *avoid, MdTime now);
 
+/* How md_place ranks a place: by fit, then by cost. */
+typedef struct
+{
+  int fit; /* 0: waits or misses the goal, 1: starts at once and meets it if the estimate is right,
+                  2: with a margin */
+  double cost; /* microseconds, smaller is better */
+} MdPlaceRank;
+
+/* md_place_rank: the rank of a place for a task. */
+MdPlaceRank md_place_rank (const MdPlacement *placement, const MdTaskRequirements *need);
+
 /* md_place_backlog: the shortest wait for such a task at any worker that can run it and is not
    avoided for its failures, INT64_MAX if there is none. */
 MdTime md_place_backlog (const MdWorkers *workers, const MdTaskRequirements *need, MdTime now);
