--- a/fleet/entry-backlog.c
+++ b/fleet/entry-backlog.c
@@ -44,6 +44,7 @@
       return strcmp (request->id, job->id) == 0;
     case MD_CALLER_REQUEST_SUBMIT:
     case MD_CALLER_REQUEST_PENDING:
+    case MD_CALLER_REQUEST_WHERE:
       break;
     }
   return false;
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -153,6 +153,14 @@
   return cost (a, need, fit != FIT_WAITS) < cost (b, need, fit != FIT_WAITS);
 }
 
+MdPlaceRank
+md_place_rank (const MdPlacement *placement, const MdTaskRequirements *need)
+{
+  Fit fit = fit_of (placement, need);
+
+  return (MdPlaceRank){ (int)fit, cost (placement, need, fit != FIT_WAITS) };
+}
+
 static bool
 is_idle (const MdWorker *worker)
 {
@@ -217,6 +225,7 @@
         continue;
       best.capacity_cpu += worker->capacity.cpu;
       best.free_cpu += worker->free.cpu;
+      best.waiting += worker->near_waiting;
       if (md_labels_have (&worker->labels, need->affinity))
         {
           current = &best.near;
