Count the goal of a job from when its caller began to wait

Callers of new requests were rejected (480) or late (540) in the second after a site returned: the kernels of callers repeat the connection attempts of the outage, these requests come beside the new ones, have mostly missed their goals, and were treated as new.

A caller states how long it still waits. sched/patience.c tracks for each queue the usual surplus over three objectives; a job that states less by more than three of its objectives has an age. Its goal counts from arrival - age, its limit is the caller's deadline, it is admitted where nothing waits, else rejected at once with 429 and a spread Retry-After. The tick and the calls to the advisor use md_entry_due, because the goal of such a job has passed. job-admitted and job-rejected end with age_ms, explain tells it, and mulberrydrift_jobs_aged_total counts such jobs. A caller that states no time is served as before.

--- a/cli/explain.c
+++ b/cli/explain.c
@@ -249,6 +249,7 @@
   int64_t wait = line != NULL ? md_line_number (line->text, "wait_ms") : 0;
   int64_t bound = line != NULL ? md_line_number (line->text, "wait_bound_ms") : 0;
   int64_t lag = line != NULL ? md_line_number (line->text, "lag_ms") : 0;
+  int64_t age = line != NULL ? md_line_number (line->text, "age_ms") : 0;
 
   if (line == NULL)
     printf ("cause: rejected, %.*s\n", (int)md_line_value (answered->text, "reason").len,
@@ -261,6 +262,11 @@
         "cause: rejected on arrival, the entry was %lld ms late, over the bound of %lld ms for its "
         "queue\n",
         (long long)lag, (long long)bound);
+  else if (age > 0)
+    printf (
+        "cause: rejected on arrival, its caller had waited %lld ms before, so that its goal had "
+        "passed, and %lld ms of work was waiting\n",
+        (long long)age, (long long)wait);
   else if (wait > bound)
     printf ("cause: rejected on arrival, the backlog of %lld ms was over the bound of %lld ms for "
             "its queue\n",
@@ -350,6 +356,9 @@
               how.len > 0 ? " how=" : "", (int)how.len, how.data,
               (int)(guard.len > 0 ? guard.len : node.len), guard.len > 0 ? guard.data : node.data);
     }
+  else if (admitted != NULL && md_line_number (admitted->text, "age_ms") > 0)
+    printf ("cause: %s, its caller had waited %lld ms before it arrived\n", what,
+            (long long)md_line_number (admitted->text, "age_ms"));
   else if (admitted != NULL)
     printf ("cause: %s, its runs took longer than forecast: %lld ms instead of %lld ms\n", what,
             (long long)md_line_number (answered->text, "elapsed_ms"),
--- a/fleet/entry-advice.c
+++ b/fleet/entry-advice.c
@@ -213,7 +213,7 @@
   MdEntryJob *best = NULL;
 
   for (MdEntryJob *job = entry->jobs; job != NULL; job = job->next)
-    if (job->needs_advice && (best == NULL || job->goal < best->goal))
+    if (job->needs_advice && (best == NULL || md_entry_due (job) < md_entry_due (best)))
       best = job;
   return best;
 }
@@ -258,7 +258,7 @@
   if (entry->advice_call != NULL)
     wait += md_advice_call_time (&job->route.advisor, entry->advice_call->n);
   for (const MdEntryJob *other = entry->jobs; other != NULL; other = other->next)
-    if (other != job && other->needs_advice && other->goal < job->goal)
+    if (other != job && other->needs_advice && md_entry_due (other) < md_entry_due (job))
       wait += md_advice_call_time (&other->route.advisor, workers_to_ask (other, 0));
   return wait;
 }
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -604,7 +604,8 @@
 }
 
 /* Whether nothing has started and the goal would be missed even if the tasks took half of
-   their predicted run time. Such a job is rejected at once instead of at its deadline. */
+   their predicted run time. Such a job is rejected at once instead of at its deadline. An aged job
+   was admitted without a goal, for its limit. */
 static bool
 cannot_meet_goal (const MdRunEntry *entry, const MdEntryJob *job)
 {
@@ -616,7 +617,7 @@
     if (job->runjob.tasks[i][0].state != MD_TASK_BLOCKED
         && md_entry_expected_work (job, i) > longest)
       longest = md_entry_expected_work (job, i);
-  return entry->now + md_span (longest / 2) > job->goal;
+  return entry->now + md_span (longest / 2) > md_entry_due (job);
 }
 
 /* Withdraws all orders of a job, which is rejected if none of them has started. */
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -327,11 +327,21 @@
   objective = md_span_to (job->route.slack_factor * job->critical_path, MAX_OBJECTIVE)
               + job->route.target_latency;
   job->arrived = caller_request->arrived;
-  job->goal = caller_request->arrived + objective - NETWORK_MARGIN;
+  job->age = md_patience_age (&job->stats->patience, caller_request->response_timeout,
+                              objective - NETWORK_MARGIN);
+  job->goal = caller_request->arrived - job->age + objective - NETWORK_MARGIN;
   job->limit = caller_request->arrived + MD_LIMIT_GOAL_MULTIPLE * objective - NETWORK_MARGIN;
   job->deadline = caller_request->arrived + timeout;
-  if (job->limit > job->deadline)
+  /* The caller of an aged job waits for an answer that is late. */
+  if (job->limit > job->deadline || job->age > 0)
     job->limit = job->deadline;
+  md_count (MD_M_JOBS_AGED, job->age > 0);
+}
+
+MdTime
+md_entry_due (const MdEntryJob *job)
+{
+  return job->age > 0 ? job->limit : job->goal;
 }
 
 /* Returns the predicted work of a job in core microseconds. */
@@ -374,7 +384,7 @@
           "job=%s request=%s queue=%s forecast_ms=%lld wait_ms=%lld goal_ms=%lld demand=%.2f "
           "wait_bound_ms=%lld patience_ms=%lld steps=%u tasks=%llu cpu=%u memory_mb=%u "
           "declared_ms=%lld slack_percent=%.0f target_ms=%lld workers_full=%u queued_ms=%lld "
-          "lag_ms=%lld",
+          "lag_ms=%lld age_ms=%lld",
           job->id, job->request_id, job->route.name, (long long)(forecast->finish / MD_MS),
           (long long)(forecast->wait / MD_MS), (long long)(forecast->goal / MD_MS),
           forecast->demand, (long long)(md_admit_wait_bound (forecast->demand) / MD_MS),
@@ -383,7 +393,7 @@
           spec->steps[0].resources.memory_mb, (long long)(spec->steps[0].declared_time / MD_MS),
           job->route.slack_factor * 100, (long long)(job->route.target_latency / MD_MS),
           count_full (entry), (long long)((entry->now - job->arrived) / MD_MS),
-          (long long)(forecast->lag / MD_MS));
+          (long long)(forecast->lag / MD_MS), (long long)(job->age / MD_MS));
 }
 
 /* Asks further guards for full reports on behalf of the job's ready steps; returns whether there
@@ -469,11 +479,12 @@
       log_forecast (entry, job, "job-admitted", forecast);
       md_entry_place_ready (entry, job);
     }
-  /* An entry that is late has no time for further reports. */
-  else if (possible && md_admit_lag (forecast) == 0 && defer_admission (entry, job))
+  /* An entry that is late has no time for further reports, and an aged job is not worth them. */
+  else if (possible && job->age == 0 && md_admit_lag (forecast) == 0
+           && defer_admission (entry, job))
     return; /* called again by the next tick */
   else if (placeable)
-    reject_job (entry, job, forecast, "overload");
+    reject_job (entry, job, forecast, job->age > 0 ? "aged" : "overload");
   else if (!wait_for_worker (entry, job))
     md_entry_finish_job (entry, job, 503, NULL, "no-upstream",
                          md_startup_retry_after (md_entry_start_age (&entry->start, entry->now),
@@ -484,7 +495,8 @@
 md_entry_admit (MdRunEntry *entry, MdEntryJob *job)
 {
   MdForecast forecast = { .demand = demand_ratio (entry, job),
-                          .lag = md_lag_shortage (&entry->load.lag, entry->now) };
+                          .lag = md_lag_shortage (&entry->load.lag, entry->now),
+                          .age = job->age };
 
   if (md_admit_is_too_late (&forecast))
     {
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -17,6 +17,7 @@
 #include "ended-jobs.h"
 #include "entry-start.h"
 #include "inbox.h"
+#include "patience.h"
 #include "recent-jobs.h"
 
 #include "wire.pb-c.h"
@@ -151,6 +152,7 @@
   char name[MD_NAME_BYTES]; /* of the queue */
   MdCorrection correction;  /* learned correction of declared run times */
   MdDemand demand;          /* decayed work of its jobs */
+  MdPatience patience;      /* how long its callers usually wait */
   double allowed_share;     /* learned share of workers that the advisor allows */
   _Atomic int64_t counts[MD_JOB_OUTCOME_COUNT]; /* jobs by outcome; read by other threads */
 } MdQueueStats;
@@ -169,7 +171,8 @@
   bool needs_advice;          /* a step waits for a call to the advisory service */
   MdCallerRequest *requests;  /* waiting requests for this job */
   MdTime arrived;             /* when the first request arrived */
-  MdTime goal;                /* an answer after this time is late */
+  MdTime age;                 /* how long the caller had waited before, md_patience_age */
+  MdTime goal;                /* an answer after it is late; past for an aged job */
   MdTime limit;               /* an answer after this time is of no use to the caller */
   MdTime deadline;            /* the job is given up at this time */
   MdTime started_at;          /* when the first start was reported, 0: none */
@@ -282,8 +285,11 @@
    time. The strings in need are borrowed from the job. */
 void md_entry_requirements (const MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
                             MdTaskRequirements *need);
-/* md_entry_set_times: set arrived, goal, limit, deadline and critical_path of a new job. */
+/* md_entry_set_times: set arrived, age, goal, limit, deadline and critical_path of a new job. */
 void md_entry_set_times (MdEntryJob *job, const MdCallerRequest *caller_request);
+/* md_entry_due: until when an answer to the job is of use in the first place: its goal, or the limit of
+   an aged job, whose goal had passed when it arrived. */
+MdTime md_entry_due (const MdEntryJob *job);
 /* md_entry_add_demand: add the work of a new job to the demand of its queue. */
 void md_entry_add_demand (const MdRunEntry *entry, MdEntryJob *job);
 /* md_entry_admit: place the ready tasks of a new job, or reject the job and free it. A job that
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -13,6 +13,9 @@
    hardly affected. A job that is late without waiting, because no fast worker is free,
    delays no other job and is admitted.
 
+   A job whose caller had waited for long when it arrived has missed its goal. An answer may still be of
+   some use, so that it is admitted where nothing waits, whatever the bound of its queue.
+
    An entry that is short of processor time is a queue like the workers: what it admits waits for
    it to read the ends of the runs, and makes all of its other jobs late. Its lag is bounded in the
    same way as the backlog. */
@@ -62,12 +65,15 @@
 md_admit_run (const MdForecast *forecast)
 {
   MdTime lag = md_admit_lag (forecast);
+  bool idle = forecast->wait <= NEGLIGIBLE_WAIT && lag == 0;
 
+  if (forecast->age > 0)
+    return idle && forecast->finish <= forecast->limit ? MD_ADMIT_LATE : MD_ADMIT_REJECT;
   if (md_admit_is_too_late (forecast) || forecast->wait > md_admit_wait_bound (forecast->demand))
     return MD_ADMIT_REJECT;
   if (forecast->finish + lag <= forecast->goal)
     return MD_ADMIT_NOW;
-  if (forecast->wait > NEGLIGIBLE_WAIT || lag > 0 || forecast->finish > forecast->limit)
+  if (!idle || forecast->finish > forecast->limit)
     return MD_ADMIT_REJECT;
   return MD_ADMIT_LATE;
 }
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -434,6 +434,7 @@
   MdTime limit;  /* a later answer is worth nothing, from now */
   double demand; /* demand of its queue, see md_demand_ratio */
   MdTime lag;    /* how late the entry itself is, md_lag_shortage */
+  MdTime age;    /* how long its caller had waited when it arrived, md_patience_age */
 } MdForecast;
 
 typedef enum
