--- a/fleet/entry-where.c
+++ b/fleet/entry-where.c
@@ -87,7 +87,7 @@
     }
   if (md_admit_is_too_late (forecast))
     *reason = "the entry is short of processor time";
-  else if (forecast->wait > md_admit_wait_bound (forecast->demand))
+  else if (forecast->wait > md_admit_bound (forecast))
     *reason = "the backlog is longer than the bound of its queue";
   else
     *reason = "it would miss its goal behind other jobs, or its limit";
@@ -105,7 +105,7 @@
                     placeable == MD_PLACEABLE_NOW ? ms_of (forecast->wait) : (json_int_t)-1,
                     "forecast_ms", ms_of (forecast->finish), "goal_ms", ms_of (forecast->goal),
                     "limit_ms", ms_of (forecast->limit), "demand", forecast->demand,
-                    "wait_bound_ms", ms_of (md_admit_wait_bound (forecast->demand)), "lag_ms",
+                    "wait_bound_ms", ms_of (md_admit_bound (forecast)), "lag_ms",
                     ms_of (forecast->lag));
 }
 
--- a/sched/routes.h
+++ b/sched/routes.h
@@ -17,6 +17,7 @@
   char prefix[MD_PREFIX_BYTES]; /* of the request's path */
   size_t prefix_len;            /* bytes of prefix, set by md_routes_sort */
   char pool[MD_NAME_BYTES];     /* upstreams that run its tasks */
+  MdTime timeout;               /* of a request, 0: not stated */
   MdTime target_latency;        /* constant part of the goal */
   double slack_factor;          /* part of the goal in proportion to the work */
   uint32_t max_attempts;        /* failed runs of a task that fail its job */
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -485,6 +485,7 @@
   double demand; /* demand of its queue, see md_demand_ratio */
   MdTime lag;    /* how late the entry itself is, md_lag_shortage */
   MdTime bound;  /* longest wait to admit it with, 0: md_admit_wait_bound (demand) */
+  MdTime age;    /* how long its caller had waited when it arrived, md_patience_age */
 } MdForecast;
 
 typedef enum
