--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -57,6 +57,16 @@
 /* ------------------------------------------------------------------ */
 /* Requests                                                           */
 
+const char *
+md_entry_unsupported_reason (const MdRunEntry *entry, const MdRoute *route, const MdRunSpec *spec)
+{
+  if (!spec->best_effort)
+    return "only best-effort jobs are supported";
+  if (route->advisor.present && entry->advisor == NULL)
+    return "the queue requires an advisory service and none is configured";
+  return NULL;
+}
+
 /* A caller of which that cannot be told counts as one that has left: it repeats the job, and nothing
    of it has run here. */
 bool
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -337,16 +337,6 @@
   md_log_quote (text, out, size);
 }
 
-const char *
-md_entry_unsupported_reason (const MdRunEntry *entry, const MdRoute *route, const MdRunSpec *spec)
-{
-  if (!spec->best_effort)
-    return "only best-effort jobs are supported";
-  if (route->advisor.present && entry->advisor == NULL)
-    return "the queue requires an advisory service and none is configured";
-  return NULL;
-}
-
 /* Reads a number of milliseconds; 0 when it is not positive. */
 static MdTime
 read_timeout (const char *text)
@@ -651,44 +641,6 @@
   return status;
 }
 
-static int
-handle_metrics (struct mg_connection *conn, MdFront *front)
-{
-  MD_AUTO_BUF text = { 0 };
-
-  md_entry_write_metrics (front->entry, &text);
-  mg_printf (conn,
-             "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\n"
-             "Content-Length: %zu\r\nConnection: close\r\n\r\n",
-             text.len);
-  mg_write (conn, text.data, text.len);
-  return 200;
-}
-
-static int
-handle_probe (struct mg_connection *conn, void *user)
-{
-  MdFront *front = user;
-  bool ready = atomic_load (&front->entry->ready);
-
-  if (strcmp (mg_get_request_info (conn)->local_uri, MD_METRICS_PATH) == 0)
-    return handle_metrics (conn, front);
-  mg_printf (conn, "HTTP/1.1 %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-             ready ? "200 OK" : "503 Service Unavailable");
-  return ready ? 200 : 503;
-}
-
-/* Only the server for metrics tells where jobs would go. */
-static int
-handle_operator (struct mg_connection *conn, void *user)
-{
-  const MdFront *front = user;
-
-  if (strcmp (mg_get_request_info (conn)->local_uri, MD_WHERE_PATH) == 0)
-    return md_front_where (conn, front->entry);
-  return handle_probe (conn, user);
-}
-
 /* ------------------------------------------------------------------ */
 /* Servers                                                            */
 
@@ -736,7 +688,7 @@
 
 static struct mg_context *
 start_server (MdFront *front, const char *step, const char *address, MdHostShare share,
-              int (*handler) (struct mg_connection *, void *), MdError *error)
+              int (*handler) (struct mg_connection *, void *), void *user, MdError *error)
 {
   char threads[16];
   char waiting[16];
@@ -773,7 +725,7 @@
   if (server == NULL)
     md_error_set (error, MD_E_IO, step, address, "the HTTP server cannot start");
   else
-    mg_set_request_handler (server, "/", handler, front);
+    mg_set_request_handler (server, "/", handler, user);
   return server;
 }
 
@@ -794,11 +746,11 @@
   atomic_init (&front->threads, (int)share.threads);
   /* Before the server for callers, which takes all threads that the host still offers. */
   front->probes = start_server (front, "listen-readiness", settings->ready_address, probe_share,
-                                handle_probe, error);
+                                md_front_probe, entry, error);
   threads = md_host_thread_count ();
   if (front->probes != NULL)
     front->callers = start_server (front, "listen-callers", settings->caller_address, share,
-                                   handle_caller, error);
+                                   handle_caller, front, error);
   if (front->callers != NULL)
     atomic_store (&front->threads,
                   (int)md_host_check_threads (threads, share.threads, settings->caller_address));
@@ -813,7 +765,10 @@
 {
   const MdHostShare share = { .threads = 2, .waiting = 16 };
 
-  return start_server (user, "listen-metrics", address, share, handle_operator, error);
+  MdFront *front = user;
+
+  return start_server (front, "listen-metrics", address, share, md_front_operator, front->entry,
+                       error);
 }
 
 void
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -311,6 +311,11 @@
 MdFront *md_front_start (MdRunEntry *entry, MdError *error);
 /* md_front_start_metrics: MdMetricsServer.start, user is the MdFront. */
 struct mg_context *md_front_start_metrics (void *user, const char *address, MdError *error);
+struct mg_connection;
+/* md_front_probe, md_front_operator: request handlers of CivetWeb for readiness probes and metrics, and
+   for the server of the metrics address; user is the MdRunEntry. */
+int md_front_probe (struct mg_connection *conn, void *user);
+int md_front_operator (struct mg_connection *conn, void *user);
 /* md_front_stop: stop the servers and free the front end; does nothing for NULL. */
 void md_front_stop (MdFront *front);
 /* md_front_disable_keep_alive: close each connection after its next response. */
