--- a/tests/run-settings.sh
+++ b/tests/run-settings.sh
@@ -139,6 +139,7 @@
     sed -e '/^{{#.*}}.*/d' -e 's/^{{\/[a-z]*}}//' \
       -e 's/{{\(listen\.[a-z_]*\|platform\.address\|app\)}}/127.0.0.1:1/g' -e 's/{{ip}}/127.0.0.1/g' \
       -e 's/{{seeds}}//g' -e 's/{{internal_port_range\.0}}/7000/g' -e 's/{{bounds\.[a-z_]*}}/100/g' \
+      -e 's/{{limits\.cpu_share}}/0.12/g' \
       -e 's/{{[a-z_]*}}/x/g' "deploy/$role.yaml" > "$RUN/template"
     "$BIN/mulberrydrift" check-config "$RUN/template"
     echo "$role.yaml filled in: exit $?"
