Say when the decision for a near place has no time limit

What readers saw: the comment of MD_LOCALITY_NEAR did not tell in which cases the near place is chosen without a time at which it is decided again. Change: it names them.

--- a/sched/locality.h
+++ b/sched/locality.h
@@ -32,7 +32,7 @@
 typedef enum
 {
   MD_LOCALITY_FAR,  /* run far */
-  MD_LOCALITY_NEAR, /* run near; a queue there is no matter of choice */
+  MD_LOCALITY_NEAR, /* run near: at once, or because only that place meets the goal or ends sooner */
   MD_LOCALITY_WAIT, /* queue near, and decide again after wait_for */
 } MdLocalityChoice;
 
