Keep the test of aged jobs within its arrays and free its orders

With the address sanitizer test-entry-aged ended early in all three tests: the setup left sixteen orders unfreed, and a trial placement on two workers wrote beyond scratch arrays of one element.

--- a/tests/test-entry-aged.c
+++ b/tests/test-entry-aged.c
@@ -15,8 +15,8 @@
 static MdRunEntry entry;
 static MdEntryGuard guard;
 static MdWorker *workers[] = { &guard.worker };
-static MdSavedResources saved[1];
-static bool excluded[1];
+static MdSavedResources saved[2];
+static bool excluded[2];
 static MdCallerRequest request;
 static int caller[2]; /* the entry's and the caller's end of a connection */
 
@@ -67,10 +67,11 @@
       ck_assert_ptr_nonnull (entry.jobs);
       ck_assert_int_eq (entry.jobs->age, 0);
       md_entry_finish_job (&entry, entry.jobs, 0, NULL, "caller-left", 0);
+      guard.unsent = NULL;
+      md_entry_order_ended (&entry, guard.orders, MD_RUN_STOPPED, 0, "");
       guard.worker.free = guard.worker.capacity;
       md_buf_clear (&request.body);
     }
-  guard.orders = guard.unsent = NULL;
 }
 
 static void
