--- a/fleet/entry-pressure.c
+++ b/fleet/entry-pressure.c
@@ -28,15 +28,14 @@
   return settings->cpu_share > 0 ? settings->cpu_share : md_host_processor_share ();
 }
 
-/* A share below that is no whole core, and a process with it cannot run all the time: a processor time
-   that equals the time that has passed is that of a host that does not account for it. */
-#define MAX_PART_OF_CORE 0.9
-#define WHOLE_INTERVAL 0.95
+/* A process cannot use much more than its share. Where it seems to, the host does not account for its
+   processor time, and the use is not known. */
+#define MAX_USE 1.5
 
 static bool
 is_accounted (MdTime processor, MdTime interval, double share)
 {
-  return share > MAX_PART_OF_CORE || (double)processor < WHOLE_INTERVAL * (double)interval;
+  return (double)processor <= MAX_USE * share * (double)interval;
 }
 
 static void
