--- a/fleet/entry-pressure.c
+++ b/fleet/entry-pressure.c
@@ -28,14 +28,17 @@
   return settings->cpu_share > 0 ? settings->cpu_share : md_host_processor_share ();
 }
 
-/* A process cannot use much more than its share. Where it seems to, the host does not account for its
-   processor time, and the use is not known. */
+/* A process with a small share cannot run for most of the time. Where it seems to, the host does not
+   account for its processor time, and the use is not known. A smaller time may well exceed a share that is
+   set too low. */
 #define MAX_USE 1.5
+#define MOST_OF_THE_TIME 0.5
 
 static bool
 is_accounted (MdTime processor, MdTime interval, double share)
 {
-  return (double)processor <= MAX_USE * share * (double)interval;
+  return (double)processor <= MAX_USE * share * (double)interval
+         || (double)processor <= MOST_OF_THE_TIME * (double)interval;
 }
 
 static void
