--- a/cli/where.c
+++ b/cli/where.c
@@ -214,14 +214,31 @@
   return code;
 }
 
+/* Reads the options; of one that is given twice, the last counts. Returns the code of popt for the
+   end of the options, or an error. */
+static int
+read_options (poptContext context, Options *o)
+{
+  int code;
+
+  while ((code = poptGetNextOpt (context)) > 0)
+    {
+      char **field = code == 's' ? &o->server : code == 'p' ? &o->path : &o->host;
+
+      free (*field);
+      *field = poptGetOptArg (context);
+    }
+  return code;
+}
+
 int
 md_where_main (int argc, const char **argv)
 {
   Options o = { .timeout_ms = DEFAULT_TIMEOUT_MS };
   struct poptOption table[] = {
-    { "server", 's', POPT_ARG_STRING, &o.server, 0, "metrics_address of a run-entry", "IP:PORT" },
-    { "path", 'p', POPT_ARG_STRING, &o.path, 0, "path to which the job would be sent", "PATH" },
-    { "host", 'H', POPT_ARG_STRING, &o.host, 0, "host to which the job would be sent", "HOST" },
+    { "server", 's', POPT_ARG_STRING, NULL, 's', "metrics_address of a run-entry", "IP:PORT" },
+    { "path", 'p', POPT_ARG_STRING, NULL, 'p', "path to which the job would be sent", "PATH" },
+    { "host", 'H', POPT_ARG_STRING, NULL, 'H', "host to which the job would be sent", "HOST" },
     { "patience", 0, POPT_ARG_INT, &o.patience_ms, 0, "how long its caller would wait",
       "MILLISECONDS" },
     { "timeout", 0, POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, &o.timeout_ms, 0,
@@ -234,7 +251,7 @@
   int code;
 
   poptSetOtherOptionHelp (context, "[OPTION...] FILE|-");
-  code = poptGetNextOpt (context);
+  code = read_options (context, &o);
   file = poptGetArg (context);
   if (code < -1 || file == NULL || poptPeekArg (context) != NULL || o.server == NULL
       || o.path == NULL || o.host == NULL || o.timeout_ms <= 0 || o.patience_ms < 0)
