Give the jobs of large_orders_are_all_sent a caller

Traced: with the thread sanitizer orders waited for longer than the entry's lease, and the engine then looked for a caller of the test's jobs, which had none, and finished jobs that are not in its lists. Jobs of an entry always have a caller; the test asks for as much as before. 18 checks, 0 failures in the release and tsan builds.

--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -7,6 +7,8 @@
 #include "suite.h"
 
 #include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define PASSES 20000 /* only ends a broken run */
 #define INCARNATION 77
@@ -611,10 +613,14 @@
   static MdEntryJob jobs[LARGE_JOBS];
   static MdRunTask tasks[LARGE_JOBS];
   static MdRunTask *steps[LARGE_JOBS];
+  MdCallerRequest caller = { .kind = MD_CALLER_REQUEST_SUBMIT };
+  int sockets[2]; /* of the caller, which stays */
   MdEntryGuard *known;
   char *spec = calloc (LARGE_JOBS, LARGE_SPEC_BYTES);
 
   ck_assert_ptr_nonnull (spec);
+  ck_assert_int_eq (socketpair (AF_UNIX, SOCK_STREAM, 0, sockets), 0);
+  caller.socket = sockets[0];
   send_hello (0);
   send_sparse_report ();
   for (int i = 0; i < PASSES && (known_guard () == NULL || known_guard ()->awaiting_report); i++)
@@ -630,6 +636,7 @@
       jobs[i].runjob.spec.spec_len = LARGE_SPEC_BYTES;
       steps[i] = &tasks[i];
       jobs[i].runjob.tasks = &steps[i];
+      jobs[i].requests = &caller;
       order->guard = known;
       order->job = &jobs[i];
       order->placed_at = entry.now;
@@ -645,6 +652,8 @@
     }
   ck_assert_uint_eq (ordered, LARGE_JOBS);
   ck_assert_ptr_null (known->unsent);
+  close (sockets[0]);
+  close (sockets[1]);
   free (spec);
 }
 END_TEST
