--- a/cli/where.c
+++ b/cli/where.c
@@ -1,7 +1,7 @@
 /* where.c -- asks an entry where a job would go now, and why
 
-   Nothing is sent to a worker and nothing is reserved; the answer holds for the moment in which it is
-   given. */
+   Nothing is sent to a worker and nothing is reserved; the answer holds for the moment in which it
+   is given. */
 
 #include "http-client.h"
 #include "json-text.h"
--- a/common/md-private.h
+++ b/common/md-private.h
@@ -280,9 +280,10 @@
    is longer than MD_FRAME_MAX_BYTES. MD_E_MEMORY: out of memory. */
 int md_frame_encode (const Md__Frame *frame, MdBuf *out);
 
-/* md_frame_decode: decode the first frame in bytes. Returns MD_OK and sets *frame and the
-   number of bytes *used; MD_E_NOT_FOUND when the frame is incomplete; MD_E_INVALID when it is
-   malformed or over the size limit; MD_E_MEMORY when memory is short. The caller frees *frame with md__frame__free_unpacked. */
+/* md_frame_decode: decode the first frame in bytes. Returns MD_OK and sets *frame and the number of
+   bytes *used; MD_E_NOT_FOUND when the frame is incomplete; MD_E_INVALID when it is malformed or
+   over the size limit; MD_E_MEMORY when memory is short. The caller frees *frame with
+   md__frame__free_unpacked. */
 int md_frame_decode (MdStr bytes, Md__Frame **frame, size_t *used);
 
 typedef struct MdLinks MdLinks; /* the links of one engine thread */
--- a/fleet/config-reader.h
+++ b/fleet/config-reader.h
@@ -13,8 +13,9 @@
 typedef struct MdConfigReader MdConfigReader;
 
 /* md_config_reader_start: follow the configuration in the store of the settings until
-   md_config_reader_stop. on_change is called from the reader's thread after a configuration has come
-   into force, or a newer set of evacuated domains. settings is used during the call only. Returns NULL with error set on failure. */
+   md_config_reader_stop. on_change is called from the reader's thread after a configuration has
+   come into force, or a newer set of evacuated domains. settings is used during the call only.
+   Returns NULL with error set on failure. */
 MdConfigReader *md_config_reader_start (const MdSettings *settings, void (*on_change) (void *user),
                                         void *user, MdError *error);
 
@@ -23,12 +24,12 @@
 void md_config_reader_stop (MdConfigReader *reader);
 
 /* md_config_reader_routes: the configuration in force, NULL if there is none yet, or the evacuated
-   domains are not known yet: no job can be accepted before both are. To be called, and the result to
-   be used, in a read-side critical section of RCU (urcu-memb). */
+   domains are not known yet: no job can be accepted before both are. To be called, and the result
+   to be used, in a read-side critical section of RCU (urcu-memb). */
 const MdRoutes *md_config_reader_routes (const MdConfigReader *reader);
 
-/* md_config_reader_evacuated: the failure domains that are evacuated, NULL if that is not known yet.
-   To be called and used in a read-side critical section too. */
+/* md_config_reader_evacuated: the failure domains that are evacuated, NULL if that is not known
+   yet. To be called and used in a read-side critical section too. */
 const MdEvacuated *md_config_reader_evacuated (const MdConfigReader *reader);
 
 /* md_config_reader_loaded: whether there is a configuration and the evacuated domains are known. */
--- a/fleet/daemon.h
+++ b/fleet/daemon.h
@@ -93,8 +93,8 @@
 MdTime md_keyed_reader_poll (MdKeyedReader *keyed, MdTime now);
 /* md_keyed_reader_loaded: whether the newest record of every key has been delivered. */
 bool md_keyed_reader_loaded (const MdKeyedReader *keyed);
-/* md_keyed_reader_next_offset: the lowest offset that has not been delivered, once the newest record
-   of every key has been. */
+/* md_keyed_reader_next_offset: the lowest offset that has not been delivered, once the newest
+   record of every key has been. */
 uint64_t md_keyed_reader_next_offset (const MdKeyedReader *keyed);
 /* md_keyed_reader_confirmed_at: the latest time of which all records are known to have been
    delivered: the start of the last call that found no further one. 0: never. */
--- a/fleet/entry-backlog.c
+++ b/fleet/entry-backlog.c
@@ -1,8 +1,9 @@
 /* entry-backlog.c -- requests that wait for the engine of an entry
 
    The backlog is a list with the oldest request first. Jobs are taken from it in the order of
-   sched/backlog.c. All other requests, and jobs that are offered to other entries, cost little and are
-   taken first, except that none overtakes the job that it refers to. The list is as long as there are threads of callers at most. */
+   sched/backlog.c. All other requests, and jobs that are offered to other entries, cost little and
+   are taken first, except that none overtakes the job that it refers to. The list is as long as
+   there are threads of callers at most. */
 
 #include "run-entry.h"
 
@@ -101,8 +102,8 @@
   return unlink_request (best);
 }
 
-/* Whether the answer to a job that waits would be of no use. A job that is active, has ended or may have
-   run has another answer. */
+/* Whether the answer to a job that waits would be of no use. A job that is active, has ended or may
+   have run has another answer. */
 static bool
 is_expired (const MdRunEntry *entry, MdCallerRequest *request)
 {
--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -21,12 +21,12 @@
 #define MAX_GUARDS 4096
 #define MAX_HELLO_ORDERS 131072    /* in a hello; twice the tasks that are active at a time */
 #define IDLE_INTERVAL_HEARTBEATS 2 /* between messages to a guard without runs of this entry */
-/* Specifications in one message, unless one alone is larger. A frame has at most MD_FRAME_MAX_BYTES,
-   and the specification of a job at most 8 MB. */
+/* Specifications in one message, unless one alone is larger. A frame has at most
+   MD_FRAME_MAX_BYTES, and the specification of a job at most 8 MB. */
 #define MAX_SPEC_BYTES ((size_t)4 << 20)
 #define MAX_ORDERS_PER_MESSAGE 8192 /* of at most 500 bytes without their specifications */
-/* Output of a link beyond which orders wait for the guard to read. Far below the limits of a link and
-   of all links, at which the connection is closed and orders that were sent are lost. */
+/* Output of a link beyond which orders wait for the guard to read. Far below the limits of a link
+   and of all links, at which the connection is closed and orders that were sent are lost. */
 #define MAX_QUEUED_ORDERS ((size_t)4 << 20)
 #define QUEUE_RETRY_DELAY (10 * MD_MS) /* until orders that wait for that are looked at again */
 /* Messages that are due within this time are sent with those that are due now. */
--- a/fleet/entry-handover.c
+++ b/fleet/entry-handover.c
@@ -1,8 +1,8 @@
 /* entry-handover.c -- requests that this entry hands over to another one
 
    A request is handed over before its body is parsed, which is most of what the handover saves
-   beside the placement: the taker parses it and answers, and this entry passes the answer on. Only one
-   handover of a job is open at a time; further requests of the job are attached to it.
+   beside the placement: the taker parses it and answers, and this entry passes the answer on. Only
+   one handover of a job is open at a time; further requests of the job are attached to it.
 
    When the link to the taker is lost, the job may have run, so that its callers get
    MD_STATUS_GIVEN_UP. A request that was not sent, or that the taker refused, goes back to its
@@ -136,8 +136,8 @@
   MdTime retry_after; /* 0: none */
 } Answer;
 
-/* The callers are looked at first: after a pause of this process they may have left and repeated the
-   job elsewhere. */
+/* The callers are looked at first: after a pause of this process they may have left and repeated
+   the job elsewhere. */
 static void
 answer_all (MdOpenHandover *open, const Answer *answer)
 {
--- a/fleet/entry-handover.h
+++ b/fleet/entry-handover.h
@@ -97,8 +97,8 @@
 bool md_entry_is_handed_over (MdRunEntry *entry, const char *job, const MdRoute *route);
 /* md_entry_forward_query: pass a STATE or CANCEL on if its job was handed over; false if not. */
 bool md_entry_forward_query (MdRunEntry *entry, MdCallerRequest *caller_request);
-/* md_entry_handover_detach: answer a request with an open handover whose caller has left, and cancel
-   the handover when that was the last one. */
+/* md_entry_handover_detach: answer a request with an open handover whose caller has left, and
+   cancel the handover when that was the last one. */
 void md_entry_handover_detach (MdRunEntry *entry, MdCallerRequest *caller_request);
 /* md_entry_handover_ended: pass the answer of a taker on. */
 void md_entry_handover_ended (MdRunEntry *entry, MdEntryPeer *peer, const Md__JobHandoverEnd *end);
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -402,9 +402,10 @@
     md_entry_finish_job (entry, job, 429, NULL, "overload", MD_RETRY_AFTER_NO_WORKER / 2);
 }
 
-/* Whether the job still has a caller; otherwise finishes it. Asked before anything is placed that was not
-   placed with the admission: a process that was suspended reads reports of guards before its
-   threads tell it that callers have left, and these may have repeated the job at another entry. */
+/* Whether the job still has a caller; otherwise finishes it. Asked before anything is placed that
+   was not placed with the admission: a process that was suspended reads reports of guards before
+   its threads tell it that callers have left, and these may have repeated the job at another entry.
+   */
 static bool
 keep_for_callers (MdRunEntry *entry, MdEntryJob *job)
 {
--- a/fleet/entry-near.c
+++ b/fleet/entry-near.c
@@ -2,8 +2,8 @@
 
    Supplies md_locality_decide with the places that this entry knows and carries out its decisions.
    A task that waits is queued at the near worker's guard. It is taken back from there by a
-   withdrawal, as other runs that move, and placed again when the guard has confirmed that it has not
-   started; so it never runs twice. */
+   withdrawal, as other runs that move, and placed again when the guard has confirmed that it has
+   not started; so it never runs twice. */
 
 #include "run-entry.h"
 
--- a/fleet/entry-pressure.c
+++ b/fleet/entry-pressure.c
@@ -28,9 +28,9 @@
   return settings->cpu_share > 0 ? settings->cpu_share : md_host_processor_share ();
 }
 
-/* A process with a small share cannot run for most of the time. Where it seems to, the host does not
-   account for its processor time, and the use is not known. A smaller time may well exceed a share that is
-   set too low. */
+/* A process with a small share cannot run for most of the time. Where it seems to, the host does
+   not account for its processor time, and the use is not known. A smaller time may well exceed a
+   share that is set too low. */
 #define MAX_USE 1.5
 #define MOST_OF_THE_TIME 0.5
 
--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -67,8 +67,8 @@
   return NULL;
 }
 
-/* A caller of which that cannot be told counts as one that has left: it repeats the job, and nothing
-   of it has run here. */
+/* A caller of which that cannot be told counts as one that has left: it repeats the job, and
+   nothing of it has run here. */
 bool
 md_entry_has_caller_left (const MdCallerRequest *caller_request)
 {
@@ -139,8 +139,8 @@
   return true;
 }
 
-/* Answers a request that an entry which is shutting down took only because its job may have run. That
-   may also be about to begin, for a request whose body is still being read. */
+/* Answers a request that an entry which is shutting down took only because its job may have run.
+   That may also be about to begin, for a request whose body is still being read. */
 static void
 answer_given_up (MdCallerRequest *caller_request)
 {
--- a/fleet/entry-start.h
+++ b/fleet/entry-start.h
@@ -32,8 +32,8 @@
 /* md_entry_start_age: time since the begin of the process. Can be called from any thread. */
 MdTime md_entry_start_age (const MdEntryStart *start, MdTime now);
 
-/* md_entry_start_wait: wait for the end of the start while the caller at the socket is there, at most
-   until the given time. Can be called from any thread. */
+/* md_entry_start_wait: wait for the end of the start while the caller at the socket is there, at
+   most until the given time. Can be called from any thread. */
 MdStartOutcome md_entry_start_wait (const MdEntryStart *start, int socket, MdTime until);
 
 /* md_entry_start_outcome_name: for the log. */
--- a/fleet/entry-taker.c
+++ b/fleet/entry-taker.c
@@ -1,8 +1,9 @@
 /* entry-taker.c -- requests that other entries have handed over to this one
 
-   The hander is the caller of such a request: it is answered over the link, and when the link is lost
-   or silent, the job ends as if its caller had left. A request that this entry does not begin, for
-   whatever reason, is refused; the hander serves it itself and answers what is wrong with it. */
+   The hander is the caller of such a request: it is answered over the link, and when the link is
+   lost or silent, the job ends as if its caller had left. A request that this entry does not begin,
+   for whatever reason, is refused; the hander serves it itself and answers what is wrong with it.
+   */
 
 #define _GNU_SOURCE /* POLLRDHUP */
 
@@ -12,8 +13,8 @@
 #include <poll.h>
 #include <urcu/urcu-memb.h>
 
-/* Of one body while it is parsed, in the engine thread. Larger jobs are left to their handers, which
-   have a budget for them. */
+/* Of one body while it is parsed, in the engine thread. Larger jobs are left to their handers,
+   which have a budget for them. */
 #define MAX_PARSE_MEMORY ((size_t)4 << 20)
 
 struct MdTakenRequest
--- a/fleet/front-where.c
+++ b/fleet/front-where.c
@@ -1,7 +1,7 @@
 /* front-where.c -- requests that ask where a job would go
 
-   Served on metrics_address only, by the two threads of that server, so that they take no thread from
-   callers. The engine answers from a trial placement. */
+   Served on metrics_address only, by the two threads of that server, so that they take no thread
+   from callers. The engine answers from a trial placement. */
 
 #include "http-server.h"
 #include "run-entry.h"
--- a/fleet/guard-evacuation.c
+++ b/fleet/guard-evacuation.c
@@ -3,8 +3,8 @@
    Entries tell whether the guard's failure domain is evacuated, and as of which place in the
    operator's log, with each welcome and each message of orders. The newest place counts, so that an
    entry that is late cannot put the domain back into use. A domain that is put back gets runs
-   gradually (sched/warmup.c): the guard withholds a part of the worker, so that entries of all builds
-   see the smaller one, and two of them cannot each fill it. */
+   gradually (sched/warmup.c): the guard withholds a part of the worker, so that entries of all
+   builds see the smaller one, and two of them cannot each fill it. */
 
 #include "run-guard.h"
 
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -116,8 +116,8 @@
   return peer->echo + guard->daemon.leases.entry;
 }
 
-/* When a run that is cancelled now had to end: earlier if this process was suspended while the lease
-   of the run's entry ran out. */
+/* When a run that is cancelled now had to end: earlier if this process was suspended while the
+   lease of the run's entry ran out. */
 static MdTime
 had_to_end_at (MdRunGuard *guard, uint64_t entry)
 {
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -31,8 +31,8 @@
 /* Starts at a time. The client has five connections for them, and a call that waits for one costs
    about 25 KB of memory; a job may have thousands of tasks that need no capacity. */
 #define MAX_START_CALLS 64
-/* Stops at a time, each on a connection of its own, so that its time-out runs from when it is sent. A
-   worker that takes 50 ms for each ends a thousand in a second. */
+/* Stops at a time, each on a connection of its own, so that its time-out runs from when it is sent.
+   A worker that takes 50 ms for each ends a thousand in a second. */
 #define MAX_STOP_CALLS MD_GUARD_STOP_CONNECTIONS
 /* No runs are started with a shorter lease: all of them would end with it if the limit of the lease
    were not lifted in time. */
@@ -94,8 +94,8 @@
   guard->worker.clock_known = true;
 }
 
-/* End of a lease that starts now, on the worker's clock; 0 while that clock is not known or no lease
-   may be granted. */
+/* End of a lease that starts now, on the worker's clock; 0 while that clock is not known or no
+   lease may be granted. */
 static int64_t
 lease_deadline_ms (const MdRunGuard *guard)
 {
@@ -230,8 +230,8 @@
   return guard->stop_calls < MAX_STOP_CALLS;
 }
 
-/* entry, id: order of the run, 0 for a run that this process did not start. Returns MD_E_MEMORY when
-   the stop was not sent; callers repeat stops until the run has ended. */
+/* entry, id: order of the run, 0 for a run that this process did not start. Returns MD_E_MEMORY
+   when the stop was not sent; callers repeat stops until the run has ended. */
 static int
 send_stop (MdRunGuard *guard, MdStr task, uint32_t run_number, uint64_t entry, uint64_t id)
 {
@@ -636,8 +636,8 @@
 /* Poll                                                               */
 
 /* Sets until when the lease of the worker may be extended. Stops usually end the runs long before
-   the limit matters. A former process may have left runs whose entries count on the last lease that it
-   granted: until none is known to be there, the lease is not extended at all. */
+   the limit matters. A former process may have left runs whose entries count on the last lease that
+   it granted: until none is known to be there, the lease is not extended at all. */
 static void
 update_lease_limit (MdRunGuard *guard)
 {
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -2,13 +2,13 @@
 
    front.c is the HTTP server for callers, run-entry.c the main loop, entry-start.c the start,
    entry-backlog.c orders the requests, entry-requests.c handles them, entry-jobs.c keeps the jobs,
-   entry-placement.c admits them and places their tasks, entry-near.c lets tasks wait for near places,
-   entry-advice.c calls the advisory service, entry-guards.c has the links of guards and sends their
-   orders, entry-reports.c reads their reports, and entry-evacuation.c applies evacuations of failure
-   domains. All of them run in the engine thread, except front.c and entry-metrics.c, which run in the
-   threads of the HTTP server, and entry-start.c, whose functions say where they run. config-reader.c
-   has a thread of its own. Times are microseconds on the monotonic clock (MdTime) unless stated
-   otherwise. */
+   entry-placement.c admits them and places their tasks, entry-near.c lets tasks wait for near
+   places, entry-advice.c calls the advisory service, entry-guards.c has the links of guards and
+   sends their orders, entry-reports.c reads their reports, and entry-evacuation.c applies
+   evacuations of failure domains. All of them run in the engine thread, except front.c and
+   entry-metrics.c, which run in the threads of the HTTP server, and entry-start.c, whose functions
+   say where they run. config-reader.c has a thread of its own. Times are microseconds on the
+   monotonic clock (MdTime) unless stated otherwise. */
 
 #ifndef MD_RUN_ENTRY_H
 #define MD_RUN_ENTRY_H
@@ -312,8 +312,8 @@
 /* md_front_start_metrics: MdMetricsServer.start, user is the MdFront. */
 struct mg_context *md_front_start_metrics (void *user, const char *address, MdError *error);
 struct mg_connection;
-/* md_front_probe, md_front_operator: request handlers of CivetWeb for readiness probes and metrics, and
-   for the server of the metrics address; user is the MdRunEntry. */
+/* md_front_probe, md_front_operator: request handlers of CivetWeb for readiness probes and metrics,
+   and for the server of the metrics address; user is the MdRunEntry. */
 int md_front_probe (struct mg_connection *conn, void *user);
 int md_front_operator (struct mg_connection *conn, void *user);
 /* md_front_stop: stop the servers and free the front end; does nothing for NULL. */
@@ -335,11 +335,12 @@
                             MdTaskRequirements *need);
 /* md_entry_set_times: set arrived, age, goal, limit, deadline and critical_path of a new job. */
 void md_entry_set_times (MdEntryJob *job, const MdCallerRequest *caller_request);
-/* md_entry_predict_times: predict the slack, the limit and the work of a request that has no job yet. */
+/* md_entry_predict_times: predict the slack, the limit and the work of a request that has no job
+   yet. */
 void md_entry_predict_times (const MdRunEntry *entry, const MdCallerRequest *request,
                              MdBacklogJob *times);
-/* md_entry_due: until when an answer to the job is of use in the first place: its goal, or the limit of
-   an aged job, whose goal had passed when it arrived. */
+/* md_entry_due: until when an answer to the job is of use in the first place: its goal, or the
+   limit of an aged job, whose goal had passed when it arrived. */
 MdTime md_entry_due (const MdEntryJob *job);
 /* md_entry_add_demand: add the work of a new job to the demand of its queue. */
 void md_entry_add_demand (const MdRunEntry *entry, MdEntryJob *job);
@@ -358,8 +359,8 @@
   MD_PLACEABLE_LATER, /* not on workers with full reports */
   MD_PLACEABLE_NOW,
 } MdEntryPlaceable;
-/* md_entry_forecast: whether the ready tasks of a job can be placed, and if so the forecast of the job
-   by a trial placement, of which nothing stays. */
+/* md_entry_forecast: whether the ready tasks of a job can be placed, and if so the forecast of the
+   job by a trial placement, of which nothing stays. */
 MdEntryPlaceable md_entry_forecast (MdRunEntry *entry, const MdEntryJob *job, MdForecast *forecast);
 /* md_entry_place_ready: place the ready tasks of the job. Tasks that no worker can run now
    stay ready. */
@@ -387,8 +388,8 @@
 /* md_entry_near_begin: record that a run waits for a near place, after it was reserved there. */
 void md_entry_near_begin (const MdRunEntry *entry, MdEntryOrder *order,
                           const MdTaskRequirements *need, const MdEntryNear *near);
-/* md_entry_near_end: record that the wait has ended with the start there, or otherwise. Does nothing
-   for a run that does not wait for a near place. */
+/* md_entry_near_end: record that the wait has ended with the start there, or otherwise. Does
+   nothing for a run that does not wait for a near place. */
 void md_entry_near_end (const MdRunEntry *entry, MdEntryOrder *order, bool started);
 /* md_entry_near_check: decide again on a run that waits for a near place, if that is due, and
    withdraw it if another place is better. */
@@ -396,8 +397,8 @@
 /* entry-priority.c */
 /* md_entry_note_queue: record the pool and the priority that a new job states for its queue. */
 void md_entry_note_queue (MdEntryJob *job);
-/* md_entry_set_bound: set the longest wait that a job is admitted with, in its forecast, and whether
-   it counts as of the first priority. */
+/* md_entry_set_bound: set the longest wait that a job is admitted with, in its forecast, and
+   whether it counts as of the first priority. */
 void md_entry_set_bound (MdRunEntry *entry, MdEntryJob *job, MdForecast *forecast);
 /* md_entry_note_admitted: add an admitted job to the work that its queue got. */
 void md_entry_note_admitted (const MdRunEntry *entry, MdEntryJob *job);
@@ -409,15 +410,15 @@
 void md_entry_update_pressure_gauge (MdRunEntry *entry);
 
 /* entry-where.c */
-/* md_entry_where: answer a WHERE request by a trial placement of which nothing stays. Takes the spec
-   of the request. */
+/* md_entry_where: answer a WHERE request by a trial placement of which nothing stays. Takes the
+   spec of the request. */
 void md_entry_where (MdRunEntry *entry, MdCallerRequest *caller_request);
 
 /* front-where.c */
 #define MD_WHERE_PATH "/where"
 struct mg_connection;
-/* md_front_where: serve a request on MD_WHERE_PATH: the body is a job, and the query has the path it
-   would be sent to, its host and timeout_ms. Returns the status for CivetWeb. */
+/* md_front_where: serve a request on MD_WHERE_PATH: the body is a job, and the query has the path
+   it would be sent to, its host and timeout_ms. Returns the status for CivetWeb. */
 int md_front_where (struct mg_connection *conn, MdRunEntry *entry);
 
 /* entry-advice.c */
@@ -440,11 +441,11 @@
 /* entry-backlog.c */
 /* md_entry_backlog_fill: move the requests from the inbox to the backlog. */
 void md_entry_backlog_fill (MdRunEntry *entry);
-/* md_entry_backlog_next: take the request that is to be handled next out of the backlog; NULL if it is
-   empty. */
+/* md_entry_backlog_next: take the request that is to be handled next out of the backlog; NULL if it
+   is empty. */
 MdCallerRequest *md_entry_backlog_next (MdRunEntry *entry);
-/* md_entry_backlog_reject_expired: reject the jobs in the backlog whose answers would come too late to
-   be of use. */
+/* md_entry_backlog_reject_expired: reject the jobs in the backlog whose answers would come too late
+   to be of use. */
 void md_entry_backlog_reject_expired (MdRunEntry *entry);
 
 /* entry-requests.c */
@@ -466,11 +467,11 @@
    MD_STATUS_GIVEN_UP if an earlier attempt may have run. */
 void md_entry_reject_request (const MdRunEntry *entry, MdCallerRequest *caller_request, int status,
                               MdTime retry_after);
-/* md_entry_handle_requests: handle requests from the inbox, in the order of entry-backlog.c, for about this
-   time; at least one. Returns false if some are left. */
+/* md_entry_handle_requests: handle requests from the inbox, in the order of entry-backlog.c, for
+   about this time; at least one. Returns false if some are left. */
 bool md_entry_handle_requests (MdRunEntry *entry, MdTime budget);
-/* md_entry_has_caller_left: whether the caller of a SUBMIT has closed its connection, or it was reset.
-   Can be called from any thread. */
+/* md_entry_has_caller_left: whether the caller of a SUBMIT has closed its connection, or it was
+   reset. Can be called from any thread. */
 bool md_entry_has_caller_left (const MdCallerRequest *caller_request);
 /* md_entry_has_caller: whether at least one caller of an active job is still there. Looks at the
    sockets, so that it also tells of callers whose threads have not reported that they left. */
@@ -560,12 +561,13 @@
 void md_entry_free_guards (MdRunEntry *entry);
 
 /* entry-evacuation.c */
-/* md_entry_evacuation_poll: apply a newer set of evacuated domains. To be called in each pass before
-   jobs are placed and messages sent. */
+/* md_entry_evacuation_poll: apply a newer set of evacuated domains. To be called in each pass
+   before jobs are placed and messages sent. */
 void md_entry_evacuation_poll (MdRunEntry *entry);
-/* md_entry_apply_evacuated: apply this set, which was last known to be the newest this long ago: take
-   back what has not started in a domain that is evacuated now, and have the guards of each domain that
-   changes told with the next message. Does nothing if the version is the present one. */
+/* md_entry_apply_evacuated: apply this set, which was last known to be the newest this long ago:
+   take back what has not started in a domain that is evacuated now, and have the guards of each
+   domain that changes told with the next message. Does nothing if the version is the present one.
+   */
 void md_entry_apply_evacuated (MdRunEntry *entry, const MdEvacuated *set, MdTime age);
 /* md_entry_set_domain: record the failure domain that a guard has stated in its hello. */
 void md_entry_set_domain (MdRunEntry *entry, MdEntryGuard *guard, const char *domain);
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -267,8 +267,8 @@
    depends on; closing rejects waiting runs. */
 void md_guard_update_accepting (MdRunGuard *guard);
 
-/* md_guard_warmup_poll: give runs the share of the worker that is due after an evacuation. To be called
-   before runs are started. Returns the time of the next call. */
+/* md_guard_warmup_poll: give runs the share of the worker that is due after an evacuation. To be
+   called before runs are started. Returns the time of the next call. */
 MdTime md_guard_warmup_poll (MdRunGuard *guard);
 
 /* md_guard_hear_evacuation: take over what a message of an entry says about the failure domain of
@@ -279,8 +279,8 @@
 
 /* guard-coverage.c */
 
-/* md_guard_choose_entries: choose the entries that receive a report of each change. To be called when
-   an entry is reached or lost. */
+/* md_guard_choose_entries: choose the entries that receive a report of each change. To be called
+   when an entry is reached or lost. */
 void md_guard_choose_entries (MdRunGuard *guard);
 
 /* guard-orders.c */
--- a/net/link-io.c
+++ b/net/link-io.c
@@ -25,8 +25,8 @@
 #define READ_CHUNK_BYTES ((size_t)64 << 10)       /* requested by one recv */
 #define READ_BUDGET_BYTES ((size_t)1 << 20)       /* read from one link per event, for fairness */
 #define MAX_IDLE_BUFFER_BYTES ((size_t)128 << 10) /* larger buffers are freed when empty */
-/* Unfinished frames on all connections, also small ones; two of the largest. A peer could open many connections and
-   finish none. */
+/* Unfinished frames on all connections, also small ones; two of the largest. A peer could open many
+   connections and finish none. */
 #define MAX_INPUT_BYTES ((size_t)32 << 20)
 #define ACK_TIMEOUT_RESET (10 * MD_SECOND) /* a connection that lasted is not on a congested way */
 #define MAX_ACK_TIMEOUTS 4                 /* times the acknowledgement timeout */
--- a/sched/admission.c
+++ b/sched/admission.c
@@ -14,8 +14,8 @@
    see priority.c. A job that is late without waiting, because no fast worker is free,
    delays no other job and is admitted.
 
-   A job whose caller had waited for long when it arrived has missed its goal. An answer may still be of
-   some use, so that it is admitted where nothing waits, whatever the bound of its queue.
+   A job whose caller had waited for long when it arrived has missed its goal. An answer may still
+   be of some use, so that it is admitted where nothing waits, whatever the bound of its queue.
 
    An entry that is short of processor time is a queue like the workers: what it admits waits for
    it to read the ends of the runs, and makes all of its other jobs late. Its lag is bounded in the
--- a/sched/backlog.h
+++ b/sched/backlog.h
@@ -14,8 +14,8 @@
   MdTime work;   /* expected run time of its longest chain of tasks */
 } MdBacklogJob;
 
-/* md_backlog_is_long: whether jobs are not handled in the order of arrival when the oldest has waited
-   for this long. */
+/* md_backlog_is_long: whether jobs are not handled in the order of arrival when the oldest has
+   waited for this long. */
 bool md_backlog_is_long (MdTime oldest_wait);
 
 /* md_backlog_goes_before: whether a is handled before b in a long backlog. */
--- a/sched/evacuation.c
+++ b/sched/evacuation.c
@@ -1,9 +1,9 @@
 /* evacuation.c -- which failure domains are evacuated, as of which place in the log
 
-   Load pattern: a handful of records a day, read by all entries at slightly different times, through
-   a store that may be slow, answer twice, or fail between two pages. 240 guards hear the result from
-   up to 55 entries ten times a second, some of which are late. Records are therefore compared by
-   their place in the log, never by the time of their arrival.
+   Load pattern: a handful of records a day, read by all entries at slightly different times,
+   through a store that may be slow, answer twice, or fail between two pages. 240 guards hear the
+   result from up to 55 entries ten times a second, some of which are late. Records are therefore
+   compared by their place in the log, never by the time of their arrival.
 
    Pages of newest records are not a snapshot: a later page may contain a record that was written
    after the end that the first page stated. That record is read again in order, after older ones of
--- a/sched/handover.c
+++ b/sched/handover.c
@@ -1,17 +1,17 @@
 /* handover.c -- whether an entry serves a request itself or hands it over to another entry
 
-   Load pattern: the balancer spreads callers evenly over the zones, but the entries of one zone have
-   0.12 of a core each and those of the others 0.5. At the peak of a wave the small entries are asked
-   for more than their processor share, while the workers and the large entries have capacity. A job
-   costs an entry about 1 ms of processor time, and handing it over costs a part of that.
+   Load pattern: the balancer spreads callers evenly over the zones, but the entries of one zone
+   have 0.12 of a core each and those of the others 0.5. At the peak of a wave the small entries are
+   asked for more than their processor share, while the workers and the large entries have capacity.
+   A job costs an entry about 1 ms of processor time, and handing it over costs a part of that.
 
-   A process that was suspended has a few large samples of the lag within one pass. They do not count
-   as pressure, because that takes samples that are too high over 200 ms without a gap of that
+   A process that was suspended has a few large samples of the lag within one pass. They do not
+   count as pressure, because that takes samples that are too high over 200 ms without a gap of that
    length.
 
-   Under pressure an entry hands over a share of its requests that grows with its use and its lag, so
-   that it keeps as much as it can serve in time. With all or none it would alternate between both
-   every second. */
+   Under pressure an entry hands over a share of its requests that grows with its use and its lag,
+   so that it keeps as much as it can serve in time. With all or none it would alternate between
+   both every second. */
 
 #include "handover.h"
 
--- a/sched/handover.h
+++ b/sched/handover.h
@@ -20,8 +20,8 @@
 
 /* md_shortage_add_lag: add how late the engine did something. */
 void md_shortage_add_lag (MdShortage *pressure, MdTime sample, MdTime now);
-/* md_shortage_add_use: add the processor time that was used, relative to the share, over an interval
-   of about MD_HANDOVER_LOAD_INTERVAL. */
+/* md_shortage_add_use: add the processor time that was used, relative to the share, over an
+   interval of about MD_HANDOVER_LOAD_INTERVAL. */
 void md_shortage_add_use (MdShortage *pressure, double use, MdTime now);
 /* md_shortage_offer: which share of the requests to hand over, between 0 and 1. lag: the lag at
    present. */
--- a/sched/locality.c
+++ b/sched/locality.c
@@ -1,16 +1,14 @@
 /* locality.c -- how long a wait for a near place pays
 
-   Load patterns:
-   - A quiet pool, and a near worker that is full for the next milliseconds: a far worker is free at
-     once, and the run there takes remote_factor times as long. The sum of wait and run time decides.
-   - A peak: the longer run elsewhere takes core time from jobs that wait. It is added to the cost of
-     the far place, so that a longer wait pays.
-   - A hot rack: the data that many jobs read is on one rack, and the others are free. Each further
-     task in its queue delays those that come after it. That delay is added to the cost of waiting.
-   - A wait that turns out longer than predicted, because a run ahead is one of the few that take
-     several times their estimate. The wait ends at a time T, when a far place can still meet the
-     goal.
-   - A rack that is lost, or whose reports stop: there is no near place.
+   Load patterns: - A quiet pool, and a near worker that is full for the next milliseconds: a far
+   worker is free at once, and the run there takes remote_factor times as long. The sum of wait and
+   run time decides. - A peak: the longer run elsewhere takes core time from jobs that wait. It is
+   added to the cost of the far place, so that a longer wait pays. - A hot rack: the data that many
+   jobs read is on one rack, and the others are free. Each further task in its queue delays those
+   that come after it. That delay is added to the cost of waiting. - A wait that turns out longer
+   than predicted, because a run ahead is one of the few that take several times their estimate. The
+   wait ends at a time T, when a far place can still meet the goal. - A rack that is lost, or whose
+   reports stop: there is no near place.
 
    A wait may be longer than predicted by the factor by which run times vary, as it consists of the
    rest of the run times ahead. A task waits at the near worker's guard, where it starts without a
@@ -24,8 +22,8 @@
 /* Busy share of a pool from which core time costs others. A worker of 16 cores has ten slots of 1.5
    cores; with seven of them busy on average, one worker in ten is full. */
 #define PRESSURE_THRESHOLD 0.7
-/* Tasks delayed by one that waits for a hot rack, per task that waits there now: those that come until
-   its queue is empty. See the figures in docs/design/locality.md. */
+/* Tasks delayed by one that waits for a hot rack, per task that waits there now: those that come
+   until its queue is empty. See the figures in docs/design/locality.md. */
 #define HOT_WEIGHT 12.0
 #define QUEUE_CHANGE 0.25            /* of the queue: a change that is decided on */
 #define MIN_QUEUE_CHANGE (5 * MD_MS) /* reports are a few milliseconds old */
--- a/sched/locality.h
+++ b/sched/locality.h
@@ -47,16 +47,17 @@
    workers: 0 while slots are free nearly everywhere, 1 when nothing is free. */
 double md_locality_pressure (uint64_t capacity_cpu, uint64_t free_cpu);
 
-/* md_locality_hotness: how many more tasks wait for near places on a rack than on an average one, as
-   a multiple of its slots; 0 if not more. waiting and cpu: of the whole pool. need_cpu: of a task. */
+/* md_locality_hotness: how many more tasks wait for near places on a rack than on an average one,
+   as a multiple of its slots; 0 if not more. waiting and cpu: of the whole pool. need_cpu: of a
+   task. */
 double md_locality_hotness (uint32_t rack_waiting, uint64_t rack_cpu, uint32_t waiting,
                             uint64_t cpu, uint32_t need_cpu);
 
 /* md_locality_decide: where a task with a preferred rack runs, and how long it waits for that. */
 MdLocalityDecision md_locality_decide (const MdLocalityInput *in);
 
-/* md_locality_queue_changed: whether the queue of a near place has grown or shrunk so much since the
-   last decision that it is to be decided again. Both are waits of a new run there. */
+/* md_locality_queue_changed: whether the queue of a near place has grown or shrunk so much since
+   the last decision that it is to be decided again. Both are waits of a new run there. */
 bool md_locality_queue_changed (MdTime queue_then, MdTime queue_now);
 
 /* md_locality_remaining: how much longer a run is expected to wait at its worker. expected: the
--- a/sched/patience.c
+++ b/sched/patience.c
@@ -1,19 +1,19 @@
 /* patience.c -- how long a caller has waited before its request arrived
 
-   Load pattern: all machines have been without power for a second. What callers have sent meanwhile,
-   and what they repeat because its answer was lost, arrives together with the new requests, at twice
-   the usual rate. Most of it has missed its goal before it arrives. If its goal is counted from its
-   arrival, it takes the room of the new requests, and these are late as well.
+   Load pattern: all machines have been without power for a second. What callers have sent
+   meanwhile, and what they repeat because its answer was lost, arrives together with the new
+   requests, at twice the usual rate. Most of it has missed its goal before it arrives. If its goal
+   is counted from its arrival, it takes the room of the new requests, and these are late as well.
 
-   A request does not say when it was sent first, but it states how long its caller still waits, which
-   for a repeated one is less than usual in its queue. What is usual is learned for each queue: the
-   upper quartile of the stated times, followed by a step of a fixed part for each sample, and the mean
-   excess of the samples above it. Times that depend on the size of the job have a long tail upwards
-   and a short one downwards, so that a time that is shorter than the upper quartile by a few times
-   the upper spread is unusual. The upper quartile, rather than the median, also tells the usual time
-   when more than half of the samples are of repeated requests. After a restart the first samples may
-   all be of such; until there are many, the time-out of the queue's route is taken for the
-   usual time if that is longer. */
+   A request does not say when it was sent first, but it states how long its caller still waits,
+   which for a repeated one is less than usual in its queue. What is usual is learned for each
+   queue: the upper quartile of the stated times, followed by a step of a fixed part for each
+   sample, and the mean excess of the samples above it. Times that depend on the size of the job
+   have a long tail upwards and a short one downwards, so that a time that is shorter than the upper
+   quartile by a few times the upper spread is unusual. The upper quartile, rather than the median,
+   also tells the usual time when more than half of the samples are of repeated requests. After a
+   restart the first samples may all be of such; until there are many, the time-out of the queue's
+   route is taken for the usual time if that is longer. */
 
 #include "patience.h"
 #include "run-sched.h"
--- a/sched/patience.h
+++ b/sched/patience.h
@@ -17,10 +17,10 @@
 } MdPatience;
 
 /* md_patience_age: how long the caller of a job had waited when the job arrived, 0 if that is not
-   known, not unusual in the queue, or less than three objectives of the job; adds the job to what is
-   usual for its queue. response_timeout: how long the caller still waits, 0 if it does not state
-   that; the job then has no age and adds nothing. objective: time from the arrival to the goal. least:
-   the usual time is at least this until there are many samples, 0 unknown. */
+   known, not unusual in the queue, or less than three objectives of the job; adds the job to what
+   is usual for its queue. response_timeout: how long the caller still waits, 0 if it does not state
+   that; the job then has no age and adds nothing. objective: time from the arrival to the goal.
+   least: the usual time is at least this until there are many samples, 0 unknown. */
 MdTime md_patience_age (MdPatience *patience, MdTime response_timeout, MdTime objective,
                         MdTime least);
 
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -207,8 +207,8 @@
    runs, projected from the expected ends of the runs before it. */
 MdTime md_runqueue_expected_wait (const MdRunQueue *queue, MdTime now);
 
-/* md_runqueue_next_end: time until the next expected end of a run, or until more of what is withheld
-   is given; 0 if neither is due. */
+/* md_runqueue_next_end: time until the next expected end of a run, or until more of what is
+   withheld is given; 0 if neither is due. */
 MdTime md_runqueue_next_end (const MdRunQueue *queue, MdTime now);
 
 /* md_runqueue_stalled: whether runs of several jobs are overdue and no run has ended since
@@ -326,8 +326,8 @@
   uint32_t waiting;      /* sum of near_waiting of all */
 } MdNearFar;
 
-/* md_place_near_far: choose the best worker of each kind as md_place does, in one pass. Workers that
-   are avoided count as none. need has an affinity and is neither alone nor at_once. */
+/* md_place_near_far: choose the best worker of each kind as md_place does, in one pass. Workers
+   that are avoided count as none. need has an affinity and is neither alone nor at_once. */
 MdNearFar md_place_near_far (const MdWorkers *workers, const MdTaskRequirements *need,
                              const uint32_t *counts, const MdWorker *avoid, MdTime now);
 
--- a/sched/runqueue.c
+++ b/sched/runqueue.c
@@ -5,13 +5,13 @@
    guard keeps the queue because it is the first to know of freed capacity and can start
    the next run without a message.
 
-   The order is earliest start_by first, but runs that arrive more than MAX_SLACK later
-   never overtake: entries admit jobs by the wait that this queue reports, and a run that
-   others keep overtaking would wait longer than that. A run that can no longer start in
-   time goes behind all that can, because an early start would not save its own goal and
-   would cost another job its goal. Among those that can still start in time, and among the others,
-   the more important priority comes first; see priority.c. Capacity that is too small for the first run may go to
-   a smaller one behind it. */
+   The order is earliest start_by first, but runs that arrive more than MAX_SLACK later never
+   overtake: entries admit jobs by the wait that this queue reports, and a run that others keep
+   overtaking would wait longer than that. A run that can no longer start in time goes behind all
+   that can, because an early start would not save its own goal and would cost another job its goal.
+   Among those that can still start in time, and among the others, the more important priority comes
+   first; see priority.c. Capacity that is too small for the first run may go to a smaller one
+   behind it. */
 
 #include "priority.h"
 
--- a/sched/startup.c
+++ b/sched/startup.c
@@ -1,11 +1,11 @@
 /* startup.c -- what waits for an entry that has just started
 
    Load pattern: all machines lose power and return within half a second. An entry reads its
-   configuration and hears its first guard about 50 ms after its start, but callers that were waiting
-   for a connection arrive before that: 100 requests of a day were answered 503 within 50 ms, and their
-   callers came again a second later, together with the next ones. Such a request is worth more when
-   it waits. An entry that has run for a while has no such excuse: there a lack of workers or of a
-   configuration lasts, and is told at once. */
+   configuration and hears its first guard about 50 ms after its start, but callers that were
+   waiting for a connection arrive before that: 100 requests of a day were answered 503 within 50
+   ms, and their callers came again a second later, together with the next ones. Such a request is
+   worth more when it waits. An entry that has run for a while has no such excuse: there a lack of
+   workers or of a configuration lasts, and is told at once. */
 
 #include "startup.h"
 
--- a/sched/warmup.c
+++ b/sched/warmup.c
@@ -1,10 +1,10 @@
 /* warmup.c -- gradual return of a worker whose failure domain was evacuated
 
    Load pattern: 60 workers come back at the same moment, empty, while the others are full. All
-   entries see the free capacity within a report and send what waits there: more than a second's load
-   in a few milliseconds, to workers whose caches are cold and whose speeds are not known. Runs that
-   turn out slow hold the capacity of all. With a share that grows from an eighth to all within a
-   second, entries see in each step how fast the runs of the former one ended.
+   entries see the free capacity within a report and send what waits there: more than a second's
+   load in a few milliseconds, to workers whose caches are cold and whose speeds are not known. Runs
+   that turn out slow hold the capacity of all. With a share that grows from an eighth to all within
+   a second, entries see in each step how fast the runs of the former one ended.
 
    A worker that is still slow after its own start gets the further steps at a quarter of the rate,
    however long it stays so: after four seconds at most it is as if there had been no evacuation,
--- a/sched/warmup.h
+++ b/sched/warmup.h
@@ -18,13 +18,13 @@
 /* md_warmup_begin: begin with the smallest share. */
 void md_warmup_begin (MdWarmup *warmup, MdTime now);
 
-/* md_warmup_advance: bring the share up to the present. The worker is slow after its own start until
-   cold_until, which may change between two calls. Returns the share in steps, 1 to
+/* md_warmup_advance: bring the share up to the present. The worker is slow after its own start
+   until cold_until, which may change between two calls. Returns the share in steps, 1 to
    MD_WARMUP_STEPS; the warm-up is over with the last one. */
 uint32_t md_warmup_advance (MdWarmup *warmup, MdTime cold_until, MdTime now);
 
-/* md_warmup_due: time from now until the share, as of the last md_warmup_advance, has this many steps.
-   0 if it has. */
+/* md_warmup_due: time from now until the share, as of the last md_warmup_advance, has this many
+   steps. 0 if it has. */
 MdTime md_warmup_due (const MdWarmup *warmup, MdTime cold_until, uint32_t steps);
 
 #endif
--- a/tests/front.h
+++ b/tests/front.h
@@ -14,8 +14,8 @@
 extern atomic_bool front_config_changed; /* the store has a second version and dropped the first */
 extern atomic_bool front_config_held;    /* the store does not answer while this is set */
 
-/* front_setup, front_teardown: fixture; starts and stops the front end, with eight threads for callers
-   and a configuration with the queue /calc/. */
+/* front_setup, front_teardown: fixture; starts and stops the front end, with eight threads for
+   callers and a configuration with the queue /calc/. */
 void front_setup (void);
 /* front_setup_starting: the same for an entry that starts; its configuration is held. */
 void front_setup_starting (void);
--- a/tests/test-backlog.c
+++ b/tests/test-backlog.c
@@ -126,8 +126,8 @@
   return outcome;
 }
 
-/* Guards against an entry that is busy all the time and answers hardly a job in time: each waits for as
-   long as the backlog is. */
+/* Guards against an entry that is busy all the time and answers hardly a job in time: each waits
+   for as long as the backlog is. */
 START_TEST (overload_leaves_jobs_in_time)
 {
   Outcome former = play (ARRIVAL_ORDER);
--- a/tests/test-entry-aged.c
+++ b/tests/test-entry-aged.c
@@ -1,5 +1,5 @@
-/* test-entry-aged.c -- a job whose caller had waited before it arrived, at an entry with one guard and
-   without links */
+/* test-entry-aged.c -- a job whose caller had waited before it arrived, at an entry with one guard
+   and without links */
 
 #include "run-entry.h"
 #include "suite.h"
@@ -82,8 +82,8 @@
   md_buf_clear (&request.body);
 }
 
-/* Guards against an aged job that is placed before jobs that can be in time, and against one that is
-   withdrawn at the next tick because its goal has passed although its caller waits. */
+/* Guards against an aged job that is placed before jobs that can be in time, and against one that
+   is withdrawn at the next tick because its goal has passed although its caller waits. */
 START_TEST (aged_job_runs_behind_the_others)
 {
   MdEntryOrder *order;
@@ -105,8 +105,8 @@
 }
 END_TEST
 
-/* Guards against an aged job that takes capacity while others wait, and against one that waits for the
-   reports of further guards instead of being rejected at once. */
+/* Guards against an aged job that takes capacity while others wait, and against one that waits for
+   the reports of further guards instead of being rejected at once. */
 START_TEST (aged_job_is_rejected_behind_others)
 {
   int64_t aged = atomic_load (&md_metrics[MD_M_JOBS_AGED]);
--- a/tests/test-entry-evacuation.c
+++ b/tests/test-entry-evacuation.c
@@ -1,7 +1,7 @@
 /* test-entry-evacuation.c -- evacuated failure domains at an entry
 
-   The entry has a fast guard in zone-a and a slow one in zone-b, without links; another test plays a
-   guard over the loopback interface. */
+   The entry has a fast guard in zone-a and a slow one in zone-b, without links; another test plays
+   a guard over the loopback interface. */
 
 #include "run-entry.h"
 #include "suite.h"
@@ -135,8 +135,8 @@
   guard->unsent = NULL;
 }
 
-/* Guards against tasks, and gangs, that are placed in an evacuated domain because its workers are the
-   better ones. */
+/* Guards against tasks, and gangs, that are placed in an evacuated domain because its workers are
+   the better ones. */
 START_TEST (nothing_is_placed_there)
 {
   apply (5, "zone-a,elsewhere");
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -606,8 +606,8 @@
 #define LARGE_SPEC_BYTES ((size_t)3 << 20)
 
 /* Guards against orders that count as sent although they never left: jobs with large bodies that
-   were placed on one guard in the same pass made a message of more than a frame, or more output than
-   a link has, and their tasks waited for ends that could not come. */
+   were placed on one guard in the same pass made a message of more than a frame, or more output
+   than a link has, and their tasks waited for ends that could not come. */
 START_TEST (large_orders_are_all_sent)
 {
   static MdEntryJob jobs[LARGE_JOBS];
--- a/tests/test-entry-handover.c
+++ b/tests/test-entry-handover.c
@@ -315,8 +315,8 @@
 }
 END_TEST
 
-/* Guards against a caller that waits until its time is over when the taker dies, and against an answer
-   that says that nothing has run. */
+/* Guards against a caller that waits until its time is over when the taker dies, and against an
+   answer that says that nothing has run. */
 START_TEST (lost_taker_is_answered_unknown)
 {
   char response[1024];
@@ -368,8 +368,8 @@
 }
 END_TEST
 
-/* Guards against an entry that, after a pause, answers a caller that has left meanwhile, and counts it as
-   served: the end of the job is read before the thread has reported that. */
+/* Guards against an entry that, after a pause, answers a caller that has left meanwhile, and counts
+   it as served: the end of the job is read before the thread has reported that. */
 START_TEST (end_from_before_a_pause)
 {
   int64_t left = atomic_load (&md_metrics[MD_M_CALLERS_LEFT]);
@@ -413,8 +413,8 @@
 }
 END_TEST
 
-/* Guards against the same with a repeat that was parsed, because the entry has time again, and against
-   one that is lost when the taker refuses the first. */
+/* Guards against the same with a repeat that was parsed, because the entry has time again, and
+   against one that is lost when the taker refuses the first. */
 START_TEST (repeat_is_served_after_refusal)
 {
   int fds[2];
@@ -541,8 +541,8 @@
   step_until_jobs (1);
 }
 
-/* Guards against a job whose goal and deadline begin anew with the handover, and against an answer that
-   the hander does not get. */
+/* Guards against a job whose goal and deadline begin anew with the handover, and against an answer
+   that the hander does not get. */
 START_TEST (taken_job_is_answered)
 {
   MdEntryJob *job;
@@ -588,8 +588,8 @@
 }
 END_TEST
 
-/* Guards against the same when the hander dies, and against tasks that are placed before the loss of
-   the link is read. */
+/* Guards against the same when the hander dies, and against tasks that are placed before the loss
+   of the link is read. */
 START_TEST (lost_hander_ends_taken_job)
 {
   take_job ();
--- a/tests/test-entry-late.c
+++ b/tests/test-entry-late.c
@@ -259,8 +259,8 @@
 }
 END_TEST
 
-/* Guards against "not run" for a job of which a part has run: it was given up at its deadline, and its
-   caller repeats it. */
+/* Guards against "not run" for a job of which a part has run: it was given up at its deadline, and
+   its caller repeats it. */
 START_TEST (late_entry_denies_no_job_that_was_given_up)
 {
   MdEntryOrder *order;
@@ -294,8 +294,8 @@
   ck_assert_uint_eq (entry.n_jobs, 0);
 }
 
-/* Guards against the same for a job whose caller left after its orders were sent. No worker is usable
-   when it is repeated, or the entry ends. */
+/* Guards against the same for a job whose caller left after its orders were sent. No worker is
+   usable when it is repeated, or the entry ends. */
 START_TEST (job_of_a_caller_that_left_is_not_denied)
 {
   submit_job (entry.now);
@@ -336,9 +336,9 @@
   caller[1] = -1;
 }
 
-/* Guards against a task that runs twice: an entry that was suspended read the end of a lost run before
-   the thread of the caller reported that it had left, and placed the task again beside the repeat of
-   the job at another entry (run-wake). */
+/* Guards against a task that runs twice: an entry that was suspended read the end of a lost run
+   before the thread of the caller reported that it had left, and placed the task again beside the
+   repeat of the job at another entry (run-wake). */
 START_TEST (lost_run_of_a_caller_that_left_is_not_placed_again)
 {
   MdEntryOrder *order;
@@ -375,8 +375,8 @@
 }
 END_TEST
 
-/* Guards against the same for orders that were queued when the process was suspended: they would be sent
-   with the echo of a report that was read after the pause, so that their guard starts them. */
+/* Guards against the same for orders that were queued when the process was suspended: they would be
+   sent with the echo of a report that was read after the pause, so that their guard starts them. */
 START_TEST (order_that_was_queued_during_a_pause_needs_a_caller)
 {
   submit_job (entry.now);
@@ -401,9 +401,9 @@
   md_inbox_push (&entry.inbox, &pushed->node);
 }
 
-/* Guards against an entry that handles its backlog in order of arrival when it is too long: no job is in
-   time then. These jobs have no work, and slack of 52 ms. Requests that refer to a job come after it
-   in any order. */
+/* Guards against an entry that handles its backlog in order of arrival when it is too long: no job
+   is in time then. These jobs have no work, and slack of 52 ms. Requests that refer to a job come
+   after it in any order. */
 START_TEST (jobs_in_time_go_first_in_a_long_backlog)
 {
   MdCallerRequest jobs[3];
@@ -441,8 +441,8 @@
 }
 END_TEST
 
-/* Guards against a job that is kept although its answer is of no use any more, and against "not run" of
-   one that may have run. */
+/* Guards against a job that is kept although its answer is of no use any more, and against "not
+   run" of one that may have run. */
 START_TEST (expired_job_is_rejected_at_once)
 {
   MdTime limit = 3 * (4 * RUN_TIME + 60 * MD_MS);
--- a/tests/test-entry-near.c
+++ b/tests/test-entry-near.c
@@ -340,8 +340,8 @@
 }
 END_TEST
 
-/* Load pattern: a rack that many jobs want, beside a free one. Guards against a queue there that each
-   task makes longer for the next. */
+/* Load pattern: a rack that many jobs want, beside a free one. Guards against a queue there that
+   each task makes longer for the next. */
 START_TEST (hot_rack_is_left_to_those_that_wait)
 {
   int near = 0;
@@ -395,8 +395,8 @@
   return job;
 }
 
-/* Guards against a group that is spread over racks because one of its tasks is placed elsewhere, and
-   against one that waits on although another rack is free. */
+/* Guards against a group that is spread over racks because one of its tasks is placed elsewhere,
+   and against one that waits on although another rack is free. */
 START_TEST (group_moves_together)
 {
   MdEntryJob *job = submit_group ();
--- a/tests/test-entry-start.c
+++ b/tests/test-entry-start.c
@@ -1,5 +1,5 @@
-/* test-entry-start.c -- requests and jobs that wait for an entry that has just started; tests step its
-   engine */
+/* test-entry-start.c -- requests and jobs that wait for an entry that has just started; tests step
+   its engine */
 
 #include "front.h"
 #include "suite.h"
@@ -22,7 +22,8 @@
 /* ------------------------------------------------------------------ */
 /* Entry                                                              */
 
-/* Gives the entry an engine, which these tests run step by step, and a worker that has not reported. */
+/* Gives the entry an engine, which these tests run step by step, and a worker that has not
+   reported. */
 static void
 add_engine (void)
 {
@@ -185,8 +186,8 @@
 }
 END_TEST
 
-/* Guards against a wait that goes on after the start has ended or after the caller has left, and against
-   one that the former hides the latter in: an entry that was suspended finds both. */
+/* Guards against a wait that goes on after the start has ended or after the caller has left, and
+   against one that the former hides the latter in: an entry that was suspended finds both. */
 START_TEST (wait_ends_with_the_start_or_the_caller)
 {
   MdEntryStart start;
@@ -269,8 +270,8 @@
 }
 END_TEST
 
-/* Guards against a run that is placed when the worker comes, for a caller that has left meanwhile and
-   may have repeated the job at another entry. */
+/* Guards against a run that is placed when the worker comes, for a caller that has left meanwhile
+   and may have repeated the job at another entry. */
 START_TEST (job_whose_caller_leaves_gets_no_late_worker)
 {
   int64_t waits = atomic_load (&md_metrics[MD_M_START_WAITS]);
@@ -292,8 +293,8 @@
 }
 END_TEST
 
-/* Guards against a job that waits for a worker for ever, and against one that waits at an entry that is
-   leaving. */
+/* Guards against a job that waits for a worker for ever, and against one that waits at an entry
+   that is leaving. */
 START_TEST (wait_for_a_worker_ends)
 {
   int64_t waits = atomic_load (&md_metrics[MD_M_START_WAITS]);
@@ -317,7 +318,8 @@
 }
 END_TEST
 
-/* Guards against an entry that has run for long and makes jobs wait for a worker that does not come. */
+/* Guards against an entry that has run for long and makes jobs wait for a worker that does not
+   come. */
 START_TEST (old_process_does_not_wait_for_a_worker)
 {
   int64_t waits = atomic_load (&md_metrics[MD_M_START_WAITS]);
--- a/tests/test-evacuation.c
+++ b/tests/test-evacuation.c
@@ -1,4 +1,5 @@
-/* test-evacuation.c -- the set of evacuated failure domains, as read from the log and as told to guards
+/* test-evacuation.c -- the set of evacuated failure domains, as read from the log and as told to
+   guards
 
    Offsets stand for time: each test delivers records in an order that slow, repeated or interrupted
    calls to the store produce. */
@@ -49,8 +50,8 @@
 }
 END_TEST
 
-/* Guards against a domain that is put back into use between the first page and the last, and against
-   one that stays evacuated although its record is gone from the store. */
+/* Guards against a domain that is put back into use between the first page and the last, and
+   against one that stays evacuated although its record is gone from the store. */
 START_TEST (former_set_applies_until_the_last_page)
 {
   md_evacuation_begin_pages (&records);
@@ -86,8 +87,8 @@
 }
 END_TEST
 
-/* Guards against an older record that is read after a page with a newer one of the same domain: pages
-   are no snapshot, and the log is read again from their lowest end on. */
+/* Guards against an older record that is read after a page with a newer one of the same domain:
+   pages are no snapshot, and the log is read again from their lowest end on. */
 START_TEST (older_record_after_a_page_changes_nothing)
 {
   md_evacuation_begin_pages (&records);
@@ -175,8 +176,8 @@
   return md_platform_parse_evacuation (&record, domain, evacuated);
 }
 
-/* Guards against a zone that goes on working because an operator's tool writes another value than the
-   empty object. */
+/* Guards against a zone that goes on working because an operator's tool writes another value than
+   the empty object. */
 START_TEST (any_value_evacuates)
 {
   static const char *const values[]
--- a/tests/test-guard-evacuation.c
+++ b/tests/test-guard-evacuation.c
@@ -1,7 +1,7 @@
 /* test-guard-evacuation.c -- a guard whose failure domain is evacuated, over the loopback interface
 
-   The test plays two entries, each of which knows the operator's log up to a place of its own, and a
-   worker that rejects a start. */
+   The test plays two entries, each of which knows the operator's log up to a place of its own, and
+   a worker that rejects a start. */
 
 #include "http-client.h"
 #include "run-guard.h"
@@ -308,8 +308,8 @@
 }
 END_TEST
 
-/* Guards against a domain that stays out of use after the operator has put it back, or is put back by
-   an entry that knows less. */
+/* Guards against a domain that stays out of use after the operator has put it back, or is put back
+   by an entry that knows less. */
 START_TEST (taken_back_by_a_newer_version_only)
 {
   start_guard (NULL);
@@ -332,8 +332,8 @@
 }
 END_TEST
 
-/* Has the domain evacuated between a start and its answer. Returns whether there was an answer: on a
-   busy machine the call can time out, and a hold would have to tell what became of the run. */
+/* Has the domain evacuated between a start and its answer. Returns whether there was an answer: on
+   a busy machine the call can time out, and a hold would have to tell what became of the run. */
 static bool
 evacuate_during_start (uint64_t version)
 {
@@ -352,8 +352,8 @@
   return false;
 }
 
-/* Guards against a run that waits at a closed queue after the worker has rejected its start: nothing
-   would start it, and its entry takes it for started. */
+/* Guards against a run that waits at a closed queue after the worker has rejected its start:
+   nothing would start it, and its entry takes it for started. */
 START_TEST (rejected_start_does_not_wait)
 {
   uint64_t version = 4;
--- a/tests/test-handover.c
+++ b/tests/test-handover.c
@@ -212,8 +212,8 @@
 /* ------------------------------------------------------------------ */
 /* Replay of the peak load                                            */
 
-/* Four failure domains with the same load each. Those of the first have 0.12 of a core. Each entry is
-   a queue of processor time; a request is in time if it waits at most 50 ms. */
+/* Four failure domains with the same load each. Those of the first have 0.12 of a core. Each entry
+   is a queue of processor time; a request is in time if it waits at most 50 ms. */
 #define ENTRIES 12
 #define PER_DOMAIN 3
 #define STEP (10 * MD_MS)
@@ -349,8 +349,8 @@
   return (double)day->in_time[domain] / (double)day->jobs[domain];
 }
 
-/* Guards against a domain of small entries that answers late at the peak of each wave while the large
-   entries have time, and against large entries that get more than they can serve. */
+/* Guards against a domain of small entries that answers late at the peak of each wave while the
+   large entries have time, and against large entries that get more than they can serve. */
 START_TEST (peak_of_small_entries_is_shared)
 {
   Day without = replay (false);
--- a/tests/test-locality.c
+++ b/tests/test-locality.c
@@ -61,8 +61,8 @@
 }
 END_TEST
 
-/* Load pattern: a rack that many jobs want, beside free ones. Guards against a queue there that each
-   further task makes longer for the next. */
+/* Load pattern: a rack that many jobs want, beside free ones. Guards against a queue there that
+   each further task makes longer for the next. */
 START_TEST (hot_rack_costs_those_that_wait)
 {
   MdLocalityInput in = input (30 * MD_MS, 0);
@@ -82,8 +82,8 @@
 }
 END_TEST
 
-/* Guards against a wait that costs the goal: the time until which it lasts leaves enough for the far
-   place. */
+/* Guards against a wait that costs the goal: the time until which it lasts leaves enough for the
+   far place. */
 START_TEST (goal_can_be_met_far_when_the_wait_ends)
 {
   MdLocalityInput in = input (40 * MD_MS, 0);
@@ -187,8 +187,8 @@
 }
 END_TEST
 
-/* Guards against decisions that are not made when the queue changes, and against a decision with each
-   report. */
+/* Guards against decisions that are not made when the queue changes, and against a decision with
+   each report. */
 START_TEST (queue_that_changes_by_a_quarter_is_looked_at)
 {
   ck_assert (!md_locality_queue_changed (40 * MD_MS, 49 * MD_MS));
--- a/tests/test-patience.c
+++ b/tests/test-patience.c
@@ -24,8 +24,8 @@
   return usual;
 }
 
-/* Guards against a queue whose first callers are taken for old ones because they differ, and against
-   an age that errors of the estimates explain. */
+/* Guards against a queue whose first callers are taken for old ones because they differ, and
+   against an age that errors of the estimates explain. */
 START_TEST (age_needs_samples_and_a_large_difference)
 {
   MdPatience usual = usual_after (15);
@@ -39,8 +39,8 @@
 }
 END_TEST
 
-/* Guards against an age of a request whose caller says nothing of its patience, or waits longer than
-   usual. */
+/* Guards against an age of a request whose caller says nothing of its patience, or waits longer
+   than usual. */
 START_TEST (caller_without_a_timeout_has_no_age)
 {
   MdPatience usual = usual_after (16);
@@ -79,8 +79,8 @@
 }
 END_TEST
 
-/* Guards against an entry that has just started and takes old requests for usual ones because all of its first
-   ones are old. */
+/* Guards against an entry that has just started and takes old requests for usual ones because all
+   of its first ones are old. */
 START_TEST (time_out_of_the_queue_is_usual_at_first)
 {
   MdPatience usual = { 0 };
@@ -94,8 +94,8 @@
 }
 END_TEST
 
-/* Guards against jobs that count as old because their callers state more for longer jobs: times of jobs
-   whose run times are log-normal. */
+/* Guards against jobs that count as old because their callers state more for longer jobs: times of
+   jobs whose run times are log-normal. */
 START_TEST (times_that_follow_the_work_make_no_age)
 {
   MdPatience usual = { 0 };
@@ -320,9 +320,9 @@
     }
 }
 
-/* Guards against new requests that are rejected or late because those of an outage, which have missed
-   their goals, take the capacity: of new ones 96% were in time on a usual day, in the second after the
-   return of a site less than half. */
+/* Guards against new requests that are rejected or late because those of an outage, which have
+   missed their goals, take the capacity: of new ones 96% were in time on a usual day, in the second
+   after the return of a site less than half. */
 START_TEST (new_requests_are_in_time_after_a_return)
 {
   Simulation *with = malloc (sizeof *with);
--- a/tests/test-priority-messages.c
+++ b/tests/test-priority-messages.c
@@ -1,8 +1,8 @@
 /* test-priority-messages.c -- priorities and pressure between an entry and a guard
 
-   An entry and a guard in one process, over the loopback interface; the guard starts nothing. Guards
-   against a priority that is known at the entry and never reaches the queue of a guard, and a
-   pressure that never reaches the entry. */
+   An entry and a guard in one process, over the loopback interface; the guard starts nothing.
+   Guards against a priority that is known at the entry and never reaches the queue of a guard, and
+   a pressure that never reaches the entry. */
 
 #include "run-entry.h"
 #include "run-guard.h"
@@ -97,8 +97,8 @@
   close (caller[1]);
 }
 
-/* Submits a job of one task to a queue of this priority and waits until the guard has the run, which
-   is returned. Slack enough for any backlog. */
+/* Submits a job of one task to a queue of this priority and waits until the guard has the run,
+   which is returned. Slack enough for any backlog. */
 static const MdGuardRun *
 submit (const char *queue, uint8_t priority)
 {
--- a/tests/test-priority.c
+++ b/tests/test-priority.c
@@ -276,8 +276,8 @@
 }
 END_TEST
 
-/* Guards against a report that arrives twice, or after a newer one, and replaces the newer figure or
-   makes an old one new. */
+/* Guards against a report that arrives twice, or after a newer one, and replaces the newer figure
+   or makes an old one new. */
 START_TEST (only_the_newest_stamp_counts)
 {
   MdRunEntry entry = { .now = 100 * MD_SECOND };
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -207,8 +207,8 @@
   "internal_address: 127.0.0.1:7000\nentry_port: 7000\ncaller_address: 127.0.0.1:8000\n"           \
   "ready_address: 127.0.0.1:8001\n"
 
-/* Guards against handovers that a setting does not turn off, or that need one to be on, and against a
-   change of the setting that is not named as waiting for a restart. */
+/* Guards against handovers that a setting does not turn off, or that need one to be on, and against
+   a change of the setting that is not named as waiting for a restart. */
 START_TEST (test_handover)
 {
   MD_AUTO_BUF faults = { 0 };
--- a/tests/test-startup.c
+++ b/tests/test-startup.c
@@ -6,8 +6,9 @@
 
 #define LONG_AGO MD_MAX_SPAN /* age of a process that has run for long */
 
-/* Guards against requests that are answered 503 in the 50 ms before an entry has read its configuration,
-   and against a wait beyond the one second, the time of the caller, or the first seconds. */
+/* Guards against requests that are answered 503 in the 50 ms before an entry has read its
+   configuration, and against a wait beyond the one second, the time of the caller, or the first
+   seconds. */
 START_TEST (request_waits_for_the_first_configuration)
 {
   ck_assert_int_eq (md_startup_config_wait (20 * MD_MS, 0, 0), MD_SECOND);
@@ -20,8 +21,8 @@
 }
 END_TEST
 
-/* Guards against a job that waits for a worker so long that it cannot be in time, or at an entry that
-   has had time to hear its guards. */
+/* Guards against a job that waits for a worker so long that it cannot be in time, or at an entry
+   that has had time to hear its guards. */
 START_TEST (job_waits_for_the_first_worker)
 {
   ck_assert_int_eq (md_startup_worker_wait (100 * MD_MS, 2 * MD_SECOND), 500 * MD_MS);
--- a/tests/test-warmup.c
+++ b/tests/test-warmup.c
@@ -33,8 +33,8 @@
   return elapsed;
 }
 
-/* Guards against workers that get a second's load at once when their domain is put back into use, and
-   against ones that stay out of use because they are cold for long. */
+/* Guards against workers that get a second's load at once when their domain is put back into use,
+   and against ones that stay out of use because they are cold for long. */
 START_TEST (share_grows_in_a_second_or_longer_while_cold)
 {
   ck_assert_int_eq (time_until_warm (0), MD_SECOND);
@@ -81,8 +81,8 @@
   return queue;
 }
 
-/* Guards against an idle worker that seems to start a run at once which does not fit into its share:
-   nothing runs there whose end could be waited for. */
+/* Guards against an idle worker that seems to start a run at once which does not fit into its
+   share: nothing runs there whose end could be waited for. */
 START_TEST (wait_for_the_share_is_reported)
 {
   MdRunQueue queue = idle_queue ();
@@ -103,8 +103,8 @@
 }
 END_TEST
 
-/* Guards against capacity that is given twice when a run ends meanwhile, and against started runs that
-   are counted against the share of later ones. */
+/* Guards against capacity that is given twice when a run ends meanwhile, and against started runs
+   that are counted against the share of later ones. */
 START_TEST (started_runs_keep_their_room)
 {
   MdRunQueue queue = idle_queue ();
@@ -161,8 +161,8 @@
   return guard.queue.free.cpu;
 }
 
-/* Guards against a worker that is used in part after an ordinary start or pause, and in full at once
-   after an evacuation. */
+/* Guards against a worker that is used in part after an ordinary start or pause, and in full at
+   once after an evacuation. */
 START_TEST (only_an_evacuation_is_followed_by_a_warmup)
 {
   start_guard ();
@@ -185,8 +185,8 @@
 }
 END_TEST
 
-/* Guards against a warm-up that is over before the worker is back, and against one that is lost with a
-   pause of the worker. */
+/* Guards against a warm-up that is over before the worker is back, and against one that is lost
+   with a pause of the worker. */
 START_TEST (warmup_begins_when_the_worker_is_usable)
 {
   start_guard ();
@@ -208,8 +208,8 @@
 }
 END_TEST
 
-/* Guards against a cold worker that is used like a warm one, and against a worker that starts nothing
-   for a second because its usual run is larger than the first share. */
+/* Guards against a cold worker that is used like a warm one, and against a worker that starts
+   nothing for a second because its usual run is larger than the first share. */
 START_TEST (cold_worker_takes_longer_and_one_run_always_fits)
 {
   start_guard ();
