--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -390,6 +390,9 @@
   job->age = md_patience_age (&job->stats->patience, caller_request->response_timeout,
                               objective - NETWORK_MARGIN, job->route.timeout);
   job->goal = caller_request->arrived - job->age + objective - NETWORK_MARGIN;
+  /* How long it has passed makes no difference, and callers may state any time. */
+  if (job->goal < caller_request->arrived - MD_SECOND)
+    job->goal = caller_request->arrived - MD_SECOND;
   job->limit = caller_request->arrived + MD_LIMIT_GOAL_MULTIPLE * objective - NETWORK_MARGIN;
   job->deadline = caller_request->arrived + timeout;
   /* The caller of an aged job waits for an answer that is late. */
