--- a/review/tools-3/lib.sh
+++ b/review/tools-3/lib.sh
@@ -32,7 +32,7 @@
   "$@" >> "$RUN/$name.log" 2>&1 &
   PID[$name]=$!
 }
-end_process () { kill -KILL "${PID[$1]}"; wait "${PID[$1]}" 2>/dev/null; }
+end_process () { kill -KILL "${PID[$1]}"; wait "${PID[$1]}" 2>/dev/null; unset "PID[$1]"; }
 now_ms () { echo $((${EPOCHREALTIME/[.,]/} / 1000)); }
 
 # Entry n has the address 127.0.0.(10 + n), guard n 127.0.0.(50 + n) for its metrics.
--- a/review/tools-3/slow.c
+++ b/review/tools-3/slow.c
@@ -9,6 +9,15 @@
 #include <stdlib.h>
 #include <time.h>
 
+static long long
+now_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return now.tv_sec * 1000LL + now.tv_nsec / 1000000;
+}
+
 static void
 pause_ms (int ms)
 {
@@ -20,9 +29,12 @@
 int
 main (int argc, char **argv)
 {
+  long long end;
+
   if (argc != 5 || atoi (argv[1]) <= 1)
     return 2;
-  for (int left = atoi (argv[4]); left > 0; left -= atoi (argv[2]) + atoi (argv[3]))
+  end = now_ms () + atoi (argv[4]);
+  while (now_ms () + atoi (argv[3]) < end)
     {
       kill (atoi (argv[1]), SIGSTOP);
       pause_ms (atoi (argv[3]));
