--- a/fleet/config-reader.c
+++ b/fleet/config-reader.c
@@ -97,6 +97,7 @@
     {
       md_log (MD_LOG_ERROR, "config-ignored", "offset=%llu reason=\"%s\"",
               (unsigned long long)record->offset, error.detail);
+      md_count (MD_M_CONFIGS_IGNORED, 1);
       return;
     }
   /* Versions increase; an older one is an earlier record that was read again. */
@@ -106,11 +107,14 @@
       return;
     }
   md_log (MD_LOG_INFO, "config-applied",
-          "version=%llu former=%llu routes=%zu offset=%llu former_age_ms=%lld",
+          "version=%llu former=%llu routes=%zu ignored_routes=%zu offset=%llu former_age_ms=%lld",
           (unsigned long long)routes->version,
           (unsigned long long)(previous != NULL ? previous->version : 0), routes->n,
-          (unsigned long long)record->offset, (long long)(md_config_reader_age (reader) / MD_MS));
+          routes->n_ignored, (unsigned long long)record->offset,
+          (long long)(md_config_reader_age (reader) / MD_MS));
   md_gauge (MD_M_CONFIG_VERSION, (int64_t)routes->version);
+  md_gauge (MD_M_CONFIG_ROUTES, (int64_t)routes->n);
+  md_gauge (MD_M_CONFIG_ROUTES_IGNORED, (int64_t)routes->n_ignored);
   atomic_store_explicit (&reader->routes, routes, memory_order_release);
   reader->on_change (reader->user);
   urcu_memb_synchronize_rcu ();
--- a/fleet/entry-advice.c
+++ b/fleet/entry-advice.c
@@ -158,14 +158,14 @@
   MD_AUTO_CALL request = { 0 };
   char name[MD_RUN_NAME_BYTES];
   MdStr names[MD_ADVICE_MAX_WORKERS];
-  MdTime timeout = md_advice_call_time (&job->route.advisor, n) + RESPONSE_MARGIN;
+  MdTime timeout = md_advice_call_time (&job->route->advisor, n) + RESPONSE_MARGIN;
   Call *call = calloc (1, sizeof *call);
 
   if (call == NULL)
     return; /* retried when the job is placed again */
   *call = (Call){ .entry = entry, .job = job, .step = step, .n = n };
-  call->validity = job->route.advisor.permit_validity > 0 ? job->route.advisor.permit_validity
-                                                          : DEFAULT_PERMIT_VALIDITY;
+  call->validity = job->route->advisor.permit_validity > 0 ? job->route->advisor.permit_validity
+                                                           : DEFAULT_PERMIT_VALIDITY;
   for (uint32_t i = 0; i < n; i++)
     {
       call->lifetimes[i] = workers[i]->lifetime;
@@ -256,10 +256,10 @@
   if (job->advice == NULL)
     return 0;
   if (entry->advice_call != NULL)
-    wait += md_advice_call_time (&job->route.advisor, entry->advice_call->n);
+    wait += md_advice_call_time (&job->route->advisor, entry->advice_call->n);
   for (const MdEntryJob *other = entry->jobs; other != NULL; other = other->next)
     if (other != job && other->needs_advice && md_entry_due (other) < md_entry_due (job))
-      wait += md_advice_call_time (&other->route.advisor, workers_to_ask (other, 0));
+      wait += md_advice_call_time (&other->route->advisor, workers_to_ask (other, 0));
   return wait;
 }
 
--- a/fleet/entry-backlog.c
+++ b/fleet/entry-backlog.c
@@ -109,8 +109,8 @@
 {
   return is_job (request) && md_backlog_is_long (entry->now - request->arrived)
          && md_backlog_is_expired (times_of (entry, request)) && !request->known_only
-         && md_entry_find_job (entry, request->id, &request->route) == NULL
-         && !md_entry_may_have_run (entry, request->id, &request->route);
+         && md_entry_find_job (entry, request->id, request->route) == NULL
+         && !md_entry_may_have_run (entry, request->id, request->route);
 }
 
 static void
@@ -122,8 +122,8 @@
   md_log (MD_LOG_INFO, "job-answered",
           "job=%s request=%s queue=%s status=429 outcome=not_run reason=entry-late elapsed_ms=%lld "
           "retry_after_ms=%lld",
-          request->id, request->request_id, request->route.name, (long long)(forecast.lag / MD_MS),
-          (long long)(retry_after / MD_MS));
+          request->id, request->request_id, request->route->label.data,
+          (long long)(forecast.lag / MD_MS), (long long)(retry_after / MD_MS));
   md_count (MD_M_JOBS, 1);
   md_count (MD_M_REFUSED, 1);
   md_count (MD_M_LATE_REJECTIONS, 1);
--- a/fleet/entry-handover.c
+++ b/fleet/entry-handover.c
@@ -30,7 +30,7 @@
   Operation op;              /* what was asked for */
   MdEntryPeer *peer;         /* the taker */
   MdCallerRequest *requests; /* that wait for the answer */
-  MdRoute route;             /* queue */
+  MdRoute *route;            /* queue, owned */
   char job[MD_JOB_ID_BYTES]; /* job ID */
   char request_id[64];       /* of the first request */
   MdTime sent_at;            /* when it was handed over */
@@ -49,8 +49,7 @@
 find_by_job (MdRunEntry *entry, const char *job, const MdRoute *route)
 {
   for (MdOpenHandover *open = *job_bucket (entry, job); open != NULL; open = open->next_job)
-    if (strcmp (open->job, job) == 0 && strcmp (open->route.prefix, route->prefix) == 0
-        && strcmp (open->route.host, route->host) == 0)
+    if (strcmp (open->job, job) == 0 && md_route_is_same_queue (open->route, route))
       return open;
   return NULL;
 }
@@ -108,6 +107,13 @@
     open->next->previous = open->previous;
 }
 
+static void
+free_open (MdOpenHandover *open)
+{
+  md_route_unref (open->route);
+  free (open);
+}
+
 /* ------------------------------------------------------------------ */
 /* Answers                                                            */
 
@@ -179,8 +185,8 @@
 
   md_log (level, "handover-ended",
           "job=%s request=%s queue=%s peer=%s op=%d status=%d outcome=%s elapsed_ms=%lld",
-          open->job, open->request_id, open->route.name, open->peer->name, (int)open->op, status,
-          outcome, (long long)((entry->now - open->sent_at) / MD_MS));
+          open->job, open->request_id, open->route->label.data, open->peer->name, (int)open->op,
+          status, outcome, (long long)((entry->now - open->sent_at) / MD_MS));
 }
 
 /* Ends a handover of which the outcome is not known: it may have run. */
@@ -195,10 +201,10 @@
   if (open->op == OP_RUN)
     {
       md_count (MD_M_GIVEN_UP, 1);
-      md_entry_record_end (entry, open->job, &open->route, MD_FINAL_GIVEN_UP);
+      md_entry_record_end (entry, open->job, open->route, MD_FINAL_GIVEN_UP);
     }
   answer_all (open, &answer);
-  free (open);
+  free_open (open);
 }
 
 void
@@ -241,7 +247,7 @@
           md_entry_handle_request (entry, caller_request);
         }
     }
-  free (open);
+  free_open (open);
 }
 
 void
@@ -260,15 +266,15 @@
       return;
     }
   if (md_entry_is_rejection (answer.status)
-      && md_entry_may_have_run (entry, open->job, &open->route))
+      && md_entry_may_have_run (entry, open->job, open->route))
     /* Nothing of this attempt has run, but perhaps of an earlier one here. */
     answer = (Answer){ .status = MD_STATUS_GIVEN_UP, .body = MD_STR ("") };
   log_end (entry, open, answer.status, end->state[0] != '\0' ? "answered" : "no-state");
   unlink_open (entry, open);
   if (open->op == OP_RUN && (end->state[0] != '\0' || !md_entry_is_rejection (answer.status)))
-    md_entry_record_end (entry, open->job, &open->route, final_state (end->state));
+    md_entry_record_end (entry, open->job, open->route, final_state (end->state));
   answer_all (open, &answer);
-  free (open);
+  free_open (open);
 }
 
 /* ------------------------------------------------------------------ */
@@ -279,19 +285,23 @@
 send_request (MdRunEntry *entry, MdEntryPeer *peer, MdCallerRequest *caller_request, Operation op)
 {
   MdOpenHandover *open = calloc (1, sizeof *open);
-  char path[MD_PREFIX_BYTES + MD_JOB_ID_BYTES];
+  MD_AUTO_BUF path = { 0 };
   Md__Frame frame = MD__FRAME__INIT;
   Md__JobHandover handover = MD__JOB_HANDOVER__INIT;
   MdTime age = entry->now > caller_request->arrived ? entry->now - caller_request->arrived : 0;
 
-  if (open == NULL)
-    return false;
-  snprintf (path, sizeof path, "%s%s", caller_request->route.prefix, caller_request->id);
+  md_buf_append (&path, caller_request->route->prefix);
+  md_buf_append (&path, md_str (caller_request->id));
+  if (open == NULL || path.failed)
+    {
+      free (open);
+      return false;
+    }
   handover.id = open->id = ++entry->handover.last_id;
   handover.op = op;
   handover.job = caller_request->id;
-  handover.host = caller_request->route.host;
-  handover.path = path;
+  handover.host = (char *)caller_request->route->host.data;
+  handover.path = path.data;
   handover.request_id = caller_request->request_id;
   if (op == OP_RUN)
     {
@@ -313,7 +323,7 @@
     }
   open->op = op;
   open->peer = peer;
-  open->route = caller_request->route;
+  open->route = md_route_ref (caller_request->route);
   open->sent_at = entry->now;
   md_str_copy (open->job, sizeof open->job, md_str (caller_request->id));
   md_str_copy (open->request_id, sizeof open->request_id, md_str (caller_request->request_id));
@@ -345,7 +355,7 @@
   md_log (MD_LOG_INFO, "handover",
           "job=%s request=%s queue=%s outcome=%s peer=%s near=%d peers=%zu free_millicores=%d "
           "load_age_ms=%lld lag_ms=%lld use_permille=%d",
-          caller_request->id, caller_request->request_id, caller_request->route.name,
+          caller_request->id, caller_request->request_id, caller_request->route->label.data,
           result.kind == MD_HANDOVER_TO ? "handed-over" : "kept",
           result.kind == MD_HANDOVER_TO ? peers[result.peer]->name : "-",
           result.kind == MD_HANDOVER_TO && peers[result.peer]->load.near, result.usable,
@@ -363,7 +373,7 @@
 
   if (caller_request->taken != NULL)
     return false;
-  open = find_by_job (entry, caller_request->id, &caller_request->route);
+  open = find_by_job (entry, caller_request->id, caller_request->route);
   if (open != NULL)
     {
       attach (open, caller_request);
@@ -388,7 +398,7 @@
 bool
 md_entry_forward_query (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
-  const MdOpenHandover *open = find_by_job (entry, caller_request->id, &caller_request->route);
+  const MdOpenHandover *open = find_by_job (entry, caller_request->id, caller_request->route);
 
   return open != NULL && caller_request->taken == NULL
          && send_request (entry, open->peer, caller_request,
@@ -417,7 +427,7 @@
   md_link_send (open->peer->link, &frame);
   log_end (entry, open, 0, "caller-left");
   md_count (MD_M_CALLERS_LEFT, 1);
-  md_entry_record_end (entry, open->job, &open->route, MD_FINAL_GIVEN_UP);
+  md_entry_record_end (entry, open->job, open->route, MD_FINAL_GIVEN_UP);
   unlink_open (entry, open);
-  free (open);
+  free_open (open);
 }
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -46,8 +46,7 @@
 md_entry_find_job (const MdRunEntry *entry, const char *id, const MdRoute *route)
 {
   for (MdEntryJob *job = entry->buckets[bucket_of (id)]; job != NULL; job = job->bucket_next)
-    if (strcmp (job->id, id) == 0 && strcmp (job->route.prefix, route->prefix) == 0
-        && strcmp (job->route.host, route->host) == 0)
+    if (strcmp (job->id, id) == 0 && md_route_is_same_queue (job->route, route))
       return job;
   return NULL;
 }
@@ -55,10 +54,11 @@
 static MdJobKey
 job_key (const char *id, const MdRoute *route)
 {
-  char name[MD_JOB_ID_BYTES + sizeof route->prefix + sizeof route->host];
-  int len = snprintf (name, sizeof name, "%s %s %s", id, route->prefix, route->host);
-  XXH128_hash_t hash = XXH3_128bits (name, (size_t)len);
+  uint64_t queue = XXH3_64bits (route->prefix.data, route->prefix.len);
+  XXH128_hash_t hash;
 
+  queue = XXH3_64bits_withSeed (route->host.data, route->host.len, queue);
+  hash = XXH3_128bits_withSeed (id, strlen (id), queue);
   return (MdJobKey){ hash.low64, hash.high64 };
 }
 
@@ -85,7 +85,7 @@
     end = MD_FINAL_COMPLETED;
   else if (strcmp (state, MD_PLATFORM_CANCELLED) == 0)
     end = MD_FINAL_CANCELLED;
-  md_entry_record_end (entry, job->id, &job->route, end);
+  md_entry_record_end (entry, job->id, job->route, end);
 }
 
 const char *
@@ -145,22 +145,40 @@
   entry->n_tasks -= md_run_spec_tasks (&job->runjob.spec);
 }
 
+void
+md_entry_free_queues (MdRunEntry *entry)
+{
+  for (uint32_t i = 0; i < entry->n_stats; i++)
+    {
+      md_route_unref (entry->stats[i]->route);
+      free (entry->stats[i]->name);
+      free (entry->stats[i]);
+    }
+  entry->n_stats = 0;
+  while (entry->n_pressures > 0)
+    free ((char *)entry->pressures[--entry->n_pressures].pool.data);
+}
+
 /* Returns the statistics of a queue, created on first use. When the table is full or memory is
    short, the statistics of the first queue are shared. */
 static MdQueueStats *
-get_stats (MdRunEntry *entry, const char *name)
+get_stats (MdRunEntry *entry, const MdRoute *route)
 {
   MdQueueStats *stats;
 
   for (uint32_t i = 0; i < entry->n_stats; i++)
-    if (strcmp (entry->stats[i]->name, name) == 0)
+    if (md_str_equal (md_str (entry->stats[i]->name), route->name))
       return entry->stats[i];
   if (entry->n_stats == MD_MAX_QUEUES)
     return entry->stats[0];
   stats = calloc (1, sizeof *stats);
-  if (stats == NULL)
-    return entry->stats[0];
-  md_str_copy (stats->name, sizeof stats->name, md_str (name));
+  if (stats != NULL)
+    stats->name = md_str_dup (route->name);
+  if (stats == NULL || stats->name == NULL)
+    {
+      free (stats);
+      return entry->stats[0];
+    }
   stats->allowed_share = MD_INITIAL_ALLOWED_SHARE;
   entry->stats[entry->n_stats++] = stats;
   return stats;
@@ -184,8 +202,8 @@
   md_log (MD_LOG_INFO, "job-answered",
           "job=%s request=%s queue=%s status=%d outcome=%s reason=%s elapsed_ms=%lld "
           "goal_ms=%lld first_start_ms=%lld retry_after_ms=%lld",
-          job->id, job->request_id, job->route.name, status, outcome_name (status, state), reason,
-          (long long)((entry->now - job->arrived) / MD_MS),
+          job->id, job->request_id, job->route->label.data, status, outcome_name (status, state),
+          reason, (long long)((entry->now - job->arrived) / MD_MS),
           (long long)((job->goal - job->arrived) / MD_MS),
           (long long)(job->started_at > 0 ? (job->started_at - job->arrived) / MD_MS : -1),
           (long long)(retry_after / MD_MS));
@@ -235,6 +253,7 @@
 {
   md_entry_free_advice (entry, job);
   md_runjob_clear (&job->runjob);
+  md_route_unref (job->route);
   free (job);
 }
 
@@ -262,7 +281,7 @@
 md_entry_finish_job (MdRunEntry *entry, MdEntryJob *job, int status, const char *state,
                      const char *reason, MdTime retry_after)
 {
-  if (md_entry_is_rejection (status) && md_entry_may_have_run (entry, job->id, &job->route))
+  if (md_entry_is_rejection (status) && md_entry_may_have_run (entry, job->id, job->route))
     {
       /* Nothing of this attempt has run, but perhaps of an earlier one. */
       status = MD_STATUS_GIVEN_UP;
@@ -289,7 +308,8 @@
 reject_for_tasks (const MdRunEntry *entry, MdCallerRequest *caller_request)
 {
   md_log (MD_LOG_WARN, "job-rejected", "job=%s queue=%s reason=\"too many tasks\" active=%llu",
-          caller_request->id, caller_request->route.name, (unsigned long long)entry->n_tasks);
+          caller_request->id, caller_request->route->label.data,
+          (unsigned long long)entry->n_tasks);
   md_count (MD_M_REFUSED, 1);
   md_entry_reject_request (entry, caller_request, 429, MD_RETRY_AFTER_NO_WORKER);
 }
@@ -308,34 +328,34 @@
       return;
     }
   job = calloc (1, sizeof *job);
-  if (job != NULL && caller_request->route.advisor.present)
+  if (job != NULL && caller_request->route->advisor.present)
     job->advice = calloc (caller_request->spec.n_steps, sizeof *job->advice);
-  if (job == NULL || (caller_request->route.advisor.present && job->advice == NULL))
+  if (job == NULL || (caller_request->route->advisor.present && job->advice == NULL))
     {
       free (job);
       md_entry_reject_request (entry, caller_request, 503, MD_RETRY_AFTER_NO_WORKER);
       return;
     }
-  job->stats = get_stats (entry, caller_request->route.name);
+  job->stats = get_stats (entry, caller_request->route);
   if (job->stats == NULL)
     {
       free_job (entry, job);
       md_entry_reject_request (entry, caller_request, 503, MD_RETRY_AFTER_NO_WORKER);
       return;
     }
-  if (md_runjob_init (&job->runjob, &caller_request->spec, caller_request->route.max_attempts,
+  if (md_runjob_init (&job->runjob, &caller_request->spec, caller_request->route->max_attempts,
                       &error)
       != MD_OK)
     {
       md_log (MD_LOG_WARN, "job-rejected", "job=%s queue=%s reason=\"%s\"", caller_request->id,
-              caller_request->route.name, error.detail);
+              caller_request->route->label.data, error.detail);
       free_job (entry, job);
       md_entry_reject_request (entry, caller_request, 503, 0);
       return;
     }
   md_str_copy (job->id, sizeof job->id, md_str (caller_request->id));
   md_str_copy (job->request_id, sizeof job->request_id, md_str (caller_request->request_id));
-  job->route = caller_request->route;
+  job->route = md_route_ref (caller_request->route);
   md_entry_note_queue (job);
   md_estimate_set_prior (&job->stats->correction, &entry->correction);
   job->requests = caller_request;
@@ -640,7 +660,7 @@
 {
   job->giving_up = true;
   md_log (MD_LOG_INFO, "job-given-up", "job=%s request=%s queue=%s waited_ms=%lld goal_ms=%lld",
-          job->id, job->request_id, job->route.name,
+          job->id, job->request_id, job->route->label.data,
           (long long)((entry->now - job->arrived) / MD_MS),
           (long long)((job->goal - job->arrived) / MD_MS));
   for (uint32_t i = 0; i < job->runjob.spec.n_steps; i++)
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -80,7 +80,7 @@
 {
   const MdRunStep *spec = &job->runjob.spec.steps[step];
 
-  need->pool = job->route.pool;
+  need->pool = job->route->pool.data;
   need->required_label = spec->required_label;
   need->affinity = spec->affinity;
   need->resources = spec->resources;
@@ -340,13 +340,13 @@
   MdTime objective;
 
   for (uint32_t i = 0; i < entry->n_stats; i++)
-    if (strcmp (entry->stats[i]->name, request->route.name) == 0)
+    if (md_str_equal (md_str (entry->stats[i]->name), request->route->name))
       correction = &entry->stats[i]->correction;
   for (uint32_t i = 0; i < job.spec.n_steps && i < MD_MAX_STEPS; i++)
     of_step[i] = md_estimate_work (correction, job.spec.steps[i].declared_time);
   if (job.spec.n_steps <= MD_MAX_STEPS)
     path = md_runjob_critical_path (&job, of_step);
-  objective = objective_of (&request->route, path);
+  objective = objective_of (request->route, path);
   times->work = md_span (path);
   times->slack = objective - NETWORK_MARGIN - times->work;
   times->limit = MD_LIMIT_GOAL_MULTIPLE * objective - NETWORK_MARGIN;
@@ -383,12 +383,12 @@
 
   for (uint32_t i = 0; i < job->runjob.spec.n_steps; i++)
     work[i] = md_entry_expected_work (job, i)
-              + (double)md_advice_call_time (&job->route.advisor, MD_ADVICE_MAX_WORKERS);
+              + (double)md_advice_call_time (&job->route->advisor, MD_ADVICE_MAX_WORKERS);
   job->critical_path = md_runjob_critical_path (&job->runjob, work);
-  objective = objective_of (&job->route, job->critical_path);
+  objective = objective_of (job->route, job->critical_path);
   job->arrived = caller_request->arrived;
   job->age = md_patience_age (&job->stats->patience, caller_request->response_timeout,
-                              objective - NETWORK_MARGIN, job->route.timeout);
+                              objective - NETWORK_MARGIN, job->route->timeout);
   job->goal = caller_request->arrived - job->age + objective - NETWORK_MARGIN;
   /* How long it has passed makes no difference, and callers may state any time. */
   if (job->goal < caller_request->arrived - MD_SECOND)
@@ -430,7 +430,7 @@
               const MdForecast *forecast)
 {
   const MdRunSpec *spec = &job->runjob.spec;
-  const MdPressure *pressure = md_entry_pressure (entry, job->route.pool);
+  const MdPressure *pressure = md_entry_pressure (entry, job->route->pool);
   MdTime pressure_age
       = pressure != NULL && pressure->known_at > 0 ? entry->now - pressure->known_at : UNKNOWN_AGE;
 
@@ -440,15 +440,15 @@
           "declared_ms=%lld slack_percent=%.0f target_ms=%lld workers_full=%u queued_ms=%lld "
           "lag_ms=%lld priority=%u floor=%d pressure_permille=%u pressure_age_ms=%lld "
           "age_ms=%lld",
-          job->id, job->request_id, job->route.name, (long long)(forecast->finish / MD_MS),
+          job->id, job->request_id, job->route->label.data, (long long)(forecast->finish / MD_MS),
           (long long)(forecast->wait / MD_MS), (long long)(forecast->goal / MD_MS),
           forecast->demand, (long long)(md_admit_bound (forecast) / MD_MS),
           (long long)((job->deadline - job->arrived) / MD_MS), spec->n_steps,
           (unsigned long long)md_run_spec_tasks (spec), spec->steps[0].resources.cpu,
           spec->steps[0].resources.memory_mb, (long long)(spec->steps[0].declared_time / MD_MS),
-          job->route.slack_factor * 100, (long long)(job->route.target_latency / MD_MS),
+          job->route->slack_factor * 100, (long long)(job->route->target_latency / MD_MS),
           count_full (entry), (long long)((entry->now - job->arrived) / MD_MS),
-          (long long)(forecast->lag / MD_MS), job->route.priority, job->floor,
+          (long long)(forecast->lag / MD_MS), job->route->priority, job->floor,
           pressure != NULL ? pressure->permille : 0, (long long)(pressure_age / MD_MS),
           (long long)(job->age / MD_MS));
 }
@@ -505,7 +505,7 @@
   md_log (MD_LOG_INFO, "start-waits",
           "job=%s request=%s queue=%s for=worker process_age_ms=%lld goal_ms=%lld limit_ms=%lld "
           "workers=%u",
-          job->id, job->request_id, job->route.name, (long long)(age / MD_MS),
+          job->id, job->request_id, job->route->label.data, (long long)(age / MD_MS),
           (long long)((job->goal - entry->now) / MD_MS), (long long)(wait / MD_MS),
           entry->workers.n);
   return true;
--- a/fleet/entry-priority.c
+++ b/fleet/entry-priority.c
@@ -8,34 +8,38 @@
 void
 md_entry_note_queue (MdEntryJob *job)
 {
-  job->stats->priority = job->route.priority;
-  md_str_copy (job->stats->pool, sizeof job->stats->pool, md_str (job->route.pool));
+  md_route_unref (job->stats->route);
+  job->stats->route = md_route_ref (job->route);
 }
 
 static MdPressure *
-find_pressure (MdPressure *pressures, uint32_t n, const char *pool)
+find_pressure (MdPressure *pressures, uint32_t n, MdStr pool)
 {
   for (uint32_t i = 0; i < n; i++)
-    if (strcmp (pressures[i].pool, pool) == 0)
+    if (md_str_equal (pressures[i].pool, pool))
       return &pressures[i];
   return NULL;
 }
 
 /* Returns the pressure on a pool, which is added on first use; NULL if there are too many. */
 static MdPressure *
-get_pressure (MdRunEntry *entry, const char *pool)
+get_pressure (MdRunEntry *entry, MdStr pool)
 {
   MdPressure *pressure = find_pressure (entry->pressures, entry->n_pressures, pool);
+  char *copy;
 
   if (pressure != NULL || entry->n_pressures == MD_MAX_POOLS)
     return pressure;
+  copy = md_str_dup (pool);
+  if (copy == NULL)
+    return NULL;
   pressure = &entry->pressures[entry->n_pressures++];
-  md_str_copy (pressure->pool, sizeof pressure->pool, md_str (pool));
+  pressure->pool = md_str_n (copy, pool.len);
   return pressure;
 }
 
 const MdPressure *
-md_entry_pressure (const MdRunEntry *entry, const char *pool)
+md_entry_pressure (const MdRunEntry *entry, MdStr pool)
 {
   return find_pressure ((MdPressure *)entry->pressures, entry->n_pressures, pool);
 }
@@ -43,7 +47,7 @@
 void
 md_entry_set_bound (MdRunEntry *entry, MdEntryJob *job, MdForecast *forecast)
 {
-  MdPressure *pressure = get_pressure (entry, job->route.pool);
+  MdPressure *pressure = get_pressure (entry, job->route->pool);
   MdQueueLoad loads[MD_MAX_QUEUES];
   MdPriorityBound bound;
   uint32_t own = 0;
@@ -57,11 +61,11 @@
     {
       const MdQueueStats *stats = entry->stats[i];
 
-      if (strcmp (stats->pool, job->route.pool) != 0)
+      if (stats->route == NULL || !md_str_equal (stats->route->pool, job->route->pool))
         continue;
       if (stats == job->stats)
         own = n;
-      loads[n++] = (MdQueueLoad){ &stats->demand, &stats->admitted, stats->priority };
+      loads[n++] = (MdQueueLoad){ &stats->demand, &stats->admitted, stats->route->priority };
     }
   bound = md_priority_bound (loads, n, own, forecast->demand,
                              md_pressure_now (pressure, entry->now), entry->now);
@@ -79,7 +83,7 @@
 uint8_t
 md_entry_order_priority (const MdEntryJob *job)
 {
-  return job->floor ? 0 : job->stats->priority;
+  return job->floor ? 0 : job->stats->route->priority;
 }
 
 void
--- a/fleet/entry-requests.c
+++ b/fleet/entry-requests.c
@@ -99,7 +99,7 @@
 {
   md_log (MD_LOG_INFO, "request-dropped",
           "job=%s request=%s queue=%s outcome=not_run reason=\"the caller has left\" age_ms=%lld",
-          caller_request->id, caller_request->request_id, caller_request->route.name,
+          caller_request->id, caller_request->request_id, caller_request->route->label.data,
           (long long)((now - caller_request->arrived) / MD_MS));
   md_count (MD_M_CALLERS_LEFT, 1);
 }
@@ -118,7 +118,7 @@
                          MdTime retry_after)
 {
   md_run_spec_clear (&caller_request->spec);
-  if (md_entry_may_have_run (entry, caller_request->id, &caller_request->route))
+  if (md_entry_may_have_run (entry, caller_request->id, caller_request->route))
     md_entry_answer_request (caller_request, MD_STATUS_GIVEN_UP, NULL, 0);
   else
     md_entry_answer_request (caller_request, status, NULL, retry_after);
@@ -128,12 +128,12 @@
 static bool
 answer_ended (const MdRunEntry *entry, MdCallerRequest *caller_request)
 {
-  const char *state = md_entry_find_end (entry, caller_request->id, &caller_request->route);
+  const char *state = md_entry_find_end (entry, caller_request->id, caller_request->route);
 
   if (state == NULL)
     return false;
   md_log (MD_LOG_INFO, "job-repeated", "job=%s request=%s queue=%s status=200 outcome=%s",
-          caller_request->id, caller_request->request_id, caller_request->route.name, state);
+          caller_request->id, caller_request->request_id, caller_request->route->label.data, state);
   md_run_spec_clear (&caller_request->spec);
   md_entry_answer_request (caller_request, 200, state, 0);
   return true;
@@ -145,7 +145,7 @@
 answer_given_up (MdCallerRequest *caller_request)
 {
   md_log (MD_LOG_INFO, "job-rejected", "job=%s queue=%s reason=\"the entry is shutting down\"",
-          caller_request->id, caller_request->route.name);
+          caller_request->id, caller_request->route->label.data);
   md_count (MD_M_GIVEN_UP, 1);
   md_run_spec_clear (&caller_request->spec);
   md_entry_answer_request (caller_request, MD_STATUS_GIVEN_UP, NULL, 0);
@@ -154,7 +154,7 @@
 static void
 submit (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
-  MdEntryJob *job = md_entry_find_job (entry, caller_request->id, &caller_request->route);
+  MdEntryJob *job = md_entry_find_job (entry, caller_request->id, caller_request->route);
 
   /* The time that a request spent elsewhere, or was parsed in, is no lag of this engine. */
   if (caller_request->taken == NULL && !caller_request->counted)
@@ -229,7 +229,7 @@
   uint64_t n = 0;
 
   for (const MdEntryJob *job = entry->jobs; job != NULL; job = job->next)
-    n += job->started_at == 0 && strcmp (job->route.name, caller_request->route.name) == 0;
+    n += job->started_at == 0 && md_str_equal (job->route->name, caller_request->route->name);
   md_platform_write_pending (&caller_request->body, n);
   md_entry_answer_request (caller_request, 200, NULL, 0);
 }
@@ -246,7 +246,7 @@
 static void
 answer_state (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
-  const MdEntryJob *job = md_entry_find_job (entry, caller_request->id, &caller_request->route);
+  const MdEntryJob *job = md_entry_find_job (entry, caller_request->id, caller_request->route);
 
   if (job == NULL && md_entry_forward_query (entry, caller_request))
     return;
@@ -260,7 +260,7 @@
 static void
 cancel_job (MdRunEntry *entry, MdCallerRequest *caller_request)
 {
-  MdEntryJob *job = md_entry_find_job (entry, caller_request->id, &caller_request->route);
+  MdEntryJob *job = md_entry_find_job (entry, caller_request->id, caller_request->route);
 
   if (job == NULL && md_entry_forward_query (entry, caller_request))
     return;
--- a/fleet/entry-taker.c
+++ b/fleet/entry-taker.c
@@ -64,6 +64,7 @@
   if (taken->next != NULL)
     taken->next->previous = taken->previous;
   md_run_spec_clear (&taken->request.spec);
+  md_route_unref (taken->request.route);
   md_buf_clear (&taken->request.body);
   free (taken);
 }
@@ -124,22 +125,23 @@
 /* ------------------------------------------------------------------ */
 /* Taking                                                             */
 
-static bool
-find_route (const MdRunEntry *entry, const Md__JobHandover *handover, MdRoute *route)
+/* The queue of a request, NULL if there is none. The caller owns the result. */
+static MdRoute *
+find_route (const MdRunEntry *entry, const Md__JobHandover *handover)
 {
   const MdRoutes *routes;
-  const MdRoute *found = NULL;
+  MdRoute *found = NULL;
 
   if (entry->config == NULL)
-    return false;
+    return NULL;
   urcu_memb_read_lock ();
   routes = md_config_reader_routes (entry->config);
   if (routes != NULL)
     found = md_routes_find (routes, md_str (handover->host), md_str (handover->path));
   if (found != NULL)
-    *route = *found;
+    md_route_ref (found);
   urcu_memb_read_unlock ();
-  return found != NULL;
+  return found;
 }
 
 /* Why a job is not taken, NULL if it is. Parses it into spec. */
@@ -168,7 +170,7 @@
 
 static MdTakenRequest *
 new_taken (const MdRunEntry *entry, MdEntryPeer *peer, const Md__JobHandover *handover,
-           const MdRoute *route)
+           MdRoute *route)
 {
   MdTakenRequest *taken = calloc (1, sizeof *taken);
   MdTime age = handover->age_us < (uint64_t)MD_JSON_MAX_DURATION ? (MdTime)handover->age_us
@@ -185,7 +187,7 @@
   if (taken->next != NULL)
     taken->next->previous = taken;
   peer->taken = taken;
-  taken->request = (MdCallerRequest){ .route = *route,
+  taken->request = (MdCallerRequest){ .route = md_route_ref (route),
                                       .arrived = entry->now - age,
                                       .response_timeout = patience > 0 ? patience + age : 0,
                                       .event = -1,
@@ -204,22 +206,22 @@
                              : handover->op == 1 ? MD_CALLER_REQUEST_STATE
                                                  : MD_CALLER_REQUEST_CANCEL;
   const char *reason = NULL;
-  MdRoute route;
+  MD_AUTO_ROUTE *route = NULL;
   MdRunSpec spec = { 0 };
   MdTakenRequest *taken;
 
   if (handover->op > 2 || !md_entry_is_job_id (handover->job))
     reason = "not understood";
-  else if (!find_route (entry, handover, &route))
+  else if ((route = find_route (entry, handover)) == NULL)
     reason = "no such queue";
   else if (kind == MD_CALLER_REQUEST_SUBMIT)
-    reason = refusal (entry, handover, &route, &spec);
+    reason = refusal (entry, handover, route, &spec);
   if (reason != NULL)
     {
       refuse (entry, peer, handover, reason);
       return;
     }
-  taken = new_taken (entry, peer, handover, &route);
+  taken = new_taken (entry, peer, handover, route);
   if (taken == NULL)
     {
       md_run_spec_clear (&spec);
@@ -232,7 +234,7 @@
     {
       md_count (MD_M_HANDOVERS_TAKEN, 1);
       md_log (MD_LOG_INFO, "handover-taken", "job=%s request=%s queue=%s peer=%s age_ms=%lld",
-              taken->request.id, taken->request.request_id, route.name, peer->name,
+              taken->request.id, taken->request.request_id, route->label.data, peer->name,
               (long long)((entry->now - taken->request.arrived) / MD_MS));
     }
   md_entry_handle_request (entry, &taken->request);
--- a/fleet/entry-where.c
+++ b/fleet/entry-where.c
@@ -40,15 +40,15 @@
 
 /* Statistics as the queue has them, which the trial must not change. */
 static MdQueueStats *
-copy_stats (const MdRunEntry *entry, const char *name)
+copy_stats (const MdRunEntry *entry, MdRoute *route)
 {
   MdQueueStats *copy = calloc (1, sizeof *copy);
 
   if (copy == NULL)
     return NULL;
-  md_str_copy (copy->name, sizeof copy->name, md_str (name));
+  copy->route = route;
   for (uint32_t i = 0; i < entry->n_stats; i++)
-    if (strcmp (entry->stats[i]->name, name) == 0)
+    if (md_str_equal (md_str (entry->stats[i]->name), route->name))
       {
         copy->correction = entry->stats[i]->correction;
         copy->demand = entry->stats[i]->demand;
@@ -261,9 +261,10 @@
     json_array_append_new (steps, describe_step (entry, job, i));
   md_workers_restore (&entry->workers, scratch);
   return json_pack ("{s:{s:s, s:s, s:s, s:s, s:b}, s:o, s:{s:I, s:I}, s:f, s:o}", "route", "queue",
-                    job->route.name, "host", job->route.host, "prefix", job->route.prefix, "pool",
-                    job->route.pool, "asks_advisor", has_advisor, "admission",
-                    describe_admission (placeable, &forecast), "configuration", "version",
+                    job->route->name.data, "host", job->route->host.data, "prefix",
+                    job->route->prefix.data, "pool", job->route->pool.data, "asks_advisor",
+                    has_advisor, "admission", describe_admission (placeable, &forecast),
+                    "configuration", "version",
                     (json_int_t)atomic_load (&md_metrics[MD_M_CONFIG_VERSION]), "age_ms",
                     entry->config != NULL ? ms_of (md_config_reader_age (entry->config))
                                           : (json_int_t)-1,
@@ -274,11 +275,15 @@
 md_entry_where (MdRunEntry *entry, MdCallerRequest *request)
 {
   md_autofree MdEntryJob *job = calloc (1, sizeof *job);
-  md_autofree MdQueueStats *stats = copy_stats (entry, request->route.name);
+  MdRoute fields = *request->route;
+  MD_AUTO_ROUTE *route = NULL;
+  md_autofree MdQueueStats *stats = copy_stats (entry, request->route);
   md_autofree MdSavedResources *scratch = calloc (entry->workers.n + 1, sizeof *scratch);
   MdError error = { 0 };
 
-  if (job == NULL || stats == NULL || scratch == NULL
+  fields.advisor.present = false; /* it is not asked */
+  route = md_route_new (&fields);
+  if (job == NULL || route == NULL || stats == NULL || scratch == NULL
       || md_run_spec_tasks (&request->spec) > MAX_TASKS || !request->spec.best_effort
       || atomic_load (&entry->load.overloaded))
     {
@@ -298,14 +303,13 @@
       return;
     }
   job->stats = stats;
-  job->route = request->route;
-  job->route.advisor.present = false; /* it is not asked */
-  if (md_runjob_init (&job->runjob, &request->spec, job->route.max_attempts, &error) != MD_OK)
+  job->route = route;
+  if (md_runjob_init (&job->runjob, &request->spec, job->route->max_attempts, &error) != MD_OK)
     answer_error (request, 422, error.detail);
   else
     {
       md_entry_set_times (job, request);
-      answer (request, 200, describe_job (entry, job, request->route.advisor.present, scratch));
+      answer (request, 200, describe_job (entry, job, request->route->advisor.present, scratch));
     }
   md_runjob_clear (&job->runjob);
 }
--- a/fleet/front-where.c
+++ b/fleet/front-where.c
@@ -51,13 +51,14 @@
     out[0] = '\0';
 }
 
-static bool
-find_route (struct mg_connection *conn, const MdRunEntry *entry, MdRoute *out)
+/* The queue that the query names, NULL if there is none. The caller owns the result. */
+static MdRoute *
+find_route (struct mg_connection *conn, const MdRunEntry *entry)
 {
   char host[MAX_QUERY_VALUE];
   char path[MAX_QUERY_VALUE];
   const MdRoutes *routes;
-  const MdRoute *route = NULL;
+  MdRoute *route = NULL;
 
   query_value (conn, "host", host, sizeof host);
   query_value (conn, "path", path, sizeof path);
@@ -66,9 +67,9 @@
   if (routes != NULL)
     route = md_routes_find (routes, md_str (host), md_str (path));
   if (route != NULL)
-    *out = *route;
+    md_route_ref (route);
   urcu_memb_read_unlock ();
-  return route != NULL;
+  return route;
 }
 
 static int
@@ -119,6 +120,7 @@
 handle (struct mg_connection *conn, MdRunEntry *entry)
 {
   MdCallerRequest request = { .kind = MD_CALLER_REQUEST_WHERE, .arrived = md_now (), .socket = -1 };
+  MD_AUTO_ROUTE *route = NULL;
   char timeout[MAX_QUERY_VALUE];
   MdError error = { 0 };
   long ms;
@@ -129,7 +131,9 @@
   status = read_job (conn, &request.spec, &error);
   if (status != 0)
     return respond_error (conn, status, error.detail);
-  if (atomic_load (&entry->closed) || !find_route (conn, entry, &request.route))
+  if (!atomic_load (&entry->closed))
+    request.route = route = find_route (conn, entry);
+  if (route == NULL)
     {
       md_run_spec_clear (&request.spec);
       if (atomic_load (&entry->closed))
--- a/fleet/front.c
+++ b/fleet/front.c
@@ -239,8 +239,7 @@
   uint64_t config_version; /* of it */
   MdTime config_age;       /* at most, see md_config_reader_age */
   size_t max_body;         /* limit of the request body, bytes */
-  bool found;              /* the request has a route */
-  MdRoute route;           /* valid if found */
+  MdRoute *route;          /* owned by the caller; NULL: the request has none */
 } Lookup;
 
 static void
@@ -248,7 +247,6 @@
 {
   const char *host = mg_get_header (request->conn, "Host");
   const MdRoutes *routes;
-  const MdRoute *found = NULL;
 
   lookup->config_age = md_config_reader_age (request->front->entry->config);
   lookup->max_body = DEFAULT_MAX_BODY;
@@ -257,14 +255,13 @@
   lookup->configured = routes != NULL;
   if (routes != NULL)
     {
-      found = md_routes_find (routes, md_str (host), md_str (request->info->local_uri));
+      lookup->route = md_routes_find (routes, md_str (host), md_str (request->info->local_uri));
       lookup->config_version = routes->version;
       if (routes->max_body_bytes > 0)
         lookup->max_body = routes->max_body_bytes;
     }
-  lookup->found = found != NULL;
-  if (lookup->found)
-    lookup->route = *found;
+  if (lookup->route != NULL)
+    md_route_ref (lookup->route);
   urcu_memb_read_unlock ();
 }
 
@@ -350,7 +347,7 @@
 
 /* Rejects a job that the engine would reject for being late. */
 static int
-reject_job (const Request *request, const MdRoute *route, const char *id)
+reject_job (const Request *request, MdRoute *route, const char *id)
 {
   char request_id[64];
 
@@ -361,21 +358,21 @@
   md_log (MD_LOG_INFO, "job-answered",
           "job=%s request=%s queue=%s status=429 outcome=not_run reason=entry-late elapsed_ms=%lld "
           "retry_after_ms=%lld",
-          id, request_id, route->name, (long long)((md_now () - request->arrived) / MD_MS),
+          id, request_id, route->label.data, (long long)((md_now () - request->arrived) / MD_MS),
           (long long)(RETRY_AFTER_LATE / MD_MS));
   return respond (request, 429, MD_STR (MD_BODY_NOT_RUN), RETRY_AFTER_LATE);
 }
 
 /* Fills in what the header of a job says. Returns false without an eventfd. */
 static bool
-prepare_job (const Request *request, const MdRoute *route, const char *id,
+prepare_job (const Request *request, MdRoute *route, const char *id,
              MdCallerRequest *caller_request)
 {
   const char *timeout = mg_get_header (request->conn, MD_PLATFORM_DEADLINE_HEADER);
 
   *caller_request = (MdCallerRequest){ .kind = MD_CALLER_REQUEST_SUBMIT,
                                        .arrived = request->arrived,
-                                       .route = *route,
+                                       .route = route,
                                        .known_only = request->known_only,
                                        .declined = false,
                                        .event = thread_eventfd (),
@@ -390,7 +387,7 @@
 
 /* Posts a job, which it owns from then on, to the engine and writes the response. */
 static int
-post_job (const Request *request, const MdRoute *route, const char *id, MdRunSpec spec)
+post_job (const Request *request, MdRoute *route, const char *id, MdRunSpec spec)
 {
   MdCallerRequest caller_request;
   bool prepared = prepare_job (request, route, id, &caller_request);
@@ -416,7 +413,7 @@
 /* Offers a job that is not parsed to the engine, which may hand it over to another entry. Returns
    DECLINED if it did not. */
 static int
-offer_job (const Request *request, const MdRoute *route, const char *id, MdStr body)
+offer_job (const Request *request, MdRoute *route, const char *id, MdStr body)
 {
   MdCallerRequest caller_request;
 
@@ -491,7 +488,7 @@
 
 /* Reads the body, for which memory has been taken, and submits the job in it. */
 static int
-submit_body (Request *request, const MdRoute *route, const char *id, Body *body, size_t max_body)
+submit_body (Request *request, MdRoute *route, const char *id, Body *body, size_t max_body)
 {
   int status = md_http_read_body (request->conn, max_body, &body->text);
   MdError error = { 0 };
@@ -524,7 +521,7 @@
 }
 
 static int
-submit (Request *request, const MdRoute *route, const char *id, size_t max_body)
+submit (Request *request, MdRoute *route, const char *id, size_t max_body)
 {
   MdFront *front = request->front;
   atomic_uint *submissions = submissions_of (request);
@@ -544,9 +541,9 @@
 
 /* Handles a request without a body. id is the job ID, empty for PENDING. */
 static int
-query (const Request *request, MdCallerRequestKind kind, const MdRoute *route, const char *id)
+query (const Request *request, MdCallerRequestKind kind, MdRoute *route, const char *id)
 {
-  MdCallerRequest caller_request = { .kind = kind, .route = *route, .event = thread_eventfd () };
+  MdCallerRequest caller_request = { .kind = kind, .route = route, .event = thread_eventfd () };
 
   md_str_copy (caller_request.id, sizeof caller_request.id, md_str (id));
   if (caller_request.event < 0)
@@ -555,10 +552,10 @@
 }
 
 static int
-handle_routed (Request *request, const MdRoute *route, size_t max_body)
+handle_routed (Request *request, MdRoute *route, size_t max_body)
 {
   const char *method = request->info->request_method;
-  const char *id = request->info->local_uri + route->prefix_len;
+  const char *id = request->info->local_uri + route->prefix.len;
 
   if (*id == '\0' && strcmp (method, "GET") == 0)
     return query (request, MD_CALLER_REQUEST_PENDING, route, "");
@@ -611,20 +608,22 @@
 handle_request (Request *request)
 {
   Lookup lookup = { 0 };
+  MD_AUTO_ROUTE *route = NULL;
 
   if (!wait_for_start (request))
     return abandon_response (request);
   request->known_only = atomic_load (&request->front->entry->closed);
   look_up (request, &lookup);
-  set_job (request, request->info->local_uri + (lookup.found ? lookup.route.prefix_len : 0));
-  if (request->known_only && !(lookup.found && may_have_run (request)))
+  route = lookup.route;
+  set_job (request, request->info->local_uri + (route != NULL ? route->prefix.len : 0));
+  if (request->known_only && !(route != NULL && may_have_run (request)))
     {
       mg_disable_connection_keep_alive (request->conn);
       return reject (request, 503, "the entry is shutting down", MD_SECOND);
     }
-  if (!lookup.found)
+  if (route == NULL)
     return reject_unknown_route (request, &lookup);
-  return handle_routed (request, &lookup.route, lookup.max_body);
+  return handle_routed (request, route, lookup.max_body);
 }
 
 static int
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -54,7 +54,7 @@
   MdCallerRequest *abandoned;  /* ABANDON: the request whose caller disconnected */
   char id[MD_JOB_ID_BYTES];    /* SUBMIT, STATE, CANCEL: job ID */
   char request_id[64];         /* SUBMIT: Request-Id header, quoted for the log */
-  MdRoute route;               /* queue */
+  MdRoute *route;              /* queue; borrowed, but owned by a request of another entry */
   MdRunSpec spec;              /* SUBMIT: the job; the engine takes ownership */
   MdTime arrived;              /* when the request header had been read */
   MdTime response_timeout;     /* how long the caller waits for the response, 0: not stated */
@@ -170,17 +170,19 @@
 /* Statistics of the jobs of a queue. */
 typedef struct
 {
-  char name[MD_NAME_BYTES]; /* of the queue */
-  MdCorrection correction;  /* learned correction of declared run times */
-  MdDemand demand;          /* decayed work of its jobs */
-  MdPatience patience;      /* how long its callers usually wait */
-  double allowed_share;     /* learned share of workers that the advisor allows */
-  MdAdmitted admitted;      /* work of its admitted jobs */
-  char pool[MD_NAME_BYTES]; /* as configured when the last job of the queue arrived */
-  uint8_t priority;         /* the same */
+  char *name;              /* of the queue, owned */
+  MdCorrection correction; /* learned correction of declared run times */
+  MdDemand demand;         /* decayed work of its jobs */
+  MdPatience patience;     /* how long its callers usually wait */
+  double allowed_share;    /* learned share of workers that the advisor allows */
+  MdAdmitted admitted;     /* work of its admitted jobs */
+  MdRoute *route;          /* as configured when the last job of the queue arrived; owned */
   _Atomic int64_t counts[MD_JOB_OUTCOME_COUNT]; /* jobs by outcome; read by other threads */
 } MdQueueStats;
 
+/* md_entry_free_queues: free the statistics of all queues and pools. There are no jobs left. */
+void md_entry_free_queues (MdRunEntry *entry);
+
 struct MdEntryJob
 {
   MdEntryJob *next;           /* in the list of all jobs */
@@ -188,7 +190,7 @@
   MdEntryJob *bucket_next;    /* in the same hash bucket */
   char id[MD_JOB_ID_BYTES];   /* chosen by the caller */
   char request_id[64];        /* Request-Id header of the first request */
-  MdRoute route;              /* queue, copied when the job was submitted */
+  MdRoute *route;             /* queue, as when the job was submitted; owned */
   MdQueueStats *stats;        /* of the queue, borrowed */
   MdRunJob runjob;            /* steps and tasks */
   MdAdvice *advice;           /* one entry per step, owned; NULL: the queue has no advisor */
@@ -405,7 +407,7 @@
 /* md_entry_order_priority: the priority of an order that is placed now. */
 uint8_t md_entry_order_priority (const MdEntryJob *job);
 /* md_entry_pressure: the pressure on a pool, NULL if it is not known. */
-const MdPressure *md_entry_pressure (const MdRunEntry *entry, const char *pool);
+const MdPressure *md_entry_pressure (const MdRunEntry *entry, MdStr pool);
 /* md_entry_update_pressure_gauge: set the gauge of the highest pressure on a pool. */
 void md_entry_update_pressure_gauge (MdRunEntry *entry);
 
--- a/sched/priority.h
+++ b/sched/priority.h
@@ -56,7 +56,7 @@
 /* An entry's figure of the pressure on the workers of a pool. */
 typedef struct
 {
-  char pool[MD_NAME_BYTES];
+  MdStr pool;         /* owned, terminated */
   uint32_t permille;  /* mean over workers with full reports */
   MdTime known_at;    /* when the newest report in the mean was made, 0: none */
   MdTime computed_at; /* 0: never */
--- a/tests/fuzz/targets-links.c
+++ b/tests/fuzz/targets-links.c
@@ -99,22 +99,28 @@
 
 static MdRunEntry entry;
 static MdCallerRequest requests[JOBS];
+static MdRoute *route; /* of all requests */
 static int caller[2];
 static int event;
 
 static void
 submit (MdCallerRequest *request, int number)
 {
+  const MdRoute fields = { .name = MD_STR ("queue"),
+                           .label = MD_STR ("queue"),
+                           .pool = MD_STR ("calc"),
+                           .slack_factor = 4,
+                           .target_latency = MD_SECOND,
+                           .max_attempts = 2 };
+
   fuzz_preparing = true;
+  if (route == NULL)
+    route = md_route_new (&fields);
   *request = (MdCallerRequest){ .kind = MD_CALLER_REQUEST_SUBMIT, .arrived = md_now () };
   request->event = event;
   request->socket = caller[0];
   request->id[0] = (char)('a' + number);
-  md_str_copy (request->route.name, sizeof request->route.name, MD_STR ("queue"));
-  md_str_copy (request->route.pool, sizeof request->route.pool, MD_STR ("calc"));
-  request->route.slack_factor = 4;
-  request->route.target_latency = MD_SECOND;
-  request->route.max_attempts = 2;
+  request->route = route;
   request->spec.n_steps = 2;
   request->spec.steps = calloc (2, sizeof *request->spec.steps);
   request->spec.spec = md_str_dup (MD_STR ("ms=1"));
@@ -197,8 +203,7 @@
   FUZZ_CHECK (entry.n_tasks == 0 && entry.n_jobs == 0);
   md_links_free (entry.daemon.links);
   md_entry_free_guards (&entry);
-  for (uint32_t i = 0; i < entry.n_stats; i++)
-    free (entry.stats[i]);
+  md_entry_free_queues (&entry);
   for (int i = 0; i < JOBS; i++)
     {
       FUZZ_CHECK (atomic_load (&requests[i].answered));
--- a/tests/fuzz/targets-platform.c
+++ b/tests/fuzz/targets-platform.c
@@ -230,14 +230,15 @@
 
   FUZZ_CHECK ((routes == NULL) == (error.code != MD_OK));
   fuzz_result (error.code);
-  if (routes != NULL)
-    fuzz_decoded (routes->routes, routes->n * sizeof *routes->routes);
   for (size_t i = 0; routes != NULL && i < routes->n; i++)
     {
-      const MdRoute *route = &routes->routes[i];
-      const MdRoute *found = md_routes_find (routes, md_str (route->host), md_str (route->prefix));
+      const MdRoute *route = routes->routes[i];
+      const MdRoute *found = md_routes_find (routes, route->host, route->prefix);
 
-      FUZZ_CHECK (found == NULL || found->prefix_len >= route->prefix_len);
+      fuzz_decoded (route->name.data, route->name.len);
+      fuzz_decoded (route->label.data, route->label.len);
+      fuzz_decoded (route->pool.data, route->pool.len);
+      FUZZ_CHECK (found == NULL || md_str_equal (found->prefix, route->prefix));
       FUZZ_CHECK (isfinite (route->slack_factor) && is_duration (route->target_latency));
       FUZZ_CHECK (is_duration (route->advisor.call_time)
                   && is_duration (route->advisor.time_per_worker)
--- /dev/null
+++ b/tests/run-long-names.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Texts of the platform's documents that are long, with real processes. Guards against a queue, a
+# worker or a job that is left out, refused or taken for another one because of the length of a name.
+cd "$(dirname "$0")/.."
+. tests/platform.sh
+
+JOB='{"best_effort":true,"spec":"ms=30 cpu=1000","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimated_ms":30}]}'
+long () { printf "$1%.0s" $(seq "$2"); } # text times
+
+# Twice as long as a host name can be in the DNS; the other texts have no bound.
+LABEL=$(long h 61)
+HOST=$LABEL.$LABEL.$LABEL.$LABEL.$LABEL.$LABEL.$LABEL.$LABEL
+PREFIX=/$(long p 600)
+NAME=$(long q 400)
+
+route () { # host prefix name service
+  printf '{"name":"%s","host":"%s","path_prefix":"%s","timeout_ms":1500,"target_latency_ms":60,"priority":1,"service":"%s","max_attempts":2,"slack_factor":4}' "$3" "$1" "$2" "$4"
+}
+
+put_routes () { # version route...
+  local version=$1 IFS=,
+  shift
+  printf '{"version":%s,"routes":[%s],"services":[],"limits":{}}' "$version" "$*" | put_operator config
+}
+
+try () { # entry host path: the status
+  curl -s -m 5 -o /dev/null -w '%{http_code}' -H "Host: $2" -H 'Content-Type: application/json' \
+    -d "$JOB" "http://127.0.0.$((10 + $1)):$CALLERS$3"
+}
+
+pending () { # entry host prefix
+  curl -s -m 5 -w ' %{http_code}' -H "Host: $2" "http://127.0.0.$((10 + $1)):$CALLERS$3"
+}
+
+run () {
+  local n
+  start_platform
+  put_routes 4 "$(route jobs.example /calc/ q calc)" "$(route "$HOST" /calc/ host calc)" \
+    "$(route jobs.example "$PREFIX-a/" prefix-a calc)" "$(route jobs.example "$PREFIX-b/" prefix-b none)" \
+    "$(route jobs.example /name-a/ "$NAME-a" calc)" "$(route jobs.example /name-b/ "$NAME-b" calc)" \
+    "$(route "${HOST%e}f" /calc/ other none)"
+  for n in $(seq "$ENTRIES"); do
+    wait_for 5 seen "entry-$n" 'config-applied version=4' || fail "version 4 is not applied"
+    echo "entry $n"
+    echo "  a host of ${#HOST} bytes: $(try "$n" "$HOST" "/calc/00000000000000a$n")"
+    echo "  a host that differs in its last byte, without workers: $(try "$n" "${HOST%e}f" "/calc/00000000000001a$n")"
+    echo "  in capitals and with a port: $(try "$n" "${HOST^^}:80" "/calc/00000000000002a$n")"
+    echo "  a prefix of $((${#PREFIX} + 3)) bytes: $(try "$n" jobs.example "$PREFIX-a/00000000000000b$n")"
+    echo "  one that differs at its end, without workers: $(try "$n" jobs.example "$PREFIX-b/00000000000000c$n")"
+    echo "  a name of $((${#NAME} + 2)) bytes: $(try "$n" jobs.example "/name-a/00000000000000d$n")"
+    echo "  one that differs at its end: $(try "$n" jobs.example "/name-b/00000000000000e$n") $(pending "$n" jobs.example /name-b/)"
+    echo "  routes that it ignores: $(curl -s -m 5 "http://127.0.0.$((10 + n)):$METRICS/metrics" | sed -n 's/^mulberrydrift_config_routes_ignored //p')"
+  done
+}
+
+run > "$RUN/out"
+[ -n "${UPDATE:-}" ] && cp "$RUN/out" tests/run-long-names.expected
+diff -u tests/run-long-names.expected "$RUN/out" || { KEEP=1; exit 1; }
--- a/tests/test-entry-aged.c
+++ b/tests/test-entry-aged.c
@@ -1,6 +1,7 @@
 /* test-entry-aged.c -- a job whose caller had waited before it arrived, at an entry with one guard
    and without links */
 
+#include "route.h"
 #include "run-entry.h"
 #include "suite.h"
 
@@ -35,11 +36,8 @@
                                .response_timeout = response_timeout };
   md_str_copy (request.id, sizeof request.id, md_str (id));
   request.spec = (MdRunSpec){ .steps = step, .n_steps = 1, .best_effort = true };
-  md_str_copy (request.route.name, sizeof request.route.name, MD_STR ("queue"));
-  md_str_copy (request.route.pool, sizeof request.route.pool, MD_STR ("calc"));
-  request.route.max_attempts = 2;
-  request.route.slack_factor = 4;
-  request.route.target_latency = 60 * MD_MS;
+  request.route = test_route (
+      (MdRoute){ .name = MD_STR ("queue"), .slack_factor = 4, .target_latency = 60 * MD_MS });
   md_inbox_push (&entry.inbox, &request.node);
   md_entry_handle_requests (&entry, MD_SECOND);
 }
--- a/tests/test-entry-evacuation.c
+++ b/tests/test-entry-evacuation.c
@@ -3,6 +3,7 @@
    The entry has a fast guard in zone-a and a slow one in zone-b, without links; another test plays
    a guard over the loopback interface. */
 
+#include "route.h"
 #include "run-entry.h"
 #include "suite.h"
 
@@ -79,11 +80,8 @@
   request.spec.n_steps = 1;
   request.spec.best_effort = true;
   request.response_timeout = 60 * MD_SECOND;
-  md_str_copy (request.route.name, sizeof request.route.name, MD_STR ("queue"));
-  md_str_copy (request.route.pool, sizeof request.route.pool, MD_STR ("calc"));
-  request.route.max_attempts = 2;
-  request.route.slack_factor = 4;
-  request.route.target_latency = 60 * MD_MS;
+  request.route = test_route (
+      (MdRoute){ .name = MD_STR ("queue"), .slack_factor = 4, .target_latency = 60 * MD_MS });
   md_inbox_push (&entry.inbox, &request.node);
   md_entry_handle_requests (&entry, MD_SECOND);
 }
--- a/tests/test-entry-handover.c
+++ b/tests/test-entry-handover.c
@@ -19,6 +19,7 @@
   "{\"best_effort\":true,\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64,"       \
   "\"estimated_ms\":3000}]}"
 
+static const MdRoute calc_route = { .host = MD_STR ("jobs.example"), .prefix = MD_STR ("/calc/") };
 static MdEntryGuard guard; /* without a link: nothing that is ordered starts */
 static MdWorker *workers[] = { &guard.worker };
 static MdSavedResources saved[1];
@@ -471,9 +472,7 @@
   send_end (received[2].id, 200, MD_PLATFORM_CANCELLED);
   ck_assert_int_eq (read_status (fds[2], response), 200);
   ck_assert_int_eq (read_status (fds[0], response), 200);
-  ck_assert_str_eq (md_entry_find_end (&front_entry, ID,
-                                       &(MdRoute){ .host = "jobs.example", .prefix = "/calc/" }),
-                    MD_PLATFORM_CANCELLED);
+  ck_assert_str_eq (md_entry_find_end (&front_entry, ID, &calc_route), MD_PLATFORM_CANCELLED);
   for (int i = 0; i < 3; i++)
     close (fds[i]);
 }
@@ -487,8 +486,7 @@
   int fd;
 
   connect_peers ();
-  md_entry_record_end (&front_entry, ID, &(MdRoute){ .host = "jobs.example", .prefix = "/calc/" },
-                       MD_FINAL_GIVEN_UP);
+  md_entry_record_end (&front_entry, ID, &calc_route, MD_FINAL_GIVEN_UP);
   fd = hand_over_job ();
   send_end (received[0].id, 429, "");
   ck_assert_int_eq (read_status (fd, response), 504);
--- a/tests/test-entry-late.c
+++ b/tests/test-entry-late.c
@@ -3,6 +3,7 @@
    The entry has two guards and a job, without links. Its engine is late: reports wait in the
    sockets, unread, while its clock goes on. */
 
+#include "route.h"
 #include "run-entry.h"
 #include "suite.h"
 
@@ -63,11 +64,8 @@
   request.spec.n_steps = 1;
   request.spec.best_effort = true;
   request.response_timeout = 60 * MD_SECOND;
-  md_str_copy (request.route.name, sizeof request.route.name, MD_STR ("queue"));
-  md_str_copy (request.route.pool, sizeof request.route.pool, MD_STR ("calc"));
-  request.route.max_attempts = 2;
-  request.route.slack_factor = 4;
-  request.route.target_latency = 60 * MD_MS;
+  request.route = test_route (
+      (MdRoute){ .name = MD_STR ("queue"), .slack_factor = 4, .target_latency = 60 * MD_MS });
   md_inbox_push (&entry.inbox, &request.node);
 }
 
@@ -396,7 +394,7 @@
 push_request (MdCallerRequest *pushed, MdCallerRequestKind kind, const char *id, MdTime arrived)
 {
   *pushed = (MdCallerRequest){ .kind = kind, .arrived = arrived };
-  pushed->route.target_latency = 60 * MD_MS;
+  pushed->route = test_route ((MdRoute){ .target_latency = 60 * MD_MS });
   md_str_copy (pushed->id, sizeof pushed->id, md_str (id));
   md_inbox_push (&entry.inbox, &pushed->node);
 }
--- a/tests/test-entry-near.c
+++ b/tests/test-entry-near.c
@@ -3,6 +3,7 @@
    The entry has two guards on each of two racks, without links. A task runs 100 ms near and 150 ms
    far. */
 
+#include "route.h"
 #include "run-entry.h"
 #include "suite.h"
 
@@ -99,11 +100,8 @@
   request->spec.steps[0] = step;
   request->spec.n_steps = 1;
   request->spec.best_effort = true;
-  md_str_copy (request->route.name, sizeof request->route.name, MD_STR ("queue"));
-  md_str_copy (request->route.pool, sizeof request->route.pool, MD_STR ("calc"));
-  request->route.max_attempts = 2;
-  request->route.slack_factor = 1.6;
-  request->route.target_latency = 120 * MD_MS;
+  request->route = test_route (
+      (MdRoute){ .name = MD_STR ("queue"), .slack_factor = 1.6, .target_latency = 120 * MD_MS });
   md_inbox_push (&entry.inbox, &request->node);
   md_entry_handle_requests (&entry, MD_SECOND);
   return entry.jobs;
--- a/tests/test-entry-tasks.c
+++ b/tests/test-entry-tasks.c
@@ -3,6 +3,7 @@
    The entry has two guards without links. The jobs follow the protocol, but declare far more tasks
    than any that was planned for, or tasks that need nothing. */
 
+#include "route.h"
 #include "run-entry.h"
 #include "suite.h"
 
@@ -96,11 +97,8 @@
       request->spec.steps[k].declared_time = declared_time;
       request->spec.steps[k].resources.cpu = cpu;
     }
-  md_str_copy (request->route.name, sizeof request->route.name, MD_STR ("queue"));
-  md_str_copy (request->route.pool, sizeof request->route.pool, MD_STR ("calc"));
-  request->route.max_attempts = 2;
-  request->route.slack_factor = 4;
-  request->route.target_latency = 60 * MD_MS;
+  request->route = test_route (
+      (MdRoute){ .name = MD_STR ("queue"), .slack_factor = 4, .target_latency = 60 * MD_MS });
   md_inbox_push (&entry.inbox, &request->node);
   md_entry_handle_requests (&entry, MD_SECOND);
 }
--- a/tests/test-entry-where.c
+++ b/tests/test-entry-where.c
@@ -2,6 +2,7 @@
 
    The entry has two guards on different racks, without links. */
 
+#include "route.h"
 #include "run-entry.h"
 #include "suite.h"
 
@@ -86,11 +87,8 @@
                                          .declared_time = 100 * MD_MS,
                                          .depends_on = i == 0 ? 0 : 1,
                                          .affinity = "rack-a" };
-  md_str_copy (request.route.name, sizeof request.route.name, MD_STR ("queue"));
-  md_str_copy (request.route.pool, sizeof request.route.pool, MD_STR ("calc"));
-  request.route.max_attempts = 2;
-  request.route.slack_factor = 2;
-  request.route.target_latency = 100 * MD_MS;
+  request.route = test_route (
+      (MdRoute){ .name = MD_STR ("queue"), .slack_factor = 2, .target_latency = 100 * MD_MS });
   md_inbox_push (&entry.inbox, &request.node);
   md_entry_handle_requests (&entry, MD_SECOND);
 }
--- a/tests/test-frame-fuzz.c
+++ b/tests/test-frame-fuzz.c
@@ -308,7 +308,7 @@
 }
 
 static void
-fill_job (MdCallerRequest *request)
+fill_job (MdCallerRequest *request, MdRoute *fields)
 {
   static const MdTime timeouts[]
       = { 0, 0, 0, 1, MD_MS, 20 * MD_MS, 100 * MD_MS, MD_SECOND, MD_JSON_MAX_DURATION };
@@ -322,9 +322,9 @@
   for (uint32_t i = 0; i < request->spec.n_steps; i++)
     draw_step (&request->spec.steps[i]);
   request->response_timeout = timeouts[draw (MD_ARRAY_SIZE (timeouts))];
-  request->route.slack_factor = slacks[draw (MD_ARRAY_SIZE (slacks))];
-  request->route.target_latency = one_in (3) ? MD_JSON_MAX_DURATION : 60 * MD_MS;
-  request->route.max_attempts = (uint32_t)draw_amount (3);
+  fields->slack_factor = slacks[draw (MD_ARRAY_SIZE (slacks))];
+  fields->target_latency = one_in (3) ? MD_JSON_MAX_DURATION : 60 * MD_MS;
+  fields->max_attempts = (uint32_t)draw_amount (3);
 }
 
 static void
@@ -338,6 +338,7 @@
     if (requests[i] != NULL && atomic_load (&requests[i]->answered))
       {
         md_buf_clear (&requests[i]->body);
+        md_route_unref (requests[i]->route);
         free (requests[i]);
         requests[i] = NULL;
       }
@@ -351,6 +352,10 @@
           MD_CALLER_REQUEST_STATE,  MD_CALLER_REQUEST_CANCEL, MD_CALLER_REQUEST_PENDING };
   MdCallerRequest **place = &requests[draw (MAX_REQUESTS)];
   MdCallerRequest *request;
+  MdRoute fields = { .name = MD_STR ("queue"),
+                     .label = MD_STR ("queue"),
+                     .prefix = MD_STR ("/p/"),
+                     .pool = MD_STR ("calc") };
 
   if (*place != NULL)
     return;
@@ -360,13 +365,11 @@
   request->event = event;
   request->socket = caller[0];
   request->id[0] = (char)('a' + draw (12));
-  md_str_copy (request->route.name, sizeof request->route.name, MD_STR ("queue"));
-  md_str_copy (request->route.pool, sizeof request->route.pool, MD_STR ("calc"));
-  md_str_copy (request->route.prefix, sizeof request->route.prefix, MD_STR ("/p/"));
   request->offered = request->kind == MD_CALLER_REQUEST_SUBMIT && one_in (4);
   request->raw = MD_STR ("{}");
   if (request->kind == MD_CALLER_REQUEST_SUBMIT && !request->offered)
-    fill_job (request);
+    fill_job (request, &fields);
+  request->route = md_route_new (&fields);
   md_inbox_push (&entry.inbox, &request->node);
 }
 
@@ -472,8 +475,7 @@
   md_links_free (entry.daemon.links);
   md_entry_free_guards (&entry);
   md_entry_free_peers (&entry);
-  for (uint32_t i = 0; i < entry.n_stats; i++)
-    free (entry.stats[i]);
+  md_entry_free_queues (&entry);
   close (event);
   close (caller[0]);
   close (caller[1]);
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -428,9 +428,10 @@
   ck_assert_uint_eq (routes->n, 2);
   ck_assert_uint_eq (routes->max_body_bytes, 262144);
   route = md_routes_find (routes, MD_STR ("H.example:80"), MD_STR ("/p/0a"));
-  ck_assert_str_eq (route->name, "a");
+  ck_assert_str_eq (route->name.data, "a");
   ck_assert_int_eq (route->target_latency, 60 * MD_MS);
-  ck_assert_str_eq (md_routes_find (routes, MD_STR ("h.example"), MD_STR ("/p/q/0a"))->name, "b");
+  ck_assert_str_eq (md_routes_find (routes, MD_STR ("h.example"), MD_STR ("/p/q/0a"))->name.data,
+                    "b");
   ck_assert (md_routes_find (routes, MD_STR ("h.example"), MD_STR ("/p/q/0a"))->advisor.present);
   ck_assert_ptr_null (md_routes_find (routes, MD_STR ("g.example"), MD_STR ("/p/0a")));
   ck_assert_ptr_null (md_routes_find (routes, MD_STR ("h.example"), MD_STR ("/p")));
--- a/tests/test-priority-messages.c
+++ b/tests/test-priority-messages.c
@@ -4,6 +4,7 @@
    Guards against a priority that is known at the entry and never reaches the queue of a guard, and
    a pressure that never reaches the entry. */
 
+#include "route.h"
 #include "run-entry.h"
 #include "run-guard.h"
 #include "suite.h"
@@ -119,12 +120,10 @@
   request->spec.steps = step;
   request->spec.n_steps = 1;
   request->spec.best_effort = true;
-  md_str_copy (request->route.name, sizeof request->route.name, md_str (queue));
-  md_str_copy (request->route.pool, sizeof request->route.pool, MD_STR ("calc"));
-  request->route.max_attempts = 2;
-  request->route.slack_factor = 4;
-  request->route.target_latency = 5 * MD_SECOND;
-  request->route.priority = priority;
+  request->route = test_route ((MdRoute){ .name = md_str (queue),
+                                          .slack_factor = 4,
+                                          .target_latency = 5 * MD_SECOND,
+                                          .priority = priority });
   md_inbox_push (&entry.inbox, &request->node);
   entry.now = md_now ();
   md_entry_handle_requests (&entry, MD_SECOND);
@@ -150,7 +149,8 @@
   ck_assert_uint_eq (first->queued.priority, 2);
   /* Tasks of the first job that are ordered from now on. */
   for (const MdEntryJob *job = entry.jobs; job != NULL; job = job->next)
-    ck_assert_uint_eq (md_entry_order_priority (job), strcmp (job->route.name, "a") == 0 ? 1 : 0);
+    ck_assert_uint_eq (md_entry_order_priority (job),
+                       strcmp (job->route->name.data, "a") == 0 ? 1 : 0);
   ck_assert_ptr_nonnull (entry.jobs);
   /* A job that its floor admitted has to start, or it is late all the same. */
   entry.jobs->floor = true;
@@ -173,10 +173,10 @@
   ck_assert_uint_le (known_guard ()->worker.pressure, MD_FULL_PRESSURE);
   entry.now += 20 * MD_MS;
   md_entry_update_pressure_gauge (&entry);
-  pressure = md_entry_pressure (&entry, "calc");
+  pressure = md_entry_pressure (&entry, MD_STR ("calc"));
   ck_assert_ptr_nonnull (pressure);
   ck_assert_uint_eq (pressure->permille, known_guard ()->worker.pressure);
-  ck_assert_ptr_null (md_entry_pressure (&entry, "other"));
+  ck_assert_ptr_null (md_entry_pressure (&entry, MD_STR ("other")));
 }
 END_TEST
 
--- a/tests/test-priority.c
+++ b/tests/test-priority.c
@@ -179,7 +179,7 @@
       routes = md_platform_parse_config (md_buf_str (&text), NULL);
       ck_assert_ptr_nonnull (routes);
       ck_assert_uint_eq (routes->n, 1);
-      ck_assert_uint_eq (routes->routes[0].priority, cases[i].priority);
+      ck_assert_uint_eq (routes->routes[0]->priority, cases[i].priority);
       md_routes_free (routes);
     }
 }
@@ -226,7 +226,7 @@
   MdWorker other = a;
   MdWorker *list[] = { &a, &b, &sparse, &other };
   MdWorkers workers = { .workers = list, .n = MD_ARRAY_SIZE (list) };
-  MdPressure pressure = { .pool = "calc" };
+  MdPressure pressure = { .pool = MD_STR ("calc") };
   MdTime now = 10 * MD_SECOND;
 
   md_pressure_update (&pressure, &workers, now);
