Keep pools and labels of workers at any length

Callers of a queue whose service has 120 bytes got 503 for as long as it was there: the guard ignored each report of its worker with "service is missing", which was not so, and no entry saw the worker. A job that requires a label of 60 bytes, which a registered worker has, got 400 at both entries. Read, not run: a kind of 32 bytes or more was left out of the labels of its worker, so that its rack counted as its kind; the ninth label and later ones were left out without a line.

MdWorkerReport, MdWorker and MdRunStep held the texts in arrays of 32 and 64 bytes, and what did not fit was dropped.

Change: the pool and the labels of a worker are one shared block (MdTraits) with texts and labels in any number; reports, records and the entry's view hold a reference. The labels of a job's steps stand in one block that the job owns. Placement compares length-counted texts. A label of another type is empty and keeps its place. Racks and labels of callers are quoted in log lines, which they were not.

--- a/core/md-base.h
+++ b/core/md-base.h
@@ -73,6 +73,10 @@
    necessary and always terminated. */
 void md_str_copy (char *field, size_t size, MdStr s);
 
+/* md_str_store: copies s and a terminator to *place, which has room for them, and advances *place
+   behind it. Returns the copy. */
+MdStr md_str_store (char **place, MdStr s);
+
 /* A growing buffer that owns its memory. It is empty when zero-initialized. After a
    failed allocation, failed is set and further appends do nothing; the data so far
    stays valid. */
--- a/core/str.c
+++ b/core/str.c
@@ -44,6 +44,16 @@
   field[n] = '\0';
 }
 
+MdStr
+md_str_store (char **place, MdStr s)
+{
+  MdStr copy = md_str_n (*place, s.len);
+
+  md_str_copy (*place, s.len + 1, s);
+  *place += s.len + 1;
+  return copy;
+}
+
 void
 md_buf_clear (MdBuf *buf)
 {
--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -111,6 +111,7 @@
   free (guard->hello_orders);
   free (guard->cancels.ids);
   free (guard->withdraws.ids);
+  md_traits_unref (guard->worker.traits);
   free (guard);
 }
 
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -575,9 +575,9 @@
 
   md_entry_requirements (entry, job, order->step, &need);
   need.alone = order->alone;
-  if (job->runjob.spec.steps[order->step].same_rack && need.affinity[0] == '\0'
+  if (job->runjob.spec.steps[order->step].same_rack && need.affinity.len == 0
       && entry->workers.remote_factor > 1)
-    need.affinity = md_labels_rack (&current->labels); /* its group is there */
+    need.affinity = md_traits_rack (current->traits); /* its group is there */
   if (!md_entry_apply_advice (entry, job, order->step, &need))
     return;
   other = md_place (&entry->workers, &need, NULL, current, entry->now);
--- a/fleet/entry-near.c
+++ b/fleet/entry-near.c
@@ -18,20 +18,22 @@
 {
   const MdRunStep *spec = &job->runjob.spec.steps[step];
 
-  return spec->same_rack && spec->affinity[0] == '\0';
+  return spec->same_rack && spec->affinity.len == 0;
 }
 
-const char *
-md_entry_group_rack (const MdEntryJob *job, uint32_t step)
+bool
+md_entry_group_rack (const MdEntryJob *job, uint32_t step, MdStr *rack)
 {
   for (uint32_t k = 0; k < job->runjob.spec.steps[step].n_tasks; k++)
     {
       const MdEntryOrder *order = job->runjob.tasks[step][k].order;
 
-      if (order != NULL)
-        return md_labels_rack (&order->guard->worker.labels);
+      if (order == NULL)
+        continue;
+      *rack = md_traits_rack (order->guard->worker.traits);
+      return true;
     }
-  return NULL;
+  return false;
 }
 
 /* A guard that is away does not confirm the withdrawal; the others do not wait for it. */
@@ -126,8 +128,7 @@
   const MdRunTask *task = &job->runjob.tasks[step][index];
   MdPlacement placement = { 0 };
 
-  *near
-      = (MdEntryNear){ .preferred = need->affinity[0] != '\0' && entry->workers.remote_factor > 1 };
+  *near = (MdEntryNear){ .preferred = need->affinity.len > 0 && entry->workers.remote_factor > 1 };
   if (near->preferred && !need->alone && !need->at_once
       && (!task->near_given_up || is_group (job, step)))
     {
@@ -150,7 +151,7 @@
   if (placement.worker == NULL)
     placement = md_place (&entry->workers, need, counts, task->last_worker, entry->now);
   near->near = near->preferred && placement.worker != NULL
-               && md_labels_have (&placement.worker->labels, need->affinity);
+               && md_traits_have (placement.worker->traits, need->affinity);
   return placement;
 }
 
@@ -189,13 +190,16 @@
 
 /* Takes a run back that is to be placed elsewhere. */
 static void
-take_back (MdRunEntry *entry, MdEntryJob *job, MdEntryOrder *order, const char *to, MdTime stay,
+take_back (MdRunEntry *entry, MdEntryJob *job, MdEntryOrder *order, MdStr to, MdTime stay,
            MdTime there)
 {
+  char quoted[MD_NAME_BYTES];
+
   md_log (MD_LOG_INFO, "run-moved",
           "job=%s step=%u task=%u from=%s to=%s stay_ms=%lld there_ms=%lld waited_ms=%lld "
           "near=given-up report_age_ms=%lld",
-          job->id, order->step, order->task, order->guard->name, to, (long long)(stay / MD_MS),
+          job->id, order->step, order->task, order->guard->name,
+          md_log_quote (to, quoted, sizeof quoted), (long long)(stay / MD_MS),
           (long long)(there / MD_MS), (long long)((entry->now - order->placed_at) / MD_MS),
           (long long)((entry->now - order->guard->worker.reported_at) / MD_MS));
   md_count (MD_M_RUNS_MOVED, 1);
@@ -242,14 +246,15 @@
 move_group (MdRunEntry *entry, MdEntryJob *job, uint32_t step, MdTaskRequirements *need)
 {
   uint32_t n = job->runjob.spec.steps[step].n_tasks;
-  const char *rack;
+  MdStr rack;
+  MdStr present;
   MdTime there = 0;
   MdTime stay;
 
   if (!can_move_group (job, step))
     return false;
   rack = md_place_rack (&entry->workers, need, n, entry->saved_resources, entry->now);
-  if (rack[0] == '\0' || strcmp (rack, md_entry_group_rack (job, step)) == 0)
+  if (rack.len == 0 || !md_entry_group_rack (job, step, &present) || md_str_equal (rack, present))
     return false;
   need->affinity = rack;
   stay = end_of_group (entry, job, step, need);
@@ -322,7 +327,7 @@
   MdTime there = places.far.wait + places.far.run_time;
 
   if (place_of (entry, &places.far).exists)
-    take_back (entry, job, order, ((MdEntryGuard *)places.far.worker)->name,
+    take_back (entry, job, order, md_str (((MdEntryGuard *)places.far.worker)->name),
                entry->daemon.leases.ended_after, there);
   else
     md_entry_near_end (entry, order, false);
@@ -348,8 +353,8 @@
   if (other.worker == NULL)
     return;
   md_worker_reserve (other.worker, md_place_reservation (other.worker, need), other.run_time);
-  take_back (entry, job, order, ((MdEntryGuard *)other.worker)->name, here.wait + here.run_time,
-             other.wait + other.run_time);
+  take_back (entry, job, order, md_str (((MdEntryGuard *)other.worker)->name),
+             here.wait + here.run_time, other.wait + other.run_time);
 }
 
 void
@@ -363,7 +368,7 @@
     return;
   md_entry_requirements (entry, job, order->step, &need);
   if (is_group (job, order->step))
-    need.affinity = md_labels_rack (&worker->labels);
+    need.affinity = md_traits_rack (worker->traits);
   queue = md_place_at (&entry->workers, worker, &need, entry->now).wait;
   if (md_worker_can_run (worker, &need) && !is_due (entry, order, queue))
     return;
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -48,6 +48,7 @@
   uint32_t followed = count_followed (entry);
   uint32_t max = entry->daemon.settings.max_followed;
   uint32_t n = 0;
+  char rack[MD_NAME_BYTES];
 
   while (n < MD_WIDEN_STEP && followed + n < max)
     {
@@ -61,7 +62,8 @@
   if (n > 0)
     md_log (MD_LOG_INFO, "coverage-widened",
             "job=%s request=%s step=%u guards=%u followed=%u max=%u rack=%s", job->id,
-            job->request_id, step, n, followed + n, max, rack_only ? need->affinity : "any");
+            job->request_id, step, n, followed + n, max,
+            rack_only ? md_log_quote (need->affinity, rack, sizeof rack) : "any");
   return n;
 }
 
@@ -80,7 +82,7 @@
 {
   const MdRunStep *spec = &job->runjob.spec.steps[step];
 
-  need->pool = job->route->pool.data;
+  need->pool = job->route->pool;
   need->required_label = spec->required_label;
   need->affinity = spec->affinity;
   need->resources = spec->resources;
@@ -196,17 +198,16 @@
                        entry->now);
 }
 
-const char *
+MdStr
 md_entry_choose_rack (MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
                       const MdTaskRequirements *need)
 {
   const MdRunStep *spec = &job->runjob.spec.steps[step];
-  const char *rack;
+  MdStr rack;
 
-  if (!spec->same_rack || spec->affinity[0] != '\0')
+  if (!spec->same_rack || spec->affinity.len > 0)
     return spec->affinity;
-  rack = md_entry_group_rack (job, step);
-  if (rack != NULL)
+  if (md_entry_group_rack (job, step, &rack))
     return rack;
   return md_place_rack (&entry->workers, need, spec->n_tasks, entry->saved_resources, entry->now);
 }
@@ -246,7 +247,7 @@
           widen_coverage (entry, job, step, &need, false);
           return;
         }
-      if (need.affinity[0] != '\0' && !md_labels_have (&placement.worker->labels, need.affinity))
+      if (need.affinity.len > 0 && !md_traits_have (placement.worker->traits, need.affinity))
         widen_coverage (entry, job, step, &need, true);
       md_place_count (&entry->workers, per_worker_count, placement.worker);
       order_task (entry, job, step, k, &need, &placement, &near);
--- a/fleet/entry-reports.c
+++ b/fleet/entry-reports.c
@@ -16,18 +16,32 @@
   return NULL;
 }
 
+/* Takes over the pool and the labels. Without memory the worker belongs to no pool, so that nothing is
+   placed there by what it was before; the guard describes it again on its next connection. */
+static void
+update_traits (MdEntryGuard *guard, const Md__WorkerInfo *info)
+{
+  md_autofree MdStr *labels = calloc (info->n_labels + 1, sizeof *labels);
+  MdTraits *traits = NULL;
+
+  for (size_t i = 0; labels != NULL && i < info->n_labels; i++)
+    labels[i] = md_str (info->labels[i]);
+  if (labels != NULL)
+    traits = md_traits_new (md_str (info->service), labels, (uint32_t)info->n_labels);
+  if (traits == NULL)
+    md_log (MD_LOG_ERROR, "worker-ignored", "guard=%s reason=\"out of memory\"", guard->name);
+  md_traits_unref (guard->worker.traits);
+  guard->worker.traits = traits;
+}
+
 static void
 update_worker (MdEntryGuard *guard, const Md__WorkerInfo *info)
 {
   MdWorker *worker = &guard->worker;
 
   md_str_copy (guard->worker_id, sizeof guard->worker_id, md_str (info->id));
-  md_str_copy (worker->pool, sizeof worker->pool, md_str (info->service));
+  update_traits (guard, info);
   worker->capacity = (MdResources){ info->cpu, info->memory_mb, info->accelerators };
-  worker->labels.n = 0;
-  for (size_t i = 0; i < info->n_labels && i < MD_MAX_LABELS; i++)
-    md_str_copy (worker->labels.label[worker->labels.n++], MD_LABEL_BYTES,
-                 md_str (info->labels[i]));
   worker->lifetime = XXH64 (guard->worker_id, strlen (guard->worker_id), (uint64_t)info->born_ms);
   md_log (MD_LOG_INFO, "worker-seen", "guard=%s worker=%s born_ms=%lld cpu=%u memory_mb=%u",
           guard->name, guard->worker_id, (long long)info->born_ms, info->cpu, info->memory_mb);
--- a/fleet/entry-where.c
+++ b/fleet/entry-where.c
@@ -171,7 +171,7 @@
 
       json_array_append_new (list, json_pack ("{s:s, s:s, s:I, s:I, s:I, s:s, s:I, s:I}", "guard",
                                               ((const MdEntryGuard *)worker)->name, "rack",
-                                              md_labels_rack (&worker->labels), "wait_ms",
+                                              md_traits_rack (worker->traits).data, "wait_ms",
                                               ms_of (best[i].placement.wait), "run_ms",
                                               ms_of (best[i].placement.run_time), "cost_ms",
                                               ms_of (md_span (best[i].rank.cost)), "fit",
@@ -243,10 +243,11 @@
   placed = try_tasks (entry, job, step, &need, tasks, placements);
   return json_pack ("{s:I, s:I, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:o, s:o}", "step",
                     (json_int_t)step, "tasks", (json_int_t)spec->n_tasks, "state", "ready",
-                    "preferred_rack", need.affinity, "expected_ms", ms_of (md_span (need.work)),
-                    "tried", (json_int_t)tasks, "placed", (json_int_t)placed, "workers_considered",
-                    (json_int_t)considered, "workers_sparse", (json_int_t)sparse, "workers",
-                    workers, "placements", placements);
+                    "preferred_rack", need.affinity.data, "expected_ms",
+                    ms_of (md_span (need.work)), "tried", (json_int_t)tasks, "placed",
+                    (json_int_t)placed, "workers_considered", (json_int_t)considered,
+                    "workers_sparse", (json_int_t)sparse, "workers", workers, "placements",
+                    placements);
 }
 
 static json_t *
--- a/fleet/guard-lifetime.c
+++ b/fleet/guard-lifetime.c
@@ -24,8 +24,7 @@
 is_same_description (const MdWorkerReport *a, const MdWorkerReport *b)
 {
   return a->state == b->state && memcmp (&a->capacity, &b->capacity, sizeof a->capacity) == 0
-         && memcmp (&a->labels, &b->labels, sizeof a->labels) == 0
-         && strcmp (a->pool, b->pool) == 0;
+         && md_traits_equal (a->traits, b->traits);
 }
 
 /* Adopts the capacity of a new or changed description and has it reported to all entries. */
@@ -51,7 +50,7 @@
   if (!worker->has_report || !is_same_description (&worker->report, report))
     update_description (guard, report);
   md_str_copy (worker->id, sizeof worker->id, md_str (id));
-  worker->report = *report;
+  md_worker_report_copy (&worker->report, report);
   worker->cold_until = guard->now + report->cold;
   worker->has_report = true;
   md_guard_update_accepting (guard);
@@ -64,13 +63,13 @@
   MdLifetime present
       = { .id = worker->id,
           .born_ms = worker->report.born_ms,
-          .pool = worker->has_report ? worker->report.pool : "",
+          .pool = worker->has_report ? md_traits_pool (worker->report.traits) : MD_STR (""),
           .sequence = worker->report.sequence,
           .sent_ms = worker->report.clock_ms,
           .clock_ms = worker->clock_known ? (guard->now + worker->clock_offset) / MD_MS : -1 };
   MdReportOrigin origin = { .id = id,
                             .born_ms = report->born_ms,
-                            .pool = report->pool,
+                            .pool = md_traits_pool (report->traits),
                             .sequence = report->sequence,
                             .sent_ms = report->clock_ms };
 
@@ -109,7 +108,7 @@
     case MD_REPORT_UNPROVEN:
       worker->has_unproven = true;
       worker->unproven_at = guard->now;
-      worker->unproven = event->report;
+      md_worker_report_copy (&worker->unproven, &event->report);
       md_str_copy (worker->unproven_id, sizeof worker->unproven_id, md_str (event->id));
       if (!guard->hold_in_progress)
         guard->hold_due = guard->now;
@@ -132,6 +131,7 @@
           "worker= born_ms=%lld former=%s former_born_ms=%lld runs=%u", (long long)born_ms,
           worker->id, (long long)worker->report.born_ms, guard->queue.running.n);
   worker->id[0] = '\0';
+  md_worker_report_clear (&worker->report);
   worker->report = (MdWorkerReport){ .born_ms = born_ms, .clock_ms = -1 };
   worker->has_report = false;
   worker->clean = false;
--- a/fleet/guard-memory.c
+++ b/fleet/guard-memory.c
@@ -32,6 +32,7 @@
               error.detail);
       return;
     }
+  md_worker_report_clear (&guard->worker_record.previous.report);
   guard->worker_record.previous = parsed;
   guard->worker_record.has_previous = true;
 }
@@ -110,7 +111,7 @@
   MD_AUTO_BUF value = { 0 };
 
   md_str_copy (record->id, sizeof record->id, md_str (guard->worker.id));
-  record->report = guard->worker.report;
+  md_worker_report_copy (&record->report, &guard->worker.report);
   record->log_speed = guard->queue.speed.log_speed;
   record->samples = guard->queue.speed.samples;
   md_platform_write_worker_record (&value, record);
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -205,6 +205,13 @@
 /* ------------------------------------------------------------------ */
 /* Reports                                                            */
 
+static size_t
+count_labels (const MdGuardWorker *worker)
+{
+  return worker->report.traits != NULL ? worker->report.traits->n_labels : 0;
+}
+
+/* labels has room for all of the worker. */
 static void
 fill_worker_info (const MdGuardWorker *worker, Md__WorkerInfo *info, char **labels)
 {
@@ -216,11 +223,11 @@
   info->cpu = report->capacity.cpu;
   info->memory_mb = report->capacity.memory_mb;
   info->accelerators = report->capacity.accelerators;
-  info->service = (char *)report->pool;
-  for (unsigned i = 0; i < report->labels.n; i++)
-    labels[i] = (char *)report->labels.label[i];
+  info->service = (char *)md_traits_pool (report->traits).data;
+  info->n_labels = count_labels (worker);
+  for (size_t i = 0; i < info->n_labels; i++)
+    labels[i] = (char *)report->traits->labels[i].data;
   info->labels = labels;
-  info->n_labels = report->labels.n;
 }
 
 static size_t
@@ -262,12 +269,12 @@
   Md__Frame frame = MD__FRAME__INIT;
   Md__RunReport report = MD__RUN_REPORT__INIT;
   Md__WorkerInfo info;
-  char *labels[MD_MAX_LABELS];
   size_t n = count_unsent_ends (peer);
   md_autofree Md__RunEnd *ends = calloc (n + 1, sizeof *ends);
   md_autofree Md__RunEnd **pointers = calloc (n + 1, sizeof *pointers);
+  md_autofree char **labels = calloc (count_labels (&guard->worker) + 1, sizeof *labels);
 
-  if (ends == NULL || pointers == NULL)
+  if (ends == NULL || pointers == NULL || labels == NULL)
     return; /* retried by the next poll */
   report.stamp_us = guard->now;
   report.entry = peer->incarnation;
--- a/fleet/guard-registrar.c
+++ b/fleet/guard-registrar.c
@@ -31,18 +31,19 @@
   return status;
 }
 
-/* Copies the event to the inbox of the engine thread, which frees the copy. */
+/* Moves the event to the inbox of the engine thread, which frees it. */
 static void
-queue_event (MdRegistrarServer *server, const MdWorkerEvent *event)
+queue_event (MdRegistrarServer *server, MdWorkerEvent *event)
 {
   MdWorkerEvent *copy = malloc (sizeof *copy);
 
   if (copy == NULL)
     {
       md_log (MD_LOG_ERROR, "worker-report-lost", "worker=%s reason=\"out of memory\"", event->id);
+      md_worker_report_clear (&event->report);
       return;
     }
-  *copy = *event;
+  *copy = *event; /* with its owner of the traits */
   md_inbox_push (server->inbox, &copy->node);
   md_links_wake (server->links);
 }
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -353,8 +353,8 @@
 /* md_entry_choose_rack: the rack preferred for the tasks of a step: the rack of its data, or for a
    step that is slower when spread over racks, the rack of a task that has been ordered already, or
    else the rack where all tasks would end first. Empty if there is no preference. */
-const char *md_entry_choose_rack (MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
-                                  const MdTaskRequirements *need);
+MdStr md_entry_choose_rack (MdRunEntry *entry, const MdEntryJob *job, uint32_t step,
+                            const MdTaskRequirements *need);
 typedef enum
 {
   MD_PLACEABLE_NEVER, /* a task fits on no worker, or a gang not on all of them */
@@ -377,8 +377,9 @@
   MdTime wait;    /* it waits there until it is decided again after this time, 0: it does not */
   MdTime saved;   /* run time that it saves */
 } MdEntryNear;
-/* md_entry_group_rack: the rack of the tasks of a step that have been ordered, NULL if none has. */
-const char *md_entry_group_rack (const MdEntryJob *job, uint32_t step);
+/* md_entry_group_rack: set *rack to the rack of the tasks of a step that have been ordered, empty if
+   their worker has none. False if none has been ordered. */
+bool md_entry_group_rack (const MdEntryJob *job, uint32_t step, MdStr *rack);
 /* md_entry_group_is_moving: whether runs of the step are being taken back to go to another rack
    together. None of its tasks is to be placed meanwhile. */
 bool md_entry_group_is_moving (const MdEntryJob *job, uint32_t step);
--- a/fleet/run-guard.c
+++ b/fleet/run-guard.c
@@ -48,6 +48,7 @@
     {
       next = node->next;
       md_guard_worker_event (guard, (MdWorkerEvent *)node);
+      md_worker_report_clear (&((MdWorkerEvent *)node)->report);
       free (node);
     }
 }
--- a/sched/coverage.c
+++ b/sched/coverage.c
@@ -45,9 +45,9 @@
 static bool
 is_more_useful (const MdWorker *a, const MdWorker *b, const MdTaskRequirements *need)
 {
-  bool local = md_labels_have (&a->labels, need->affinity);
+  bool local = md_traits_have (a->traits, need->affinity);
 
-  if (need->affinity[0] != '\0' && local != md_labels_have (&b->labels, need->affinity))
+  if (need->affinity.len > 0 && local != md_traits_have (b->traits, need->affinity))
     return local;
   return a->bias < b->bias;
 }
@@ -59,7 +59,7 @@
 
   return worker->sparse && !worker->follow_requested && md_worker_can_run (worker, need)
          && (need->excluded == NULL || !need->excluded[i])
-         && (!rack_only || md_labels_have (&worker->labels, need->affinity));
+         && (!rack_only || md_traits_have (worker->traits, need->affinity));
 }
 
 MdWorker *
--- a/sched/lifetime.c
+++ b/sched/lifetime.c
@@ -36,13 +36,13 @@
 MdReportVerdict
 md_lifetime_judge (const MdLifetime *present, const MdReportOrigin *report)
 {
-  bool reported = present->pool[0] != '\0';
+  bool reported = present->pool.len > 0;
 
   if (present->born_ms < 0 || report->born_ms != present->born_ms)
     return MD_REPORT_UNPROVEN;
   if (present->id[0] != '\0' && strcmp (report->id, present->id) != 0)
     return MD_REPORT_FOREIGN;
-  if (reported && strcmp (report->pool, present->pool) != 0)
+  if (reported && !md_str_equal (report->pool, present->pool))
     return MD_REPORT_FOREIGN;
   if (is_from_future (present, report))
     return MD_REPORT_UNPROVEN;
--- a/sched/lifetime.h
+++ b/sched/lifetime.h
@@ -10,7 +10,7 @@
 {
   const char *id;    /* name of the worker; empty: not known */
   int64_t born_ms;   /* time of birth, as its answers to holds state it; -1: none answered yet */
-  const char *pool;  /* pool in its newest report; empty: no report yet */
+  MdStr pool;        /* pool in its newest report; empty: no report yet */
   uint64_t sequence; /* of that report */
   int64_t sent_ms;   /* worker's clock in that report; -1: not stated */
   int64_t clock_ms;  /* worker's clock now, from its answers; -1: not known */
@@ -21,7 +21,7 @@
 {
   const char *id;    /* name of the worker that it describes */
   int64_t born_ms;   /* birth of that worker */
-  const char *pool;  /* pool of that worker */
+  MdStr pool;        /* of that worker */
   uint64_t sequence; /* grows with each report of a lifetime */
   int64_t sent_ms;   /* worker's clock when it was sent; -1: not stated */
 } MdReportOrigin;
--- a/sched/placement.c
+++ b/sched/placement.c
@@ -44,29 +44,14 @@
 #define MIN_IDLE_WORKERS 2 /* that a task needs to run alone, so that one is left to others */
 #define OVERDUE_MARGIN (15 * MD_MS) /* a run that waits this much longer than predicted may move */
 
-bool
-md_labels_have (const MdLabels *labels, const char *label)
-{
-  for (unsigned i = 0; i < labels->n; i++)
-    if (strcmp (labels->label[i], label) == 0)
-      return true;
-  return false;
-}
-
-const char *
-md_labels_rack (const MdLabels *labels)
-{
-  return labels->n > MD_LABEL_RACK ? labels->label[MD_LABEL_RACK] : "";
-}
-
 bool
 md_worker_can_run (const MdWorker *worker, const MdTaskRequirements *need)
 {
   return worker->state == MD_WORKER_READY && worker->connected && !worker->evacuated
-         && strcmp (worker->pool, need->pool) == 0
+         && md_str_equal (md_traits_pool (worker->traits), need->pool)
          && md_resources_fit (worker->capacity, need->resources)
-         && (need->required_label[0] == '\0'
-             || md_labels_have (&worker->labels, need->required_label));
+         && (need->required_label.len == 0
+             || md_traits_have (worker->traits, need->required_label));
 }
 
 /* After avoid_until, a worker that failed is probed with one run at a time. */
@@ -83,7 +68,7 @@
   double run = need->work / (worker->speed > 0 ? worker->speed : 1.0);
   MdPlacement placement = { .worker = worker };
 
-  if (need->affinity[0] != '\0' && !md_labels_have (&worker->labels, need->affinity))
+  if (need->affinity.len > 0 && !md_traits_have (worker->traits, need->affinity))
     run *= workers->remote_factor;
   placement.run_time = md_span (run);
   if (!md_resources_fit (worker->free, need->resources))
@@ -226,7 +211,7 @@
       best.capacity_cpu += worker->capacity.cpu;
       best.free_cpu += worker->free.cpu;
       best.waiting += worker->near_waiting;
-      if (md_labels_have (&worker->labels, need->affinity))
+      if (md_traits_have (worker->traits, need->affinity))
         {
           current = &best.near;
           best.near_cpu += worker->capacity.cpu;
@@ -352,30 +337,29 @@
 
 /* Whether one of the first i workers can run the task and has the same rack. */
 static bool
-is_rack_before (const MdWorkers *workers, const MdTaskRequirements *need, uint32_t i,
-                const char *rack)
+is_rack_before (const MdWorkers *workers, const MdTaskRequirements *need, uint32_t i, MdStr rack)
 {
   for (uint32_t k = 0; k < i; k++)
     if (md_worker_can_run (workers->workers[k], need)
-        && strcmp (md_labels_rack (&workers->workers[k]->labels), rack) == 0)
+        && md_str_equal (md_traits_rack (workers->workers[k]->traits), rack))
       return true;
   return false;
 }
 
-const char *
+MdStr
 md_place_rack (const MdWorkers *workers, const MdTaskRequirements *need, uint32_t count,
                MdSavedResources *saved, MdTime now)
 {
   MdTaskRequirements trial = *need;
-  const char *best = "";
+  MdStr best = MD_STR ("");
   MdTime soonest = INT64_MAX;
 
   for (uint32_t i = 0; i < workers->n; i++)
     {
-      const char *rack = md_labels_rack (&workers->workers[i]->labels);
+      MdStr rack = md_traits_rack (workers->workers[i]->traits);
       MdTime finish = 0;
 
-      if (rack[0] == '\0' || !md_worker_can_run (workers->workers[i], need)
+      if (rack.len == 0 || !md_worker_can_run (workers->workers[i], need)
           || is_rack_before (workers, need, i, rack))
         continue;
       trial.affinity = rack;
--- a/sched/pressure.c
+++ b/sched/pressure.c
@@ -66,7 +66,7 @@
 
       if (!worker->connected || worker->sparse || worker->state != MD_WORKER_READY
           || worker->pressure_at == 0 || now - worker->pressure_at > MAX_REPORT_AGE
-          || !md_str_equal (md_str (worker->pool), pressure->pool))
+          || !md_str_equal (md_traits_pool (worker->traits), pressure->pool))
         continue;
       sum += worker->pressure;
       n++;
--- a/sched/routes.c
+++ b/sched/routes.c
@@ -18,17 +18,6 @@
   MdRoute route;
 } SharedRoute;
 
-/* Copies a text to *place, with a terminator, and advances *place behind it. */
-static MdStr
-store_text (char **place, MdStr text)
-{
-  MdStr copy = md_str_n (*place, text.len);
-
-  md_str_copy (*place, text.len + 1, text);
-  *place += text.len + 1;
-  return copy;
-}
-
 MdRoute *
 md_route_new (const MdRoute *fields)
 {
@@ -43,11 +32,11 @@
   atomic_init (&shared->owners, 1);
   route = &shared->route;
   *route = *fields;
-  route->name = store_text (&place, fields->name);
-  route->label = store_text (&place, fields->label);
-  route->host = store_text (&place, fields->host);
-  route->prefix = store_text (&place, fields->prefix);
-  route->pool = store_text (&place, fields->pool);
+  route->name = md_str_store (&place, fields->name);
+  route->label = md_str_store (&place, fields->label);
+  route->host = md_str_store (&place, fields->host);
+  route->prefix = md_str_store (&place, fields->prefix);
+  route->pool = md_str_store (&place, fields->pool);
   return route;
 }
 
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -11,6 +11,7 @@
 
 #include "estimate.h"
 #include "md-base.h"
+#include "traits.h"
 
 /* ------------------------------------------------------------------ */
 /* Resources of a worker                                              */
@@ -218,24 +219,6 @@
 /* ------------------------------------------------------------------ */
 /* An entry's view of the workers, and placement (placement.c)         */
 
-#define MD_MAX_LABELS 8
-#define MD_LABEL_BYTES 32
-
-typedef struct
-{
-  char label[MD_MAX_LABELS][MD_LABEL_BYTES]; /* null-terminated */
-  unsigned n;                                /* labels */
-} MdLabels;
-
-/* md_labels_have: whether label is one of the labels. */
-bool md_labels_have (const MdLabels *labels, const char *label);
-
-/* Index of the rack; the first label is the kind of the worker. */
-#define MD_LABEL_RACK 1
-
-/* md_labels_rack: the label of the rack, an empty string if there is none. */
-const char *md_labels_rack (const MdLabels *labels);
-
 typedef struct
 {
   uint64_t guard;        /* incarnation of its guard */
@@ -258,9 +241,8 @@
   MdTime pressure_at;    /* when that was reported, see md_stamp_age; 0: never */
   uint32_t outstanding;  /* runs ordered by this entry that have not ended */
   uint32_t near_waiting; /* of these, those that wait here because it is near, see locality.h */
-  char pool[MD_NAME_BYTES]; /* it belongs to */
-  MdLabels labels;          /* kind and rack */
-  double speed;             /* as reported, relative to declared times */
+  MdTraits *traits;      /* pool, kind and rack; one of their owners */
+  double speed;          /* as reported, relative to declared times */
 } MdWorker;
 
 typedef struct
@@ -273,17 +255,17 @@
 /* Requirements of the tasks of a step. */
 typedef struct
 {
-  const char *pool;           /* the workers must belong to it */
-  const char *required_label; /* label that the worker must have, empty none */
-  const char *affinity;       /* label of the rack that holds its data, empty none */
-  MdResources resources;      /* of one task */
-  double work;                /* of one task: run time at speed 1, microseconds */
-  MdTime goal;                /* a task that ends within this time from now meets the job's goal */
-  MdTime limit;               /* a task that ends after this time from now is worth nothing */
-  uint32_t max_per_worker;    /* most tasks of the step on one worker, 0 unlimited */
-  const bool *excluded;       /* for each worker: it must not run the step; NULL none */
-  bool alone;                 /* nothing else may run at the worker meanwhile */
-  bool at_once;               /* it must not wait: the worker has room for it now */
+  MdStr pool;              /* the workers must belong to it */
+  MdStr required_label;    /* label that the worker must have, empty none */
+  MdStr affinity;          /* label of the rack that holds its data, empty none */
+  MdResources resources;   /* of one task */
+  double work;             /* of one task: run time at speed 1, microseconds */
+  MdTime goal;             /* a task that ends within this time from now meets the job's goal */
+  MdTime limit;            /* a task that ends after this time from now is worth nothing */
+  uint32_t max_per_worker; /* most tasks of the step on one worker, 0 unlimited */
+  const bool *excluded;    /* for each worker: it must not run the step; NULL none */
+  bool alone;              /* nothing else may run at the worker meanwhile */
+  bool at_once;            /* it must not wait: the worker has room for it now */
 } MdTaskRequirements;
 
 typedef struct
@@ -390,10 +372,10 @@
 bool md_worker_can_run (const MdWorker *worker, const MdTaskRequirements *need);
 
 /* md_place_rack: the rack on which count tasks of a step would end first if a task takes
-   remote_factor times as long elsewhere; an empty string if no worker that can run them
+   remote_factor times as long elsewhere; an empty text if no worker that can run them
    has a rack label. saved is scratch space as for md_workers_save. */
-const char *md_place_rack (const MdWorkers *workers, const MdTaskRequirements *need, uint32_t count,
-                           MdSavedResources *saved, MdTime now);
+MdStr md_place_rack (const MdWorkers *workers, const MdTaskRequirements *need, uint32_t count,
+                     MdSavedResources *saved, MdTime now);
 
 /* md_place_possible: whether the workers for which md_worker_can_run holds have room for count
    tasks at a time, if nothing else runs there. */
@@ -528,17 +510,17 @@
 typedef struct
 {
   uint32_t n_tasks;
-  MdResources resources;               /* of each task */
-  MdTime declared_time;                /* run time of a task as stated by the caller */
-  uint64_t depends_on;                 /* bit i: depends on step i, which must be done first */
-  bool checkpointing;                  /* the tasks save their progress */
-  bool gang;                           /* the tasks only work when all run at the same time */
-  bool same_rack;                      /* the tasks are slower when spread over racks */
-  bool speculative;                    /* copies of a task may run at the same time */
-  bool long_running;                   /* the tasks run until cancelled */
-  uint32_t max_per_worker;             /* most tasks on one worker, 0 unlimited */
-  char required_label[MD_LABEL_BYTES]; /* label that a worker must have, empty none */
-  char affinity[MD_LABEL_BYTES];       /* rack that holds the data, empty none */
+  MdResources resources;   /* of each task */
+  MdTime declared_time;    /* run time of a task as stated by the caller */
+  uint64_t depends_on;     /* bit i: depends on step i, which must be done first */
+  bool checkpointing;      /* the tasks save their progress */
+  bool gang;               /* the tasks only work when all run at the same time */
+  bool same_rack;          /* the tasks are slower when spread over racks */
+  bool speculative;        /* copies of a task may run at the same time */
+  bool long_running;       /* the tasks run until cancelled */
+  uint32_t max_per_worker; /* most tasks on one worker, 0 unlimited */
+  MdStr required_label;    /* label that a worker must have, empty none; terminated */
+  MdStr affinity;          /* rack that holds the data, empty none; terminated */
 } MdRunStep;
 
 /* A job as submitted; platform/ decodes it from the wire. */
@@ -547,6 +529,7 @@
   char *spec;       /* what the tasks run; owned, null-terminated */
   size_t spec_len;  /* bytes of spec without the null byte */
   MdRunStep *steps; /* n_steps elements, owned */
+  char *labels;     /* the labels of all steps, owned; NULL: they are not owned */
   uint32_t n_steps;
   uint32_t repeat_count; /* further runs of the whole job, 0 none */
   bool best_effort;      /* need not be stored; answered after it has ended */
--- a/sched/runjob.c
+++ b/sched/runjob.c
@@ -22,6 +22,7 @@
 {
   free (spec->spec);
   free (spec->steps);
+  free (spec->labels);
   memset (spec, 0, sizeof *spec);
 }
 
--- a/tests/test-warmup.c
+++ b/tests/test-warmup.c
@@ -249,6 +249,7 @@
       ck_assert_int_eq (md_platform_parse_worker_report (md_buf_str (&body), &report, &error),
                         MD_OK);
       ck_assert_int_eq (report.cold, cases[i].cold);
+      md_worker_report_clear (&report);
     }
 }
 END_TEST
