Keep checkpoints and permits at any length

A task whose checkpoint has 128 bytes or more began anew after each end, and in the end failed its job if only the checkpoint lets it be done; a permit of that length was read as "denied", so that the jobs of a queue with an advisor got 503 for as long as the advisor allowed the worker.

Change: each holder owns a copy of the text, none for an empty one. A task of a job takes 120 bytes less. Without memory the checkpoints of all members of a gang are dropped, which must carry the same, and an order without its permit is not made until the next tick.

--- a/core/md-base.h
+++ b/core/md-base.h
@@ -73,6 +73,10 @@
    necessary and always terminated. */
 void md_str_copy (char *field, size_t size, MdStr s);
 
+/* md_str_set: replaces the owned, terminated text *field with a copy of s; NULL for an empty one.
+   Returns false, with *field NULL, when memory runs out. */
+bool md_str_set (char **field, MdStr s);
+
 /* md_str_store: copies s and a terminator to *place, which has room for them, and advances *place
    behind it. Returns the copy. */
 MdStr md_str_store (char **place, MdStr s);
--- a/core/str.c
+++ b/core/str.c
@@ -44,6 +44,16 @@
   field[n] = '\0';
 }
 
+bool
+md_str_set (char **field, MdStr s)
+{
+  char *copy = s.len > 0 ? md_str_dup (s) : NULL;
+
+  free (*field);
+  *field = copy;
+  return copy != NULL || s.len == 0;
+}
+
 MdStr
 md_str_store (char **place, MdStr s)
 {
--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -125,7 +125,7 @@
       for (MdEntryOrder *order = guard->orders, *next; order != NULL; order = next)
         {
           next = order->next;
-          free (order);
+          md_entry_free_order (order);
         }
       free_guard (guard);
     }
@@ -245,6 +245,7 @@
             MdTime now)
 {
   const MdEntryJob *job = order->job;
+  const MdRunTask *task = &job->runjob.tasks[order->step][order->task];
 
   md_platform_task_name (name->text, md_str (job->id), 0, order->step, order->task);
   md__run_order__init (out);
@@ -257,11 +258,11 @@
   out->accelerators = order->need.accelerators;
   out->work_us = (uint64_t)md_span (order->work);
   out->start_within_us = order->start_within - (now - order->placed_at);
-  out->permit = order->permit;
+  out->permit = order->permit != NULL ? order->permit : "";
   out->alone = order->alone;
   out->at_once = order->at_once;
   out->priority = order->priority;
-  out->checkpoint = job->runjob.tasks[order->step][order->task].checkpoint;
+  out->checkpoint = task->checkpoint != NULL ? task->checkpoint : "";
 }
 
 /* Ends the unsent orders that were cancelled or whose job has ended. The guard has never
--- a/fleet/entry-jobs.c
+++ b/fleet/entry-jobs.c
@@ -384,6 +384,13 @@
     }
 }
 
+void
+md_entry_free_order (MdEntryOrder *order)
+{
+  free (order->permit);
+  free (order);
+}
+
 static void
 unlink_order (MdEntryOrder *order)
 {
@@ -472,7 +479,7 @@
 }
 
 /* Stores the checkpoint of a run that has ended. All tasks of a gang resume from the same
-   checkpoint. */
+   checkpoint, or all from the beginning. */
 static void
 save_checkpoint (MdEntryJob *job, const MdEntryOrder *order, const char *checkpoint)
 {
@@ -480,9 +487,16 @@
   uint32_t first = step->gang ? 0 : order->task;
   uint32_t end = step->gang ? step->n_tasks : order->task + 1;
 
+  MdRunTask *tasks = job->runjob.tasks[order->step];
+  bool stored = true;
+
   for (uint32_t k = first; k < end; k++)
-    md_str_copy (job->runjob.tasks[order->step][k].checkpoint, MD_CHECKPOINT_BYTES,
-                 md_str (checkpoint));
+    stored &= md_str_set (&tasks[k].checkpoint, md_str (checkpoint));
+  for (uint32_t k = first; !stored && k < end; k++)
+    md_str_set (&tasks[k].checkpoint, MD_STR (""));
+  if (!stored)
+    md_log (MD_LOG_ERROR, "checkpoint-lost", "job=%s step=%u task=%u reason=\"out of memory\"",
+            job->id, order->step, order->task);
 }
 
 void
@@ -521,7 +535,7 @@
                 (long long)((job->deadline - entry->now) / MD_MS), task->crashes);
     }
   md_entry_near_end (entry, order, false);
-  free (order);
+  md_entry_free_order (order);
   if (job != NULL)
     advance_job (entry, job);
 }
--- a/fleet/entry-placement.c
+++ b/fleet/entry-placement.c
@@ -131,9 +131,15 @@
 {
   MdRunTask *task = &job->runjob.tasks[step][index];
   MdEntryOrder *order = calloc (1, sizeof *order);
+  const char *permit = NULL;
 
-  if (order == NULL)
-    return; /* retried at the next tick */
+  if (job->advice != NULL)
+    permit = md_advice_permit (&job->advice[step], placement->worker->lifetime, entry->now);
+  if (order == NULL || !md_str_set (&order->permit, md_str (permit)))
+    {
+      free (order);
+      return; /* retried at the next tick */
+    }
   order->guard = (MdEntryGuard *)placement->worker;
   order->job = job;
   order->step = step;
@@ -149,10 +155,6 @@
   order->work = need->work;
   order->expected_run = placement->run_time;
   order->start_within = job->goal - entry->now - placement->run_time;
-  if (job->advice != NULL)
-    md_str_copy (order->permit, sizeof order->permit,
-                 md_str (md_advice_permit (&job->advice[step], placement->worker->lifetime,
-                                           entry->now)));
   md_runjob_record_order (&job->runjob, step, index, order);
   placement->worker->outstanding++;
   md_worker_reserve (placement->worker, md_place_reservation (placement->worker, need),
--- a/fleet/guard-lifetime.c
+++ b/fleet/guard-lifetime.c
@@ -27,6 +27,30 @@
          && md_traits_equal (a->traits, b->traits);
 }
 
+size_t
+md_guard_count_labels (const MdGuardWorker *worker)
+{
+  return worker->report.traits != NULL ? worker->report.traits->n_labels : 0;
+}
+
+void
+md_guard_describe_worker (const MdGuardWorker *worker, Md__WorkerInfo *info, char **labels)
+{
+  const MdWorkerReport *report = &worker->report;
+
+  md__worker_info__init (info);
+  info->id = (char *)worker->id;
+  info->born_ms = report->born_ms;
+  info->cpu = report->capacity.cpu;
+  info->memory_mb = report->capacity.memory_mb;
+  info->accelerators = report->capacity.accelerators;
+  info->service = (char *)md_traits_pool (report->traits).data;
+  info->n_labels = md_guard_count_labels (worker);
+  for (size_t i = 0; i < info->n_labels; i++)
+    labels[i] = (char *)report->traits->labels[i].data;
+  info->labels = labels;
+}
+
 /* Adopts the capacity of a new or changed description and has it reported to all entries. */
 static void
 update_description (MdRunGuard *guard, const MdWorkerReport *report)
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -43,8 +43,9 @@
 {
   MdGuardEnd *end = peer->n_ends < MAX_ENDS ? calloc (1, sizeof *end) : NULL;
 
-  if (end == NULL)
+  if (end == NULL || !md_str_set (&end->checkpoint, md_str (checkpoint)))
     {
+      free (end);
       md_log (MD_LOG_ERROR, "end-lost", "task=%s ends=%u reason=\"out of memory or over a limit\"",
               run->task, peer->n_ends);
       return;
@@ -53,7 +54,6 @@
   end->order_id = run->queued.id;
   end->result = result;
   end->duration = time;
-  md_str_copy (end->checkpoint, sizeof end->checkpoint, md_str (checkpoint));
   if (peer->last_end != NULL)
     peer->last_end->next = end;
   else
@@ -75,6 +75,7 @@
       if (peer->ends == NULL)
         peer->last_end = NULL;
       peer->n_ends--;
+      free (end->checkpoint);
       free (end);
     }
 }
@@ -86,6 +87,15 @@
     free (text);
 }
 
+static void
+free_run (MdGuardRun *run)
+{
+  release_text (run->spec);
+  free (run->checkpoint);
+  free (run->permit);
+  free (run);
+}
+
 void
 md_guard_end_run (MdRunGuard *guard, MdGuardRun *run, MdRunResult result, const char *checkpoint)
 {
@@ -101,12 +111,11 @@
           run->run_number, md_run_result_name (result), (long long)(time / MD_MS),
           peer != NULL ? peer->name : "gone");
   /* After a failed hold the end was received late, so the run time is overestimated. */
-  if (result == MD_RUN_DONE && run->checkpoint[0] == '\0' && !guard->last_hold_failed)
+  if (result == MD_RUN_DONE && run->checkpoint == NULL && !guard->last_hold_failed)
     md_runqueue_update_speed (&guard->queue, &run->queued, time, guard->now);
   md_runqueue_remove (&guard->queue, &run->queued, guard->now);
   guard->state_version++;
-  release_text (run->spec);
-  free (run);
+  free_run (run);
 }
 
 /* When the lease of an entry runs out unless it is extended. */
@@ -187,8 +196,7 @@
     for (MdRun *run = lists[i]->first, *next; run != NULL; run = next)
       {
         next = run->next;
-        release_text (((MdGuardRun *)run)->spec);
-        free (run);
+        free_run ((MdGuardRun *)run);
       }
 }
 
@@ -205,31 +213,6 @@
 /* ------------------------------------------------------------------ */
 /* Reports                                                            */
 
-static size_t
-count_labels (const MdGuardWorker *worker)
-{
-  return worker->report.traits != NULL ? worker->report.traits->n_labels : 0;
-}
-
-/* labels has room for all of the worker. */
-static void
-fill_worker_info (const MdGuardWorker *worker, Md__WorkerInfo *info, char **labels)
-{
-  const MdWorkerReport *report = &worker->report;
-
-  md__worker_info__init (info);
-  info->id = (char *)worker->id;
-  info->born_ms = report->born_ms;
-  info->cpu = report->capacity.cpu;
-  info->memory_mb = report->capacity.memory_mb;
-  info->accelerators = report->capacity.accelerators;
-  info->service = (char *)md_traits_pool (report->traits).data;
-  info->n_labels = count_labels (worker);
-  for (size_t i = 0; i < info->n_labels; i++)
-    labels[i] = (char *)report->traits->labels[i].data;
-  info->labels = labels;
-}
-
 static size_t
 count_unsent_ends (const MdGuardPeer *peer)
 {
@@ -256,7 +239,7 @@
       out->id = end->order_id;
       out->how = end->result;
       out->run_us = (uint64_t)end->duration;
-      out->checkpoint = end->checkpoint;
+      out->checkpoint = end->checkpoint != NULL ? end->checkpoint : "";
       pointers[report->n_ends++] = out;
       end->sent = true;
     }
@@ -272,7 +255,7 @@
   size_t n = count_unsent_ends (peer);
   md_autofree Md__RunEnd *ends = calloc (n + 1, sizeof *ends);
   md_autofree Md__RunEnd **pointers = calloc (n + 1, sizeof *pointers);
-  md_autofree char **labels = calloc (count_labels (&guard->worker) + 1, sizeof *labels);
+  md_autofree char **labels = calloc (md_guard_count_labels (&guard->worker) + 1, sizeof *labels);
 
   if (ends == NULL || pointers == NULL || labels == NULL)
     return; /* retried by the next poll */
@@ -294,7 +277,7 @@
   report.state = md_guard_reported_state (guard);
   if (!peer->worker_reported && guard->worker.has_report)
     {
-      fill_worker_info (&guard->worker, &info, labels);
+      md_guard_describe_worker (&guard->worker, &info, labels);
       report.worker = &info;
     }
   fill_ends (peer, &report, ends, pointers);
@@ -547,10 +530,12 @@
 {
   MdGuardRun *run = calloc (1, sizeof *run);
 
-  if (run == NULL || spec == NULL)
+  if (run == NULL || spec == NULL || !md_str_set (&run->checkpoint, md_str (order->checkpoint))
+      || !md_str_set (&run->permit, md_str (order->permit)))
     {
       /* The next hello does not list the order as alive, which tells the entry that it is lost. */
-      free (run);
+      if (run != NULL)
+        free_run (run);
       md_link_disconnect (peer->link);
       return;
     }
@@ -566,8 +551,6 @@
   md_str_copy (run->task, sizeof run->task, md_str (order->task));
   run->run_number = order->run;
   run->queued.job = XXH64 (run->task, strcspn (run->task, "."), 0);
-  md_str_copy (run->checkpoint, sizeof run->checkpoint, md_str (order->checkpoint));
-  md_str_copy (run->permit, sizeof run->permit, md_str (order->permit));
   run->spec = spec;
   spec->references++;
   md_runqueue_add (&guard->queue, &run->queued, guard->now);
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -120,36 +120,36 @@
 /* A run that a guard was ordered to start and that has not ended. */
 struct MdEntryOrder
 {
-  MdEntryOrder *next;           /* in the list of the guard */
-  MdEntryOrder *previous;       /* in the list of the guard */
-  MdEntryOrder *next_unsent;    /* in the list of unsent orders of the guard */
-  uint64_t id;                  /* unique in this process, increasing */
-  MdEntryGuard *guard;          /* guard that the order is for */
-  MdEntryJob *job;              /* NULL: the job has been answered */
-  uint32_t step;                /* index in the job */
-  uint32_t task;                /* index in the step */
-  uint32_t run_number;          /* start number, with the offset of the job */
-  MdResources need;             /* resources reserved at the worker */
-  MdTime declared_run;          /* run time declared by the caller */
-  MdTime placed_at;             /* when the task was placed */
-  MdTime expected_wait;         /* wait at the worker that was predicted at placement */
-  double work;                  /* predicted run time at speed 1, microseconds */
-  MdTime expected_run;          /* run time on this worker that was predicted at placement */
-  MdTime start_within;          /* slack at placement: a start after this time misses the goal */
-  char permit[MD_PERMIT_BYTES]; /* from the advisory service, empty: none */
-  uint8_t priority;             /* by which the guard orders it among those that wait */
-  bool alone;                   /* nothing else may run at the worker meanwhile */
-  bool at_once;                 /* the guard is to reject it rather than let it wait */
-  bool sent;                    /* has been sent to the guard */
-  bool started;                 /* the guard has reported the start */
-  bool withdrawn;               /* the guard was asked to end it unless it has started */
-  bool cancelled;               /* the guard was asked to end it, started or not */
-  bool group_moves;             /* withdrawn with all of its group, for another rack */
-  MdTime near_until;            /* it waits for a near place, which is decided again at this time;
+  MdEntryOrder *next;        /* in the list of the guard */
+  MdEntryOrder *previous;    /* in the list of the guard */
+  MdEntryOrder *next_unsent; /* in the list of unsent orders of the guard */
+  uint64_t id;               /* unique in this process, increasing */
+  MdEntryGuard *guard;       /* guard that the order is for */
+  MdEntryJob *job;           /* NULL: the job has been answered */
+  uint32_t step;             /* index in the job */
+  uint32_t task;             /* index in the step */
+  uint32_t run_number;       /* start number, with the offset of the job */
+  MdResources need;          /* resources reserved at the worker */
+  MdTime declared_run;       /* run time declared by the caller */
+  MdTime placed_at;          /* when the task was placed */
+  MdTime expected_wait;      /* wait at the worker that was predicted at placement */
+  double work;               /* predicted run time at speed 1, microseconds */
+  MdTime expected_run;       /* run time on this worker that was predicted at placement */
+  MdTime start_within;       /* slack at placement: a start after this time misses the goal */
+  char *permit;              /* from the advisory service, owned; NULL: none */
+  uint8_t priority;          /* by which the guard orders it among those that wait */
+  bool alone;                /* nothing else may run at the worker meanwhile */
+  bool at_once;              /* the guard is to reject it rather than let it wait */
+  bool sent;                 /* has been sent to the guard */
+  bool started;              /* the guard has reported the start */
+  bool withdrawn;            /* the guard was asked to end it unless it has started */
+  bool cancelled;            /* the guard was asked to end it, started or not */
+  bool group_moves;          /* withdrawn with all of its group, for another rack */
+  MdTime near_until;         /* it waits for a near place, which is decided again at this time;
                                    0: it does not */
-  MdTime near_first_queue;      /* near_until: wait of a new run there when it was placed */
-  MdTime near_queue;            /* near_until: the same at the last decision */
-  MdTime near_saved;            /* near_until: run time that the near place saves */
+  MdTime near_first_queue;   /* near_until: wait of a new run there when it was placed */
+  MdTime near_queue;         /* near_until: the same at the last decision */
+  MdTime near_saved;         /* near_until: run time that the near place saves */
 };
 
 /* ------------------------------------------------------------------ */
@@ -180,6 +180,9 @@
   _Atomic int64_t counts[MD_JOB_OUTCOME_COUNT]; /* jobs by outcome; read by other threads */
 } MdQueueStats;
 
+/* md_entry_free_order: free an order that is in no list. */
+void md_entry_free_order (MdEntryOrder *order);
+
 /* md_entry_free_queues: free the statistics of all queues and pools. There are no jobs left. */
 void md_entry_free_queues (MdRunEntry *entry);
 
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -34,28 +34,28 @@
 /* An order from an entry, from its arrival until its end. */
 typedef struct
 {
-  MdRun queued;                         /* must be first: an MdRun in the queue is cast to this */
-  MdTime received_at;                   /* when the order arrived */
-  char task[MD_RUN_NAME_BYTES];         /* name of the task at the worker */
-  uint32_t run_number;                  /* start count of the task, given by the entry */
-  MdRunText *spec;                      /* one reference */
-  char checkpoint[MD_CHECKPOINT_BYTES]; /* checkpoint to resume from; empty: none */
-  char permit[MD_PERMIT_BYTES];         /* permit of the advisory service; empty: none */
-  bool confirmed;                       /* the worker has acknowledged or listed the run */
-  MdTime confirmed_at;                  /* valid when confirmed */
-  bool start_in_progress;               /* a start call awaits its response */
-  uint64_t fenced_by;                   /* An unanswered start can no longer take effect once the
+  MdRun queued;                 /* must be first: an MdRun in the queue is cast to this */
+  MdTime received_at;           /* when the order arrived */
+  char task[MD_RUN_NAME_BYTES]; /* name of the task at the worker */
+  uint32_t run_number;          /* start count of the task, given by the entry */
+  MdRunText *spec;              /* one reference */
+  char *checkpoint;             /* checkpoint to resume from, owned; NULL: none */
+  char *permit;                 /* permit of the advisory service, owned; NULL: none */
+  bool confirmed;               /* the worker has acknowledged or listed the run */
+  MdTime confirmed_at;          /* valid when confirmed */
+  bool start_in_progress;       /* a start call awaits its response */
+  uint64_t fenced_by;           /* An unanswered start can no longer take effect once the
                                            worker has answered a hold with this token or a higher
                                            one. 0: no such start. */
-  bool cancelled;                       /* the worker is to stop the run */
-  MdTime had_to_end_at;                 /* when its lease or its entry ended it; valid when
+  bool cancelled;               /* the worker is to stop the run */
+  MdTime had_to_end_at;         /* when its lease or its entry ended it; valid when
                                            cancelled */
-  MdTime stop_due;                      /* time of the next stop call; valid when cancelled */
-  bool stop_in_progress;                /* a stop call awaits its response */
-  bool outlived;                        /* the worker started again while it was not known whether
+  MdTime stop_due;              /* time of the next stop call; valid when cancelled */
+  bool stop_in_progress;        /* a stop call awaits its response */
+  bool outlived;                /* the worker started again while it was not known whether
                                            the start had been executed */
-  unsigned rejected_starts;             /* start calls that the worker rejected */
-  unsigned missing_holds;               /* consecutive hold responses without the run */
+  unsigned rejected_starts;     /* start calls that the worker rejected */
+  unsigned missing_holds;       /* consecutive hold responses without the run */
 } MdGuardRun;
 
 /* ------------------------------------------------------------------ */
@@ -66,13 +66,13 @@
 /* The end of a run, kept until the entry has acknowledged it. */
 struct MdGuardEnd
 {
-  MdGuardEnd *next;                     /* the next newer one */
-  uint64_t number;                      /* increases with each end in the life of the guard */
-  uint64_t order_id;                    /* order of the run */
-  MdRunResult result;                   /* how the run ended */
-  MdTime duration;                      /* time since the start; 0: never started */
-  char checkpoint[MD_CHECKPOINT_BYTES]; /* checkpoint that the run saved; empty: none */
-  bool sent;                            /* on the present connection */
+  MdGuardEnd *next;   /* the next newer one */
+  uint64_t number;    /* increases with each end in the life of the guard */
+  uint64_t order_id;  /* order of the run */
+  MdRunResult result; /* how the run ended */
+  MdTime duration;    /* time since the start; 0: never started */
+  char *checkpoint;   /* checkpoint that the run saved, owned; NULL: none */
+  bool sent;          /* on the present connection */
 };
 
 /* An entry and the link to it. */
@@ -236,6 +236,13 @@
 
 /* guard-lifetime.c */
 
+/* md_guard_count_labels: labels in the newest report of the worker. */
+size_t md_guard_count_labels (const MdGuardWorker *worker);
+
+/* md_guard_describe_worker: fill in the description of the worker for entries. The texts are borrowed
+   from its newest report; labels has room for all of them. */
+void md_guard_describe_worker (const MdGuardWorker *worker, Md__WorkerInfo *info, char **labels);
+
 /* md_guard_worker_event: process a report or the deregistration of the worker. */
 void md_guard_worker_event (MdRunGuard *guard, const MdWorkerEvent *event);
 
--- a/sched/advice.c
+++ b/sched/advice.c
@@ -22,6 +22,8 @@
 void
 md_advice_clear (MdAdvice *advice)
 {
+  for (uint32_t i = 0; i < advice->n; i++)
+    free (advice->rows[i].permit);
   free (advice->rows);
   *advice = (MdAdvice){ 0 };
 }
@@ -48,6 +50,7 @@
       advice->rows = rows;
       advice->cap = cap;
     }
+  advice->rows[advice->n] = (MdAdviceRow){ 0 };
   return &advice->rows[advice->n++];
 }
 
@@ -63,8 +66,10 @@
     return MD_E_MEMORY;
   row->lifetime = lifetime;
   row->allowed = permit.len > 0;
+  row->use_until = 0;
+  if (!md_str_set (&row->permit, permit))
+    return MD_E_MEMORY;
   row->use_until = now + valid - margin;
-  md_str_copy (row->permit, sizeof row->permit, permit);
   return MD_OK;
 }
 
--- a/sched/advice.h
+++ b/sched/advice.h
@@ -5,7 +5,6 @@
 
 #include "run-sched.h"
 
-#define MD_PERMIT_BYTES 128       /* proof that a step may run on a worker, with the null byte */
 #define MD_ADVICE_MAX_WORKERS 30u /* in one call; goals allow for the time of such a call */
 
 /* The advisory service of a queue. */
@@ -20,10 +19,10 @@
 /* The service's decision about one lifetime of a worker. */
 typedef struct
 {
-  uint64_t lifetime;            /* see MdWorker */
-  bool allowed;                 /* never changes */
-  MdTime use_until;             /* a run ordered later may start after the permit has expired */
-  char permit[MD_PERMIT_BYTES]; /* sent with each start there; empty if denied */
+  uint64_t lifetime; /* see MdWorker */
+  bool allowed;      /* never changes */
+  MdTime use_until;  /* a run ordered later may start after the permit has expired */
+  char *permit;      /* sent with each start there, owned; NULL if denied */
 } MdAdviceRow;
 
 /* The service's decisions about one step. Zero-initialized, it holds none. */
--- a/sched/run-sched.h
+++ b/sched/run-sched.h
@@ -501,11 +501,10 @@
 /* ------------------------------------------------------------------ */
 /* Jobs of tasks at an entry (runjob.c)                               */
 
-#define MD_MAX_STEPS 64         /* of a job */
-#define MD_MAX_STEP_TASKS 4096  /* of a step */
-#define MD_MAX_JOB_TASKS 8192   /* of a job; the largest planned for has 890 */
-#define MD_RUN_NAME_BYTES 64    /* name of a task on the platform, with the null byte */
-#define MD_CHECKPOINT_BYTES 128 /* reference to a saved state, with the null byte */
+#define MD_MAX_STEPS 64        /* of a job */
+#define MD_MAX_STEP_TASKS 4096 /* of a step */
+#define MD_MAX_JOB_TASKS 8192  /* of a job; the largest planned for has 890 */
+#define MD_RUN_NAME_BYTES 64   /* name of a task on the platform, with the null byte */
 
 typedef struct
 {
@@ -560,7 +559,7 @@
   MdWorker *last_worker; /* on which a run last failed or was rejected, NULL none */
   bool near_given_up;    /* a wait for a near place was given up; set by the caller */
   void *order;           /* of the caller; valid in ORDERED */
-  char checkpoint[MD_CHECKPOINT_BYTES]; /* the next run resumes from it, empty none */
+  char *checkpoint;      /* the next run resumes from it, owned; NULL: none */
 } MdRunTask;
 
 /* State of a step whose tasks only work when all run at the same time. They are ordered
--- a/sched/runjob.c
+++ b/sched/runjob.c
@@ -110,7 +110,11 @@
 md_runjob_clear (MdRunJob *job)
 {
   for (uint32_t i = 0; job->tasks != NULL && i < job->spec.n_steps; i++)
-    free (job->tasks[i]);
+    {
+      for (uint32_t k = 0; job->tasks[i] != NULL && k < job->spec.steps[i].n_tasks; k++)
+        free (job->tasks[i][k].checkpoint);
+      free (job->tasks[i]);
+    }
   free (job->tasks);
   free (job->remaining);
   free (job->gangs);
--- a/tests/test-long-texts.c
+++ b/tests/test-long-texts.c
@@ -312,6 +312,34 @@
 }
 END_TEST
 
+/* Guards against a run that begins anew, or a worker that counts as denied, because the checkpoint or
+   the permit is long. */
+START_TEST (checkpoints_and_permits_are_kept)
+{
+  MD_AUTO_BUF text = text_of ("c", 'c', 600);
+  MD_AUTO_BUF body = { 0 };
+  MdHoldResponse held;
+  MdAdvice advice = { 0 };
+
+  md_buf_printf (&body,
+                 "{\"born\":1,\"running\":[],\"finished\":[[1,\"5c.0.0.0\",1,\"failed\",\"%s1\"],"
+                 "[2,\"5c.0.0.1\",1,\"failed\",\"%s2\"],[3,\"5c.0.0.2\",1,\"failed\",\"\"]]}",
+                 text.data, text.data);
+  ck_assert_int_eq (md_platform_parse_hold_response (md_buf_str (&body), &held, NULL), MD_OK);
+  ck_assert_uint_eq (held.n_ends, 3);
+  ck_assert_uint_eq (strlen (held.ends[0].checkpoint), 601);
+  ck_assert_str_ne (held.ends[0].checkpoint, held.ends[1].checkpoint);
+  ck_assert_ptr_null (held.ends[2].checkpoint);
+  md_hold_response_clear (&held);
+
+  ck_assert_int_eq (md_advice_set (&advice, 7, md_buf_str (&text), MD_SECOND, 1), MD_OK);
+  ck_assert_str_eq (md_advice_permit (&advice, 7, 2), text.data);
+  ck_assert_int_eq (md_advice_set (&advice, 7, MD_STR (""), MD_SECOND, 1), MD_OK);
+  ck_assert_ptr_null (md_advice_permit (&advice, 7, 2));
+  md_advice_clear (&advice);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -326,5 +354,6 @@
   tcase_add_loop_test (tc, worker_has_all_its_labels, 0, 6);
   tcase_add_test (tc, label_of_another_type_keeps_its_place);
   tcase_add_test (tc, job_has_its_labels);
+  tcase_add_test (tc, checkpoints_and_permits_are_kept);
   return run_suite ("long-texts", tc);
 }
