Keep names of workers at any length

A worker whose name has 64 bytes or more was never used: its guard answered each of its reports with 404, without a line, and no entry saw it. Read, not run: an entry cut a longer name of another guard to 63 bytes, from which it derives the lifetime that permits belong to.

The name stood in arrays of 64 bytes in events, reports, records, calls to the worker and to the advisor, and in the entry's view.

Change: the name belongs to the traits of the worker, which all of these share now. A guard answers 404 to a path without a name only. Reports that cannot be read are counted (worker_reports_refused), beside the line that they had.

Evidence: run-long-names names all workers with 100 bytes and more now.

--- a/fleet/entry-advice.c
+++ b/fleet/entry-advice.c
@@ -18,9 +18,9 @@
   uint32_t n;                                /* workers named in the call */
   uint32_t n_allowed;                        /* workers allowed by the response */
   uint64_t lifetimes[MD_ADVICE_MAX_WORKERS]; /* of each worker, see MdWorker */
-  char worker_ids[MD_ADVICE_MAX_WORKERS][MD_WORKER_ID_BYTES]; /* name of each worker */
-  bool is_allowed[MD_ADVICE_MAX_WORKERS];                     /* by worker, set by the response */
-  MdTime validity;                                            /* validity period of the permits */
+  MdTraits *workers[MD_ADVICE_MAX_WORKERS];  /* of each worker; an owner */
+  bool is_allowed[MD_ADVICE_MAX_WORKERS];    /* by worker, set by the response */
+  MdTime validity;                           /* validity period of the permits */
 };
 
 typedef struct MdEntryAdviceCall Call;
@@ -28,6 +28,17 @@
 /* ------------------------------------------------------------------ */
 /* Responses                                                          */
 
+static void
+free_call (Call **call)
+{
+  for (uint32_t i = 0; i < (*call)->n; i++)
+    md_traits_unref ((*call)->workers[i]);
+  free (*call);
+}
+
+/* Declares a call that is freed at the end of its scope. */
+#define MD_AUTO_ADVICE_CALL __attribute__ ((cleanup (free_call))) Call
+
 /* Stores the permit of worker i of the call; an empty permit denies the worker. */
 static void
 store_permit (Call *call, uint32_t i, MdStr permit)
@@ -45,7 +56,7 @@
   Call *call = user;
 
   for (uint32_t i = 0; i < call->n; i++)
-    if (md_str_equal (md_str (call->worker_ids[i]), worker))
+    if (md_str_equal (md_traits_name (call->workers[i]), worker))
       {
         call->n_allowed += !call->is_allowed[i];
         call->is_allowed[i] = true;
@@ -83,7 +94,7 @@
 static void
 on_response (void *user, const MdHttpAsyncResponse *response)
 {
-  md_autofree Call *call = user;
+  MD_AUTO_ADVICE_CALL *call = user;
   MdRunEntry *entry = call->entry;
   MdEntryJob *job = call->job;
   MdError error = response->error;
@@ -169,9 +180,8 @@
   for (uint32_t i = 0; i < n; i++)
     {
       call->lifetimes[i] = workers[i]->lifetime;
-      md_str_copy (call->worker_ids[i], MD_WORKER_ID_BYTES,
-                   md_str (((MdEntryGuard *)workers[i])->worker_id));
-      names[i] = md_str (call->worker_ids[i]);
+      call->workers[i] = md_traits_ref (workers[i]->traits);
+      names[i] = md_traits_name (call->workers[i]);
     }
   md_platform_step_name (name, md_str (job->id), 0, step);
   md_platform_advise (&request, md_str (name), names, n);
@@ -179,7 +189,7 @@
                       on_response, call)
       != MD_OK)
     {
-      free (call);
+      free_call (&call);
       return;
     }
   entry->advice_call = call;
--- a/fleet/entry-reports.c
+++ b/fleet/entry-reports.c
@@ -16,7 +16,7 @@
   return NULL;
 }
 
-/* Takes over the pool and the labels. Without memory the worker belongs to no pool, so that nothing is
+/* Takes over the name, the pool and the labels. Without memory the worker belongs to no pool, so that nothing is
    placed there by what it was before; the guard describes it again on its next connection. */
 static void
 update_traits (MdEntryGuard *guard, const Md__WorkerInfo *info)
@@ -27,7 +27,8 @@
   for (size_t i = 0; labels != NULL && i < info->n_labels; i++)
     labels[i] = md_str (info->labels[i]);
   if (labels != NULL)
-    traits = md_traits_new (md_str (info->service), labels, (uint32_t)info->n_labels);
+    traits = md_traits_new (md_str (info->id), md_str (info->service), labels,
+                            (uint32_t)info->n_labels);
   if (traits == NULL)
     md_log (MD_LOG_ERROR, "worker-ignored", "guard=%s reason=\"out of memory\"", guard->name);
   md_traits_unref (guard->worker.traits);
@@ -39,12 +40,11 @@
 {
   MdWorker *worker = &guard->worker;
 
-  md_str_copy (guard->worker_id, sizeof guard->worker_id, md_str (info->id));
   update_traits (guard, info);
   worker->capacity = (MdResources){ info->cpu, info->memory_mb, info->accelerators };
-  worker->lifetime = XXH64 (guard->worker_id, strlen (guard->worker_id), (uint64_t)info->born_ms);
+  worker->lifetime = XXH64 (info->id, strlen (info->id), (uint64_t)info->born_ms);
   md_log (MD_LOG_INFO, "worker-seen", "guard=%s worker=%s born_ms=%lld cpu=%u memory_mb=%u",
-          guard->name, guard->worker_id, (long long)info->born_ms, info->cpu, info->memory_mb);
+          guard->name, info->id, (long long)info->born_ms, info->cpu, info->memory_mb);
 }
 
 /* Guards report speeds between these, see runqueue.c. */
@@ -78,7 +78,7 @@
   md_worker_set_failures (worker, report->failures, entry->now);
   if ((uint32_t)worker->state != report->state)
     md_log (MD_LOG_INFO, "upstream-state", "guard=%s worker=%s state=%u former=%d", guard->name,
-            guard->worker_id, report->state, (int)worker->state);
+            md_traits_name (worker->traits).data, report->state, (int)worker->state);
   worker->state
       = report->state <= MD_WORKER_DRAINING ? (MdWorkerState)report->state : MD_WORKER_ABSENT;
 }
--- a/fleet/guard-evacuation.c
+++ b/fleet/guard-evacuation.c
@@ -41,7 +41,7 @@
   md_warmup_begin (&guard->warmup, guard->now);
   md_guard_warmup_poll (guard);
   md_log (MD_LOG_INFO, "warmup", "worker=%s cold_ms=%lld length_ms=%lld free_cpu=%u cpu=%u",
-          guard->worker.id, (long long)(cold > 0 ? cold / MD_MS : 0),
+          md_guard_worker_name (&guard->worker), (long long)(cold > 0 ? cold / MD_MS : 0),
           (long long)((guard->queue.withheld_until - guard->now) / MD_MS), guard->queue.free.cpu,
           guard->queue.capacity.cpu);
 }
@@ -91,7 +91,7 @@
     }
   if (!guard->warmup.active)
     {
-      md_log (MD_LOG_INFO, "warmup-ended", "worker=%s", guard->worker.id);
+      md_log (MD_LOG_INFO, "warmup-ended", "worker=%s", md_guard_worker_name (&guard->worker));
       return INT64_MAX;
     }
   return guard->now + md_warmup_due (&guard->warmup, cold_until, steps + 1);
--- a/fleet/guard-lifetime.c
+++ b/fleet/guard-lifetime.c
@@ -14,7 +14,7 @@
 static void
 handle_deregistration (MdRunGuard *guard)
 {
-  md_log (MD_LOG_INFO, "worker-left", "worker=%s", guard->worker.id);
+  md_log (MD_LOG_INFO, "worker-left", "worker=%s", md_guard_worker_name (&guard->worker));
   guard->worker.report.state = MD_WORKER_ABSENT;
   guard->state_version++;
   md_guard_update_accepting (guard);
@@ -39,7 +39,7 @@
   const MdWorkerReport *report = &worker->report;
 
   md__worker_info__init (info);
-  info->id = (char *)worker->id;
+  info->id = (char *)md_guard_worker_name (worker);
   info->born_ms = report->born_ms;
   info->cpu = report->capacity.cpu;
   info->memory_mb = report->capacity.memory_mb;
@@ -62,18 +62,17 @@
 }
 
 static void
-follow_report (MdRunGuard *guard, const char *id, const MdWorkerReport *report)
+follow_report (MdRunGuard *guard, const MdWorkerReport *report)
 {
   MdGuardWorker *worker = &guard->worker;
 
   if (!worker->has_report || worker->report.state != report->state)
     md_log (MD_LOG_INFO, "worker-state",
-            "worker=%s born_ms=%lld state=%d sequence=%llu cpu=%u memory_mb=%u", id,
-            (long long)report->born_ms, (int)report->state, (unsigned long long)report->sequence,
-            report->capacity.cpu, report->capacity.memory_mb);
+            "worker=%s born_ms=%lld state=%d sequence=%llu cpu=%u memory_mb=%u",
+            md_traits_name (report->traits).data, (long long)report->born_ms, (int)report->state,
+            (unsigned long long)report->sequence, report->capacity.cpu, report->capacity.memory_mb);
   if (!worker->has_report || !is_same_description (&worker->report, report))
     update_description (guard, report);
-  md_str_copy (worker->id, sizeof worker->id, md_str (id));
   md_worker_report_copy (&worker->report, report);
   worker->cold_until = guard->now + report->cold;
   worker->has_report = true;
@@ -81,17 +80,17 @@
 }
 
 static MdReportVerdict
-judge_report (const MdRunGuard *guard, const char *id, const MdWorkerReport *report)
+judge_report (const MdRunGuard *guard, const MdWorkerReport *report)
 {
   const MdGuardWorker *worker = &guard->worker;
   MdLifetime present
-      = { .id = worker->id,
+      = { .id = md_traits_name (worker->report.traits),
           .born_ms = worker->report.born_ms,
           .pool = worker->has_report ? md_traits_pool (worker->report.traits) : MD_STR (""),
           .sequence = worker->report.sequence,
           .sent_ms = worker->report.clock_ms,
           .clock_ms = worker->clock_known ? (guard->now + worker->clock_offset) / MD_MS : -1 };
-  MdReportOrigin origin = { .id = id,
+  MdReportOrigin origin = { .id = md_traits_name (report->traits),
                             .born_ms = report->born_ms,
                             .pool = md_traits_pool (report->traits),
                             .sequence = report->sequence,
@@ -101,12 +100,13 @@
 }
 
 static void
-ignore_report (const MdRunGuard *guard, const char *id, const MdWorkerReport *report)
+ignore_report (const MdRunGuard *guard, const MdWorkerReport *report)
 {
   md_log (MD_LOG_WARN, "worker-report-ignored",
           "worker=%s born_ms=%lld sequence=%llu present=%s present_born_ms=%lld "
           "reason=\"not of the worker that answers the holds\"",
-          id, (long long)report->born_ms, (unsigned long long)report->sequence, guard->worker.id,
+          md_traits_name (report->traits).data, (long long)report->born_ms,
+          (unsigned long long)report->sequence, md_guard_worker_name (&guard->worker),
           (long long)guard->worker.report.born_ms);
   md_count (MD_M_REPORTS_IGNORED, 1);
 }
@@ -118,14 +118,15 @@
 
   if (event->deregistered)
     {
-      if (strcmp (event->id, worker->id) == 0)
+      if (md_str_equal (md_traits_name (event->report.traits),
+                        md_traits_name (worker->report.traits)))
         handle_deregistration (guard);
       return;
     }
-  switch (judge_report (guard, event->id, &event->report))
+  switch (judge_report (guard, &event->report))
     {
     case MD_REPORT_NEWEST:
-      follow_report (guard, event->id, &event->report);
+      follow_report (guard, &event->report);
       break;
     case MD_REPORT_OLD:
       break;
@@ -133,12 +134,11 @@
       worker->has_unproven = true;
       worker->unproven_at = guard->now;
       md_worker_report_copy (&worker->unproven, &event->report);
-      md_str_copy (worker->unproven_id, sizeof worker->unproven_id, md_str (event->id));
       if (!guard->hold_in_progress)
         guard->hold_due = guard->now;
       break;
     case MD_REPORT_FOREIGN:
-      ignore_report (guard, event->id, &event->report);
+      ignore_report (guard, &event->report);
       break;
     }
 }
@@ -153,8 +153,7 @@
 
   md_log (guard->queue.running.n > 0 ? MD_LOG_WARN : MD_LOG_INFO, "worker-lifetime",
           "worker= born_ms=%lld former=%s former_born_ms=%lld runs=%u", (long long)born_ms,
-          worker->id, (long long)worker->report.born_ms, guard->queue.running.n);
-  worker->id[0] = '\0';
+          md_guard_worker_name (worker), (long long)worker->report.born_ms, guard->queue.running.n);
   md_worker_report_clear (&worker->report);
   worker->report = (MdWorkerReport){ .born_ms = born_ms, .clock_ms = -1 };
   worker->has_report = false;
@@ -174,13 +173,13 @@
 
   if (!worker->has_unproven)
     return;
-  verdict = judge_report (guard, worker->unproven_id, &worker->unproven);
+  verdict = judge_report (guard, &worker->unproven);
   /* The hold may have been answered before the report was sent. */
   if (verdict == MD_REPORT_UNPROVEN && guard->hold_sent < worker->unproven_at)
     return;
   worker->has_unproven = false;
   if (verdict == MD_REPORT_NEWEST)
-    follow_report (guard, worker->unproven_id, &worker->unproven);
+    follow_report (guard, &worker->unproven);
   else if (verdict != MD_REPORT_OLD)
-    ignore_report (guard, worker->unproven_id, &worker->unproven);
+    ignore_report (guard, &worker->unproven);
 }
--- a/fleet/guard-memory.c
+++ b/fleet/guard-memory.c
@@ -50,9 +50,8 @@
       || previous->report.born_ms != guard->worker.report.born_ms)
     return;
   md_log (MD_LOG_INFO, "worker-remembered", "worker=%s born_ms=%lld log_speed=%.2f samples=%u",
-          previous->id, (long long)previous->report.born_ms, previous->log_speed,
-          previous->samples);
-  md_str_copy (event.id, sizeof event.id, md_str (previous->id));
+          md_traits_name (previous->report.traits).data, (long long)previous->report.born_ms,
+          previous->log_speed, previous->samples);
   md_guard_worker_event (guard, &event);
   guard->queue.speed.log_speed = previous->log_speed;
   guard->queue.speed.samples = previous->samples;
@@ -79,7 +78,9 @@
 {
   const MdResources *capacity = &worker->report.capacity;
 
-  return strcmp (worker->id, written->id) != 0 || worker->report.born_ms != written->report.born_ms
+  return !md_str_equal (md_traits_name (worker->report.traits),
+                        md_traits_name (written->report.traits))
+         || worker->report.born_ms != written->report.born_ms
          || worker->report.state != written->report.state
          || memcmp (capacity, &written->report.capacity, sizeof *capacity) != 0;
 }
@@ -110,7 +111,6 @@
   MD_AUTO_CALL call = { 0 };
   MD_AUTO_BUF value = { 0 };
 
-  md_str_copy (record->id, sizeof record->id, md_str (guard->worker.id));
   md_worker_report_copy (&record->report, &guard->worker.report);
   record->log_speed = guard->queue.speed.log_speed;
   record->samples = guard->queue.speed.samples;
--- a/fleet/guard-registrar.c
+++ b/fleet/guard-registrar.c
@@ -39,7 +39,8 @@
 
   if (copy == NULL)
     {
-      md_log (MD_LOG_ERROR, "worker-report-lost", "worker=%s reason=\"out of memory\"", event->id);
+      md_log (MD_LOG_ERROR, "worker-report-lost", "worker=%s reason=\"out of memory\"",
+              md_traits_name (event->report.traits).data);
       md_worker_report_clear (&event->report);
       return;
     }
@@ -59,24 +60,29 @@
   MdError error = { 0 };
   MD_AUTO_BUF body = { 0 };
   char chunk[4096];
+  char quoted[MD_NAME_BYTES];
   int n;
 
   while ((n = mg_read (conn, chunk, sizeof chunk)) > 0 && body.len <= REPORT_MAX_BYTES)
     md_buf_append (&body, md_str_n (chunk, (size_t)n));
-  if (strlen (info->local_uri) <= strlen (MD_PLATFORM_WORKER_PREFIX)
-      || strlen (id) >= sizeof event.id)
+  if (strlen (info->local_uri) <= strlen (MD_PLATFORM_WORKER_PREFIX))
     return respond (conn, 404, JSON_TYPE, "{}");
-  md_str_copy (event.id, sizeof event.id, md_str (id));
   event.deregistered = strcmp (info->request_method, "DELETE") == 0;
   if (!event.deregistered && strcmp (info->request_method, "PUT") != 0)
     return respond (conn, 405, JSON_TYPE, "{}");
   if (!event.deregistered
-      && md_platform_parse_worker_report (md_buf_str (&body), &event.report, &error) != MD_OK)
+      && md_platform_parse_worker_report (md_buf_str (&body), md_str (id), &event.report, &error)
+             != MD_OK)
     {
-      md_log (MD_LOG_WARN, "worker-report-ignored", "worker=%s reason=\"%s\"", event.id,
-              error.detail);
+      md_log (MD_LOG_WARN, "worker-report-ignored", "worker=%s reason=\"%s\"",
+              md_log_quote (md_str (id), quoted, sizeof quoted), error.detail);
+      md_count (MD_M_REPORTS_REFUSED, 1);
       return respond (conn, 400, JSON_TYPE, "{}");
     }
+  if (event.deregistered)
+    event.report.traits = md_traits_new (md_str (id), MD_STR (""), NULL, 0);
+  if (event.report.traits == NULL)
+    return respond (conn, 503, JSON_TYPE, "{}");
   queue_event (server, &event);
   return respond (conn, 200, JSON_TYPE, "{}");
 }
--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -49,12 +49,12 @@
 typedef struct
 {
   MdRunGuard *guard;
-  uint32_t *calls;                 /* calls of its kind in progress, in guard */
-  uint64_t entry;                  /* incarnation of the run's entry; 0: a run that this process did
+  uint32_t *calls;  /* calls of its kind in progress, in guard */
+  uint64_t entry;   /* incarnation of the run's entry; 0: a run that this process did
                                       not start */
-  uint64_t id;                     /* order of the run; 0 likewise */
-  uint64_t token;                  /* fencing token of the call */
-  char worker[MD_WORKER_ID_BYTES]; /* name of the worker that it was sent to */
+  uint64_t id;      /* order of the run; 0 likewise */
+  uint64_t token;   /* fencing token of the call */
+  MdTraits *worker; /* that it was sent to; an owner */
 } OrderCall;
 
 static MdGuardRun *
@@ -164,8 +164,10 @@
 static void
 free_order_call (OrderCall *call)
 {
-  if (call != NULL)
-    (*call->calls)--;
+  if (call == NULL)
+    return;
+  (*call->calls)--;
+  md_traits_unref (call->worker);
   free (call);
 }
 
@@ -201,7 +203,7 @@
   call->entry = entry;
   call->id = id;
   call->token = guard->worker.token;
-  md_str_copy (call->worker, sizeof call->worker, md_str (guard->worker.id));
+  call->worker = md_traits_ref (guard->worker.report.traits);
   return call;
 }
 
@@ -237,7 +239,8 @@
 {
   MD_AUTO_CALL order = { 0 };
 
-  md_platform_stop (&order, md_str (guard->worker.id), task, run_number, guard->worker.token);
+  md_platform_stop (&order, md_str (md_guard_worker_name (&guard->worker)), task, run_number,
+                    guard->worker.token);
   return send_order (guard, guard->stop_http, &order,
                      guard->daemon.settings.stop_timeout + STOP_MARGIN, on_stop_response,
                      new_order_call (guard, &guard->stop_calls, entry, id));
@@ -398,8 +401,8 @@
   if (unknown > 0)
     {
       md_log (MD_LOG_INFO, "runs-stopped",
-              "worker=%s count=%zu reason=\"not ordered by this process\"", guard->worker.id,
-              unknown);
+              "worker=%s count=%zu reason=\"not ordered by this process\"",
+              md_guard_worker_name (&guard->worker), unknown);
       guard->hold_due = guard->now + STOP_RETRY_DELAY / 2;
     }
 }
@@ -412,7 +415,7 @@
     return;
   guard->worker.reachable = true;
   guard->state_version++;
-  md_log (MD_LOG_INFO, "worker-reached", "worker=%s", guard->worker.id);
+  md_log (MD_LOG_INFO, "worker-reached", "worker=%s", md_guard_worker_name (&guard->worker));
 }
 
 static void
@@ -454,7 +457,8 @@
 
   worker->reachable = false;
   guard->state_version++;
-  md_log (MD_LOG_WARN, "worker-unreachable", "worker=%s silent_ms=%lld refused=%d", worker->id,
+  md_log (MD_LOG_WARN, "worker-unreachable", "worker=%s silent_ms=%lld refused=%d",
+          md_guard_worker_name (worker),
           (long long)((guard->now - worker->last_response_at) / MD_MS), worker->refused);
   md_guard_update_accepting (guard);
 }
@@ -501,8 +505,8 @@
       if (response->status == 409)
         raise_token (guard, guard->hold_token, TOKEN_JUMP);
       if (guard->worker.reachable)
-        md_log (MD_LOG_WARN, "hold-failed", "worker=%s status=%d reason=\"%s\"", guard->worker.id,
-                response->status, error.detail);
+        md_log (MD_LOG_WARN, "hold-failed", "worker=%s status=%d reason=\"%s\"",
+                md_guard_worker_name (&guard->worker), response->status, error.detail);
     }
   md_hold_response_clear (&hold);
 }
@@ -597,7 +601,7 @@
       return;
     }
   result = md_platform_parse_start_response (response->status, response->body, &clock_ms);
-  if (strcmp (call->worker, guard->worker.id) == 0)
+  if (md_str_equal (md_traits_name (call->worker), md_traits_name (guard->worker.report.traits)))
     update_clock_offset (guard, clock_ms);
   if (result == MD_ORDER_FENCED)
     raise_token (guard, call->token, TOKEN_JUMP);
@@ -619,7 +623,7 @@
                             .checkpoint = md_str (run->checkpoint),
                             .permit = md_str (run->permit) };
 
-  md_platform_start (&order, md_str (guard->worker.id), &start);
+  md_platform_start (&order, md_str (md_guard_worker_name (&guard->worker)), &start);
   run->start_in_progress = true;
   run->confirmed = false;
   run->fenced_by = 0;
@@ -660,8 +664,9 @@
     {
       md_count (MD_M_LEASES_LIMITED, 1);
       md_log (MD_LOG_WARN, "lease-limited", "worker=%s left_ms=%lld cancelled=%u runs=%u stops=%u",
-              guard->worker.id, (long long)((limit > guard->now ? limit - guard->now : 0) / MD_MS),
-              cancelled, guard->queue.running.n, guard->stop_calls);
+              md_guard_worker_name (&guard->worker),
+              (long long)((limit > guard->now ? limit - guard->now : 0) / MD_MS), cancelled,
+              guard->queue.running.n, guard->stop_calls);
     }
   guard->worker.lease_limit = limit;
   guard->worker.lease_is_short = is_short;
@@ -705,8 +710,8 @@
     mark_unreachable (guard);
   if (guard->queue.running.n > 0 && guard->now >= worker->lease_until)
     {
-      md_log (MD_LOG_WARN, "lease-lapsed", "worker=%s runs=%u refused=%d", worker->id,
-              guard->queue.running.n, worker->refused);
+      md_log (MD_LOG_WARN, "lease-lapsed", "worker=%s runs=%u refused=%d",
+              md_guard_worker_name (worker), guard->queue.running.n, worker->refused);
       end_started_runs (guard, worker->refused ? crash_result (guard) : MD_RUN_LEASE_EXPIRED);
     }
   if (guard->queue.running.n > 0)
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -94,7 +94,6 @@
   MdWorker worker;          /* state for placement; first, so that a pointer to it can be cast */
   MdRunEntry *entry;        /* that the guard is connected to, borrowed */
   char name[MD_NAME_BYTES]; /* of the guard; stays the same when the guard restarts */
-  char worker_id[64];       /* name of the worker, empty until it is reported */
   MdLink *link;             /* NULL: not connected */
   uint64_t connection;      /* counter of the guard's connections, from its hello */
   MdTime stamp;             /* highest stamp in its reports, guard's clock; 0: none */
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -112,19 +112,18 @@
    incarnation of the worker, identified by its name and its time of birth. */
 typedef struct
 {
-  char id[MD_WORKER_ID_BYTES]; /* name of the worker; empty: no report of this lifetime yet */
-  MdWorkerReport report;       /* the last report; valid when has_report, except for born_ms, which
+  MdWorkerReport report;   /* the last report; valid when has_report, except for born_ms, which
                                   holds set and which is -1 before the first one was answered */
-  bool has_report;             /* a report of this lifetime has arrived */
-  bool clean;                  /* no run of an earlier guard process is left in this lifetime */
-  bool has_unknown;            /* the last hold listed runs that this process did not start, or
+  bool has_report;         /* a report of this lifetime has arrived */
+  bool clean;              /* no run of an earlier guard process is left in this lifetime */
+  bool has_unknown;        /* the last hold listed runs that this process did not start, or
                                   that it has reported as ended */
-  bool clock_known;            /* clock_offset is valid */
-  MdTime clock_offset;         /* the worker's clock minus this process's */
-  uint64_t acked_end;          /* highest number of an end processed in this lifetime */
-  uint64_t token;              /* fencing token of the next call */
-  uint64_t acked_token;        /* highest token of a hold that the worker has answered */
-  MdTime lease_until;          /* guard's clock: every run has ended by then unless the lease is
+  bool clock_known;        /* clock_offset is valid */
+  MdTime clock_offset;     /* the worker's clock minus this process's */
+  uint64_t acked_end;      /* highest number of an end processed in this lifetime */
+  uint64_t token;          /* fencing token of the next call */
+  uint64_t acked_token;    /* highest token of a hold that the worker has answered */
+  MdTime lease_until;      /* guard's clock: every run has ended by then unless the lease is
                                   extended */
   MdTime lease_limit;      /* guard's clock: the lease must not be extended beyond it; INT64_MAX:
                                   no limit */
@@ -135,7 +134,6 @@
   bool has_unproven;       /* a report awaits the response to a hold sent after unproven_at */
   MdTime unproven_at;      /* arrival of that report */
   MdWorkerReport unproven; /* that report */
-  char unproven_id[MD_WORKER_ID_BYTES]; /* name of the worker that it describes */
 
   MdTime cold_until; /* the worker is slow after its start until then, by its last report */
 } MdGuardWorker;
@@ -209,10 +207,9 @@
 /* A registration request of the worker, passed from the registrar's threads to the engine. */
 typedef struct
 {
-  MdInboxNode node;            /* must be first: the inbox's nodes are cast to events */
-  char id[MD_WORKER_ID_BYTES]; /* name of the worker */
-  bool deregistered;           /* the worker has withdrawn its registration */
-  MdWorkerReport report;       /* valid unless deregistered */
+  MdInboxNode node;      /* must be first: the inbox's nodes are cast to events */
+  bool deregistered;     /* the worker has withdrawn its registration */
+  MdWorkerReport report; /* of deregistered: only the name in its traits */
 } MdWorkerEvent;
 
 /* guard-memory.c */
@@ -243,6 +240,13 @@
    from its newest report; labels has room for all of them. */
 void md_guard_describe_worker (const MdGuardWorker *worker, Md__WorkerInfo *info, char **labels);
 
+/* md_guard_worker_name: name of the worker; empty: no report of this lifetime yet. */
+static inline const char *
+md_guard_worker_name (const MdGuardWorker *worker)
+{
+  return md_traits_name (worker->report.traits).data;
+}
+
 /* md_guard_worker_event: process a report or the deregistration of the worker. */
 void md_guard_worker_event (MdRunGuard *guard, const MdWorkerEvent *event);
 
--- a/sched/lifetime.c
+++ b/sched/lifetime.c
@@ -40,7 +40,7 @@
 
   if (present->born_ms < 0 || report->born_ms != present->born_ms)
     return MD_REPORT_UNPROVEN;
-  if (present->id[0] != '\0' && strcmp (report->id, present->id) != 0)
+  if (present->id.len > 0 && !md_str_equal (report->id, present->id))
     return MD_REPORT_FOREIGN;
   if (reported && !md_str_equal (report->pool, present->pool))
     return MD_REPORT_FOREIGN;
--- a/sched/lifetime.h
+++ b/sched/lifetime.h
@@ -8,7 +8,7 @@
 /* The lifetime that answers a guard's calls. Strings are borrowed. */
 typedef struct
 {
-  const char *id;    /* name of the worker; empty: not known */
+  MdStr id;          /* name of the worker; empty: not known */
   int64_t born_ms;   /* time of birth, as its answers to holds state it; -1: none answered yet */
   MdStr pool;        /* pool in its newest report; empty: no report yet */
   uint64_t sequence; /* of that report */
@@ -19,7 +19,7 @@
 /* What a report says about its origin. Strings are borrowed. */
 typedef struct
 {
-  const char *id;    /* name of the worker that it describes */
+  MdStr id;          /* name of the worker that it describes */
   int64_t born_ms;   /* birth of that worker */
   MdStr pool;        /* of that worker */
   uint64_t sequence; /* grows with each report of a lifetime */
--- a/sched/traits.c
+++ b/sched/traits.c
@@ -1,4 +1,4 @@
-/* traits.c -- pool and labels of a worker
+/* traits.c -- name, pool and labels of a worker
 
    One block of memory holds the owners, the labels and the texts. */
 
@@ -20,9 +20,9 @@
 }
 
 MdTraits *
-md_traits_new (MdStr pool, const MdStr *labels, uint32_t n_labels)
+md_traits_new (MdStr name, MdStr pool, const MdStr *labels, uint32_t n_labels)
 {
-  size_t size = sizeof (SharedTraits) + n_labels * sizeof (MdStr) + pool.len + 1;
+  size_t size = sizeof (SharedTraits) + n_labels * sizeof (MdStr) + name.len + pool.len + 2;
   SharedTraits *shared;
   char *place;
 
@@ -33,7 +33,9 @@
     return NULL;
   place = (char *)(shared->labels + n_labels);
   atomic_init (&shared->owners, 1);
-  shared->traits = (MdTraits){ md_str_store (&place, pool), shared->labels, n_labels };
+  shared->traits = (MdTraits){ .labels = shared->labels, .n_labels = n_labels };
+  shared->traits.name = md_str_store (&place, name);
+  shared->traits.pool = md_str_store (&place, pool);
   for (uint32_t i = 0; i < n_labels; i++)
     shared->labels[i] = md_str_store (&place, labels[i]);
   return &shared->traits;
@@ -60,7 +62,8 @@
 {
   if (a == b)
     return true;
-  if (a == NULL || b == NULL || a->n_labels != b->n_labels || !md_str_equal (a->pool, b->pool))
+  if (a == NULL || b == NULL || a->n_labels != b->n_labels || !md_str_equal (a->name, b->name)
+      || !md_str_equal (a->pool, b->pool))
     return false;
   for (uint32_t i = 0; i < a->n_labels; i++)
     if (!md_str_equal (a->labels[i], b->labels[i]))
@@ -68,6 +71,12 @@
   return true;
 }
 
+MdStr
+md_traits_name (const MdTraits *traits)
+{
+  return traits != NULL ? traits->name : MD_STR ("");
+}
+
 MdStr
 md_traits_pool (const MdTraits *traits)
 {
--- a/tests/fixture-util.c
+++ b/tests/fixture-util.c
@@ -29,11 +29,18 @@
 
 MdTraits *
 test_traits (const char *pool, const char *kind, const char *rack)
+{
+  return test_worker ("i-1", pool, kind, rack);
+}
+
+MdTraits *
+test_worker (const char *name, const char *pool, const char *kind, const char *rack)
 {
   static MdTraits *kept[MAX_KEPT];
   static size_t n;
   MdStr labels[] = { md_str (kind), md_str (rack) };
-  MdTraits *traits = md_traits_new (md_str (pool), labels, rack != NULL ? 2 : kind != NULL);
+  MdTraits *traits
+      = md_traits_new (md_str (name), md_str (pool), labels, rack != NULL ? 2 : kind != NULL);
 
   ck_assert_ptr_nonnull (traits);
   for (size_t i = 0; i < n; i++)
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -10,7 +10,8 @@
 MdRoute *test_route (MdRoute fields);
 
 /* Traits with these labels; NULL: without the label. The caller is an owner, but need not remove
-   itself. */
+   itself. test_traits: of the worker "i-1". */
+MdTraits *test_worker (const char *name, const char *pool, const char *kind, const char *rack);
 MdTraits *test_traits (const char *pool, const char *kind, const char *rack);
 
 #endif
--- a/tests/fuzz/targets-platform.c
+++ b/tests/fuzz/targets-platform.c
@@ -86,7 +86,7 @@
 {
   MdWorkerReport report;
   MdError error = { 0 };
-  int rc = md_platform_parse_worker_report (input, &report, &error);
+  int rc = md_platform_parse_worker_report (input, MD_STR ("i-1"), &report, &error);
 
   check_result (rc, &error);
   if (rc == MD_OK)
@@ -123,7 +123,7 @@
   check_result (rc, &error);
   if (rc == MD_OK)
     FUZZ_CHECK (md_traits_equal (record.report.traits, again.report.traits)
-                && strcmp (record.id, again.id) == 0 && record.samples == again.samples);
+                && record.samples == again.samples);
   md_worker_report_clear (&record.report);
   md_worker_report_clear (&again.report);
 }
--- a/tests/platform-store.c
+++ b/tests/platform-store.c
@@ -52,7 +52,7 @@
 static atomic_int mode;
 #define PERMIT_DIGITS 300 /* zeros at the end of a permit */
 
-static char allowed[64]; /* worker; under the lock */
+static char allowed[512]; /* worker; under the lock */
 static atomic_bool stopping;
 
 static Topic *
@@ -295,7 +295,7 @@
 handle_control (struct mg_connection *conn, void *data MD_UNUSED)
 {
   static const char *const names[] = { "normal", "silent", "busy", "slow", "lost", "late" };
-  char text[32];
+  char text[512];
 
   pthread_mutex_lock (&lock);
   variable (mg_get_request_info (conn), "allow", text, sizeof text);
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -95,7 +95,7 @@
 start_worker () { # n [speed]; with the options OPTIONS_n
   local orders register options
   eval "orders=\$ORDERS_$1 register=\$REGISTER_$1 options=\${OPTIONS_$1:-}"
-  launch "worker-$1" "$BIN/tests/platform-worker" --id "i-$1" --listen "$orders" \
+  launch "worker-$1" "$BIN/tests/platform-worker" --id "${ID_PREFIX:-i}-$1" --listen "$orders" \
     --guard "$register" --speed "${2:-1}" --cpu 8000 --journal "$RUN/journal" \
     --stop-ms "${STOP_MS:-50}" --hold-late-ms "${HOLD_LATE_MS:-0}" $options
 }
--- a/tests/run-long-names.sh
+++ b/tests/run-long-names.sh
@@ -34,6 +34,7 @@
   curl -s -m 5 -w ' %{http_code}' -H "Host: $2" "http://127.0.0.$((10 + $1)):$CALLERS$3"
 }
 
+ID_PREFIX=$(long i 100) # of all workers
 # Worker 3 belongs to a pool with a long name, worker 4 has a long label.
 GUARDS=4
 OPTIONS_3="--service $SERVICE-a"
@@ -42,7 +43,7 @@
 requiring () { echo "${JOB/\"cpu\":/\"requirements\":\"$1\",\"cpu\":}"; } # label: a job
 
 # The worker that ran the job with this ID.
-runner () { sed -n "s/^start $1.* //p" "$RUN/journal"; }
+runner () { sed -n "s/^start $1.* $ID_PREFIX/i/p" "$RUN/journal"; }
 
 run () {
   local n
@@ -69,7 +70,7 @@
     echo "  one that differs at its end: $(try "$n" jobs.example "/calc/00000000000003f$n" "$(requiring "$KIND-b")")"
     echo "  a checkpoint of $((25 + 300)) bytes: $(try "$n" jobs.example "/calc/00000000000004f$n" "${JOB/cpu=1000/cpu=1000 saves}")"
     echo "  its runs: $(sed -n "s/^end 00000000000004f$n[^ ]* \([0-9]*\) \([a-z]*\).*/\1 \2/p" "$RUN/journal" | xargs)"
-    advisor_allows i-2
+    advisor_allows "$ID_PREFIX-2"
     echo "  a permit of more than 300 bytes: $(try "$n" jobs.example "/advised/00000000000005f$n" "${JOB/cpu=1000/cpu=1000 advised}") on $(runner "00000000000005f$n")"
     echo "  routes that it ignores: $(curl -s -m 5 "http://127.0.0.$((10 + n)):$METRICS/metrics" | sed -n 's/^mulberrydrift_config_routes_ignored //p')"
   done
--- a/tests/test-frame-fuzz.c
+++ b/tests/test-frame-fuzz.c
@@ -633,7 +633,7 @@
 static void
 send_worker_report (void)
 {
-  MdWorkerEvent change = { .id = "i-1", .deregistered = one_in (40) };
+  MdWorkerEvent change = { .deregistered = one_in (40) };
 
   change.report.state = one_in (16) ? MD_WORKER_DRAINING : MD_WORKER_READY;
   change.report.capacity
--- a/tests/test-guard-worker.c
+++ b/tests/test-guard-worker.c
@@ -168,7 +168,6 @@
   guard.worker.report.clock_ms = 4;
   guard.worker.report.sequence = 4;
   guard.worker.report.traits = test_traits ("calc", NULL, NULL);
-  md_str_copy (guard.worker.id, sizeof guard.worker.id, MD_STR ("i-1"));
   guard.worker.clean = true;
   guard.worker.reachable = true;
   guard.worker.last_response_at = guard.now;
@@ -226,7 +225,7 @@
 static MdWorkerEvent
 true_report (void)
 {
-  MdWorkerEvent event = { .id = "i-1", .report = guard.worker.report };
+  MdWorkerEvent event = { .report = guard.worker.report };
 
   event.report.sequence++;
   event.report.clock_ms++;
@@ -497,12 +496,11 @@
     {
       MdWorkerEvent event = true_report ();
 
-      md_str_copy (event.id, sizeof event.id, md_str (origins[i].id));
       event.report.born_ms = origins[i].born_ms;
-      event.report.traits = test_traits ("elsewhere", NULL, NULL);
+      event.report.traits = test_worker (origins[i].id, "elsewhere", NULL, NULL);
       receive (&event);
       ck_assert_still_running ();
-      ck_assert_str_eq (guard.worker.id, "i-1");
+      ck_assert_str_eq (md_guard_worker_name (&guard.worker), "i-1");
       ck_assert_str_eq (md_traits_pool (guard.worker.report.traits).data, "calc");
     }
 }
@@ -550,7 +548,8 @@
 /* Guards against a worker that is taken for one that has left. */
 START_TEST (deregistration_of_another_worker_is_ignored)
 {
-  MdWorkerEvent event = { .id = "i-0badc0de", .deregistered = true };
+  MdWorkerEvent event
+      = { .deregistered = true, .report.traits = test_worker ("i-0badc0de", "", NULL, NULL) };
 
   have_run_confirmed ();
   receive (&event);
@@ -565,14 +564,14 @@
 
   have_run_confirmed ();
   event = true_report ();
-  md_str_copy (event.id, sizeof event.id, MD_STR ("i-2"));
+  event.report.traits = test_worker ("i-2", "calc", NULL, NULL);
   event.report.born_ms = 1800;
   event.report.sequence = 1;
   worker.hold = REBORN;
   receive (&event);
   ck_assert_uint_eq (guard.queue.running.n, 0);
   ck_assert_int_eq (peer->ends->result, MD_RUN_CRASHED_ALONE);
-  ck_assert_str_eq (guard.worker.id, "i-2");
+  ck_assert_str_eq (md_guard_worker_name (&guard.worker), "i-2");
   ck_assert_int_eq (guard.worker.report.born_ms, 1800);
   ck_assert (md_guard_accepts_runs (&guard));
 }
--- a/tests/test-json-text.c
+++ b/tests/test-json-text.c
@@ -102,7 +102,7 @@
 {
   MdWorkerReport report;
 
-  if (md_platform_parse_worker_report (text, &report, NULL) != MD_OK)
+  if (md_platform_parse_worker_report (text, MD_STR ("i-1"), &report, NULL) != MD_OK)
     return false;
   md_worker_report_clear (&report);
   return true;
--- a/tests/test-lifetime.c
+++ b/tests/test-lifetime.c
@@ -13,14 +13,14 @@
 static void
 setup (void)
 {
-  present = (MdLifetime){ .id = "i-1",
+  present = (MdLifetime){ .id = MD_STR ("i-1"),
                           .born_ms = BORN,
                           .pool = MD_STR ("calc"),
                           .sequence = 4,
                           .sent_ms = CLOCK - 1500,
                           .clock_ms = CLOCK };
   report = (MdReportOrigin){
-    .id = "i-1", .born_ms = BORN, .pool = MD_STR ("calc"), .sequence = 5, .sent_ms = CLOCK
+    .id = MD_STR ("i-1"), .born_ms = BORN, .pool = MD_STR ("calc"), .sequence = 5, .sent_ms = CLOCK
   };
 }
 
@@ -39,7 +39,7 @@
 /* The worker has answered a hold, but has sent no report since its start. */
 START_TEST (first_report_is_followed)
 {
-  present.id = "";
+  present.id = MD_STR ("");
   present.pool = MD_STR ("");
   present.sequence = 0;
   present.sent_ms = -1;
@@ -93,9 +93,9 @@
 /* Guards against a worker that changes its name or its pool within a lifetime. */
 START_TEST (another_name_or_pool_is_foreign)
 {
-  report.id = "i-2";
+  report.id = MD_STR ("i-2");
   check_verdict (MD_REPORT_FOREIGN);
-  report.id = "i-1";
+  report.id = MD_STR ("i-1");
   report.pool = MD_STR ("elsewhere");
   check_verdict (MD_REPORT_FOREIGN);
 }
--- a/tests/test-long-texts.c
+++ b/tests/test-long-texts.c
@@ -230,7 +230,7 @@
   size_t len = lengths[_i];
   MD_AUTO_BUF service = text_of ("s", 's', len);
   MD_AUTO_BUF body = { 0 };
-  MdWorkerRecord record = { .id = "i-1" };
+  MdWorkerRecord record = { 0 };
   MdWorkerRecord back;
   MD_AUTO_BUF stored = { 0 };
 
@@ -245,7 +245,8 @@
       md_buf_printf (&body, ",\"%s%d\"", label.data, i);
     }
   md_buf_append (&body, MD_STR ("]}"));
-  ck_assert_int_eq (md_platform_parse_worker_report (md_buf_str (&body), &record.report, NULL),
+  ck_assert_int_eq (md_platform_parse_worker_report (md_buf_str (&body), MD_STR ("i-1"),
+                                                     &record.report, NULL),
                     MD_OK);
   ck_assert (md_str_equal (record.report.traits->pool, md_buf_str (&service)));
   ck_assert_uint_eq (record.report.traits->n_labels, 20);
@@ -269,7 +270,7 @@
       md_platform_parse_worker_report (
           MD_STR ("{\"service\":\"s\",\"state\":\"ready\",\"capacity\":{\"cpu\":1},\"born\":1,"
                   "\"labels\":[7,\"rack\"]}"),
-          &report, NULL),
+          MD_STR ("i-1"), &report, NULL),
       MD_OK);
   ck_assert_str_eq (md_traits_rack (report.traits).data, "rack");
   md_worker_report_clear (&report);
@@ -299,9 +300,9 @@
   md_buf_append (&label, MD_STR ("2"));
   labels[0] = md_buf_str (&label);
   labels[1] = spec.steps[0].affinity;
-  others = md_traits_new (MD_STR ("s"), labels, 2);
+  others = md_traits_new (MD_STR ("i-1"), MD_STR ("s"), labels, 2);
   labels[0] = spec.steps[0].required_label;
-  traits = md_traits_new (MD_STR ("s"), labels, 2);
+  traits = md_traits_new (MD_STR ("i-1"), MD_STR ("s"), labels, 2);
   ck_assert (md_traits_have (traits, spec.steps[0].required_label));
   ck_assert (!md_traits_have (others, spec.steps[0].required_label));
   ck_assert (!md_traits_equal (traits, others));
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -106,7 +106,9 @@
 {
   MdWorkerReport report;
 
-  ck_assert_int_eq (md_platform_parse_worker_report (md_str (worker_text), &report, NULL), MD_OK);
+  ck_assert_int_eq (md_platform_parse_worker_report (md_str (worker_text), MD_STR ("i-1"), &report,
+                                                     NULL),
+                    MD_OK);
   ck_assert_int_eq (report.state, MD_WORKER_READY);
   ck_assert_uint_eq (report.capacity.cpu, 16000);
   ck_assert (md_traits_have (report.traits, MD_STR ("r1-3")));
@@ -149,7 +151,8 @@
   MdWorkerReport report;
 
   for (size_t i = 0; i < MD_ARRAY_SIZE (texts); i++)
-    ck_assert_int_eq (md_platform_parse_worker_report (md_str (texts[i]), &report, NULL),
+    ck_assert_int_eq (md_platform_parse_worker_report (md_str (texts[i]), MD_STR ("i-1"), &report,
+                                                       NULL),
                       MD_E_INVALID);
 }
 END_TEST
@@ -439,15 +442,16 @@
 
 START_TEST (memory_of_a_worker_is_kept_whole)
 {
-  MdWorkerRecord memory = { .id = "i-1", .log_speed = -0.5, .samples = 9 };
+  MdWorkerRecord memory = { .log_speed = -0.5, .samples = 9 };
   MdWorkerRecord back;
   MD_AUTO_BUF text = { 0 };
 
-  ck_assert_int_eq (md_platform_parse_worker_report (md_str (worker_text), &memory.report, NULL),
+  ck_assert_int_eq (md_platform_parse_worker_report (md_str (worker_text), MD_STR ("i-1"),
+                                                     &memory.report, NULL),
                     MD_OK);
   md_platform_write_worker_record (&text, &memory);
   ck_assert_int_eq (md_platform_parse_worker_record (md_buf_str (&text), &back, NULL), MD_OK);
-  ck_assert_str_eq (back.id, "i-1");
+  ck_assert_str_eq (back.report.traits->name.data, "i-1");
   ck_assert_double_eq (back.log_speed, -0.5);
   ck_assert_uint_eq (back.samples, 9);
   ck_assert_int_eq (back.report.born_ms, 1700);
@@ -473,7 +477,7 @@
 
   md_platform_parse_job (text, &spec, NULL);
   md_run_spec_clear (&spec);
-  md_platform_parse_worker_report (text, &report, NULL);
+  md_platform_parse_worker_report (text, MD_STR ("i-1"), &report, NULL);
   md_worker_report_clear (&report);
   if (md_platform_parse_worker_record (text, &memory, NULL) == MD_OK)
     md_worker_report_clear (&memory.report);
--- a/tests/test-stop-model.c
+++ b/tests/test-stop-model.c
@@ -395,8 +395,7 @@
 static void
 report_worker (void)
 {
-  MdWorkerEvent event = { .id = "i-1",
-                          .report = { .traits = test_traits ("calc", NULL, NULL),
+  MdWorkerEvent event = { .report = { .traits = test_traits ("calc", NULL, NULL),
                                       .capacity = { 64000, 64000, 0 },
                                       .state = MD_WORKER_READY,
                                       .sequence = 1,
--- a/tests/test-warmup.c
+++ b/tests/test-warmup.c
@@ -246,7 +246,8 @@
                      "{\"service\":\"calc\",\"state\":\"ready\",\"born\":1,\"sequence\":2,"
                      "\"capacity\":{\"cpu\":16000,\"mem_mb\":64}%s}",
                      cases[i].field);
-      ck_assert_int_eq (md_platform_parse_worker_report (md_buf_str (&body), &report, &error),
+      ck_assert_int_eq (md_platform_parse_worker_report (md_buf_str (&body), MD_STR ("i-1"),
+                                                         &report, &error),
                         MD_OK);
       ck_assert_int_eq (report.cold, cases[i].cold);
       md_worker_report_clear (&report);
