Bound messages by the length of permits and checkpoints

Change: a message with orders ends before it has more than 4 MB of permits and checkpoints, and the rest goes into further messages, as with specifications. A report must have all ends, because the entry takes an order that is neither alive nor ended for one that never arrived; checkpoints beyond 8 MB are left out of it, with a line, and their tasks begin anew.

Evidence: large_orders_are_all_sent with permits and with checkpoints, and ends_with_long_checkpoints_are_told, fail without the change (24 orders of 3 MB; 0 of 6 ends told) and pass with it, release and asan builds.

--- a/core/str.c
+++ b/core/str.c
@@ -57,7 +57,7 @@
 MdStr
 md_str_store (char **place, MdStr s)
 {
-  MdStr copy = md_str_n (*place, s.len);
+  MdStr copy = { *place, s.len };
 
   md_str_copy (*place, s.len + 1, s);
   *place += s.len + 1;
--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -24,7 +24,8 @@
 /* Specifications in one message, unless one alone is larger. A frame has at most
    MD_FRAME_MAX_BYTES, and the specification of a job at most 8 MB. */
 #define MAX_SPEC_BYTES ((size_t)4 << 20)
-#define MAX_ORDERS_PER_MESSAGE 8192 /* of at most 500 bytes without their specifications */
+#define MAX_TEXT_BYTES ((size_t)4 << 20) /* of permits and checkpoints */
+#define MAX_ORDERS_PER_MESSAGE 8192      /* of at most 250 bytes without all these texts */
 /* Output of a link beyond which orders wait for the guard to read. Far below the limits of a link
    and of all links, at which the connection is closed and orders that were sent are lost. */
 #define MAX_QUEUED_ORDERS ((size_t)4 << 20)
@@ -307,19 +308,33 @@
          * (guard->orders != NULL ? 1 : IDLE_INTERVAL_HEARTBEATS);
 }
 
-/* Whether an order fits into a message with the specifications and orders that it has already. */
+/* Bytes of the permit and the checkpoint of an order. */
+static size_t
+text_bytes (const MdEntryOrder *order)
+{
+  const MdRunTask *task = &order->job->runjob.tasks[order->step][order->task];
+
+  return (order->permit != NULL ? strlen (order->permit) : 0)
+         + (task->checkpoint != NULL ? strlen (task->checkpoint) : 0);
+}
+
+/* Whether an order fits into a message with the specifications and orders that it has already. texts:
+   bytes of their permits and checkpoints, and of the order's. */
 static bool
-fits (const Md__RunOrders *orders, const MdRunSpec *spec)
+fits (const Md__RunOrders *orders, const MdRunSpec *spec, size_t texts)
 {
   size_t bytes = spec->spec_len;
 
+  if (orders->n_orders == 0)
+    return true;
+  if (orders->n_orders == MAX_ORDERS_PER_MESSAGE || texts > MAX_TEXT_BYTES)
+    return false;
   for (size_t i = 0; i < orders->n_specs; i++)
     if (orders->specs[i].data == (uint8_t *)spec->spec)
-      return orders->n_orders < MAX_ORDERS_PER_MESSAGE;
+      return true;
     else
       bytes += orders->specs[i].len;
-  return orders->n_orders == 0
-         || (orders->n_orders < MAX_ORDERS_PER_MESSAGE && bytes <= MAX_SPEC_BYTES);
+  return bytes <= MAX_SPEC_BYTES;
 }
 
 /* Sends one message with the first of the n orders, as many as fit, and sets *sent to their number.
@@ -335,6 +350,8 @@
   md_autofree Md__RunOrder **pointers = calloc (n + 1, sizeof *pointers);
   md_autofree TaskName *names = calloc (n + 1, sizeof *names);
   md_autofree ProtobufCBinaryData *specs = calloc (n + 1, sizeof *specs);
+  size_t texts = 0;
+  uint32_t part = 0;
   int rc;
 
   *sent = 0;
@@ -356,18 +373,21 @@
   orders.report_interval_us = (uint64_t)entry->report_interval;
   orders.evacuated = guard->worker.evacuated;
   orders.evacuation_version = entry->evacuation.set.version;
-  for (uint32_t i = 0; i < n && fits (&orders, &unsent[i]->job->runjob.spec); i++)
+  for (; part < n; part++)
     {
-      fill_order (&orders, &list[i], &names[i], unsent[i], entry->now);
-      pointers[orders.n_orders++] = &list[i];
+      texts += text_bytes (unsent[part]);
+      if (!fits (&orders, &unsent[part]->job->runjob.spec, texts))
+        break;
+      fill_order (&orders, &list[part], &names[part], unsent[part], entry->now);
+      pointers[orders.n_orders++] = &list[part];
     }
   frame.msg_case = MD__FRAME__MSG_RUN_ORDERS;
   frame.run_orders = &orders;
-  *sent = (uint32_t)orders.n_orders;
+  *sent = part;
   rc = md_link_send (guard->link, &frame);
   if (rc != MD_OK)
     return rc;
-  for (uint32_t i = 0; i < *sent; i++)
+  for (uint32_t i = 0; i < part; i++)
     unsent[i]->sent = true;
   md_count (MD_M_STARTS, (int64_t)orders.n_orders);
   guard->cancels.n = 0;
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -23,6 +23,8 @@
    of each new run, so that without a bound one message keeps the guard busy for longer than its
    leases. */
 #define MAX_RUNS 16384
+/* Of the checkpoints in a report, so that it fits into a frame with MAX_ENDS ends. */
+#define MAX_CHECKPOINT_BYTES ((size_t)8 << 20)
 #define MAX_ENDS 65536 /* of an entry, not acknowledged; it acknowledges them with each message */
 
 /* ------------------------------------------------------------------ */
@@ -224,13 +226,19 @@
 }
 
 /* Adds all unsent ends of the peer to the report and marks them as sent. ends and pointers have
-   room for them. */
+   room for them. A report must have all of them, because the entry takes an order that is neither
+   alive nor ended for one that has not arrived. Checkpoints that would not fit into its frame are left
+   out; their tasks begin anew. */
 static void
 fill_ends (MdGuardPeer *peer, Md__RunReport *report, Md__RunEnd *ends, Md__RunEnd **pointers)
 {
+  size_t checkpoints = 0; /* bytes */
+  unsigned left_out = 0;
+
   for (MdGuardEnd *end = peer->ends; end != NULL; end = end->next)
     {
       Md__RunEnd *out = &ends[report->n_ends];
+      size_t bytes = end->checkpoint != NULL ? strlen (end->checkpoint) : 0;
 
       if (end->sent)
         continue;
@@ -239,11 +247,20 @@
       out->id = end->order_id;
       out->how = end->result;
       out->run_us = (uint64_t)end->duration;
-      out->checkpoint = end->checkpoint != NULL ? end->checkpoint : "";
+      if (bytes > 0 && checkpoints + bytes <= MAX_CHECKPOINT_BYTES)
+        {
+          out->checkpoint = end->checkpoint;
+          checkpoints += bytes;
+        }
+      else
+        left_out += bytes > 0;
       pointers[report->n_ends++] = out;
       end->sent = true;
     }
   report->ends = pointers;
+  if (left_out > 0)
+    md_log (MD_LOG_ERROR, "checkpoints-left-out",
+            "entry=%s ends=%u reason=\"too long for a frame\"", peer->name, left_out);
 }
 
 static void
--- a/sched/routes.c
+++ b/sched/routes.c
@@ -24,11 +24,12 @@
   size_t texts = fields->name.len + fields->label.len + fields->host.len + fields->prefix.len
                  + fields->pool.len + 5;
   SharedRoute *shared = malloc (sizeof *shared + texts);
-  char *place = (char *)(shared + 1);
+  char *place;
   MdRoute *route;
 
   if (shared == NULL)
     return NULL;
+  place = (char *)(shared + 1);
   atomic_init (&shared->owners, 1);
   route = &shared->route;
   *route = *fields;
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -607,7 +607,8 @@
 
 /* Guards against orders that count as sent although they never left: jobs with large bodies that
    were placed on one guard in the same pass made a message of more than a frame, or more output
-   than a link has, and their tasks waited for ends that could not come. */
+   than a link has, and their tasks waited for ends that could not come. The second time the texts are
+   permits, and the third time checkpoints: orders were rejected for the length of all together. */
 START_TEST (large_orders_are_all_sent)
 {
   static MdEntryJob jobs[LARGE_JOBS];
@@ -616,9 +617,10 @@
   MdCallerRequest caller = { .kind = MD_CALLER_REQUEST_SUBMIT };
   int sockets[2]; /* of the caller, which stays */
   MdEntryGuard *known;
-  char *spec = calloc (LARGE_JOBS, LARGE_SPEC_BYTES);
+  char *spec = malloc (LARGE_JOBS * LARGE_SPEC_BYTES);
 
   ck_assert_ptr_nonnull (spec);
+  memset (spec, 's', LARGE_JOBS * LARGE_SPEC_BYTES);
   ck_assert_int_eq (socketpair (AF_UNIX, SOCK_STREAM, 0, sockets), 0);
   caller.socket = sockets[0];
   send_hello (0);
@@ -632,8 +634,14 @@
     {
       MdEntryOrder *order = calloc (1, sizeof *order);
 
-      jobs[i].runjob.spec.spec = spec + (size_t)i * LARGE_SPEC_BYTES;
-      jobs[i].runjob.spec.spec_len = LARGE_SPEC_BYTES;
+      if (_i == 0)
+        {
+          jobs[i].runjob.spec.spec = spec + (size_t)i * LARGE_SPEC_BYTES;
+          jobs[i].runjob.spec.spec_len = LARGE_SPEC_BYTES;
+        }
+      else
+        ck_assert (md_str_set (_i == 1 ? &order->permit : &tasks[i].checkpoint,
+                               md_str_n (spec, LARGE_SPEC_BYTES)));
       steps[i] = &tasks[i];
       jobs[i].runjob.tasks = &steps[i];
       jobs[i].requests = &caller;
@@ -671,7 +679,7 @@
   tcase_add_test (tc, orders_in_a_hello_are_bounded);
   tcase_add_test (tc, names_of_guards_are_bounded);
   tcase_add_test (tc, end_of_an_unsent_order_is_ignored);
-  tcase_add_test (tc, large_orders_are_all_sent);
+  tcase_add_loop_test (tc, large_orders_are_all_sent, 0, 3);
   tcase_add_test (tc, hello_without_entry_does_not_end_orders);
   tcase_add_test (tc, hello_without_welcome_replaces);
   tcase_add_test (tc, replaced_worker_is_forgotten);
--- a/tests/test-guard-orders.c
+++ b/tests/test-guard-orders.c
@@ -18,6 +18,8 @@
   bool sparse;     /* the last of them */
   bool old;        /* of a build without sparse reports */
   uint64_t number; /* incarnation */
+  int ends;        /* in its reports */
+  int checkpoints; /* of these ends */
 } StandIn;
 
 static MdRunGuard guard;
@@ -77,6 +79,11 @@
     return;
   entry->reports++;
   entry->sparse = frame->run_report->interval_us > 0;
+  for (size_t i = 0; i < frame->run_report->n_ends; i++)
+    {
+      entry->ends++;
+      entry->checkpoints += frame->run_report->ends[i]->checkpoint[0] != '\0';
+    }
 }
 
 static const MdLinkHandler entry_handler = { on_up, on_frame, on_down };
@@ -391,7 +398,7 @@
 
 /* Sends orders with these IDs in one message, and cancels them in it. */
 static void
-send_orders (StandIn *entry, uint64_t first, size_t n)
+send_orders (StandIn *entry, uint64_t first, size_t n, bool cancelled)
 {
   Md__Frame frame = MD__FRAME__INIT;
   Md__RunOrders orders = MD__RUN_ORDERS__INIT;
@@ -414,7 +421,7 @@
   orders.orders = pointers;
   orders.n_orders = n;
   orders.cancels = ids;
-  orders.n_cancels = n;
+  orders.n_cancels = cancelled ? n : 0;
   frame.msg_case = MD__FRAME__MSG_RUN_ORDERS;
   frame.run_orders = &orders;
   md_link_send (entry->link, &frame);
@@ -438,7 +445,7 @@
   ck_assert_ptr_nonnull (peer);
   guard.queue.accepting = true;
   connections = guard.connections;
-  send_orders (&entries[0], 1, MANY_ORDERS);
+  send_orders (&entries[0], 1, MANY_ORDERS, true);
   for (int i = 0; i < PASSES && guard.connections == connections; i++)
     poll_all ();
   ck_assert_uint_gt (guard.connections, connections); /* dialled again */
@@ -461,7 +468,8 @@
   ck_assert_ptr_nonnull (peer);
   while (sent < 70000)
     {
-      send_orders (&entries[0], sent + 1, 1000); /* not accepted, so that each one ends at once */
+      send_orders (&entries[0], sent + 1, 1000,
+                   true); /* not accepted, so that each one ends at once */
       sent += 1000;
       for (int i = 0; i < PASSES && peer->last_order < sent; i++)
         poll_all ();
@@ -470,6 +478,43 @@
 }
 END_TEST
 
+#define LONG_ENDS 6
+#define LONG_CHECKPOINT_BYTES ((size_t)3 << 20)
+
+/* Guards against a guard that cannot tell the ends of its runs, on any connection, because their
+   checkpoints together are longer than a frame. */
+START_TEST (ends_with_long_checkpoints_are_told)
+{
+  MD_AUTO_BUF checkpoint = { 0 };
+  uint64_t connections;
+
+  ck_assert (md_buf_reserve (&checkpoint, LONG_CHECKPOINT_BYTES));
+  memset (checkpoint.data, 'c', LONG_CHECKPOINT_BYTES);
+  checkpoint.data[LONG_CHECKPOINT_BYTES] = '\0';
+  connect_guard ();
+  for (int i = 0; i < PASSES && entries[0].reports < 2; i++)
+    poll_all ();
+  guard.queue.accepting = true;
+  connections = guard.connections;
+  send_orders (&entries[0], 1, LONG_ENDS, false);
+  for (int i = 0; i < PASSES && guard.queue.waiting.n < LONG_ENDS; i++)
+    poll_all ();
+  for (uint64_t id = 1; id <= LONG_ENDS; id++)
+    {
+      MdGuardRun *run = md_guard_find_order (&guard, 1, id);
+
+      ck_assert_ptr_nonnull (run);
+      md_guard_end_run (&guard, run, MD_RUN_FAILED, checkpoint.data);
+    }
+  for (int i = 0; i < PASSES && entries[0].ends < LONG_ENDS; i++)
+    poll_all ();
+  ck_assert_int_eq (entries[0].ends, LONG_ENDS);
+  ck_assert_int_ge (entries[0].checkpoints, 1);
+  ck_assert_int_lt (entries[0].checkpoints, LONG_ENDS);
+  ck_assert_uint_eq (guard.connections, connections);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -487,5 +532,6 @@
   tcase_add_test (tc, announced_entry_is_dialled_on);
   tcase_add_test (tc, orders_in_a_message_are_bounded);
   tcase_add_test (tc, ends_of_an_entry_are_bounded);
+  tcase_add_test (tc, ends_with_long_checkpoints_are_told);
   return run_suite ("guard-orders", tc);
 }
