Ask and tell about long texts as well: where, metrics, check-routes

"mulberrydrift where" answered that there is no queue for a host or path of 256 bytes or more, because it read the values of its query into arrays. A queue whose name has a quotation mark or a backslash made the metrics of an entry unreadable. And nobody but the callers could tell that a route was left out: one line on each entry, with an index and no reason.

Change: values of the query are read at their length; names of queues are escaped as label values. "mulberrydrift check-routes FILE" reads a configuration as an entry does, before it is put into the store, and exits with 1 if a route would be ignored.

--- a/common/md-private.h
+++ b/common/md-private.h
@@ -535,8 +535,9 @@
 int md_run_entry_main (int argc, const char **argv); /* entry on the users' platform */
 int md_run_guard_main (int argc, const char **argv); /* guard on the users' platform */
 int md_check_config_main (int argc, const char **argv);
-int md_submit_main (int argc, const char **argv);   /* HTTP client for callers */
-int md_resource_main (int argc, const char **argv); /* get, apply, delete, watch, status */
+int md_check_routes_main (int argc, const char **argv); /* reads a configuration of the operator */
+int md_submit_main (int argc, const char **argv);       /* HTTP client for callers */
+int md_resource_main (int argc, const char **argv);     /* get, apply, delete, watch, status */
 int md_replay_main (int argc, const char **argv);
 int md_explain_main (int argc, const char **argv);  /* finds the cause of a job's outcome in logs */
 int md_where_main (int argc, const char **argv);    /* tells where a job would go now */
--- a/fleet/entry-metrics.c
+++ b/fleet/entry-metrics.c
@@ -11,12 +11,26 @@
 static const char *const outcome_names[MD_JOB_OUTCOME_COUNT]
     = { "in_goal", "late", "failed", "rejected", "given_up", "caller_left" };
 
+/* Writes the name of a queue as the value of a label. */
+static void
+write_queue (MdBuf *out, const char *name)
+{
+  for (const char *p = name; *p != '\0'; p++)
+    if (*p == '\n')
+      md_buf_append (out, MD_STR ("\\n"));
+    else
+      md_buf_printf (out, *p == '"' || *p == '\\' ? "\\%c" : "%c", *p);
+}
+
 static void
 write_rows (MdBuf *out, const char *queue, const int64_t counts[MD_JOB_OUTCOME_COUNT])
 {
   for (int i = 0; i < MD_JOB_OUTCOME_COUNT; i++)
-    md_buf_printf (out, "mulberrydrift_queue_jobs_total{queue=\"%s\",outcome=\"%s\"} %lld\n", queue,
-                   outcome_names[i], (long long)counts[i]);
+    {
+      md_buf_append (out, MD_STR ("mulberrydrift_queue_jobs_total{queue=\""));
+      write_queue (out, queue);
+      md_buf_printf (out, "\",outcome=\"%s\"} %lld\n", outcome_names[i], (long long)counts[i]);
+    }
 }
 
 void
--- a/fleet/front-where.c
+++ b/fleet/front-where.c
@@ -15,7 +15,6 @@
 
 #define MAX_BODY (256u << 10)       /* bytes of the job */
 #define MAX_PARSE_MEMORY (8u << 20) /* bytes that parsing the job may take */
-#define MAX_QUERY_VALUE 256         /* bytes of a value in the query */
 
 static int
 respond (struct mg_connection *conn, int status, MdStr body)
@@ -41,27 +40,31 @@
   return status;
 }
 
-/* Value of the query; an empty string if there is none. */
-static void
-query_value (struct mg_connection *conn, const char *name, char *out, size_t size)
+/* A value of the query, which the caller frees; NULL if there is none, or memory is short. */
+static char *
+query_value (struct mg_connection *conn, const char *name)
 {
   const char *query = mg_get_request_info (conn)->query_string;
+  size_t len = query != NULL ? strlen (query) : 0;
+  char *value = malloc (len + 1);
 
-  if (query == NULL || mg_get_var (query, strlen (query), name, out, size) < 0)
-    out[0] = '\0';
+  if (value != NULL && (query == NULL || mg_get_var (query, len, name, value, len + 1) < 0))
+    {
+      free (value);
+      value = NULL;
+    }
+  return value;
 }
 
 /* The queue that the query names, NULL if there is none. The caller owns the result. */
 static MdRoute *
 find_route (struct mg_connection *conn, const MdRunEntry *entry)
 {
-  char host[MAX_QUERY_VALUE];
-  char path[MAX_QUERY_VALUE];
+  md_autofree char *host = query_value (conn, "host");
+  md_autofree char *path = query_value (conn, "path");
   const MdRoutes *routes;
   MdRoute *route = NULL;
 
-  query_value (conn, "host", host, sizeof host);
-  query_value (conn, "path", path, sizeof path);
   urcu_memb_read_lock ();
   routes = md_config_reader_routes (entry->config);
   if (routes != NULL)
@@ -121,7 +124,7 @@
 {
   MdCallerRequest request = { .kind = MD_CALLER_REQUEST_WHERE, .arrived = md_now (), .socket = -1 };
   MD_AUTO_ROUTE *route = NULL;
-  char timeout[MAX_QUERY_VALUE];
+  md_autofree char *timeout = NULL;
   MdError error = { 0 };
   long ms;
   int status;
@@ -142,8 +145,8 @@
         return respond_error (conn, 503, "no configuration has been read yet");
       return respond_error (conn, 404, "the configuration has no queue for this host and path");
     }
-  query_value (conn, "timeout_ms", timeout, sizeof timeout);
-  ms = strtol (timeout, NULL, 10);
+  timeout = query_value (conn, "timeout_ms");
+  ms = timeout != NULL ? strtol (timeout, NULL, 10) : 0;
   if (ms > 0)
     request.response_timeout
         = ms < MD_JSON_MAX_DURATION / MD_MS ? ms * MD_MS : MD_JSON_MAX_DURATION;
--- a/main.c
+++ b/main.c
@@ -25,6 +25,7 @@
   { "run-entry", md_run_entry_main, "serve jobs on the users' platform (--config FILE)" },
   { "run-guard", md_run_guard_main, "guard one worker of the users' platform (--config FILE)" },
   { "check-config", md_check_config_main, "check a settings file" },
+  { "check-routes", md_check_routes_main, "check a configuration of the operator" },
   { "submit", md_submit_main, "submit a job or fetch its answer" },
   { "get", md_resource_main, "list or show resources" },
   { "apply", md_resource_main, "create or replace resources from a YAML file" },
--- a/tests/run-long-names.sh
+++ b/tests/run-long-names.sh
@@ -48,6 +48,7 @@
 run () {
   local n
   start_platform
+  echo "$JOB" > "$RUN/job"
   put_routes 4 "$(route jobs.example /calc/ q calc)" "$(route "$HOST" /calc/ host calc)" \
     "$(route jobs.example "$PREFIX-a/" prefix-a calc)" "$(route jobs.example "$PREFIX-b/" prefix-b none)" \
     "$(route jobs.example /name-a/ "$NAME-a" calc)" "$(route jobs.example /name-b/ "$NAME-b" calc)" \
@@ -72,8 +73,14 @@
     echo "  its runs: $(sed -n "s/^end 00000000000004f$n[^ ]* \([0-9]*\) \([a-z]*\).*/\1 \2/p" "$RUN/journal" | xargs)"
     advisor_allows "$ID_PREFIX-2"
     echo "  a permit of more than 300 bytes: $(try "$n" jobs.example "/advised/00000000000005f$n" "${JOB/cpu=1000/cpu=1000 advised}") on $(runner "00000000000005f$n")"
+    echo "  where a job at a prefix of $((${#PREFIX} + 3)) bytes would go: $("$BIN/mulberrydrift" where --server "127.0.0.$((10 + n)):$METRICS" --host jobs.example --path "$PREFIX-a/" "$RUN/job" 2>&1 | sed -n "s/^queue \([^ ]*\) .*, pool/\1,/p")"
+    echo "  series of the queue with a long name: $(curl -s -m 5 "http://127.0.0.$((10 + n)):$METRICS/metrics" | grep -c "queue=\"$NAME-a\"")"
     echo "  routes that it ignores: $(curl -s -m 5 "http://127.0.0.$((10 + n)):$METRICS/metrics" | sed -n 's/^mulberrydrift_config_routes_ignored //p')"
   done
+  printf '{"version":5,"routes":[%s,{"name":"none","path_prefix":"/none/"}]}' "$(route "$HOST" "$PREFIX/" "$NAME" "$SERVICE")" \
+    > "$RUN/routes"
+  "$BIN/mulberrydrift" check-routes "$RUN/routes" 2> "$RUN/ignored"
+  echo "exit $?: $(sed 's/.*event=//' "$RUN/ignored")"
 }
 
 run > "$RUN/out"
