--- a/Makefile
+++ b/Makefile
@@ -144,7 +144,7 @@
 	bash tests/run-all.sh
 
 # Processor time and memory of the library objects by size; see docs/CAPACITY.md.
-slopes: $(B)/tests/slopes $(B)/tests/slopes-messages
+slopes: $(B)/tests/slopes $(B)/tests/slopes-messages $(B)/tests/slopes-routes
 	@bash tests/slopes.sh $(B)/tests
 
 demo: packages
--- a/core/mulberrydrift.h
+++ b/core/mulberrydrift.h
@@ -21,7 +21,7 @@
 #ifndef MULBERRYDRIFT_H
 #define MULBERRYDRIFT_H
 
-#define MD_VERSION "0.8.0"
+#define MD_VERSION "0.8.1"
 
 #include "mulberrydrift-config.h"
 #include "mulberrydrift-dispatch.h"
--- a/tests/slopes.sh
+++ b/tests/slopes.sh
@@ -12,6 +12,7 @@
 for _ in $(seq "$runs"); do
   "$dir/slopes"
   "$dir/slopes-messages"
+  "$dir/slopes-routes"
 done | awk -v runs="$runs" '
   function median (key,   n, i, j, t, v) {
     n = split (values[key], v, " ")
