--- a/fleet/entry-guards.c
+++ b/fleet/entry-guards.c
@@ -318,8 +318,8 @@
          + (task->checkpoint != NULL ? strlen (task->checkpoint) : 0);
 }
 
-/* Whether an order fits into a message with the specifications and orders that it has already. texts:
-   bytes of their permits and checkpoints, and of the order's. */
+/* Whether an order fits into a message with the specifications and orders that it has already.
+   texts: bytes of their permits and checkpoints, and of the order's. */
 static bool
 fits (const Md__RunOrders *orders, const MdRunSpec *spec, size_t texts)
 {
--- a/fleet/entry-reports.c
+++ b/fleet/entry-reports.c
@@ -16,8 +16,9 @@
   return NULL;
 }
 
-/* Takes over the name, the pool and the labels. Without memory the worker belongs to no pool, so that nothing is
-   placed there by what it was before; the guard describes it again on its next connection. */
+/* Takes over the name, the pool and the labels. Without memory the worker belongs to no pool, so
+   that nothing is placed there by what it was before; the guard describes it again on its next
+   connection. */
 static void
 update_traits (MdEntryGuard *guard, const Md__WorkerInfo *info)
 {
--- a/fleet/guard-orders.c
+++ b/fleet/guard-orders.c
@@ -227,8 +227,8 @@
 
 /* Adds all unsent ends of the peer to the report and marks them as sent. ends and pointers have
    room for them. A report must have all of them, because the entry takes an order that is neither
-   alive nor ended for one that has not arrived. Checkpoints that would not fit into its frame are left
-   out; their tasks begin anew. */
+   alive nor ended for one that has not arrived. Checkpoints that would not fit into its frame are
+   left out; their tasks begin anew. */
 static void
 fill_ends (MdGuardPeer *peer, Md__RunReport *report, Md__RunEnd *ends, Md__RunEnd **pointers)
 {
--- a/fleet/run-entry.h
+++ b/fleet/run-entry.h
@@ -379,8 +379,8 @@
   MdTime wait;    /* it waits there until it is decided again after this time, 0: it does not */
   MdTime saved;   /* run time that it saves */
 } MdEntryNear;
-/* md_entry_group_rack: set *rack to the rack of the tasks of a step that have been ordered, empty if
-   their worker has none. False if none has been ordered. */
+/* md_entry_group_rack: set *rack to the rack of the tasks of a step that have been ordered, empty
+   if their worker has none. False if none has been ordered. */
 bool md_entry_group_rack (const MdEntryJob *job, uint32_t step, MdStr *rack);
 /* md_entry_group_is_moving: whether runs of the step are being taken back to go to another rack
    together. None of its tasks is to be placed meanwhile. */
--- a/fleet/run-guard.h
+++ b/fleet/run-guard.h
@@ -236,8 +236,8 @@
 /* md_guard_count_labels: labels in the newest report of the worker. */
 size_t md_guard_count_labels (const MdGuardWorker *worker);
 
-/* md_guard_describe_worker: fill in the description of the worker for entries. The texts are borrowed
-   from its newest report; labels has room for all of them. */
+/* md_guard_describe_worker: fill in the description of the worker for entries. The texts are
+   borrowed from its newest report; labels has room for all of them. */
 void md_guard_describe_worker (const MdGuardWorker *worker, Md__WorkerInfo *info, char **labels);
 
 /* md_guard_worker_name: name of the worker; empty: no report of this lifetime yet. */
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -5,8 +5,8 @@
 
 #include "routes.h"
 
-/* A route with these fields. Without them, its tasks run on the pool "calc" and may fail twice. It is
-   valid until 1,024 further routes have been asked for. */
+/* A route with these fields. Without them, its tasks run on the pool "calc" and may fail twice. It
+   is valid until 1,024 further routes have been asked for. */
 MdRoute *test_route (MdRoute fields);
 
 /* Traits with these labels; NULL: without the label. The caller is an owner, but need not remove
--- a/tests/slopes-routes.c
+++ b/tests/slopes-routes.c
@@ -1,7 +1,7 @@
 /* slopes-routes.c -- cost of a configuration by the number of its routes
 
-   The texts have the lengths that the platform's configurations have. The memory is what a table keeps
-   after it has been read. */
+   The texts have the lengths that the platform's configurations have. The memory is what a table
+   keeps after it has been read. */
 
 #include "slopes.h"
 
--- a/tests/test-entry-guards.c
+++ b/tests/test-entry-guards.c
@@ -607,8 +607,8 @@
 
 /* Guards against orders that count as sent although they never left: jobs with large bodies that
    were placed on one guard in the same pass made a message of more than a frame, or more output
-   than a link has, and their tasks waited for ends that could not come. The second time the texts are
-   permits, and the third time checkpoints: orders were rejected for the length of all together. */
+   than a link has, and their tasks waited for ends that could not come. The second time the texts
+   are permits, the third time checkpoints: orders were rejected for the length of all together. */
 START_TEST (large_orders_are_all_sent)
 {
   static MdEntryJob jobs[LARGE_JOBS];
--- a/tests/test-long-texts.c
+++ b/tests/test-long-texts.c
@@ -1,7 +1,7 @@
 /* test-long-texts.c -- texts of any length in configurations, reports of workers and jobs
 
-   Guards against texts that are dropped or cut short for their length: a queue would be answered with
-   404, or by another queue, and a worker would not be used, or used for what it cannot run. */
+   Guards against texts that are dropped or cut short for their length: a queue would be answered
+   with 404, or by another queue, and a worker would not be used, or used for what it cannot run. */
 
 #include "platform.h"
 #include "suite.h"
@@ -223,7 +223,7 @@
 }
 END_TEST
 
-/* Guards against a worker that is left out, or without a label, because its texts are long or many. */
+/* Guards against a worker that is left out, or lacks a label, for long or many texts. */
 START_TEST (worker_has_all_its_labels)
 {
   static const size_t lengths[] = { 1, 31, 32, 63, 64, 600 };
@@ -313,8 +313,8 @@
 }
 END_TEST
 
-/* Guards against a run that begins anew, or a worker that counts as denied, because the checkpoint or
-   the permit is long. */
+/* Guards against a run that begins anew, or a worker that counts as denied, because the checkpoint
+   or the permit is long. */
 START_TEST (checkpoints_and_permits_are_kept)
 {
   MD_AUTO_BUF text = text_of ("c", 'c', 600);
