Release the traits that a start call holds

A guard leaked the description of its worker, about 100 bytes, with each start after a new report: the handler of the response to a start freed the call but not its reference to the traits. The unit tests hold a reference to all traits, so that none of them could see it.

Change: the call frees itself at the end of the handler, as the other calls to a worker do; the count of start calls in progress goes down there too.

--- a/fleet/guard-worker.c
+++ b/fleet/guard-worker.c
@@ -171,6 +171,15 @@
   free (call);
 }
 
+static void
+clear_order_call (OrderCall **call)
+{
+  free_order_call (*call);
+}
+
+/* Declares a call that is freed at the end of its scope. */
+#define MD_AUTO_ORDER_CALL __attribute__ ((cleanup (clear_order_call))) OrderCall
+
 static void
 on_stop_response (void *user, const MdHttpAsyncResponse *response)
 {
@@ -578,13 +587,12 @@
 static void
 on_start_response (void *user, const MdHttpAsyncResponse *response)
 {
-  md_autofree OrderCall *call = user;
+  MD_AUTO_ORDER_CALL *call = user;
   MdRunGuard *guard = call->guard;
   MdGuardRun *run = md_guard_find_order (guard, call->entry, call->id);
   MdOrderResult result;
   int64_t clock_ms;
 
-  guard->start_calls--;
   guard->now = md_now ();
   if (run == NULL || !run->start_in_progress)
     return;
