Keep entry-1 of run-handover-jobs short of time while it is to dial

Traced by its logs: between the freeze of entry-2 and its return the script had lost 8 s to the load, in which entry-1 was idle. An entry dials others only while it is short of time, and its share of 0.001 of a core is what an idle entry uses on this machine (5 ms in 5 s, in its lines "load"), so that the test's premise, a share that it always exceeds, did not hold, and it never dialled.

Change: while the script waits for the connection, it reads the metrics of entry-1, which keeps it above its share. Bounds and expectations stay.

No product code is touched.

--- a/tests/run-handover-jobs.sh
+++ b/tests/run-handover-jobs.sh
@@ -31,7 +31,9 @@
 offers () { [ "$(curl -s -m 2 "http://127.0.0.11:$METRICS/metrics" | sed -n 's/^mulberrydrift_handover_offer_permille //p')" = "${1:-1000}" ]; }
 # Entry-1 is connected to entry-2 anew.
 peer_ups () { count entry-1 'event=peer-up peer=entry-2 '; }
-connected_again () { [ "$(peer_ups)" -gt "$UPS" ]; }
+# To read the metrics of entry-1 keeps it above its share, which it is not while it is idle: it dials only while
+# it is short of time.
+connected_again () { offers; [ "$(peer_ups)" -gt "$UPS" ]; }
 ended () { [ "$(grep -c "^start $1\\." "$RUN/journal")" -gt 0 ] && [ "$(grep -c "^start $1\\." "$RUN/journal")" = "$(grep -c "^end $1\\." "$RUN/journal")" ]; }
 taken () { seen entry-2 "handover-taken job=$1"; }
 # Begins a job of two tasks at entry-1 that is handed over, and sets JOB. On a machine that is busy entry-2
