--- a/tests/test-frame-fuzz.c
+++ b/tests/test-frame-fuzz.c
@@ -353,10 +353,7 @@
           MD_CALLER_REQUEST_STATE,  MD_CALLER_REQUEST_CANCEL, MD_CALLER_REQUEST_PENDING };
   MdCallerRequest **place = &requests[draw (MAX_REQUESTS)];
   MdCallerRequest *request;
-  MdRoute fields = { .name = MD_STR ("queue"),
-                     .label = MD_STR ("queue"),
-                     .prefix = MD_STR ("/p/"),
-                     .pool = MD_STR ("calc") };
+  MdRoute fields = { .name = MD_STR ("queue"), .prefix = MD_STR ("/p/"), .pool = MD_STR ("calc") };
 
   if (*place != NULL)
     return;
